The whole path, thin: routers, stand-ins, two deployments, demo and checks

A caller's request passes the filter chain of the entry host, goes on to the owner of the chosen upstream and streams back; an order demands an issued key and runs once. Rates are split statically over the seats; membership is plain gossip; the load bound is a fixed multiple of the capacity.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The targets that a newcomer needs are demo, test, up and down; the others serve maintainers and CI.
+GOBIN := $(CURDIR)/bin
+LINT_VERSION := v2.15.0
+
+.PHONY: build test lint demo up down generate
+
+build:
+	@mkdir -p $(GOBIN)
+	@go build -o $(GOBIN) ./cmd/...
+
+test:
+	go test -race -short ./...
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
+	go vet ./...
+	go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION) run ./...
+
+demo: build
+	@scripts/demo.sh deploy/lobue
+
+up: build
+	@scripts/fleet.sh up deploy/lobue
+
+down:
+	@scripts/fleet.sh down deploy/lobue
+
+# Generated code is committed; this target is only needed after a change to a .proto file.
+generate:
+	@mkdir -p $(GOBIN)
+	go build -o $(GOBIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	go build -o $(GOBIN)/protoc-gen-twirp github.com/twitchtv/twirp/protoc-gen-twirp
+	@for file in $$(find internal/rpc -name '*.proto'); do \
+		PATH="$(GOBIN):$$PATH" protoc --proto_path=. --go_out=. --go_opt=paths=source_relative \
+			--twirp_out=. --twirp_opt=paths=source_relative $$file || exit 1; \
+	done
--- /dev/null
+++ b/cmd/standin-engine/main.go
@@ -0,0 +1,36 @@
+// Command standin-engine stands in for one model engine.
+package main
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/logging"
+	"github.com/orioleusher/orioleusher/internal/process"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/standin/engine"
+	"github.com/orioleusher/orioleusher/internal/standin/server"
+)
+
+type options struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of all stand-ins, in JSON"`
+	Name     string `long:"name" required:"yes" description:"name of the engine in the settings"`
+	process.VersionFlag
+}
+
+func main() {
+	opts := options{VersionFlag: process.NewVersionFlag()}
+	process.Parse(&opts, "Stands in for one model engine.")
+	var all settings.StandIns
+	if err := settings.Load(opts.Settings, &all); err != nil {
+		process.Exit(err)
+	}
+	s, ok := all.Engine(opts.Name)
+	if !ok {
+		process.Exit(errors.Errorf("%s: engine %q does not exist", opts.Settings, opts.Name))
+	}
+	log := logging.New(os.Stderr, s.Log.Level, s.Name)
+	e := engine.New(s, log)
+	process.Exit(server.Run(process.SignalContext(), e.Server(), s.AdminAddress, server.AdminHandler(e), log))
+}
--- /dev/null
+++ b/internal/document/snapshot.go
@@ -0,0 +1,144 @@
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Snapshot is a validated document with the indexes that the request path needs. It is never changed once made.
+type Snapshot struct {
+	*Document
+	// Hash is the hexadecimal SHA-256 of the canonical form.
+	Hash string
+	// Raw is the canonical form.
+	Raw []byte
+
+	keys      map[[sha256.Size]byte]TeamKey
+	teams     map[string]*Team
+	pools     map[string]*Pool
+	hosts     map[string]SeatHost
+	seats     []SeatHost
+	upstreams map[string]PoolUpstream
+	centres   map[string]*DataCentre
+}
+
+// TeamKey is a key with the team that owns it.
+type TeamKey struct {
+	Team *Team
+	Key  *Key
+}
+
+// SeatHost is an entry host with the name of its data centre.
+type SeatHost struct {
+	Host
+	DataCentre string
+}
+
+// PoolUpstream is an upstream with the pool that lists it.
+type PoolUpstream struct {
+	*Upstream
+	Pool *Pool
+}
+
+func newSnapshot(doc *Document) (*Snapshot, error) {
+	raw, err := doc.Encode()
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(raw)
+	s := &Snapshot{
+		Document:  doc,
+		Hash:      hex.EncodeToString(sum[:]),
+		Raw:       raw,
+		keys:      map[[sha256.Size]byte]TeamKey{},
+		teams:     map[string]*Team{},
+		pools:     map[string]*Pool{},
+		hosts:     map[string]SeatHost{},
+		upstreams: map[string]PoolUpstream{},
+		centres:   map[string]*DataCentre{},
+	}
+	s.indexHosts()
+	s.indexPools()
+	return s, s.indexTeams()
+}
+
+func (s *Snapshot) indexHosts() {
+	for i := range s.DataCentres {
+		dc := &s.DataCentres[i]
+		s.centres[dc.Name] = dc
+		for _, h := range dc.Hosts {
+			seat := SeatHost{Host: h, DataCentre: dc.Name}
+			s.hosts[h.Name] = seat
+			s.seats = append(s.seats, seat)
+		}
+	}
+}
+
+func (s *Snapshot) indexPools() {
+	for i := range s.Pools {
+		pool := &s.Pools[i]
+		s.pools[pool.Name] = pool
+		for j := range pool.Upstreams {
+			u := &pool.Upstreams[j]
+			s.upstreams[u.Name] = PoolUpstream{Upstream: u, Pool: pool}
+		}
+	}
+}
+
+func (s *Snapshot) indexTeams() error {
+	for i := range s.Teams {
+		team := &s.Teams[i]
+		s.teams[team.Name] = team
+		for j := range team.Keys {
+			key := &team.Keys[j]
+			var sum [sha256.Size]byte
+			if _, err := hex.Decode(sum[:], []byte(key.SHA256)); err != nil {
+				return errors.Wrapf(err, "decode hash of key %q of team %q", key.ID, team.Name)
+			}
+			s.keys[sum] = TeamKey{Team: team, Key: key}
+		}
+	}
+	return nil
+}
+
+// LookupKey finds the owner of a caller's key by its hash. It returns false for an unknown key.
+// The look-up compares hashes only, so that its duration says nothing about the secret.
+func (s *Snapshot) LookupKey(secret []byte) (TeamKey, bool) {
+	tk, ok := s.keys[sha256.Sum256(secret)]
+	return tk, ok
+}
+
+// Expired reports whether the key is past its not-after time.
+func (k *Key) Expired(now time.Time) bool {
+	return k.NotAfter != nil && !now.Before(*k.NotAfter)
+}
+
+// Team returns the team of that name, or nil.
+func (s *Snapshot) Team(name string) *Team { return s.teams[name] }
+
+// Pool returns the pool of that name, or nil.
+func (s *Snapshot) Pool(name string) *Pool { return s.pools[name] }
+
+// Host returns the entry host of that name.
+func (s *Snapshot) Host(name string) (SeatHost, bool) {
+	h, ok := s.hosts[name]
+	return h, ok
+}
+
+// Seats returns every entry host in document order. The caller must not change the slice.
+func (s *Snapshot) Seats() []SeatHost { return s.seats }
+
+// Upstream returns the upstream of that name and its pool.
+func (s *Snapshot) Upstream(name string) (PoolUpstream, bool) {
+	u, ok := s.upstreams[name]
+	return u, ok
+}
+
+// TakesWork reports whether the upstream and its data centre are both in.
+func (s *Snapshot) TakesWork(u *Upstream) bool {
+	dc := s.centres[u.DataCentre]
+	return u.State == StateIn && dc != nil && dc.State == StateIn
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,111 @@
+// Package exchange defines the request that flows through the filters and the filter interface.
+//
+// A filter looks at the exchange, may change it, and either calls next or returns an error, by convention an
+// *outcome.Refusal. Code after the call of next sees the answer on its way back.
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+// Exchange is one request with everything that the filters learn about it.
+type Exchange struct {
+	// Trace identifies the request in logs, on the hop and at the upstream.
+	Trace string
+	// Start is when the entry host accepted the request.
+	Start time.Time
+	// Deadline is when the caller no longer wants the answer.
+	Deadline time.Time
+	// Method, Path and Header are the caller's; credentials are removed from Header and RawQuery by identify.
+	Method   string
+	Path     string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+
+	// Snapshot is the configuration that was in force when the request was accepted.
+	Snapshot *document.Snapshot
+	Route    *document.Route
+	// Team is nil on open routes.
+	Team *document.Team
+	// KeyHash identifies the caller's key for later checks that it is still valid.
+	KeyID string
+	// ChatID groups the requests of one returning chat.
+	ChatID string
+	// IdempotencyKey is the issued key that came with the request, or empty.
+	IdempotencyKey string
+	// Fingerprint identifies the request's content for the poison quarantine.
+	Fingerprint uint64
+
+	// Candidates are upstream names in the order of preference, set by route.
+	Candidates []string
+	// Answer is the upstream's answer, set by dispatch.
+	Answer *Answer
+}
+
+// Answer is an upstream's answer on its way to the caller. The reader of Body must close it.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body streams the answer. Read returns io.EOF only after the whole answer has been read.
+	Body     io.ReadCloser
+	Upstream string
+}
+
+// Next runs the rest of the chain.
+type Next func(ctx context.Context, x *Exchange) error
+
+// Filter is one step of the chain. Implementations are safe for concurrent use.
+type Filter interface {
+	// Name is the step that errors and metrics carry.
+	Name() string
+	// Handle processes the exchange and calls next to go on.
+	Handle(ctx context.Context, x *Exchange, next Next) error
+}
+
+// Chain returns a function that runs the filters in order.
+func Chain(filters ...Filter) Next {
+	next := Next(func(context.Context, *Exchange) error { return nil })
+	for i := len(filters) - 1; i >= 0; i-- {
+		next = link(filters[i], next)
+	}
+	return next
+}
+
+func link(f Filter, next Next) Next {
+	return func(ctx context.Context, x *Exchange) error {
+		return f.Handle(ctx, x, next)
+	}
+}
+
+// TeamName returns the team's name, or "open" on routes that are open to all.
+func (x *Exchange) TeamName() string {
+	if x.Team == nil {
+		return "open"
+	}
+	return x.Team.Name
+}
+
+// Refusal returns err as a refusal; any other error becomes a 500 whose outcome is unknown.
+func Refusal(err error) *outcome.Refusal {
+	var r *outcome.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &outcome.Refusal{
+		Status: http.StatusInternalServerError, Code: "internal", Message: "internal error",
+		Step: "chain", Outcome: outcome.Unknown, Cause: err,
+	}
+}
+
+// BytesBody returns a body that reads from b.
+func BytesBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
--- /dev/null
+++ b/internal/filters/limit/limit.go
@@ -0,0 +1,48 @@
+// Package limit refuses requests above their team's rate and burst.
+package limit
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/quota"
+)
+
+// Name is the filter's step.
+const Name = "limit"
+
+// Filter is the limit step.
+type Filter struct {
+	limiter  *quota.Limiter
+	admitted tally.Counter
+	refused  tally.Counter
+}
+
+// New returns the filter.
+func New(limiter *quota.Limiter, scope tally.Scope) *Filter {
+	return &Filter{
+		limiter: limiter, admitted: scope.Counter("limit_admitted"), refused: scope.Counter("limit_refused"),
+	}
+}
+
+// Name implements exchange.Filter.
+func (f *Filter) Name() string { return Name }
+
+// Handle implements exchange.Filter. Requests on open routes have no team and no rate.
+func (f *Filter) Handle(ctx context.Context, x *exchange.Exchange, next exchange.Next) error {
+	if x.Team == nil {
+		return next(ctx, x)
+	}
+	d := f.limiter.Admit(x.Snapshot, x.Team)
+	if !d.Admitted {
+		f.refused.Inc(1)
+		return outcome.Refuse(Name, http.StatusTooManyRequests, "over-rate", "the team is above its rate").
+			WithRetryAfter(d.RetryAfter)
+	}
+	f.admitted.Inc(1)
+	return next(ctx, x)
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,86 @@
+// Package hop forwards a request from one router to another: to the owner of an upstream or to the issuer of an
+// idempotency key. Answers stream, which twirp's calls cannot do, so the hop is a plain HTTP request on the peer
+// address whose header carries a protobuf envelope.
+package hop
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
+)
+
+// Path is where each router serves the hop on its peer address.
+const Path = "/hop"
+
+// Headers of the hop.
+const (
+	headerEnvelope = "Oriole-Hop-Envelope"
+	// headerRefusal marks an answer that is a refusal of the receiving router, not an upstream's answer.
+	headerRefusal = "Oriole-Hop-Refusal"
+)
+
+// step is the name that this package's refusals carry.
+const step = "hop"
+
+// Destination says where and for what an exchange is forwarded.
+type Destination struct {
+	Role     hoppb.Role
+	Host     document.SeatHost
+	Upstream string
+}
+
+func encodeEnvelope(e *hoppb.Envelope) (string, error) {
+	raw, err := proto.Marshal(e)
+	if err != nil {
+		return "", errors.Wrap(err, "encode hop envelope")
+	}
+	return base64.StdEncoding.EncodeToString(raw), nil
+}
+
+// DecodeEnvelope reads the envelope of a received hop.
+func DecodeEnvelope(text string) (*hoppb.Envelope, error) {
+	raw, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode hop envelope")
+	}
+	var e hoppb.Envelope
+	if err := proto.Unmarshal(raw, &e); err != nil {
+		return nil, errors.Wrap(err, "decode hop envelope")
+	}
+	return &e, nil
+}
+
+// envelope describes the exchange to the receiver.
+func envelope(x *exchange.Exchange, d Destination, sender string, incarnation uint64, now time.Time) *hoppb.Envelope {
+	return &hoppb.Envelope{
+		Role: d.Role, Sender: sender, SenderIncarnation: incarnation, DocumentVersion: x.Snapshot.Version,
+		Trace: x.Trace, Method: x.Method, Path: x.Path, RawQuery: x.RawQuery, Route: x.Route.Name,
+		Team: teamOf(x), KeyId: x.KeyID, ChatId: x.ChatID, IdempotencyKey: x.IdempotencyKey,
+		Fingerprint: x.Fingerprint, Upstream: d.Upstream, TimeoutMs: x.Deadline.Sub(now).Milliseconds(),
+	}
+}
+
+func teamOf(x *exchange.Exchange) string {
+	if x.Team == nil {
+		return ""
+	}
+	return x.Team.Name
+}
+
+// writeRefusal sends a refusal back over the hop.
+func writeRefusal(w http.ResponseWriter, r *outcome.Refusal) {
+	w.Header().Set(headerRefusal, "1")
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(r.Status)
+	// The sender treats a body that it cannot decode as an unknown outcome.
+	_ = json.NewEncoder(w).Encode(r)
+}
--- /dev/null
+++ b/internal/hop/server.go
@@ -0,0 +1,104 @@
+package hop
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/config"
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/relay"
+	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
+)
+
+// Server receives hops and runs the chain of the envelope's role.
+type Server struct {
+	Store *config.Store
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+	// Chains holds the chain of each role.
+	Chains map[hoppb.Role]exchange.Next
+	// MaxBody bounds the forwarded body, in bytes.
+	MaxBody int64
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	env, x, err := s.receive(r)
+	if err != nil {
+		writeRefusal(w, outcome.Refuse(step, http.StatusBadRequest, "bad-hop", err.Error()))
+		return
+	}
+	chain := s.Chains[env.Role]
+	if chain == nil {
+		writeRefusal(w, outcome.Refuse(step, http.StatusBadRequest, "bad-hop", "unknown role"))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
+	defer cancel()
+	if err := chain(ctx, x); err != nil {
+		refusal := exchange.Refusal(err)
+		s.Log.Debug().Str("event", "hop-refused").Str("trace", x.Trace).Str("peer", env.Sender).Err(refusal).Send()
+		writeRefusal(w, refusal)
+		return
+	}
+	if err := relay.Copy(w, x); err != nil {
+		s.Log.Warn().Str("event", "hop-cut").Str("trace", x.Trace).Str("peer", env.Sender).Err(err).Send()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) receive(r *http.Request) (*hoppb.Envelope, *exchange.Exchange, error) {
+	env, err := DecodeEnvelope(r.Header.Get(headerEnvelope))
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.MaxBody+1))
+	if err != nil || int64(len(body)) > s.MaxBody {
+		return nil, nil, errors.Errorf("body incomplete or above %d bytes", s.MaxBody)
+	}
+	snap := s.Store.Current()
+	if snap == nil {
+		return nil, nil, errors.New("no document in force")
+	}
+	route := findRoute(snap, env.Route)
+	if route == nil {
+		return nil, nil, errors.Errorf("route %q is not in document version %d", env.Route, snap.Version)
+	}
+	team := snap.Team(env.Team)
+	if team == nil && !route.Open {
+		return nil, nil, errors.Errorf("team %q is not in document version %d", env.Team, snap.Version)
+	}
+	now := s.Clock.Now()
+	header := r.Header.Clone()
+	header.Del(headerEnvelope)
+	return env, &exchange.Exchange{
+		Trace: env.Trace, Start: now, Deadline: now.Add(time.Duration(env.TimeoutMs) * time.Millisecond),
+		Method: env.Method, Path: env.Path, RawQuery: env.RawQuery, Header: header, Body: body,
+		Snapshot: snap, Route: route, Team: team, KeyID: env.KeyId, ChatID: env.ChatId,
+		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env),
+	}, nil
+}
+
+func candidates(env *hoppb.Envelope) []string {
+	if env.Upstream == "" {
+		return nil
+	}
+	return []string{env.Upstream}
+}
+
+func findRoute(snap *document.Snapshot, name string) *document.Route {
+	for i := range snap.Routes {
+		if snap.Routes[i].Name == name {
+			return &snap.Routes[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/idempotency/key.go
@@ -0,0 +1,114 @@
+// Package idempotency lets a request that may not be repeated run at most once.
+//
+// A router issues keys that are bound to its own process incarnation by a MAC whose secret lives only in that
+// process's memory. Only the issuing incarnation runs a request with its key, once, and keeps the answer for repeats.
+// When the incarnation is gone its keys are dead for ever; nothing durable and no agreement is needed.
+package idempotency
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// macBytes is the length of the truncated MAC in a key.
+const macBytes = 16
+
+// MaxKeyLength is the longest key text that is parsed.
+const MaxKeyLength = 512
+
+// Key is an issued idempotency key.
+type Key struct {
+	Host        string
+	Incarnation uint64
+	Team        string
+	Sequence    uint64
+	Expires     time.Time
+	mac         []byte
+}
+
+// Signer issues and verifies the keys of one incarnation.
+type Signer struct {
+	host        string
+	incarnation uint64
+	secret      [sha256.Size]byte
+}
+
+// NewSigner returns a signer with a fresh random secret.
+func NewSigner(host string, incarnation uint64) (*Signer, error) {
+	s := &Signer{host: host, incarnation: incarnation}
+	if _, err := rand.Read(s.secret[:]); err != nil {
+		return nil, errors.Wrap(err, "make idempotency secret")
+	}
+	return s, nil
+}
+
+// Sign returns the text form of a new key.
+func (s *Signer) Sign(team string, sequence uint64, expires time.Time) string {
+	k := Key{Host: s.host, Incarnation: s.incarnation, Team: team, Sequence: sequence, Expires: expires}
+	k.mac = s.mac(k)
+	return k.String()
+}
+
+// Verify reports whether this incarnation issued the key.
+func (s *Signer) Verify(k Key) bool {
+	return k.Host == s.host && k.Incarnation == s.incarnation && hmac.Equal(k.mac, s.mac(k))
+}
+
+func (s *Signer) mac(k Key) []byte {
+	h := hmac.New(sha256.New, s.secret[:])
+	h.Write([]byte(k.payload()))
+	return h.Sum(nil)[:macBytes]
+}
+
+// payload is what the MAC covers: host and team in base64, separated from the fixed-size numbers by dots.
+func (k Key) payload() string {
+	var numbers [24]byte
+	binary.BigEndian.PutUint64(numbers[0:], k.Incarnation)
+	binary.BigEndian.PutUint64(numbers[8:], k.Sequence)
+	binary.BigEndian.PutUint64(numbers[16:], uint64(k.Expires.Unix()))
+	enc := base64.RawURLEncoding
+	return enc.EncodeToString([]byte(k.Host)) + "." + enc.EncodeToString([]byte(k.Team)) + "." + enc.EncodeToString(numbers[:])
+}
+
+// String returns the text form.
+func (k Key) String() string {
+	return k.payload() + "." + base64.RawURLEncoding.EncodeToString(k.mac)
+}
+
+// ParseKey decodes the text form. It does not verify the MAC, which only the issuer can.
+func ParseKey(text string) (Key, error) {
+	if len(text) > MaxKeyLength {
+		return Key{}, errors.Errorf("idempotency key has %d characters, limit is %d", len(text), MaxKeyLength)
+	}
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return Key{}, errors.Errorf("idempotency key has %d parts, want 4", len(parts))
+	}
+	var raw [4][]byte
+	for i, part := range parts {
+		b, err := base64.RawURLEncoding.Strict().DecodeString(part)
+		if err != nil {
+			return Key{}, errors.Wrapf(err, "idempotency key part %d", i+1)
+		}
+		raw[i] = b
+	}
+	numbers, mac := raw[2], raw[3]
+	if len(numbers) != 24 || len(mac) != macBytes {
+		return Key{}, errors.New("idempotency key has parts of the wrong length")
+	}
+	return Key{
+		Host:        string(raw[0]),
+		Team:        string(raw[1]),
+		Incarnation: binary.BigEndian.Uint64(numbers[0:]),
+		Sequence:    binary.BigEndian.Uint64(numbers[8:]),
+		Expires:     time.Unix(int64(binary.BigEndian.Uint64(numbers[16:])), 0),
+		mac:         mac,
+	}, nil
+}
--- /dev/null
+++ b/internal/loadbalancer/rendezvous.go
@@ -0,0 +1,52 @@
+// Package loadbalancer orders upstreams and hosts by rendezvous hashing: every router computes the same order for the
+// same key without shared state, and a member that leaves or returns moves only its own part of the keys.
+package loadbalancer
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the rendezvous weight of member for key; the highest score comes first.
+func Score(key uint64, member string) uint64 {
+	return mix(key ^ xxhash.Sum64String(member))
+}
+
+// mix is the finaliser of SplitMix64; it spreads the xor of two hashes over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// HashKey returns the hash of a key, such as a chat id, for Score and Order.
+func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
+
+// Order sorts members in place by descending score for key.
+func Order(key uint64, members []string) {
+	slices.SortFunc(members, func(a, b string) int {
+		sa, sb := Score(key, a), Score(key, b)
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// First returns the member with the highest score, or "" if there is none.
+func First(key uint64, members []string) string {
+	best, bestScore := "", uint64(0)
+	for _, m := range members {
+		if s := Score(key, m); best == "" || s > bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,101 @@
+// Package process holds what every daemon's main does: parse the command line, load settings, log, stop on signals.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Version is the program's version; the build may set it with -ldflags.
+var Version = "0.1.0-dev"
+
+// Exit codes of every program.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitStopped = 3
+)
+
+// VersionFlag is embedded in the options of each program.
+type VersionFlag struct {
+	Version func() `long:"version" description:"print the version and exit"`
+}
+
+// NewVersionFlag returns the flag that prints the version.
+func NewVersionFlag() VersionFlag {
+	return VersionFlag{Version: func() {
+		fmt.Println(Version)
+		os.Exit(ExitOK)
+	}}
+}
+
+// Parse fills in options from the command line. It prints help or the error and exits if there is nothing to run.
+func Parse(options any, description string) {
+	parser := flags.NewParser(options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	_, err := parser.Parse()
+	if err == nil {
+		return
+	}
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		fmt.Println(err)
+		os.Exit(ExitOK)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(ExitUsage)
+}
+
+// Exit prints err, if any, and ends the process.
+func Exit(err error) {
+	if err == nil {
+		os.Exit(ExitOK)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(ExitFailed)
+}
+
+// SignalContext returns a context that ends at the first SIGTERM or SIGINT. The second one ends the process at once.
+func SignalContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(ExitStopped)
+	}()
+	return ctx
+}
+
+// IgnoreClosed returns nil for the error that a server returns after a planned stop.
+func IgnoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// ParseCommands runs the command that the command line names and ends the process with its exit code.
+func ParseCommands(parser *flags.Parser) {
+	_, err := parser.Parse()
+	var flagErr *flags.Error
+	if !errors.As(err, &flagErr) {
+		Exit(err)
+	}
+	if flagErr.Type == flags.ErrHelp {
+		fmt.Println(err)
+		os.Exit(ExitOK)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(ExitUsage)
+}
--- /dev/null
+++ b/internal/settings/router.go
@@ -0,0 +1,191 @@
+package settings
+
+import (
+	"net/url"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+)
+
+// Router holds the settings of one oriole-router process.
+type Router struct {
+	Name          string `json:"name"`
+	DataCentre    string `json:"data_centre"`
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	AdminAddress  string `json:"admin_address"`
+	// Platform is the base URL of the platform's configuration service.
+	Platform string `json:"platform"`
+	// Fleet is the name under which the platform publishes the document.
+	Fleet string `json:"fleet"`
+	// SeedPeers are peer addresses to ask before any document is known.
+	SeedPeers []string `json:"seed_peers,omitempty"`
+	PeerTLS   PeerTLS  `json:"peer_tls"`
+	Limits    Limits   `json:"limits"`
+	Timeouts  Timeouts `json:"timeouts"`
+	Gossip    Gossip   `json:"gossip"`
+	Log       Log      `json:"log"`
+}
+
+// PeerTLS configures mutual TLS between the fleet's processes.
+type PeerTLS struct {
+	// Plaintext turns TLS off; meant for loopback.
+	Plaintext bool   `json:"plaintext,omitempty"`
+	CertFile  string `json:"cert_file,omitempty"`
+	KeyFile   string `json:"key_file,omitempty"`
+	CAFile    string `json:"ca_file,omitempty"`
+}
+
+// Limits bounds what one caller may send.
+type Limits struct {
+	HeaderBytes int   `json:"header_bytes"`
+	BodyBytes   int64 `json:"body_bytes"`
+}
+
+// Timeouts bounds each wait of a request.
+type Timeouts struct {
+	// Header is the time a caller has to send its request's headers.
+	Header Duration `json:"header"`
+	// Body is the time a caller has to send its whole request.
+	Body Duration `json:"body"`
+	// Idle is how long an unused keep-alive connection stays open.
+	Idle Duration `json:"idle"`
+	// Request is the longest time from the accepted request to the end of its answer.
+	Request Duration `json:"request"`
+	// Connect is the time for a connection to an upstream or a peer.
+	Connect Duration `json:"connect"`
+	// FirstByte is the time from the sent request to the first byte of the answer.
+	FirstByte Duration `json:"first_byte"`
+	// BetweenBytes is the longest silence inside an answer.
+	BetweenBytes Duration `json:"between_bytes"`
+	// Stop is how long a planned stop waits for requests in flight.
+	Stop Duration `json:"stop"`
+}
+
+// Gossip sets the pace of the exchange between peers.
+type Gossip struct {
+	// Interval is the time between two rounds.
+	Interval Duration `json:"interval"`
+	// SuspectAfter is the silence after which a peer counts as not live.
+	SuspectAfter Duration `json:"suspect_after"`
+}
+
+// Default values of the router's settings.
+const (
+	defaultHeaderBytes  = 32 << 10
+	defaultBodyBytes    = 4 << 20
+	defaultHeaderTime   = 5 * time.Second
+	defaultBodyTime     = 30 * time.Second
+	defaultIdle         = 60 * time.Second
+	defaultRequest      = 120 * time.Second
+	defaultConnect      = time.Second
+	defaultFirstByte    = 20 * time.Second
+	defaultBetweenBytes = 5 * time.Second
+	defaultStop         = 30 * time.Second
+	defaultGossip       = 500 * time.Millisecond
+	defaultSuspect      = 3 * time.Second
+)
+
+// Check fills in defaults and reports problems.
+func (r *Router) Check() []Problem {
+	r.fill()
+	var c checks
+	c.text("name", r.Name)
+	c.text("data_centre", r.DataCentre)
+	c.text("fleet", r.Fleet)
+	c.address("caller_address", r.CallerAddress)
+	c.address("peer_address", r.PeerAddress)
+	c.address("admin_address", r.AdminAddress)
+	c.url("platform", r.Platform)
+	for _, a := range r.SeedPeers {
+		c.address("seed_peers", a)
+	}
+	c.peerTLS(r.PeerTLS)
+	c.timeouts(r.Timeouts)
+	c.atLeast("gossip.interval", r.Gossip.Interval, 50*time.Millisecond)
+	c.atLeast("gossip.suspect_after", r.Gossip.SuspectAfter, 2*r.Gossip.Interval.Std())
+	return c.problems
+}
+
+func (r *Router) fill() {
+	setInt(&r.Limits.HeaderBytes, defaultHeaderBytes)
+	setInt(&r.Limits.BodyBytes, defaultBodyBytes)
+	t := &r.Timeouts
+	setInt(&t.Header, Duration(defaultHeaderTime))
+	setInt(&t.Body, Duration(defaultBodyTime))
+	setInt(&t.Idle, Duration(defaultIdle))
+	setInt(&t.Request, Duration(defaultRequest))
+	setInt(&t.Connect, Duration(defaultConnect))
+	setInt(&t.FirstByte, Duration(defaultFirstByte))
+	setInt(&t.BetweenBytes, Duration(defaultBetweenBytes))
+	setInt(&t.Stop, Duration(defaultStop))
+	setInt(&r.Gossip.Interval, Duration(defaultGossip))
+	setInt(&r.Gossip.SuspectAfter, Duration(defaultSuspect))
+}
+
+func setInt[T int | int64 | Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// checks collects problems.
+type checks struct {
+	problems []Problem
+}
+
+func (c *checks) add(field, value, want string) {
+	c.problems = append(c.problems, Problem{Field: field, Value: value, Want: want})
+}
+
+func (c *checks) text(field, value string) {
+	if value == "" {
+		c.add(field, value, "a name")
+	}
+}
+
+func (c *checks) address(field, value string) {
+	if !document.ValidAddress(value) {
+		c.add(field, value, "IP:port with a port of 1 to 65535")
+	}
+}
+
+func (c *checks) url(field, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add(field, value, "a URL that begins with http:// or https://")
+	}
+}
+
+func (c *checks) atLeast(field string, value Duration, low time.Duration) {
+	if value.Std() < low {
+		c.add(field, value.Std().String(), "at least "+low.String())
+	}
+}
+
+func (c *checks) timeouts(t Timeouts) {
+	c.atLeast("timeouts.header", t.Header, time.Millisecond)
+	c.atLeast("timeouts.body", t.Body, t.Header.Std())
+	c.atLeast("timeouts.idle", t.Idle, time.Millisecond)
+	c.atLeast("timeouts.connect", t.Connect, time.Millisecond)
+	c.atLeast("timeouts.first_byte", t.FirstByte, time.Millisecond)
+	c.atLeast("timeouts.between_bytes", t.BetweenBytes, time.Millisecond)
+	c.atLeast("timeouts.request", t.Request, t.FirstByte.Std())
+	c.atLeast("timeouts.stop", t.Stop, time.Millisecond)
+}
+
+func (c *checks) peerTLS(t PeerTLS) {
+	if t.Plaintext {
+		return
+	}
+	const want = `a PEM file, or peer_tls.plaintext set to true`
+	if t.CertFile == "" {
+		c.add("peer_tls.cert_file", "", want)
+	}
+	if t.KeyFile == "" {
+		c.add("peer_tls.key_file", "", want)
+	}
+	if t.CAFile == "" {
+		c.add("peer_tls.ca_file", "", want)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/report.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/admin"
+)
+
+// EventKind says what happened to a block of the prefix cache.
+type EventKind string
+
+// The kinds of cache event.
+const (
+	EventStored  EventKind = "stored"
+	EventEvicted EventKind = "evicted"
+)
+
+// eventLimit is the number of cache events that the engine remembers.
+const eventLimit = 4096
+
+// reportInterval is the time between two load reports.
+const reportInterval = 100 * time.Millisecond
+
+// Event is one change of the prefix cache.
+type Event struct {
+	Sequence uint64    `json:"sequence"`
+	Kind     EventKind `json:"kind"`
+	Block    uint64    `json:"block"`
+	at       time.Time
+}
+
+// Load is the engine's load report.
+type Load struct {
+	BootID   uint64 `json:"boot_id"`
+	InFlight int    `json:"in_flight"`
+	Active   int    `json:"active"`
+	Cold     bool   `json:"cold"`
+	// BusyTokens is the number of prompt tokens that wait to be read.
+	BusyTokens int `json:"busy_tokens"`
+}
+
+type timedLoad struct {
+	at   time.Time
+	load Load
+}
+
+// addEvent records a cache event; every EventGap-th is lost. The caller holds mu.
+func (e *Engine) addEvent(kind EventKind, block uint64) {
+	e.lostTo++
+	if gap := uint64(e.settings.EventGap); gap > 0 && e.lostTo%gap == 0 {
+		return
+	}
+	e.events = append(e.events, Event{Sequence: e.lostTo, Kind: kind, Block: block, at: time.Now()})
+	if len(e.events) > eventLimit {
+		e.events = e.events[len(e.events)-eventLimit:]
+	}
+}
+
+// runReports takes a load report at each interval for ever.
+func (e *Engine) runReports() {
+	for {
+		e.mu.Lock()
+		e.reports = append(e.reports, timedLoad{at: time.Now(), load: e.load()})
+		keep := int(e.settings.ReportLag.Std()/reportInterval) + 2
+		e.reports = e.reports[max(0, len(e.reports)-keep):]
+		e.mu.Unlock()
+		time.Sleep(reportInterval)
+	}
+}
+
+// load returns the load now. The caller holds mu.
+func (e *Engine) load() Load {
+	l := Load{BootID: e.bootID, InFlight: len(e.waiting) + len(e.active), Active: len(e.active), Cold: e.cold()}
+	for _, s := range append(append([]*sequence(nil), e.waiting...), e.active...) {
+		l.BusyTokens += s.uncached
+	}
+	return l
+}
+
+// serveLoad answers with the newest report that is at least ReportLag old.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	var found Load
+	for _, r := range e.reports {
+		if found.BootID == 0 || time.Since(r.at) >= e.settings.ReportLag.Std() {
+			found = r.load
+		}
+	}
+	e.mu.Unlock()
+	admin.WriteJSON(w, found)
+}
+
+// serveEvents answers with the cache events after ?since=N that are at least EventLag old.
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	e.mu.Lock()
+	reply := Events{BootID: e.bootID, Events: []Event{}}
+	for _, ev := range e.events {
+		if ev.Sequence > since && time.Since(ev.at) >= e.settings.EventLag.Std() {
+			reply.Events = append(reply.Events, ev)
+		}
+	}
+	e.mu.Unlock()
+	admin.WriteJSON(w, reply)
+}
+
+// Events is the answer of GET /v1/cache/events.
+type Events struct {
+	BootID uint64  `json:"boot_id"`
+	Events []Event `json:"events"`
+}
--- /dev/null
+++ b/internal/transport/request.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+)
+
+// rawIdempotencyKey is the header's name in a form that net/http does not recognise. In its canonical form net/http
+// takes the request for idempotent and resends it on its own after a lost connection.
+const rawIdempotencyKey = "idempotency-key"
+
+// request builds the upstream's request. The returned flag is set once a connection was handed to the request, after
+// which bytes may have been sent.
+func (c *Client) request(ctx context.Context, x *exchange.Exchange, address string, body *trackedBody) (*http.Request, *atomic.Bool, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	target := url.URL{Scheme: "http", Host: address, Path: x.Path, RawQuery: x.RawQuery}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.Method, target.String(), nil)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "build request")
+	}
+	if len(x.Body) > 0 {
+		req.Body = body
+		req.ContentLength = int64(len(x.Body))
+	}
+	req.Header = UpstreamHeader(x)
+	return req, &sent, nil
+}
+
+// hopHeaders are meant for one connection only and never forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// UpstreamHeader returns the caller's headers as the upstream may see them.
+func UpstreamHeader(x *exchange.Exchange) http.Header {
+	h := x.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	h.Del("Idempotency-Key")
+	h.Set(HeaderRequestID, x.Trace)
+	if x.IdempotencyKey != "" {
+		h[rawIdempotencyKey] = []string{x.IdempotencyKey}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,109 @@
+// Package transport sends requests to upstreams and derives, in this one place, the outcome of an attempt from what
+// was seen on the connection.
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/settings"
+)
+
+// step is the name that this package's refusals carry.
+const step = "transport"
+
+// HeaderRequestID carries the trace to the upstream, which echoes it.
+const HeaderRequestID = "X-Request-Id"
+
+// maxConnAge bounds the life of an unused connection; a path that was lost meanwhile is found by new connections.
+const maxConnAge = 30 * time.Second
+
+// Client sends requests to upstreams. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+	timeouts  settings.Timeouts
+}
+
+// NewClient returns a client with the given timeouts that connects with the dialer.
+func NewClient(t settings.Timeouts, dialer *net.Dialer) *Client {
+	return &Client{
+		timeouts: t,
+		transport: &http.Transport{
+			DialContext:           dialer.DialContext,
+			ResponseHeaderTimeout: t.FirstByte.Std(),
+			IdleConnTimeout:       maxConnAge,
+			MaxIdleConnsPerHost:   64,
+			DisableCompression:    true,
+		},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Send sends the exchange to the upstream's address. The error is an *outcome.Refusal whose outcome is true: not-run
+// only if no byte of the request can have left this host.
+func (c *Client) Send(ctx context.Context, x *exchange.Exchange, upstream, address string) (*exchange.Answer, error) {
+	body := &trackedBody{r: bytes.NewReader(x.Body)}
+	req, sent, err := c.request(ctx, x, address, body)
+	if err != nil {
+		return nil, outcome.Unavailable(step, "bad-request", "the request cannot be built").WithPeer(upstream, err)
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, refusal(upstream, sent.Load() || body.read.Load(), err)
+	}
+	if echo := resp.Header.Get(HeaderRequestID); echo != x.Trace {
+		resp.Body.Close()
+		return nil, crossed(upstream, echo)
+	}
+	return &exchange.Answer{
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Body:     newSilenceGuard(resp.Body, c.timeouts.BetweenBytes.Std()),
+		Upstream: upstream,
+	}, nil
+}
+
+func refusal(upstream string, sent bool, err error) *outcome.Refusal {
+	if !sent {
+		return outcome.Unavailable(step, "connect-failed", "the upstream could not be reached").WithPeer(upstream, err)
+	}
+	return &outcome.Refusal{
+		Status: http.StatusBadGateway, Code: "no-answer", Message: "the upstream did not answer",
+		Step: step, Peer: upstream, Outcome: outcome.Unknown, Cause: err,
+	}
+}
+
+func crossed(upstream, echo string) *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusBadGateway, Code: "crossed-answer", Message: "the upstream answered another request",
+		Step: step, Peer: upstream, Outcome: outcome.Unknown,
+		Cause: errors.Errorf("answer carries request id %q", echo),
+	}
+}
+
+// trackedBody is the request's body. It hides bytes.Reader from net/http, which would otherwise be able to rewind and
+// resend the body on its own, and records whether it was read.
+type trackedBody struct {
+	r    *bytes.Reader
+	read atomic.Bool
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	b.read.Store(true)
+	return b.r.Read(p)
+}
+
+func (b *trackedBody) Close() error { return nil }
+
+var _ io.ReadCloser = (*trackedBody)(nil)
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Starts a deployment, sends real requests, prints what happened and stops everything: demo.sh DEPLOYMENT_FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/.."
+deploy=${1:?usage: demo.sh DEPLOYMENT_FOLDER}
+trap 'scripts/fleet.sh down "$deploy"' EXIT
+scripts/fleet.sh up "$deploy"
+bin/oriole-load demo --callers "$deploy/callers.json" --document "$deploy/document.json"
