Membership by probing with bounded digests, settled start, pause guard, planned stop, mutual TLS

Cause: heartbeats of every host in every digest cost bytes in proportion to the fleet, an entry of a new process could be held back by the old one's, a starting router was ready with a stale platform's answer, a process that woke late served on old beliefs at once, and a planned stop closed addresses without time for the balancer and the peers to learn of it.

Two hosts of a data centre watch the platform, the others read at intervals that grow with their rank. A router is ready once the platform and its peers have been asked. A stopping router serves on for timeouts.drain. Peers speak TLS with certificates of the deployment's CA, read again when the files change.

Ruled out: heartbeat gossip with bounded digests (each entry is refreshed too rarely at 850 hosts for any useful suspicion time).

Tests: go test -race -short ./internal/peers ./internal/config ./internal/platform ./internal/pause ./internal/peertls ./internal/proofs/path passes.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -45,9 +45,28 @@
 	current   *document.Snapshot
 	history   []Record
 	conflicts uint64
+	conflict  *ConflictRecord
+	refused   *Refused
 	changed   chan struct{}
 }
 
+// ConflictRecord says that two different documents of one version were published. The one with the greater hash wins
+// on every host; the other operator has to publish again.
+type ConflictRecord struct {
+	Version uint64    `json:"version"`
+	Winner  string    `json:"winner"`
+	Loser   string    `json:"loser"`
+	Source  string    `json:"source"`
+	At      time.Time `json:"at"`
+}
+
+// Refused is the last document that could not be read.
+type Refused struct {
+	Source string    `json:"source"`
+	Reason string    `json:"reason"`
+	At     time.Time `json:"at"`
+}
+
 // NewStore returns an empty store.
 func NewStore(clock clockwork.Clock, log zerolog.Logger) *Store {
 	return &Store{clock: clock, log: log, changed: make(chan struct{})}
@@ -70,17 +89,24 @@
 // Offer parses raw and applies it if it is newer than the document in force. Source names the peer or the platform.
 // A document that does not parse is an error and leaves the one in force untouched.
 func (s *Store) Offer(raw []byte, source string) (Verdict, error) {
+	verdict, _, err := s.OfferVersion(raw, source)
+	return verdict, err
+}
+
+// OfferVersion is Offer that also returns the version of the offered document.
+func (s *Store) OfferVersion(raw []byte, source string) (Verdict, uint64, error) {
 	snap, err := document.Parse(raw)
 	if err != nil {
 		s.log.Error().Str("event", "document-refused").Str("source", source).Err(err).Send()
-		return Broken, errors.Wrapf(err, "offer from %s", source)
+		s.noteRefused(source, err)
+		return Broken, 0, errors.Wrapf(err, "offer from %s", source)
 	}
 	verdict := s.apply(snap, source)
-	if verdict == Applied || verdict == Conflict {
-		s.log.Info().Str("event", "document-"+string(verdict)).Str("source", source).
+	if verdict == Applied {
+		s.log.Info().Str("event", "document-applied").Str("source", source).
 			Uint64("version", snap.Version).Str("hash", snap.Hash).Send()
 	}
-	return verdict, nil
+	return verdict, snap.Version, nil
 }
 
 func (s *Store) apply(snap *document.Snapshot, source string) Verdict {
@@ -89,7 +115,7 @@
 	verdict := Compare(s.current, snap.Version, snap.Hash)
 	switch {
 	case verdict == Conflict:
-		s.conflicts++
+		s.noteConflict(snap.Version, snap.Hash, source)
 		if snap.Hash < s.current.Hash {
 			return Conflict
 		}
@@ -103,6 +129,33 @@
 	return verdict
 }
 
+func (s *Store) noteRefused(source string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = &Refused{Source: source, Reason: err.Error(), At: s.clock.Now()}
+}
+
+// NoteConflict reports a document of the version in force whose hash differs, as a peer told of it.
+func (s *Store) NoteConflict(version uint64, hash, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if Compare(s.current, version, hash) == Conflict {
+		s.noteConflict(version, hash, source)
+	}
+}
+
+// noteConflict counts each pair of documents once. The caller holds mu.
+func (s *Store) noteConflict(version uint64, hash, source string) {
+	winner, loser := max(hash, s.current.Hash), min(hash, s.current.Hash)
+	if c := s.conflict; c != nil && c.Version == version && c.Winner == winner && c.Loser == loser {
+		return
+	}
+	s.conflicts++
+	s.conflict = &ConflictRecord{Version: version, Winner: winner, Loser: loser, Source: source, At: s.clock.Now()}
+	s.log.Error().Str("event", "document-conflict").Str("source", source).Uint64("version", version).
+		Str("winner", winner).Str("loser", loser).Send()
+}
+
 func (s *Store) remember(r Record) {
 	s.history = append(s.history, r)
 	if len(s.history) > historyLimit {
@@ -127,17 +180,21 @@
 
 // State is the store's section of the state dump.
 type State struct {
-	Version   uint64   `json:"version"`
-	Hash      string   `json:"hash"`
-	Conflicts uint64   `json:"conflicts"`
-	History   []Record `json:"history"`
+	Version uint64 `json:"version"`
+	Hash    string `json:"hash"`
+	// Conflicts counts the pairs of different documents of one version; Conflict is the last one.
+	Conflicts uint64          `json:"conflicts"`
+	Conflict  *ConflictRecord `json:"conflict,omitempty"`
+	// Refused is the last document that could not be read.
+	Refused *Refused `json:"refused,omitempty"`
+	History []Record `json:"history"`
 }
 
 // State returns a copy of the store's state.
 func (s *Store) State() State {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	st := State{Conflicts: s.conflicts, History: append([]Record(nil), s.history...)}
+	st := State{Conflicts: s.conflicts, Conflict: s.conflict, Refused: s.refused, History: append([]Record(nil), s.history...)}
 	if s.current != nil {
 		st.Version = s.current.Version
 		st.Hash = s.current.Hash
--- a/internal/document/snapshot.go
+++ b/internal/document/snapshot.go
@@ -122,6 +122,16 @@
 // Pool returns the pool of that name, or nil.
 func (s *Snapshot) Pool(name string) *Pool { return s.pools[name] }
 
+// Route returns the route of that name, or nil.
+func (s *Snapshot) Route(name string) *Route {
+	for i := range s.Routes {
+		if s.Routes[i].Name == name {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
 // Host returns the entry host of that name.
 func (s *Snapshot) Host(name string) (SeatHost, bool) {
 	h, ok := s.hosts[name]
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -1,8 +1,14 @@
 // Package peers keeps this host's view of the other hosts by gossip: who is live, who is leaving, and which document
 // is in force. The view only decides how well the fleet serves; no promise depends on it.
+//
+// Hosts are probed in turn. A host that neither the prober nor the peers that it asks can reach becomes suspect, and
+// dead when it does not refute that in time. Only changes travel, so that traffic does not grow with the fleet.
 package peers
 
 import (
+	"cmp"
+	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,45 +17,91 @@
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 )
 
+// Limits of the members in one digest.
+const (
+	// freshPerDigest bounds the members whose entry changed lately.
+	freshPerDigest = 12
+	// rotatingPerDigest members more are taken in turn, so that a change that was missed is heard later.
+	rotatingPerDigest = 4
+	// sendsPerDoubling times the binary logarithm of the fleet's size is how often a change is sent.
+	sendsPerDoubling = 4
+)
+
+// maxDirectHint bounds the time for which a host that this host failed to reach counts as not live here.
+const maxDirectHint = 30 * time.Second
+
 // member is what this host knows of one host.
 type member struct {
 	incarnation uint64
-	heartbeat   uint64
+	generation  uint64
+	status      gossippb.MemberStatus
 	leaving     bool
-	// heard is when heartbeat last grew, by this host's clock.
-	heard time.Time
+	// since is when the entry last changed, by this host's clock.
+	since time.Time
+	// sends counts the digests that carried the entry since it changed.
+	sends int
+	// failures counts the direct failures in a row; the host is unreachable from here until failedUntil.
+	failures    int
+	failedUntil time.Time
 }
 
 // Members is the table of hosts. It is safe for concurrent use.
 type Members struct {
 	self         string
-	incarnation  uint64
 	clock        clockwork.Clock
 	suspectAfter time.Duration
 
-	mu    sync.RWMutex
-	table map[string]*member
+	mu       sync.RWMutex
+	table    map[string]*member
+	hosts    map[string]struct{}
+	rotation int
+	refuted  uint64
+	rivals   uint64
 }
 
-// NewMembers returns a table that knows only this host.
+// NewMembers returns a table that knows only this host. A suspect host is dead after suspectAfter.
 func NewMembers(self string, incarnation uint64, suspectAfter time.Duration, clock clockwork.Clock) *Members {
-	m := &Members{
-		self: self, incarnation: incarnation, clock: clock, suspectAfter: suspectAfter,
-		table: map[string]*member{},
-	}
-	m.table[self] = &member{incarnation: incarnation, heard: clock.Now()}
+	m := &Members{self: self, clock: clock, suspectAfter: suspectAfter, table: map[string]*member{}}
+	now := clock.Now()
+	m.table[self] = &member{incarnation: incarnation, generation: uint64(now.UnixMilli()), since: now}
 	return m
 }
 
-// Live reports whether the host is believed live and not leaving.
+// Live reports whether the host is believed live and not leaving, and reachable from here. A host in a planned stop
+// that knows no other live host counts itself as live.
 func (m *Members) Live(host string) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if host == m.self {
+		return !m.table[host].leaving || !m.anyPeer()
+	}
 	e := m.table[host]
-	if e == nil || e.leaving {
+	return e != nil && m.live(e)
+}
+
+func (m *Members) live(e *member) bool {
+	now := m.clock.Now()
+	return !e.leaving && !m.dead(e, now) && !now.Before(e.failedUntil)
+}
+
+func (m *Members) dead(e *member, now time.Time) bool {
+	switch e.status {
+	case gossippb.MemberStatus_MEMBER_STATUS_ALIVE:
 		return false
+	case gossippb.MemberStatus_MEMBER_STATUS_SUSPECT:
+		return now.Sub(e.since) >= m.suspectAfter
+	default:
+		return true
 	}
-	return host == m.self || m.clock.Since(e.heard) < m.suspectAfter
+}
+
+func (m *Members) anyPeer() bool {
+	for host, e := range m.table {
+		if host != m.self && m.live(e) {
+			return true
+		}
+	}
+	return false
 }
 
 // Incarnation returns the host's last known incarnation, or 0.
@@ -62,85 +114,249 @@
 	return 0
 }
 
-// Beat advances this host's heartbeat.
-func (m *Members) Beat() {
+// Leave marks this host as leaving.
+func (m *Members) Leave() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.table[m.self]
-	e.heartbeat++
-	e.heard = m.clock.Now()
+	e.leaving = true
+	m.raise(e, e.generation+1)
 }
 
-// Leave marks this host as leaving.
-func (m *Members) Leave() {
+// raise gives this host's own entry a new generation, so that it replaces every earlier claim.
+func (m *Members) raise(e *member, generation uint64) {
+	e.generation = generation
+	m.touch(e)
+}
+
+func (m *Members) touch(e *member) {
+	e.since = m.clock.Now()
+	e.sends = 0
+}
+
+// SetHosts limits the table to the listed hosts and this one.
+func (m *Members) SetHosts(names []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table[m.self].leaving = true
+	m.hosts = make(map[string]struct{}, len(names))
+	for _, name := range names {
+		m.hosts[name] = struct{}{}
+	}
+	for host := range m.table {
+		if !m.listed(host) {
+			delete(m.table, host)
+		}
+	}
+}
+
+func (m *Members) listed(host string) bool {
+	if m.hosts == nil || host == m.self {
+		return true
+	}
+	_, ok := m.hosts[host]
+	return ok
 }
 
 // Merge takes over everything in the digest that is newer than this host's view.
 func (m *Members) Merge(digest []*gossippb.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
 	for _, d := range digest {
-		m.mergeOne(d, now)
+		switch {
+		case d.Host == "" || !m.listed(d.Host):
+		case d.Host == m.self:
+			m.answer(d)
+		default:
+			m.mergeOne(d)
+		}
 	}
 }
 
-func (m *Members) mergeOne(d *gossippb.Member, now time.Time) {
-	if d.Host == m.self || d.Host == "" {
+// answer refutes a claim that this process is not alive or that another process has its name.
+func (m *Members) answer(d *gossippb.Member) {
+	e := m.table[m.self]
+	rival := d.Incarnation != e.incarnation
+	doubt := d.Status != gossippb.MemberStatus_MEMBER_STATUS_ALIVE
+	if d.Generation < e.generation || !rival && !doubt && d.Leaving == e.leaving {
 		return
 	}
+	m.refuted++
+	if rival {
+		m.rivals++
+	}
+	m.raise(e, d.Generation+1)
+}
+
+func (m *Members) mergeOne(d *gossippb.Member) {
 	e := m.table[d.Host]
-	switch {
-	case e == nil || e.incarnation != d.Incarnation && d.Heartbeat > 0 && !m.recent(e, now):
-		m.table[d.Host] = &member{incarnation: d.Incarnation, heartbeat: d.Heartbeat, leaving: d.Leaving, heard: now}
-	case e.incarnation == d.Incarnation && d.Heartbeat > e.heartbeat:
-		e.heartbeat, e.leaving, e.heard = d.Heartbeat, d.Leaving, now
+	if e == nil {
+		e = &member{}
+		m.table[d.Host] = e
+	} else if !newer(d, e) {
+		return
+	}
+	if d.Incarnation != e.incarnation {
+		e.failures, e.failedUntil = 0, time.Time{}
 	}
+	e.incarnation, e.generation, e.status, e.leaving = d.Incarnation, d.Generation, d.Status, d.Leaving
+	m.touch(e)
+}
+
+// newer reports whether the claim replaces the entry: the higher generation, then the worse status, then the greater
+// incarnation, so that every host settles on the same entry whatever the order of arrival.
+func newer(d *gossippb.Member, e *member) bool {
+	order := cmp.Or(
+		cmp.Compare(d.Generation, e.generation), cmp.Compare(d.Status, e.status), cmp.Compare(d.Incarnation, e.incarnation),
+	)
+	return order > 0
 }
 
-// recent reports whether the entry was heard of within half the suspicion time; an entry of another incarnation does
-// not replace it before, so that an old digest cannot bring a replaced process back.
-func (m *Members) recent(e *member, now time.Time) bool {
-	return now.Sub(e.heard) < m.suspectAfter/2
+// Reached notes that this host reached the other one directly.
+func (m *Members) Reached(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.table[host]; e != nil {
+		e.failures, e.failedUntil = 0, time.Time{}
+	}
 }
 
-// Digest returns the table for a message.
-func (m *Members) Digest() []*gossippb.Member {
+// Suspect notes that this host failed to reach the other one directly, so that it counts as not live here for a while.
+// The rest of the fleet is not told.
+func (m *Members) Suspect(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.table[host]
+	if e == nil || host == m.self {
+		return
+	}
+	hint := min(m.suspectAfter<<min(e.failures, 8), maxDirectHint)
+	e.failures++
+	e.failedUntil = m.clock.Now().Add(hint)
+}
+
+// Accuse marks the host as suspect for the whole fleet: no peer that was asked reached it either.
+func (m *Members) Accuse(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.table[host]
+	if e == nil || host == m.self || e.status != gossippb.MemberStatus_MEMBER_STATUS_ALIVE {
+		return
+	}
+	e.status = gossippb.MemberStatus_MEMBER_STATUS_SUSPECT
+	m.touch(e)
+}
+
+// Expire turns suspects that did not refute in time into dead hosts.
+func (m *Members) Expire() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, e := range m.table {
+		if e.status == gossippb.MemberStatus_MEMBER_STATUS_SUSPECT && m.dead(e, now) {
+			e.status = gossippb.MemberStatus_MEMBER_STATUS_DEAD
+			m.touch(e)
+		}
+	}
+}
+
+// Digest returns the members for one message to a host: this host, the receiver, the entries that changed lately, and a
+// rotating part of the rest. Its size is bounded whatever the fleet's size.
+func (m *Members) Digest(to string) []*gossippb.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fresh, rest := m.split(to)
+	fresh = fresh[:min(freshPerDigest, len(fresh))]
+	digest := []*gossippb.Member{wire(m.self, m.table[m.self])}
+	if e := m.table[to]; e != nil && to != m.self {
+		digest = append(digest, wire(to, e))
+	}
+	for _, host := range fresh {
+		e := m.table[host]
+		e.sends++
+		digest = append(digest, wire(host, e))
+	}
+	for range min(rotatingPerDigest+freshPerDigest-len(fresh), len(rest)) {
+		m.rotation = (m.rotation + 1) % len(rest)
+		digest = append(digest, wire(rest[m.rotation], m.table[rest[m.rotation]]))
+	}
+	return digest
+}
+
+// split returns the other hosts whose change still has to be sent, least sent first, and all the rest by name.
+func (m *Members) split(to string) (fresh, rest []string) {
+	limit := sendsPerDoubling * bits.Len(uint(len(m.table)))
+	for host, e := range m.table {
+		switch {
+		case host == m.self || host == to:
+		case e.sends < limit:
+			fresh = append(fresh, host)
+		default:
+			rest = append(rest, host)
+		}
+	}
+	slices.Sort(rest)
+	slices.SortFunc(fresh, func(a, b string) int {
+		return cmp.Or(cmp.Compare(m.table[a].sends, m.table[b].sends), cmp.Compare(a, b))
+	})
+	return fresh, rest
+}
+
+// All returns the whole table, for a host that starts or wakes.
+func (m *Members) All() []*gossippb.Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	digest := make([]*gossippb.Member, 0, len(m.table))
+	all := make([]*gossippb.Member, 0, len(m.table))
 	for host, e := range m.table {
-		digest = append(digest, &gossippb.Member{
-			Host: host, Incarnation: e.incarnation, Heartbeat: e.heartbeat, Leaving: e.leaving,
-		})
+		all = append(all, wire(host, e))
+	}
+	return all
+}
+
+func wire(host string, e *member) *gossippb.Member {
+	return &gossippb.Member{
+		Host: host, Incarnation: e.incarnation, Generation: e.generation, Leaving: e.leaving, Status: e.status,
 	}
-	return digest
 }
 
 // MemberState is one host in the state dump.
 type MemberState struct {
 	Host        string `json:"host"`
 	Incarnation uint64 `json:"incarnation"`
-	Live        bool   `json:"live"`
-	Leaving     bool   `json:"leaving"`
-	// SilentMS is the time since the heartbeat last grew, in milliseconds.
-	SilentMS int64 `json:"silent_ms"`
+	Generation  uint64 `json:"generation"`
+	// Status is alive, suspect or dead, as the fleet has it.
+	Status  string `json:"status"`
+	Live    bool   `json:"live"`
+	Leaving bool   `json:"leaving"`
+	// Unreachable says that this host failed to reach the other one directly.
+	Unreachable bool `json:"unreachable,omitempty"`
+	// UnchangedMS is the time since the entry last changed, in milliseconds.
+	UnchangedMS int64 `json:"unchanged_ms"`
 }
 
-// State returns the table.
+// State returns the table, sorted by name.
 func (m *Members) State() []MemberState {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	now := m.clock.Now()
 	states := make([]MemberState, 0, len(m.table))
 	for host, e := range m.table {
-		silent := m.clock.Since(e.heard)
 		states = append(states, MemberState{
-			Host: host, Incarnation: e.incarnation, Leaving: e.leaving, SilentMS: silent.Milliseconds(),
-			Live: !e.leaving && (host == m.self || silent < m.suspectAfter),
+			Host: host, Incarnation: e.incarnation, Generation: e.generation, Status: m.statusText(e, now),
+			Live: host == m.self && !e.leaving || host != m.self && m.live(e), Leaving: e.leaving,
+			Unreachable: now.Before(e.failedUntil), UnchangedMS: now.Sub(e.since).Milliseconds(),
 		})
 	}
+	slices.SortFunc(states, func(a, b MemberState) int { return cmp.Compare(a.Host, b.Host) })
 	return states
 }
+
+func (m *Members) statusText(e *member, now time.Time) string {
+	switch {
+	case m.dead(e, now):
+		return "dead"
+	case e.status == gossippb.MemberStatus_MEMBER_STATUS_SUSPECT:
+		return "suspect"
+	default:
+		return "alive"
+	}
+}
--- /dev/null
+++ b/internal/peertls/peertls_test.go
@@ -0,0 +1,140 @@
+package peertls_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/peertls"
+	"github.com/orioleusher/orioleusher/internal/peertls/certtest"
+	"github.com/orioleusher/orioleusher/internal/settings"
+)
+
+const serverIP = "127.70.9.1"
+
+func keeper(t *testing.T, files settings.PeerTLS, clock clockwork.Clock) *peertls.Keeper {
+	t.Helper()
+	k, err := peertls.New(files, clock, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// serve answers "ok" behind the keeper and returns the address.
+func serve(t *testing.T, k *peertls.Keeper) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", serverIP+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	})}
+	go func() { _ = server.Serve(k.Listener(listener)) }()
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+func call(k *peertls.Keeper, address string) error {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+		DialTLSContext: k.Dial((&net.Dialer{}).DialContext), DisableKeepAlives: true,
+	}}
+	resp, err := client.Get("https://" + address)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func TestOnlyPeersWithACertificateOfTheDeploymentSpeakToEachOther(t *testing.T) {
+	ours, theirs := certtest.NewCA(t), certtest.NewCA(t)
+	clock := clockwork.NewRealClock()
+	past := time.Now().Add(-time.Minute)
+	good := func(t *testing.T) settings.PeerTLS { return ours.Write(t.TempDir(), time.Time{}, serverIP) }
+	cases := []struct {
+		name           string
+		server, client func(t *testing.T) settings.PeerTLS
+		ok             bool
+	}{
+		{"both ours", good, good, true},
+		{"the client is of another CA", good, func(t *testing.T) settings.PeerTLS {
+			files := theirs.Write(t.TempDir(), time.Time{}, serverIP)
+			files.CAFile = good(t).CAFile
+			return files
+		}, false},
+		{"the server is of another CA", func(t *testing.T) settings.PeerTLS {
+			files := theirs.Write(t.TempDir(), time.Time{}, serverIP)
+			files.CAFile = good(t).CAFile
+			return files
+		}, good, false},
+		{"the client's certificate is over", good, func(t *testing.T) settings.PeerTLS {
+			return ours.Write(t.TempDir(), past, serverIP)
+		}, false},
+		{"the server's certificate names another IP", func(t *testing.T) settings.PeerTLS {
+			return ours.Write(t.TempDir(), time.Time{}, "127.70.9.2")
+		}, good, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, keeper(t, c.server(t), clock))
+			err := call(keeper(t, c.client(t), clock), address)
+			t.Log(err)
+			is.Equal(err == nil, c.ok)
+		})
+	}
+}
+
+func TestAPlainClientIsRefused(t *testing.T) {
+	is := is.New(t)
+	ours := certtest.NewCA(t)
+	address := serve(t, keeper(t, ours.Write(t.TempDir(), time.Time{}, serverIP), clockwork.NewRealClock()))
+	resp, err := http.Get("http://" + address)
+	if err == nil {
+		defer resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+	}
+}
+
+func TestChangedFilesAreReadAgainAndBrokenOnesAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	old, renewed := certtest.NewCA(t), certtest.NewCA(t)
+	dir := t.TempDir()
+	server := keeper(t, old.Write(dir, time.Time{}, serverIP), clock)
+	address := serve(t, server)
+	oldPeer := keeper(t, old.Write(t.TempDir(), time.Time{}, serverIP), clockwork.NewRealClock())
+	newPeer := keeper(t, renewed.Write(t.TempDir(), time.Time{}, serverIP), clockwork.NewRealClock())
+	is.NoErr(call(oldPeer, address))
+	is.True(call(newPeer, address) != nil)
+
+	files := renewed.Write(dir, time.Time{}, serverIP)
+	clock.Advance(2 * time.Second)
+	is.NoErr(call(newPeer, address))
+	is.True(call(oldPeer, address) != nil)
+
+	is.NoErr(os.WriteFile(files.CertFile, []byte("not a certificate"), 0o600))
+	clock.Advance(2 * time.Second)
+	is.NoErr(call(newPeer, address))
+	is.True(server.State().LastError != "")
+	is.Equal(server.State().Loads, 2)
+}
+
+func TestPlaintextOnlyIfTheSettingsSaySo(t *testing.T) {
+	is := is.New(t)
+	none, err := peertls.New(settings.PeerTLS{Plaintext: true}, clockwork.NewRealClock(), zerolog.Nop())
+	is.NoErr(err)
+	is.True(none == nil)
+	is.True(none.State().Plaintext)
+	_, err = peertls.New(settings.PeerTLS{}, clockwork.NewRealClock(), zerolog.Nop())
+	is.True(err != nil)
+	is.Equal(call(keeper(t, certtest.NewCA(t).Write(t.TempDir(), time.Time{}, serverIP), clockwork.NewRealClock()), "127.70.9.1:1") == nil, false)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,9 +19,11 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/config"
 	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/ownership"
 )
 
 // HeaderIndex carries the index of a configuration value.
@@ -29,126 +32,235 @@
 const (
 	// watchWait is how long the platform holds a watch open.
 	watchWait = 30 * time.Second
-	// readTimeout bounds one call beyond the watch's wait.
-	readTimeout = 5 * time.Second
+	// readTimeout bounds a plain read, and a watch beyond its wait.
+	readTimeout = 3 * time.Second
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 10 * time.Second
+	// minCallInterval is the least time between two calls, whatever the platform answers.
+	minCallInterval = 100 * time.Millisecond
+	// rankCheck is how often a host that does not watch looks whether it has to.
+	rankCheck = time.Second
 )
 
-// Client watches one document. Run feeds the store.
+// Options configures NewClient.
+type Options struct {
+	// Base is the platform's base URL.
+	Base string
+	// Fleet is the name of the document.
+	Fleet string
+	// Self is this host's name.
+	Self   string
+	Dialer *net.Dialer
+	Live   ownership.Liveness
+	Store  *config.Store
+	Clock  clockwork.Clock
+	Rand   *rand.Rand
+	Log    zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Client reads one document. Run feeds the store.
 type Client struct {
-	base  string
-	fleet string
-	http  *http.Client
-	store *config.Store
-	clock clockwork.Clock
-	log   zerolog.Logger
-
-	mu     sync.Mutex
-	index  string
-	calls  uint64
-	failed uint64
-	err    string
-}
-
-// NewClient returns a client for the platform at base that connects with the dialer.
-func NewClient(base, fleet string, dialer *net.Dialer, store *config.Store, clock clockwork.Clock, log zerolog.Logger) *Client {
+	Options
+	http *http.Client
+
+	callsCounter  tally.Counter
+	failedCounter tally.Counter
+
+	mu    sync.Mutex
+	state State
+	first chan struct{}
+}
+
+// NewClient returns a client of the platform.
+func NewClient(o Options) *Client {
 	return &Client{
-		base: base, fleet: fleet, store: store, clock: clock, log: log,
-		http: &http.Client{
-			Timeout:   watchWait + readTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
-		},
+		Options: o, first: make(chan struct{}),
+		http:         &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableCompression: true}},
+		callsCounter: o.Scope.Counter("platform_calls"), failedCounter: o.Scope.Counter("platform_calls_failed"),
 	}
 }
 
-// Run watches until the context ends.
+// Run reads until the context ends: the first time at once, then as the host's rank says.
 func (c *Client) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := c.watch(ctx)
-		c.note(err)
-		if err == nil {
+		err := c.call(ctx)
+		wait := c.pause()
+		if err != nil {
+			c.Log.Warn().Str("event", "platform-failed").Str("peer", c.Base).Err(err).Send()
+			wait = max(wait, c.jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+		} else {
 			backoff = minBackoff
-			continue
 		}
-		c.log.Warn().Str("event", "platform-failed").Str("peer", c.base).Err(err).Send()
+		c.sleep(ctx, wait)
+	}
+}
+
+// First is closed when the first call has ended, whatever came of it.
+func (c *Client) First() <-chan struct{} { return c.first }
+
+// Refresh makes one plain read besides those of Run.
+func (c *Client) Refresh(ctx context.Context) error {
+	return c.read(ctx, "", 0)
+}
+
+// sleep waits. A host whose rank becomes that of a watcher meanwhile stops waiting for its next poll.
+func (c *Client) sleep(ctx context.Context, wait time.Duration) {
+	end := c.Clock.Now().Add(wait)
+	for left := wait; left > 0; left = end.Sub(c.Clock.Now()) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.clock.After(backoff):
+		case <-c.Clock.After(min(left, rankCheck)):
+		}
+		if wait > maxBackoff && c.rank() < watchersPerDataCentre {
+			return
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-func (c *Client) note(err error) {
+// pause returns the wait after a call that did not fail.
+func (c *Client) pause() time.Duration {
+	if interval := pollInterval(c.rank()); interval > 0 {
+		return c.jitter(interval)
+	}
+	return minCallInterval
+}
+
+func (c *Client) rank() int {
+	snap := c.Store.Current()
+	if snap == nil {
+		return 0
+	}
+	return rank(snap, c.Live, c.Self)
+}
+
+// jitter returns between half of d and one and a half of d.
+func (c *Client) jitter(d time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls++
-	c.err = ""
-	if err != nil {
-		c.failed++
-		c.err = err.Error()
+	return d/2 + time.Duration(c.Rand.Int64N(int64(d)))
+}
+
+// call watches if this host's rank says so and something has been read before, and reads else.
+func (c *Client) call(ctx context.Context) error {
+	place := c.rank()
+	c.mu.Lock()
+	index := c.state.Index
+	c.state.Watching = place < watchersPerDataCentre && index != ""
+	watching := c.state.Watching
+	c.mu.Unlock()
+	if watching {
+		return c.read(ctx, index, watchWait)
+	}
+	return c.read(ctx, index, 0)
+}
+
+// read makes one call and offers what it returns to the store. A broken document is not an error of the call.
+func (c *Client) read(ctx context.Context, index string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	raw, newIndex, err := c.get(ctx, index, wait)
+	verdict := config.Verdict("")
+	var version uint64
+	if err == nil && raw != nil {
+		// A broken document is logged by the store; the next index may hold a good one.
+		verdict, version, _ = c.Store.OfferVersion(raw, "platform")
 	}
+	c.note(newIndex, verdict, version, err)
+	return err
 }
 
-// watch makes one call and offers what it returns to the store. A broken document is not an error of the call.
-func (c *Client) watch(ctx context.Context) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(), nil)
+// get returns the value and its index, or no value if it has not changed.
+func (c *Client) get(ctx context.Context, index string, wait time.Duration) (raw []byte, newIndex string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(index, wait), nil)
 	if err != nil {
-		return errors.Wrap(err, "build platform request")
+		return nil, index, errors.Wrap(err, "build platform request")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "read platform")
+		return nil, index, errors.Wrap(err, "read platform")
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusNotModified:
-		return nil
+		return nil, index, nil
 	case http.StatusOK:
 	default:
-		return errors.Errorf("read platform: status %d", resp.StatusCode)
+		return nil, index, errors.Errorf("read platform: status %d", resp.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, document.MaxBytes+1))
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, document.MaxBytes+1))
 	if err != nil {
-		return errors.Wrap(err, "read platform value")
+		return nil, index, errors.Wrap(err, "read platform value")
 	}
-	c.setIndex(resp.Header.Get(HeaderIndex))
-	// A broken document is logged by the store; the next index may hold a good one.
-	_, _ = c.store.Offer(raw, "platform")
-	return nil
+	// A value beyond the limit goes on to the store, which refuses it and reports that.
+	return raw, resp.Header.Get(HeaderIndex), nil
 }
 
-func (c *Client) setIndex(index string) {
+// note keeps what a call brought.
+func (c *Client) note(index string, verdict config.Verdict, version uint64, err error) {
+	c.callsCounter.Inc(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.index = index
+	s := &c.state
+	s.Calls++
+	s.Index = index
+	s.LastError = ""
+	if err != nil {
+		c.failedCounter.Inc(1)
+		s.Failed++
+		s.LastError = err.Error()
+	} else {
+		s.Answered = c.Clock.Now()
+	}
+	if verdict != "" {
+		s.Verdict, s.Version = verdict, version
+	}
+	s.Stale = s.Verdict == config.Older
+	if verdict == config.Older {
+		s.StaleAnswers++
+		c.Log.Warn().Str("event", "platform-stale").Str("peer", c.Base).Uint64("version", version).Send()
+	}
+	if s.Calls == 1 {
+		close(c.first)
+	}
 }
 
-func (c *Client) url() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	u := fmt.Sprintf("%s/v1/config/%s", c.base, url.PathEscape(c.fleet))
-	if c.index != "" {
-		u += fmt.Sprintf("?index=%s&wait=%s", url.QueryEscape(c.index), watchWait)
+func (c *Client) url(index string, wait time.Duration) string {
+	u := fmt.Sprintf("%s/v1/config/%s", c.Base, url.PathEscape(c.Fleet))
+	if index == "" {
+		return u
+	}
+	u += "?index=" + url.QueryEscape(index)
+	if wait > 0 {
+		u += "&wait=" + wait.String()
 	}
 	return u
 }
 
 // State is the client's section of the state dump.
 type State struct {
-	Index     string `json:"index"`
-	Calls     uint64 `json:"calls"`
-	Failed    uint64 `json:"failed"`
-	LastError string `json:"last_error,omitempty"`
+	// Watching says that this host is one of the watchers of its data centre.
+	Watching bool   `json:"watching"`
+	Index    string `json:"index"`
+	Calls    uint64 `json:"calls"`
+	Failed   uint64 `json:"failed"`
+	// Version is the version of the platform's last answer, and Verdict what was done with it.
+	Version uint64         `json:"version"`
+	Verdict config.Verdict `json:"verdict"`
+	// Stale says that the platform's last answer was older than the document in force.
+	Stale        bool      `json:"stale"`
+	StaleAnswers uint64    `json:"stale_answers"`
+	Answered     time.Time `json:"answered"`
+	LastError    string    `json:"last_error,omitempty"`
 }
 
 // State returns the counts.
 func (c *Client) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return State{Index: c.index, Calls: c.calls, Failed: c.failed, LastError: c.err}
+	return c.state
 }
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -4,6 +4,7 @@
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/filters/admit"
 	"github.com/orioleusher/orioleusher/internal/filters/authorise"
+	"github.com/orioleusher/orioleusher/internal/filters/awake"
 	"github.com/orioleusher/orioleusher/internal/filters/dispatch"
 	"github.com/orioleusher/orioleusher/internal/filters/idempotency"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
@@ -15,6 +16,7 @@
 // entryChain is what a caller's request passes, in this order, on the host that accepted it.
 func (r *Router) entryChain() exchange.Next {
 	filters := []exchange.Filter{
+		awake.New(r.guard, r.store),
 		identify.New(r.clock, r.scope),
 		authorise.New(r.scope),
 		limit.New(r.limiter, r.scope),
@@ -24,7 +26,7 @@
 
 // issuerChain is what a request with an idempotency key passes on the host that issued the key.
 func (r *Router) issuerChain() exchange.Next {
-	return exchange.Chain(r.issuerFilters()...)
+	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters()...)...)
 }
 
 func (r *Router) issuerFilters() []exchange.Filter {
@@ -38,7 +40,9 @@
 // ownerChain is what a request passes on the host that owns the chosen upstream.
 func (r *Router) ownerChain() exchange.Next {
 	return exchange.Chain(
+		awake.New(r.guard, r.store),
 		admit.New(r.upstreams, r.scope),
+		awake.NewLast(r.guard, r.store),
 		send.New(r.client, r.scope),
 	)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -25,7 +24,9 @@
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/idempotency"
 	"github.com/orioleusher/orioleusher/internal/metrics"
+	"github.com/orioleusher/orioleusher/internal/pause"
 	"github.com/orioleusher/orioleusher/internal/peers"
+	"github.com/orioleusher/orioleusher/internal/peertls"
 	"github.com/orioleusher/orioleusher/internal/platform"
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/quota"
@@ -54,7 +55,14 @@
 	upstreams *upstreams.Set
 	client    *transport.Client
 	hops      *hop.Client
+	guard     *pause.Guard
+	peerTLS   *peertls.Keeper
+	control   peers.Meter
+	entryWork work
+	hopWork   work
 	stopping  atomic.Bool
+	// settled is true once the document in force is the highest that the platform and the peers had at the start.
+	settled atomic.Bool
 }
 
 // New assembles a router; Run starts it.
@@ -71,23 +79,9 @@
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.upstreams = upstreams.NewSet()
 	r.client = transport.NewClient(s.Timeouts, r.dialer())
-	r.platform = platform.NewClient(s.Platform, s.Fleet, r.dialer(), r.store, clock, log)
-	r.connectPeers()
-	return r, nil
-}
-
-// connectPeers makes the clients that speak to other routers.
-func (r *Router) connectPeers() {
-	dialer := r.dialer()
-	peerTransport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true}
-	const scheme = "http"
-	r.hops = hop.NewClient(r.settings.Name, r.incarnation, scheme, peerTransport, r.clock)
-	r.gossip = peers.NewGossip(peers.Options{
-		Self: r.settings.Name, SelfAddress: r.settings.PeerAddress, Incarnation: r.incarnation,
-		Seeds: r.settings.SeedPeers, Scheme: scheme, Client: &http.Client{Transport: peerTransport},
-		Interval: r.settings.Gossip.Interval.Std(), Members: r.members, Store: r.store, Clock: r.clock,
-		Rand: mathrand.New(mathrand.NewPCG(r.incarnation, 0)), Log: r.log, Scope: r.scope,
-	})
+	r.guard = pause.New(clock, r.catchUp, log, r.scope)
+	r.entryWork.stopping, r.hopWork.stopping = &r.stopping, &r.stopping
+	return r, r.connectFleet()
 }
 
 // dialer returns a dialer whose connections come from this host's peer address, so that peers and the network between
@@ -112,17 +106,21 @@
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.platform.Run(loops) })
-	wg.Go(func() { r.gossip.Run(loops) })
+	wg.Go(func() { r.guard.Run(loops) })
+	wg.Go(func() {
+		r.settle(loops)
+		r.gossip.Run(loops)
+	})
 
 	entry := &http.Server{
-		Handler:           callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router(),
+		Handler:           r.entryWork.handler(r.clock.Now, callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router()),
 		ReadHeaderTimeout: r.settings.Timeouts.Header.Std(), ReadTimeout: r.settings.Timeouts.Body.Std(),
 		IdleTimeout: r.settings.Timeouts.Idle.Std(), MaxHeaderBytes: r.settings.Limits.HeaderBytes,
 	}
 	peer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
-	r.serve(peer, "peer", r.settings.PeerAddress, failed)
+	r.servePeers(peer, failed)
 	r.serve(operators, "admin", r.settings.AdminAddress, failed)
 	r.serve(entry, "caller", r.settings.CallerAddress, failed)
 	r.log.Info().Str("event", "started").Uint64("incarnation", r.incarnation).Str("version", process.Version).Send()
@@ -152,36 +150,34 @@
 	}()
 }
 
-// leaveRounds is how many gossip rounds a planned stop waits for the peers to learn of it.
-const leaveRounds = 3
-
-// stop ends the servers in the order that cuts off no request in flight.
-func (r *Router) stop(entry, peer, operators *http.Server) error {
-	r.log.Info().Str("event", "stopping").Send()
-	r.stopping.Store(true)
-	r.members.Leave()
-	r.clock.Sleep(leaveRounds * r.settings.Gossip.Interval.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Timeouts.Stop.Std())
-	defer cancel()
-	if err := entry.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "stop caller server")
+// servePeers serves the peer address with TLS unless the settings turn it off.
+func (r *Router) servePeers(s *http.Server, failed chan<- error) {
+	if r.peerTLS == nil {
+		r.serve(s, "peer", r.settings.PeerAddress, failed)
+		return
 	}
-	if err := peer.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "stop peer server")
-	}
-	return errors.Wrap(operators.Shutdown(ctx), "stop admin server")
+	go func() {
+		listener, err := net.Listen("tcp", r.settings.PeerAddress)
+		if err == nil {
+			err = process.IgnoreClosed(s.Serve(r.peerTLS.Listener(listener)))
+		}
+		if err != nil {
+			failed <- errors.Wrapf(err, "serve peer address %s", r.settings.PeerAddress)
+		}
+	}()
 }
 
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(gossippb.GossipPathPrefix, gossippb.NewGossipServer(r.gossip))
-	mux.Handle(hop.Path, &hop.Server{
+	hops := &hop.Server{
 		Store: r.store, Clock: r.clock, Log: r.log, MaxBody: r.settings.Limits.BodyBytes,
 		Chains: map[hoppb.Role]exchange.Next{
 			hoppb.Role_ROLE_OWNER:  r.ownerChain(),
 			hoppb.Role_ROLE_ISSUER: r.issuerChain(),
 		},
-	})
+	}
+	mux.Handle(hop.Path, r.hopWork.handler(r.clock.Now, r.guard.Handler(hops)))
 	return mux
 }
 
@@ -198,6 +194,8 @@
 		return "stopping"
 	case r.store.Current() == nil:
 		return "no document in force"
+	case !r.settled.Load():
+		return "has not asked the fleet for its version yet"
 	default:
 		return ""
 	}
@@ -205,14 +203,20 @@
 
 // State is the router's state dump.
 type State struct {
-	Name        string                    `json:"name"`
-	DataCentre  string                    `json:"data_centre"`
-	Incarnation uint64                    `json:"incarnation"`
-	Time        time.Time                 `json:"time"`
-	Ready       string                    `json:"not_ready,omitempty"`
-	Config      config.State              `json:"config"`
-	Platform    platform.State            `json:"platform"`
-	Members     []peers.MemberState       `json:"members"`
+	Name        string              `json:"name"`
+	DataCentre  string              `json:"data_centre"`
+	Incarnation uint64              `json:"incarnation"`
+	Time        time.Time           `json:"time"`
+	Ready       string              `json:"not_ready,omitempty"`
+	Config      config.State        `json:"config"`
+	Platform    platform.State      `json:"platform"`
+	Members     []peers.MemberState `json:"members"`
+	Gossip      peers.GossipState   `json:"gossip"`
+	// Control counts the bytes on the connections on which this host gossips.
+	Control     peers.MeterState          `json:"control"`
+	Pause       pause.State               `json:"pause"`
+	PeerTLS     peertls.State             `json:"peer_tls"`
+	Stop        StopState                 `json:"stop"`
 	Quota       []quota.TeamState         `json:"quota"`
 	Idempotency idempotency.State         `json:"idempotency"`
 	Upstreams   []upstreams.UpstreamState `json:"upstreams"`
@@ -223,6 +227,8 @@
 	return State{
 		Name: r.settings.Name, DataCentre: r.settings.DataCentre, Incarnation: r.incarnation, Time: r.clock.Now(),
 		Ready: r.ready(), Config: r.store.State(), Platform: r.platform.State(), Members: r.members.State(),
+		Gossip: r.gossip.State(), Control: r.control.State(), Pause: r.guard.State(), PeerTLS: r.peerTLS.State(),
+		Stop:  StopState{Stopping: r.stopping.Load(), Requests: r.entryWork.inFlight.Load(), Hops: r.hopWork.inFlight.Load()},
 		Quota: r.limiter.State(), Idempotency: r.registry.State(), Upstreams: r.upstreams.State(),
 	}
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -58,7 +58,10 @@
 	FirstByte Duration `json:"first_byte"`
 	// BetweenBytes is the longest silence inside an answer.
 	BetweenBytes Duration `json:"between_bytes"`
-	// Stop is how long a planned stop waits for requests in flight.
+	// Drain is how long a stopping router goes on to take requests while its readiness probe fails, so that the balancer
+	// and the peers learn of the stop before an address closes.
+	Drain Duration `json:"drain"`
+	// Stop is how long a planned stop then waits for requests in flight.
 	Stop Duration `json:"stop"`
 }
 
@@ -81,6 +84,7 @@
 	defaultConnect      = time.Second
 	defaultFirstByte    = 20 * time.Second
 	defaultBetweenBytes = 5 * time.Second
+	defaultDrain        = 3 * time.Second
 	defaultStop         = 30 * time.Second
 	defaultGossip       = 500 * time.Millisecond
 	defaultSuspect      = 3 * time.Second
@@ -118,6 +122,7 @@
 	setInt(&t.Connect, Duration(defaultConnect))
 	setInt(&t.FirstByte, Duration(defaultFirstByte))
 	setInt(&t.BetweenBytes, Duration(defaultBetweenBytes))
+	setInt(&t.Drain, Duration(defaultDrain))
 	setInt(&t.Stop, Duration(defaultStop))
 	setInt(&r.Gossip.Interval, Duration(defaultGossip))
 	setInt(&r.Gossip.SuspectAfter, Duration(defaultSuspect))
@@ -171,6 +176,7 @@
 	c.atLeast("timeouts.first_byte", t.FirstByte, time.Millisecond)
 	c.atLeast("timeouts.between_bytes", t.BetweenBytes, time.Millisecond)
 	c.atLeast("timeouts.request", t.Request, t.FirstByte.Std())
+	c.atLeast("timeouts.drain", t.Drain, time.Millisecond)
 	c.atLeast("timeouts.stop", t.Stop, time.Millisecond)
 }
 
