Prove the fleet under cuts, pauses, outages and planned stops with real processes

Writing the proofs found three faults. A host that can be reached but cannot connect to anybody (a one-way cut and no platform) never got a newer document: its peers now hand it over when it has not fetched it after a second. A watch that the platform forgot or whose connection went silent told of nothing for 30 s: a watch now waits 2 s (two watchers a data centre, so one call a second for each data centre). A router that took a stale platform's answer first did not report the platform as stale.

Ruled out: a longer watch with a probe beside it (two calls for one).

--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -50,16 +50,26 @@
 	CutOff bool `json:"cut_off"`
 }
 
-// New returns a guard that calls catchUp after each pause. Run keeps its beat.
+// New returns a guard that calls catchUp after each pause. Run keeps its beat. Work waits until Start is called.
 func New(clock clockwork.Clock, catchUp CatchUp, log zerolog.Logger, scope tally.Scope) *Guard {
-	awake := make(chan struct{})
-	close(awake)
 	return &Guard{
-		clock: clock, catchUp: catchUp, log: log, beat: clock.Now(), awake: awake,
+		clock: clock, catchUp: catchUp, log: log, beat: clock.Now(), awake: make(chan struct{}), catching: true,
 		pauses: scope.Counter("pauses"), lost: scope.Timer("pause"),
 	}
 }
 
+// Start lets work pass for the first time: the process knows what the fleet knows.
+func (g *Guard) Start() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state.Pauses > 0 {
+		go g.recover(g.state.Pauses)
+		return
+	}
+	g.catching = false
+	close(g.awake)
+}
+
 // Run beats until the context ends.
 func (g *Guard) Run(ctx context.Context) {
 	ticker := g.clock.NewTicker(beatInterval)
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -25,7 +25,9 @@
 }
 
 func newGuard(clock clockwork.Clock, g *gate) *Guard {
-	return New(clock, g.catchUp, zerolog.Nop(), tally.NoopScope)
+	guard := New(clock, g.catchUp, zerolog.Nop(), tally.NoopScope)
+	guard.Start()
+	return guard
 }
 
 func TestARequestAfterAPauseWaitsForTheCatchUp(t *testing.T) {
@@ -85,6 +87,22 @@
 	is.Equal(guard.State().Pauses, uint64(2))
 }
 
+func TestNothingPassesBeforeTheStart(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	clock, g := clockwork.NewFakeClock(), newGate()
+	guard := New(clock, g.catchUp, zerolog.Nop(), tally.NoopScope)
+	is.Equal(guard.Wait(ctx), context.Canceled)
+	clock.Advance(time.Second)
+	is.Equal(guard.Wait(ctx), context.Canceled)
+	guard.Start()
+	<-g.started
+	is.Equal(guard.Wait(ctx), context.Canceled)
+	g.end <- true
+	is.NoErr(guard.Wait(context.Background()))
+}
+
 func TestLostTimeCountsWallClockAndMonotonicClock(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/config"
@@ -35,6 +36,8 @@
 	fetchTimeout = 5 * time.Second
 	// refusedFor is how long a document that this host cannot read is not fetched again.
 	refusedFor = 30 * time.Second
+	// helpAfter is how long a peer that heard of a newer document has to fetch it.
+	helpAfter = time.Second
 )
 
 // Extension is a part of the router whose state travels on the digests. Its methods are safe for concurrent use.
@@ -75,7 +78,7 @@
 }
 
 type gossipMetrics struct {
-	rounds, messages, failed, pulls, pushes, accused tally.Counter
+	rounds, messages, failed, pulls, pushes, offers, accused tally.Counter
 }
 
 // Options configures NewGossip.
@@ -106,7 +109,8 @@
 	g := &Gossip{Options: o, busy: map[string]struct{}{}, rnd: o.Rand, metrics: gossipMetrics{
 		rounds: o.Scope.Counter("gossip_rounds"), messages: o.Scope.Counter("gossip_messages"),
 		failed: o.Scope.Counter("gossip_calls_failed"), pulls: o.Scope.Counter("documents_pulled"),
-		pushes: o.Scope.Counter("documents_pushed"), accused: o.Scope.Counter("members_accused"),
+		pushes: o.Scope.Counter("documents_pushed"), offers: o.Scope.Counter("documents_offered"),
+		accused: o.Scope.Counter("members_accused"),
 	}}
 	g.wantAll.Store(true)
 	return g
@@ -272,9 +276,48 @@
 	if err := g.pull(ctx, reply, p.address); err != nil {
 		g.Log.Warn().Str("event", "pull-failed").Str("peer", p.address).Err(err).Send()
 	}
+	if g.behind(reply) && g.begin(helpKey(p)) {
+		go func() {
+			defer g.end(helpKey(p))
+			g.help(ctx, p)
+		}()
+	}
 	return true
 }
 
+// helpKey is the peer's entry among the calls under way while this host waits to hand it the document.
+func helpKey(p peer) string { return "help " + p.address }
+
+// behind reports whether the peer's document is to be replaced by the one in force here.
+func (g *Gossip) behind(d *gossippb.Digest) bool {
+	current := g.Store.Current()
+	if current == nil {
+		return false
+	}
+	return d.DocumentVersion < current.Version || d.DocumentVersion == current.Version && d.DocumentHash < current.Hash
+}
+
+// help hands the document to a peer that heard of it and after a while still does not have it, as when the peer cannot
+// connect to this host but this host can connect to the peer.
+func (g *Gossip) help(ctx context.Context, p peer) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.Clock.After(helpAfter):
+	}
+	reply, err := g.call(ctx, p)
+	if err != nil || !g.behind(reply) {
+		return
+	}
+	g.metrics.offers.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &gossippb.OfferDocumentRequest{Sender: g.Self, Document: g.Store.Current().Raw}
+	if _, err := g.client(p.address).OfferDocument(ctx, request); err != nil {
+		g.Log.Warn().Str("event", "offer-failed").Str("peer", p.address).Err(err).Send()
+	}
+}
+
 func (g *Gossip) call(ctx context.Context, p peer) (*gossippb.Digest, error) {
 	g.messages.Add(1)
 	g.metrics.messages.Inc(1)
@@ -448,6 +491,14 @@
 	return &gossippb.FetchDocumentReply{Document: snap.Raw}, nil
 }
 
+// OfferDocument takes over a document that this host heard of and could not fetch.
+func (g *Gossip) OfferDocument(_ context.Context, r *gossippb.OfferDocumentRequest) (*gossippb.OfferDocumentReply, error) {
+	if _, err := g.Store.Offer(r.Document, "peer "+r.Sender); err != nil {
+		return nil, twirp.InvalidArgumentError("document", err.Error())
+	}
+	return &gossippb.OfferDocumentReply{}, nil
+}
+
 // GossipState is the section of the state dump.
 type GossipState struct {
 	// Messages counts the digests that this host sent of its own accord; each has a reply.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -30,10 +30,11 @@
 const HeaderIndex = "X-Config-Index"
 
 const (
-	// watchWait is how long the platform holds a watch open.
-	watchWait = 30 * time.Second
+	// watchWait is how long the platform holds a watch open. It is short, since a watch that the platform forgot or
+	// whose connection went silent tells of nothing until it ends.
+	watchWait = 2 * time.Second
 	// readTimeout bounds a plain read, and a watch beyond its wait.
-	readTimeout = 3 * time.Second
+	readTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 10 * time.Second
@@ -219,16 +220,29 @@
 	if verdict != "" {
 		s.Verdict, s.Version = verdict, version
 	}
-	s.Stale = s.Verdict == config.Older
-	if verdict == config.Older {
-		s.StaleAnswers++
-		c.Log.Warn().Str("event", "platform-stale").Str("peer", c.Base).Uint64("version", version).Send()
+	if err == nil {
+		c.noteStale()
 	}
 	if s.Calls == 1 {
 		close(c.first)
 	}
 }
 
+// noteStale compares the platform's answer, new or unchanged, with the document in force. The caller holds mu.
+func (c *Client) noteStale() {
+	current := c.Store.Current()
+	before := c.state.Stale
+	c.state.Stale = current != nil && c.state.Version != 0 && c.state.Version < current.Version
+	if !c.state.Stale {
+		return
+	}
+	c.state.StaleAnswers++
+	if !before {
+		c.Log.Warn().Str("event", "platform-stale").Str("peer", c.Base).Uint64("version", c.state.Version).
+			Uint64("in_force", current.Version).Send()
+	}
+}
+
 func (c *Client) url(index string, wait time.Duration) string {
 	u := fmt.Sprintf("%s/v1/config/%s", c.Base, url.PathEscape(c.Fleet))
 	if index == "" {
--- /dev/null
+++ b/internal/proofs/fleet/config_test.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/standin/faults"
+	"github.com/orioleusher/orioleusher/internal/standin/platform"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+func TestADocumentIsInForceEverywhereWithinSeconds(t *testing.T) {
+	const publications = 10
+	for name, readers := range map[string]int{"all reach the platform": 7, "one host reaches the platform": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := testfleet.Start(t, testfleet.Shape{Block: 70 + readers%7, Hosts: []int{2, 2, 3}})
+			for n := readers; n < len(f.Routers); n++ {
+				f.Network.Cut(f.RouterIP(n), f.PlatformIP(), testfleet.CutRefuse)
+			}
+			var took []time.Duration
+			for range publications {
+				from := time.Now()
+				f.Publish(touch)
+				took = append(took, inForce(t, f, f.Document.Version, from, all(f)...)...)
+			}
+			checkTimes(t, took)
+			checkHistories(t, f)
+		})
+	}
+}
+
+func TestAStartingRouterTakesItsPeersVersionThoughThePlatformIsStale(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 72, Hosts: []int{2, 1}, Engines: 1})
+	old, err := f.Document.Encode()
+	is.NoErr(err)
+	f.Publish(func(d *document.Document) { d.Teams[0].Keys = nil })
+	waitVersion(t, f, 2, all(f)...)
+	f.PublishRaw(old)
+	for range 5 {
+		f.Routers[0].Kill()
+		f.Routers[0].Restart()
+		f.WaitReady(f.Routers[0])
+		s, ok := f.RouterState(f.Routers[0])
+		is.True(ok)
+		is.Equal(s.Config.Version, uint64(2))
+		is.Equal(chat(f, load.NewCaller(callTimeout), 0, "withdrawn"), http.StatusUnauthorized)
+	}
+	testfleet.Eventually(t, worstTarget, "the router reports the stale platform", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Platform.Stale
+	})
+	checkHistories(t, f)
+}
+
+func TestARouterStartsFromItsPeersWhileThePlatformIsDown(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 73, Hosts: []int{1, 1}, Engines: 2})
+	f.Publish(touch)
+	waitVersion(t, f, 2, all(f)...)
+	f.Fault(f.Platform, platform.Down, time.Minute)
+	f.Routers[0].Kill()
+	f.Routers[0].Restart()
+	f.WaitReady(f.Routers[0])
+	s, ok := f.RouterState(f.Routers[0])
+	is.True(ok)
+	is.Equal(s.Config.Version, uint64(2))
+	checkService(t, f, all(f)...)
+}
+
+// When every router restarts while the platform is stale, nobody holds the newer version any more. What holds then: the
+// fleet serves on the platform's version and goes on to the newer one as soon as the platform shows it again.
+func TestAllRoutersRestartWhileThePlatformIsStale(t *testing.T) {
+	f := testfleet.Start(t, testfleet.Shape{Block: 74, Hosts: []int{1, 2}, Engines: 2})
+	old, err := f.Document.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Publish(touch)
+	waitVersion(t, f, 2, all(f)...)
+	f.PublishRaw(old)
+	for _, p := range f.Routers {
+		p.Kill()
+	}
+	for _, p := range f.Routers {
+		p.Restart()
+	}
+	for _, p := range f.Routers {
+		f.WaitReady(p)
+	}
+	waitVersion(t, f, 1, all(f)...)
+	checkService(t, f, all(f)...)
+	from := time.Now()
+	f.Publish(touch)
+	checkTimes(t, inForce(t, f, 3, from, all(f)...))
+	checkHistories(t, f)
+}
+
+func TestABrokenDocumentIsRefusedAndReported(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 75, Hosts: []int{1, 1}, Engines: 1})
+	f.PublishRaw([]byte(`{"schema": 1, "version": 99}`))
+	testfleet.Eventually(t, worstTarget, "a router reports the broken document", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Config.Refused != nil && s.Config.Version == 1
+	})
+	checkService(t, f, all(f)...)
+	from := time.Now()
+	f.Publish(touch)
+	checkTimes(t, inForce(t, f, f.Document.Version, from, all(f)...))
+	is.True(!t.Failed())
+}
+
+func TestTwoOperatorsPublishTheSameVersion(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 76, Hosts: []int{2, 2}})
+	for round := range 4 {
+		f.Publish(touch)
+		one, err := f.Document.Encode()
+		is.NoErr(err)
+		waitVersion(t, f, f.Document.Version, 0)
+		f.Document.Teams[0].Burst += float64(round + 1)
+		two, err := f.Document.Encode()
+		is.NoErr(err)
+		f.PublishRaw(two)
+		first, err := document.Parse(one)
+		is.NoErr(err)
+		second, err := document.Parse(two)
+		is.NoErr(err)
+		winner := max(first.Hash, second.Hash)
+		for _, p := range f.Routers {
+			testfleet.Eventually(t, worstTarget, p.Name+" settles on the winner", func() bool {
+				s, ok := f.RouterState(p)
+				return ok && s.Config.Hash == winner
+			})
+		}
+	}
+	reported := uint64(0)
+	for _, p := range f.Routers {
+		s, _ := f.RouterState(p)
+		reported += s.Config.Conflicts
+	}
+	is.True(reported > 0)
+	checkHistories(t, f)
+}
+
+func TestThePlatformDownSlowOrFlapping(t *testing.T) {
+	cases := []struct {
+		kind     faults.Kind
+		duration time.Duration
+	}{
+		{platform.Down, time.Second},
+		{platform.Stale, time.Second},
+		{faults.Late, 300 * time.Millisecond},
+		{faults.Crash, time.Second},
+		{faults.Flap, 600 * time.Millisecond},
+	}
+	f := testfleet.Start(t, testfleet.Shape{Block: 77, Hosts: []int{2, 1}, Engines: 2})
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.kind), func(t *testing.T) {
+			// What counts is the time from the moment at which the platform shows the document.
+			back := time.Now().Add(c.duration)
+			f.Fault(f.Platform, c.kind, c.duration)
+			f.Publish(touch)
+			checkService(t, f, all(f)...)
+			if c.kind == faults.Flap {
+				f.Fault(f.Platform, faults.Flap, 0)
+			}
+			checkTimes(t, inForce(t, f, f.Document.Version, back, all(f)...))
+			f.Fault(f.Platform, faults.Late, 0)
+		})
+	}
+	checkHistories(t, f)
+}
--- /dev/null
+++ b/internal/proofs/fleet/membership_test.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/peertls/certtest"
+	"github.com/orioleusher/orioleusher/internal/router"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+func TestAKilledHostIsReplacedAsOwnerAndItsSuccessorIsTakenAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 78, Hosts: []int{3}, Engines: 3})
+	before, ok := f.RouterState(f.Routers[0])
+	is.True(ok)
+	for n := 1; n < len(f.Routers); n++ {
+		waitLive(t, f, n, "router-1", true)
+	}
+	f.Routers[0].Kill()
+	for n := 1; n < len(f.Routers); n++ {
+		waitLive(t, f, n, "router-1", false)
+	}
+	checkService(t, f, 1, 2)
+	f.Routers[0].Restart()
+	f.WaitReady(f.Routers[0])
+	for n := 1; n < len(f.Routers); n++ {
+		testfleet.Eventually(t, worstTarget, "the new process is known", func() bool {
+			s, ok := f.RouterState(f.Routers[n])
+			for _, m := range s.Members {
+				if ok && m.Host == "router-1" && m.Live && m.Incarnation != before.Incarnation {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	checkService(t, f, all(f)...)
+}
+
+// cut is one way in which data centre 1 (routers 0 and 1) is separated.
+type cut struct {
+	name string
+	how  testfleet.Cut
+	// from and to say which directions between the data centres are cut; platform cuts data centre 1 from it.
+	from, to, platform bool
+	// told says that data centre 1 learns of a new document all the same.
+	told bool
+}
+
+func (c cut) apply(f *testfleet.Fleet) {
+	inside := []string{f.RouterIP(0), f.RouterIP(1)}
+	outside := []string{f.RouterIP(2), f.RouterIP(3), f.EngineIP(1)}
+	for _, a := range inside {
+		for _, b := range outside {
+			if c.from {
+				f.Network.Cut(a, b, c.how)
+			}
+			if c.to {
+				f.Network.Cut(b, a, c.how)
+			}
+		}
+		if c.platform {
+			f.Network.Cut(a, f.PlatformIP(), c.how)
+		}
+	}
+	if c.to {
+		f.Network.Cut(f.RouterIP(2), f.EngineIP(0), c.how)
+		f.Network.Cut(f.RouterIP(3), f.EngineIP(0), c.how)
+	}
+}
+
+// settleTime is how long after a cut service may be disturbed.
+const settleTime = worstTarget
+
+func TestEachPartOfACutFleetServesAndLearnsWhatItCan(t *testing.T) {
+	cuts := []cut{
+		{"from the platform", testfleet.CutRefuse, false, false, true, true},
+		{"from the platform, silently", testfleet.CutSilent, false, false, true, true},
+		{"from the other data centre", testfleet.CutRefuse, true, true, false, true},
+		{"from the other data centre, silently", testfleet.CutSilent, true, true, false, true},
+		{"one way towards the other", testfleet.CutRefuse, true, false, true, true},
+		{"one way from the other", testfleet.CutRefuse, false, true, true, true},
+		{"from both", testfleet.CutRefuse, true, true, true, false},
+		{"from both, silently", testfleet.CutSilent, true, true, true, false},
+	}
+	if testing.Short() {
+		cuts = []cut{cuts[4]}
+	}
+	f := testfleet.Start(t, testfleet.Shape{Block: 79, Hosts: []int{2, 2}, Engines: 2})
+	for _, c := range cuts {
+		t.Run(c.name, func(t *testing.T) {
+			c.apply(f)
+			from := time.Now()
+			f.Publish(touch)
+			told := []int{2, 3}
+			if c.told {
+				told = all(f)
+			}
+			checkTimes(t, inForce(t, f, f.Document.Version, from, told...))
+			time.Sleep(time.Until(from.Add(settleTime)))
+			checkService(t, f, all(f)...)
+			f.Network.Heal()
+			checkTimes(t, inForce(t, f, f.Document.Version, time.Now(), all(f)...))
+			for n := range f.Routers {
+				for m := range f.Routers {
+					waitLive(t, f, n, f.Routers[m].Name, true)
+				}
+			}
+		})
+	}
+	checkHistories(t, f)
+}
+
+func TestAHostThatOneOtherCannotReachIsNotDead(t *testing.T) {
+	skipIfShort(t)
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 80, Hosts: []int{3}, Engines: 3})
+	for n := range f.Routers {
+		waitLive(t, f, n, "router-2", true)
+	}
+	f.Network.Cut(f.RouterIP(0), f.RouterIP(1), testfleet.CutSilent)
+	waitLive(t, f, 0, "router-2", false)
+	end := time.Now().Add(settleTime)
+	for time.Now().Before(end) {
+		for n := range f.Routers {
+			s, ok := f.RouterState(f.Routers[n])
+			is.True(ok)
+			for _, m := range s.Members {
+				is.True(m.Status != "dead")
+				is.True(m.Live || n == 0)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	checkService(t, f, all(f)...)
+}
+
+func TestAFleetSpeaksMutualTLSAndRefusesAStranger(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := certtest.NewCA(t), certtest.NewCA(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 81, Hosts: []int{2, 1}, Engines: 2, EditRouter: func(s *settings.Router) {
+		ca := ours
+		if s.Name == "router-3" {
+			ca = theirs
+		}
+		s.PeerTLS = ca.Write(t.TempDir(), time.Time{}, "127.81.11.1", "127.81.11.2", "127.81.11.3")
+	}})
+	waitLive(t, f, 0, "router-2", true)
+	waitLive(t, f, 1, "router-1", true)
+	s, ok := f.RouterState(f.Routers[0])
+	is.True(ok)
+	is.True(!s.PeerTLS.Plaintext)
+	time.Sleep(time.Second)
+	for n := range 2 {
+		s, ok := f.RouterState(f.Routers[n])
+		is.True(ok)
+		is.True(!live(s)["router-3"])
+	}
+	stranger, ok := f.RouterState(f.Routers[2])
+	is.True(ok)
+	is.True(!live(stranger)["router-1"])
+	checkService(t, f, 0, 1)
+}
+
+// TestAPausedRouterReadsAgainBeforeItAnswers withdraws a key while a router is stopped. The request with that key is
+// already in the router's socket when it goes on.
+func TestAPausedRouterReadsAgainBeforeItAnswers(t *testing.T) {
+	for _, length := range []time.Duration{time.Second, 30 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			if testing.Short() && length > time.Second {
+				t.Skip("runs under make prove")
+			}
+			is := is.New(t)
+			f := testfleet.Start(t, testfleet.Shape{Block: 82 + int(length.Seconds())/30, Hosts: []int{2, 1}, Engines: 2})
+			caller := load.NewCaller(length + callTimeout)
+			is.Equal(chat(f, caller, 0, "before"), 200)
+			f.Routers[0].Freeze()
+			f.Publish(func(d *document.Document) { d.Teams[0].Keys = nil })
+			waitVersion(t, f, 2, 1, 2)
+			const requests = 8
+			statuses := make(chan int, requests)
+			for range requests {
+				go func() { statuses <- chat(f, caller, 0, "withdrawn") }()
+			}
+			time.Sleep(length)
+			f.Routers[0].Thaw()
+			for range requests {
+				is.Equal(<-statuses, 401)
+			}
+			var s router.State
+			is.True(f.State(f.Routers[0], &s))
+			is.True(s.Pause.Pauses > 0)
+			is.True(!s.Pause.CutOff)
+			for n := range f.Routers {
+				for m := range f.Routers {
+					waitLive(t, f, n, f.Routers[m].Name, true)
+				}
+			}
+		})
+	}
+}
+
+func TestAPausedRouterThatIsCutOffSaysSoAndServes(t *testing.T) {
+	skipIfShort(t)
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 84, Hosts: []int{1, 1}, Engines: 2})
+	f.Routers[0].Freeze()
+	f.Network.CutBoth(f.RouterIP(0), f.RouterIP(1), testfleet.CutSilent)
+	f.Network.Cut(f.RouterIP(0), f.PlatformIP(), testfleet.CutSilent)
+	time.Sleep(time.Second)
+	f.Routers[0].Thaw()
+	testfleet.Eventually(t, worstTarget, "the router says that it is cut off", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Pause.CutOff
+	})
+	time.Sleep(settleTime)
+	checkService(t, f, 0)
+	f.Network.Heal()
+	testfleet.Eventually(t, worstTarget, "the router knows that it is back", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && !s.Pause.CutOff
+	})
+	is.True(!t.Failed())
+}
--- /dev/null
+++ b/internal/proofs/fleet/stop_test.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/standin/engine"
+	"github.com/orioleusher/orioleusher/internal/standin/service"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+const stopDrain = 1500 * time.Millisecond
+
+func shortDrain(s *settings.Router) {
+	s.Timeouts.Drain = settings.Duration(stopDrain)
+	s.Log.Level = "info"
+}
+
+// balancer sends calls only to routers whose readiness probe answered lately.
+type balancer struct {
+	f *testfleet.Fleet
+
+	mu    sync.Mutex
+	ready map[int]bool
+	next  int
+}
+
+// probeInterval is how often the balancer asks each router.
+const probeInterval = 200 * time.Millisecond
+
+func (b *balancer) run(ctx context.Context) {
+	client := &http.Client{Timeout: probeInterval}
+	for ctx.Err() == nil {
+		for n, p := range b.f.Routers {
+			resp, err := client.Get("http://" + p.Admin + "/readyz")
+			ok := err == nil && resp.StatusCode == http.StatusOK
+			if err == nil {
+				resp.Body.Close()
+			}
+			b.mu.Lock()
+			b.ready[n] = ok
+			b.mu.Unlock()
+		}
+		time.Sleep(probeInterval)
+	}
+}
+
+// pick returns the next ready router's address.
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range b.f.Routers {
+		b.next = (b.next + 1) % len(b.f.Routers)
+		if b.ready[b.next] {
+			break
+		}
+	}
+	return b.f.Caller(b.next)
+}
+
+// tally counts what the callers of a rolling replacement saw.
+type tally struct {
+	mu       sync.Mutex
+	whole    int
+	notRun   map[string]int
+	lost     []string
+	doubtful []string
+}
+
+func (c *tally) add(what string, result *load.Result, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil:
+		c.lost = append(c.lost, what+": "+err.Error())
+	case !result.Whole:
+		c.lost = append(c.lost, what+": the answer broke off")
+	case result.Status == http.StatusOK:
+		c.whole++
+	case result.Outcome == outcome.NotRun:
+		c.notRun[what+" "+result.Code]++
+	default:
+		c.doubtful = append(c.doubtful, fmt.Sprintf("%s: status %d code %s outcome %s", what, result.Status, result.Code, result.Outcome))
+	}
+}
+
+// drive sends chats and orders through the balancer until the context ends.
+func drive(ctx context.Context, b *balancer, caller *load.Caller, worker int, c *tally) {
+	for n := 0; ctx.Err() == nil; n++ {
+		messages := []engine.Message{{Role: "user", Content: fmt.Sprintf("chat %d", worker)}}
+		body, _ := load.ChatBody(testfleet.Model, messages, true, 24)
+		result, err := caller.Do(context.Background(), load.Call{
+			Address: b.pick(), Method: http.MethodPost, Path: testfleet.PathChat, Key: testfleet.KeyOf(team), Body: body,
+		})
+		if err == nil && result.Status == http.StatusOK {
+			if _, done := load.StreamText(result.Body); !done {
+				result.Whole = false
+			}
+		}
+		c.add("chat", result, err)
+		order := load.Call{Address: b.pick(), Method: http.MethodPost, Path: testfleet.PathOrders, Key: testfleet.KeyOf(team)}
+		result, err = caller.Do(context.Background(), order)
+		if err == nil && result.Status == http.StatusPreconditionRequired {
+			order.IdempotencyKey, order.Address = result.IdempotencyKey, b.pick()
+			result, err = caller.Do(context.Background(), order)
+		}
+		c.add("order", result, err)
+	}
+}
+
+func TestARollingReplacementOfEveryHostLosesNothing(t *testing.T) {
+	skipIfShort(t)
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 85, Hosts: []int{2, 2, 1}, Engines: 4, Services: 2, EditRouter: shortDrain})
+	b := &balancer{f: f, ready: map[int]bool{}}
+	for n := range f.Routers {
+		b.ready[n] = true
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	counts := &tally{notRun: map[string]int{}}
+	var wg sync.WaitGroup
+	wg.Go(func() { b.run(ctx) })
+	const workers = 8
+	caller := load.NewCaller(callTimeout)
+	for worker := range workers {
+		wg.Go(func() { drive(ctx, b, caller, worker, counts) })
+	}
+	for _, p := range f.Routers {
+		is.Equal(p.Stop(), 0)
+		p.Restart()
+		f.WaitReady(p)
+		time.Sleep(2 * probeInterval)
+	}
+	cancel()
+	wg.Wait()
+	t.Logf("%d whole answers; refused and not run: %v; doubtful: %v; lost: %v", counts.whole, counts.notRun, counts.doubtful, counts.lost)
+	is.Equal(len(counts.lost), 0)
+	is.Equal(len(counts.doubtful), 0)
+	is.True(counts.whole > 100)
+	for what := range counts.notRun {
+		// A key dies with the router that issued it; nothing else may be refused.
+		is.True(what == "order key-dead" || what == "order peer-unreachable")
+	}
+	runs := 0
+	for _, p := range f.Services {
+		var s service.State
+		is.True(f.State(p, &s))
+		runs += len(s.Runs)
+	}
+	is.True(runs <= counts.whole)
+}
+
+func TestAPlannedStopFinishesStreamsAndClosesIdleConnectionsCleanly(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 86, Hosts: []int{2}, Engines: 2, EditRouter: shortDrain, EditEngine: func(e *settings.Engine) {
+		e.Step = settings.Duration(20 * time.Millisecond)
+	}})
+	const streamTokens = 200 // four seconds
+	messages := []engine.Message{{Role: "user", Content: "a long answer"}}
+	body, err := load.ChatBody(testfleet.Model, messages, true, streamTokens)
+	is.NoErr(err)
+	const streams = 4
+	results := make(chan *load.Result, streams)
+	for range streams {
+		go func() {
+			result, _ := load.NewCaller(callTimeout).Do(context.Background(), load.Call{
+				Address: f.Caller(0), Method: http.MethodPost, Path: testfleet.PathChat, Key: testfleet.KeyOf(team), Body: body,
+			})
+			results <- result
+		}()
+	}
+	idle, used := dial(t, f.Caller(0)), dial(t, f.Caller(0))
+	is.Equal(hours(t, idle).StatusCode, http.StatusServiceUnavailable)
+	is.Equal(hours(t, used).StatusCode, http.StatusServiceUnavailable)
+	testfleet.Eventually(t, worstTarget, "the streams have begun", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Stop.Requests == streams
+	})
+	stopped := make(chan int, 1)
+	go func() { stopped <- f.Routers[0].Stop() }()
+	testfleet.Eventually(t, worstTarget, "the router is no longer ready", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Ready == "stopping"
+	})
+	resp := hours(t, used)
+	is.True(resp.Close)
+	is.NoErr(idle.SetReadDeadline(time.Now().Add(callTimeout)))
+	_, err = idle.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	for range streams {
+		result := <-results
+		is.True(result != nil)
+		text, done := load.StreamText(result.Body)
+		is.True(done)
+		is.Equal(text, engine.AnswerText(messages, streamTokens))
+	}
+	is.Equal(<-stopped, 0)
+	waitLive(t, f, 1, "router-1", false)
+}
+
+func TestTheStopLimitEndsAStopAndASecondSignalEndsItAtOnce(t *testing.T) {
+	const limit = time.Second
+	for name, signals := range map[string]int{"limit": 1, "second signal": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := testfleet.Start(t, testfleet.Shape{
+				Block: 86 + signals, Hosts: []int{1}, Engines: 1,
+				EditRouter: func(s *settings.Router) {
+					shortDrain(s)
+					s.Timeouts.Stop = settings.Duration(limit)
+				},
+				EditEngine: func(e *settings.Engine) { e.Step = settings.Duration(time.Second) },
+			})
+			body, err := load.ChatBody(testfleet.Model, []engine.Message{{Role: "user", Content: "slow"}}, true, 100)
+			is.NoErr(err)
+			go func() {
+				_, _ = load.NewCaller(callTimeout).Do(context.Background(), load.Call{
+					Address: f.Caller(0), Method: http.MethodPost, Path: testfleet.PathChat, Key: testfleet.KeyOf(team), Body: body,
+				})
+			}()
+			testfleet.Eventually(t, worstTarget, "the request is in flight", func() bool {
+				s, ok := f.RouterState(f.Routers[0])
+				return ok && s.Stop.Requests == 1
+			})
+			start := time.Now()
+			if signals == 2 {
+				f.Routers[0].Signal(syscall.SIGTERM)
+				time.Sleep(limit / 10)
+			}
+			code := f.Routers[0].Stop()
+			is.True(code != 0)
+			if signals == 2 {
+				is.True(time.Since(start) < stopDrain)
+			} else {
+				is.True(time.Since(start) < stopDrain+2*limit)
+			}
+		})
+	}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// hours asks the open route on the connection, which stays usable.
+func hours(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://fleet"+testfleet.PathHours, bytes.NewReader(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := req.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp
+}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -90,6 +90,7 @@
 		if now := r.store.Current(); now != nil && now == before {
 			r.log.Info().Str("event", "settled").Uint64("version", now.Version).Int("asked", asked).Int("reached", reached).Send()
 			r.settled.Store(true)
+			r.guard.Start()
 			return
 		}
 		if before == nil {
