Poison quarantine, stream resume, silent connections

Ruled out: taking every lost connection for a death (a stopped process or a cut path would strike the innocent; the owner now probes first), and counting a strike from an upstream that was dead before the request came (a suspect runs only after a probe).

Test results of process tests are no longer cached: the programs are built by the tests, which go test does not see.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	@go build -o $(GOBIN) ./cmd/...
 
 test:
-	go test -race -short ./...
+	@# The programs under test are built by the tests, so a cached result may be out of date.
+	go test -race -short -count=1 ./...
 
 lint:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,6 +46,11 @@
 	// Fingerprint identifies the request's content for the poison quarantine.
 	Fingerprint uint64
 
+	// Suspect is set when an upstream died while this request ran on it.
+	Suspect bool
+	// Avoid names upstreams that failed this request; they are tried last.
+	Avoid []string
+
 	// Candidates are upstream names in the order of preference, set by route.
 	Candidates []string
 	// Answer is the upstream's answer, set by dispatch.
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/ownership"
@@ -66,9 +67,14 @@
 }
 
 // mayRetry reports whether another upstream may be tried after err: always when this attempt did not run, and on
-// repeatable routes also when that is unknown, since no byte of an answer has been relayed yet.
+// repeatable routes also when that is unknown, since no byte of an answer has been relayed yet. After the death of an
+// upstream the quarantine step decides.
 func mayRetry(x *exchange.Exchange, err error) bool {
-	return exchange.Refusal(err).Outcome == outcome.NotRun || x.Route.Repeatable
+	r := exchange.Refusal(err)
+	if r.Code == quarantine.CodeDied || r.Code == quarantine.CodeHeld {
+		return false
+	}
+	return r.Outcome == outcome.NotRun || x.Route.Repeatable
 }
 
 func (f *Filter) attempt(ctx context.Context, x *exchange.Exchange, name string) (*exchange.Answer, error) {
--- /dev/null
+++ b/internal/filters/quarantine/entry.go
@@ -0,0 +1,93 @@
+// Package quarantine holds back requests that cost upstreams their life. Entry stops held requests before they are
+// dispatched; Owner runs suspects one at a time and records who was on board when an upstream died.
+package quarantine
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
+)
+
+// Name is the filters' step.
+const Name = "quarantine"
+
+// Refusal codes of this step.
+const (
+	// CodeHeld refuses a request that is held back.
+	CodeHeld = "quarantined"
+	// CodeDied says that the upstream died while the request ran.
+	CodeDied = "upstream-died"
+)
+
+// Entry is the quarantine step of the host that accepted the request.
+type Entry struct {
+	table  *quarantine.Table
+	prober Prober
+	held   tally.Counter
+}
+
+// NewEntry returns the filter.
+func NewEntry(table *quarantine.Table, prober Prober, scope tally.Scope) *Entry {
+	return &Entry{table: table, prober: prober, held: scope.Counter("quarantine_held")}
+}
+
+// Name implements exchange.Filter.
+func (f *Entry) Name() string { return Name }
+
+// Handle implements exchange.Filter. After the death of an upstream it runs a repeatable request again, until the
+// request is held back.
+func (f *Entry) Handle(ctx context.Context, x *exchange.Exchange, next exchange.Next) error {
+	x.Fingerprint = quarantine.Fingerprint(x.TeamName(), x.Path, x.Body)
+	if err := refuseHeld(f.table, x, f.held); err != nil {
+		return err
+	}
+	for {
+		err := next(ctx, x)
+		if err == nil {
+			return nil
+		}
+		r := exchange.Refusal(err)
+		if r.Code != CodeDied {
+			return err
+		}
+		if f.strike(x, r.Peer) || !x.Route.Repeatable {
+			return err
+		}
+	}
+}
+
+// strike records the death of the upstream under the exchange and reports whether the request is now held back.
+func (f *Entry) strike(x *exchange.Exchange, upstream string) bool {
+	x.Suspect = true
+	x.Avoid = append(x.Avoid, upstream)
+	f.table.Strike(x.Fingerprint, upstream)
+	verdict, _ := f.table.Check(x.Fingerprint)
+	return verdict == quarantine.Held
+}
+
+// Broke is called when an answer of the upstream broke off or never came. It records a death of the upstream and
+// reports whether the request is now held back.
+func (f *Entry) Broke(ctx context.Context, x *exchange.Exchange, upstream, boot string) bool {
+	up, ok := x.Snapshot.Upstream(upstream)
+	if ok && f.prober.Died(ctx, up.Address, boot) {
+		return f.strike(x, upstream)
+	}
+	x.Avoid = append(x.Avoid, upstream)
+	return false
+}
+
+// refuseHeld returns a refusal if the exchange is held back.
+func refuseHeld(table *quarantine.Table, x *exchange.Exchange, held tally.Counter) error {
+	verdict, wait := table.Check(x.Fingerprint)
+	if verdict != quarantine.Held {
+		return nil
+	}
+	held.Inc(1)
+	return outcome.Refuse(Name, http.StatusServiceUnavailable, CodeHeld,
+		"upstreams died while this request ran; it is held back").WithRetryAfter(wait)
+}
--- /dev/null
+++ b/internal/filters/resume/resume_test.go
@@ -0,0 +1,153 @@
+package resume
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+const streamEvents = 6
+
+var errCut = errors.New("connection lost")
+
+// brokenBody ends with err after the text.
+type brokenBody struct {
+	io.Reader
+	err error
+}
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
+func (b *brokenBody) Close() error { return nil }
+
+func body(text string, err error) io.ReadCloser {
+	return &brokenBody{Reader: strings.NewReader(text), err: err}
+}
+
+// events returns the events of the stream from the given one on, with the end mark.
+func events(from int) string {
+	var text strings.Builder
+	for i := from; i < streamEvents; i++ {
+		fmt.Fprintf(&text, "data: {\"token\":%d}\n\n", i)
+	}
+	return text.String() + "data: [DONE]\n\n"
+}
+
+// engines answers each attempt with the next of its answers.
+type engines struct {
+	answers []func(from int) (*exchange.Answer, error)
+	froms   []int
+}
+
+func (e *engines) next(_ context.Context, x *exchange.Exchange) error {
+	from, _ := strconv.Atoi(x.Header.Get(HeaderResumeFrom))
+	e.froms = append(e.froms, from)
+	answer := e.answers[0]
+	e.answers = e.answers[1:]
+	a, err := answer(from)
+	x.Answer = a
+	return err
+}
+
+func streamed(cut int, err error) func(int) (*exchange.Answer, error) {
+	return func(from int) (*exchange.Answer, error) {
+		text := events(from)
+		header := http.Header{"Content-Type": {eventStream}}
+		return &exchange.Answer{Status: http.StatusOK, Header: header, Body: body(text[:min(cut, len(text))], err)}, nil
+	}
+}
+
+func refused(int) (*exchange.Answer, error) {
+	return nil, outcome.Unavailable("test", "full", "no place")
+}
+
+type noDeaths struct{ held bool }
+
+func (d noDeaths) Broke(context.Context, *exchange.Exchange, string, string) bool { return d.held }
+
+func newExchange(t *testing.T) *exchange.Exchange {
+	t.Helper()
+	snap, err := document.Parse([]byte(`{"schema":1,"fleet":"f","version":1,"parent":{"version":0,"hash":""},
+		"data_centres":[{"name":"d","state":"in","hosts":[]}],
+		"pools":[{"name":"p","kind":"engine","load_factor":1,"upstreams":[]}],
+		"routes":[{"name":"r","path":"/","methods":["POST"],"pool":"p","repeatable":true}],"teams":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &exchange.Exchange{Snapshot: snap, Route: &snap.Routes[0], Header: http.Header{}}
+}
+
+func TestAStreamIsWholeWhateverBreaks(t *testing.T) {
+	const all = 1 << 20
+	one := len("data: {\"token\":0}\n\n")
+	tests := []struct {
+		name    string
+		answers []func(int) (*exchange.Answer, error)
+		held    bool
+		whole   bool
+		froms   []int
+	}{
+		{"nothing breaks", []func(int) (*exchange.Answer, error){streamed(all, io.EOF)}, false, true, []int{0}},
+		{"cut before the first event", []func(int) (*exchange.Answer, error){streamed(3, errCut), streamed(all, io.EOF)}, false, true, []int{0, 0}},
+		{"cut inside an event", []func(int) (*exchange.Answer, error){streamed(2*one+5, errCut), streamed(all, io.EOF)}, false, true, []int{0, 2}},
+		{"clean end without the end mark", []func(int) (*exchange.Answer, error){streamed(3*one, io.EOF), streamed(all, io.EOF)}, false, true, []int{0, 3}},
+		{"cut after the last event", []func(int) (*exchange.Answer, error){streamed(streamEvents*one, errCut), streamed(all, io.EOF)}, false, true, []int{0, 6}},
+		{"cut twice", []func(int) (*exchange.Answer, error){streamed(one, errCut), streamed(one, errCut), streamed(all, io.EOF)}, false, true, []int{0, 1, 2}},
+		{"refused in between", []func(int) (*exchange.Answer, error){streamed(one, errCut), refused, streamed(all, io.EOF)}, false, true, []int{0, 1, 1}},
+		{"cut too often", []func(int) (*exchange.Answer, error){
+			streamed(one, errCut), streamed(one, errCut), streamed(one, errCut), streamed(one, errCut),
+		}, false, false, []int{0, 1, 2, 3}},
+		{"held back", []func(int) (*exchange.Answer, error){streamed(one, errCut)}, true, false, []int{0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &engines{answers: tt.answers}
+			x := newExchange(t)
+			f := New(noDeaths{held: tt.held}, tally.NoopScope)
+			is.NoErr(f.Handle(context.Background(), x, e.next))
+			text, err := io.ReadAll(x.Answer.Body)
+			is.Equal(e.froms, tt.froms)
+			is.Equal(err == nil, tt.whole) // a broken stream must not end like a whole one
+			if tt.whole {
+				is.Equal(string(text), events(0))
+			} else {
+				is.True(strings.HasPrefix(events(0), string(text)))
+			}
+			is.NoErr(x.Answer.Body.Close())
+		})
+	}
+}
+
+func TestAWholeAnswerIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	whole := func(text string, err error) func(int) (*exchange.Answer, error) {
+		return func(int) (*exchange.Answer, error) {
+			return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: body(text, err)}, nil
+		}
+	}
+	e := &engines{answers: []func(int) (*exchange.Answer, error){whole(`{"half`, errCut), whole(`{"whole":1}`, io.EOF)}}
+	x := newExchange(t)
+	is.NoErr(New(noDeaths{}, tally.NoopScope).Handle(context.Background(), x, e.next))
+	text, err := io.ReadAll(x.Answer.Body)
+	is.NoErr(err)
+	is.Equal(string(text), `{"whole":1}`)
+}
--- a/internal/filters/route/route.go
+++ b/internal/filters/route/route.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/uber-go/tally/v4"
 
@@ -37,5 +38,22 @@
 		f.empty.Inc(1)
 		return outcome.Unavailable(Name, "no-upstream", "no upstream of the pool takes new work").WithPeer(pool.Name, nil)
 	}
+	x.Candidates = avoidLast(x.Candidates, x.Avoid)
 	return next(ctx, x)
 }
+
+// avoidLast moves the upstreams that failed the request already to the end.
+func avoidLast(candidates, avoid []string) []string {
+	if len(avoid) == 0 {
+		return candidates
+	}
+	var first, last []string
+	for _, c := range candidates {
+		if slices.Contains(avoid, c) {
+			last = append(last, c)
+		} else {
+			first = append(first, c)
+		}
+	}
+	return append(first, last...)
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -65,7 +65,7 @@
 		Role: d.Role, Sender: sender, SenderIncarnation: incarnation, DocumentVersion: x.Snapshot.Version,
 		Trace: x.Trace, Method: x.Method, Path: x.Path, RawQuery: x.RawQuery, Route: x.Route.Name,
 		Team: teamOf(x), KeyId: x.KeyID, ChatId: x.ChatID, IdempotencyKey: x.IdempotencyKey,
-		Fingerprint: x.Fingerprint, Upstream: d.Upstream, TimeoutMs: x.Deadline.Sub(now).Milliseconds(),
+		Fingerprint: x.Fingerprint, Upstream: d.Upstream, TimeoutMs: x.Deadline.Sub(now).Milliseconds(), Suspect: x.Suspect,
 	}
 }
 
--- a/internal/proofs/path/path_test.go
+++ b/internal/proofs/path/path_test.go
@@ -19,6 +19,7 @@
 const callTimeout = 20 * time.Second
 
 func TestRequestsReachTheirUpstreamsAndComeBackWhole(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := testfleet.Start(t, testfleet.Shape{Block: 31, Hosts: []int{1, 1}, Engines: 2, Services: 1})
 	caller := load.NewCaller(callTimeout)
@@ -39,6 +40,7 @@
 }
 
 func TestAnOrderRunsOnceHoweverOftenItIsSent(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := testfleet.Start(t, testfleet.Shape{Block: 32, Hosts: []int{1, 1}, Engines: 1, Services: 2})
 	caller := load.NewCaller(callTimeout)
--- a/internal/proofs/streams/streams_test.go
+++ b/internal/proofs/streams/streams_test.go
@@ -88,6 +88,7 @@
 }
 
 func TestAStreamSurvivesTheCrashOfItsEngine(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, result := underFault(t, 121, func(f *testfleet.Fleet, n int) { f.Engines[n].Kill() })
 	is.Equal(result.Status, http.StatusOK)
@@ -95,6 +96,7 @@
 }
 
 func TestAStreamSurvivesASilentConnection(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, result := underFault(t, 122, func(f *testfleet.Fleet, n int) { f.Fault(f.Engines[n], faults.Silent, 0) })
 	is.Equal(result.Status, http.StatusOK)
@@ -103,6 +105,7 @@
 }
 
 func TestPooledConnectionsThatWentSilentAreReplaced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := testfleet.Start(t, testfleet.Shape{Block: 123, Hosts: []int{1}, Engines: 1, Services: 1})
 	caller := load.NewCaller(callTimeout)
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,120 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
+)
+
+const fingerprint = 7
+
+// strike is one step of a table test: a strike on the upstream after a wait.
+type strike struct {
+	after    time.Duration
+	upstream string
+}
+
+func TestVerdictFollowsTheStrikes(t *testing.T) {
+	tests := []struct {
+		name    string
+		strikes []strike
+		wait    time.Duration
+		want    Verdict
+	}{
+		{"none", nil, 0, Clear},
+		{"one death", []strike{{0, "a"}}, 0, Suspect},
+		{"one death seen twice", []strike{{0, "a"}, {time.Second, "a"}}, 0, Suspect},
+		{"two deaths of one upstream", []strike{{0, "a"}, {time.Minute, "a"}}, 0, Held},
+		{"deaths of two upstreams at once", []strike{{0, "a"}, {0, "b"}}, 0, Held},
+		{"one strike too old", []strike{{0, "a"}, {time.Minute, "b"}}, strikeLifetime - time.Minute, Suspect},
+		{"both strikes too old", []strike{{0, "a"}, {time.Minute, "b"}}, strikeLifetime, Clear},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			table := NewTable(clock, nil)
+			for _, s := range tt.strikes {
+				clock.Advance(s.after)
+				table.Strike(fingerprint, s.upstream)
+			}
+			clock.Advance(tt.wait)
+			got, _ := table.Check(fingerprint)
+			is.Equal(got, tt.want)
+			other, _ := table.Check(fingerprint + 1)
+			is.Equal(other, Clear)
+		})
+	}
+}
+
+func TestHeldUntilTheFirstStrikeIsTooOld(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock, nil)
+	table.Strike(fingerprint, "a")
+	clock.Advance(time.Minute)
+	table.Strike(fingerprint, "b")
+	_, wait := table.Check(fingerprint)
+	is.Equal(wait, strikeLifetime-time.Minute)
+}
+
+func TestStrikesTravelOnceHoweverOftenTheyAreHeard(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	heard := 0
+	from := NewTable(clock, nil)
+	to := NewTable(clock, func() { heard++ })
+	from.Strike(fingerprint, "a")
+	for range 5 {
+		clock.Advance(time.Second)
+		var d gossippb.Digest
+		from.Fill(&d)
+		to.Merge(&d)
+	}
+	verdict, _ := to.Check(fingerprint)
+	is.Equal(verdict, Suspect)
+	is.Equal(heard, 1)
+}
+
+func TestLiftedStrikesDoNotComeBackByGossip(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	other := NewTable(clock, nil)
+	table := NewTable(clock, nil)
+	other.Strike(fingerprint, "a")
+	other.Strike(fingerprint, "b")
+	var d gossippb.Digest
+	other.Fill(&d)
+	table.Merge(&d)
+	clock.Advance(time.Second)
+	table.Lift(fingerprint)
+	table.Merge(&d)
+	verdict, _ := table.Check(fingerprint)
+	is.Equal(verdict, Clear)
+	clock.Advance(time.Second)
+	table.Strike(fingerprint, "c")
+	verdict, _ = table.Check(fingerprint)
+	is.Equal(verdict, Suspect)
+}
+
+func TestTheTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock, nil)
+	for i := range uint64(maxStrikes + 10) {
+		clock.Advance(time.Millisecond)
+		table.Strike(i, "a")
+	}
+	is.Equal(len(table.State()), maxStrikes)
+	oldest, _ := table.Check(0)
+	is.Equal(oldest, Clear)
+	newest, _ := table.Check(maxStrikes + 9)
+	is.Equal(newest, Suspect)
+	var d gossippb.Digest
+	table.Fill(&d)
+	is.Equal(len(d.Strikes), digestStrikes)
+}
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -8,6 +8,8 @@
 	"github.com/orioleusher/orioleusher/internal/filters/idempotency"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
 	"github.com/orioleusher/orioleusher/internal/filters/limit"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
+	"github.com/orioleusher/orioleusher/internal/filters/resume"
 	"github.com/orioleusher/orioleusher/internal/filters/route"
 	"github.com/orioleusher/orioleusher/internal/filters/send"
 )
@@ -28,8 +30,11 @@
 }
 
 func (r *Router) issuerFilters() []exchange.Filter {
+	entry := quarantine.NewEntry(r.quarantine, r.prober, r.scope)
 	return []exchange.Filter{
 		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
+		entry,
+		resume.New(entry, r.scope),
 		route.New(r.settings.DataCentre, r.scope),
 		dispatch.New(r.settings.Name, r.members, r.hops, r.ownerChain(), r.scope),
 	}
@@ -38,6 +43,7 @@
 // ownerChain is what a request passes on the host that owns the chosen upstream.
 func (r *Router) ownerChain() exchange.Next {
 	return exchange.Chain(
+		quarantine.NewOwner(r.quarantine, r.lanes, r.prober, r.scope),
 		admit.New(r.upstreams, r.scope),
 		send.New(r.client, r.scope),
 	)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/orioleusher/orioleusher/internal/peers"
 	"github.com/orioleusher/orioleusher/internal/platform"
 	"github.com/orioleusher/orioleusher/internal/process"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/quota"
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
@@ -45,16 +46,19 @@
 	scope       tally.Scope
 	incarnation uint64
 
-	store     *config.Store
-	members   *peers.Members
-	gossip    *peers.Gossip
-	platform  *platform.Client
-	limiter   *quota.Limiter
-	registry  *idempotency.Registry
-	upstreams *upstreams.Set
-	client    *transport.Client
-	hops      *hop.Client
-	stopping  atomic.Bool
+	store      *config.Store
+	members    *peers.Members
+	gossip     *peers.Gossip
+	platform   *platform.Client
+	limiter    *quota.Limiter
+	registry   *idempotency.Registry
+	upstreams  *upstreams.Set
+	client     *transport.Client
+	prober     *transport.Prober
+	quarantine *quarantine.Table
+	lanes      *quarantine.Lanes
+	hops       *hop.Client
+	stopping   atomic.Bool
 }
 
 // New assembles a router; Run starts it.
@@ -70,7 +74,10 @@
 	r.limiter = quota.NewLimiter(s.Name, clock)
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.upstreams = upstreams.NewSet()
-	r.client = transport.NewClient(s.Timeouts, r.dialer())
+	r.quarantine = quarantine.NewTable(clock, nil)
+	r.lanes = quarantine.NewLanes()
+	r.prober = transport.NewProber(r.dialer())
+	r.client = transport.NewClient(s.Timeouts, r.dialer(), r.prober, r.scope)
 	r.platform = platform.NewClient(s.Platform, s.Fleet, r.dialer(), r.store, clock, log)
 	r.connectPeers()
 	return r, nil
@@ -85,7 +92,8 @@
 	r.gossip = peers.NewGossip(peers.Options{
 		Self: r.settings.Name, SelfAddress: r.settings.PeerAddress, Incarnation: r.incarnation,
 		Seeds: r.settings.SeedPeers, Scheme: scheme, Client: &http.Client{Transport: peerTransport},
-		Interval: r.settings.Gossip.Interval.Std(), Members: r.members, Store: r.store, Clock: r.clock,
+		Interval: r.settings.Gossip.Interval.Std(), Members: r.members, Store: r.store,
+		Extensions: []peers.Extension{r.quarantine}, Clock: r.clock,
 		Rand: mathrand.New(mathrand.NewPCG(r.incarnation, 0)), Log: r.log, Scope: r.scope,
 	})
 }
@@ -205,17 +213,18 @@
 
 // State is the router's state dump.
 type State struct {
-	Name        string                    `json:"name"`
-	DataCentre  string                    `json:"data_centre"`
-	Incarnation uint64                    `json:"incarnation"`
-	Time        time.Time                 `json:"time"`
-	Ready       string                    `json:"not_ready,omitempty"`
-	Config      config.State              `json:"config"`
-	Platform    platform.State            `json:"platform"`
-	Members     []peers.MemberState       `json:"members"`
-	Quota       []quota.TeamState         `json:"quota"`
-	Idempotency idempotency.State         `json:"idempotency"`
-	Upstreams   []upstreams.UpstreamState `json:"upstreams"`
+	Name        string                        `json:"name"`
+	DataCentre  string                        `json:"data_centre"`
+	Incarnation uint64                        `json:"incarnation"`
+	Time        time.Time                     `json:"time"`
+	Ready       string                        `json:"not_ready,omitempty"`
+	Config      config.State                  `json:"config"`
+	Platform    platform.State                `json:"platform"`
+	Members     []peers.MemberState           `json:"members"`
+	Quota       []quota.TeamState             `json:"quota"`
+	Idempotency idempotency.State             `json:"idempotency"`
+	Upstreams   []upstreams.UpstreamState     `json:"upstreams"`
+	Quarantine  []quarantine.FingerprintState `json:"quarantine"`
 }
 
 // State returns a copy of the state of every part.
@@ -224,5 +233,6 @@
 		Name: r.settings.Name, DataCentre: r.settings.DataCentre, Incarnation: r.incarnation, Time: r.clock.Now(),
 		Ready: r.ready(), Config: r.store.State(), Platform: r.platform.State(), Members: r.members.State(),
 		Quota: r.limiter.State(), Idempotency: r.registry.State(), Upstreams: r.upstreams.State(),
+		Quarantine: r.quarantine.State(),
 	}
 }
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -88,7 +88,9 @@
 			found = r.load
 		}
 	}
+	boot := e.bootID
 	e.mu.Unlock()
+	w.Header().Set(HeaderBootID, strconv.FormatUint(boot, 16))
 	admin.WriteJSON(w, found)
 }
 
--- a/internal/transport/guard.go
+++ b/internal/transport/guard.go
@@ -46,3 +46,15 @@
 	g.timer.Stop()
 	return errors.Wrap(g.body.Close(), "close answer")
 }
+
+// cancellingBody ends its request's context when the answer is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel func()
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
@@ -29,36 +30,61 @@
 
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
-	timeouts  settings.Timeouts
+	// pooled keeps connections open for the next request.
+	pooled *http.Transport
+	// fresh opens a connection for each request.
+	fresh    *http.Transport
+	prober   *Prober
+	timeouts settings.Timeouts
+	silent   tally.Counter
 }
 
-// NewClient returns a client with the given timeouts that connects with the dialer.
-func NewClient(t settings.Timeouts, dialer *net.Dialer) *Client {
+// NewClient returns a client with the given timeouts that connects with the dialer. It tells the prober of the runs of
+// the upstreams that answer.
+func NewClient(t settings.Timeouts, dialer *net.Dialer, prober *Prober, scope tally.Scope) *Client {
+	pooled := &http.Transport{
+		DialContext:           dialer.DialContext,
+		ResponseHeaderTimeout: t.FirstByte.Std(),
+		IdleConnTimeout:       maxConnAge,
+		MaxIdleConnsPerHost:   64,
+		DisableCompression:    true,
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
 	return &Client{
-		timeouts: t,
-		transport: &http.Transport{
-			DialContext:           dialer.DialContext,
-			ResponseHeaderTimeout: t.FirstByte.Std(),
-			IdleConnTimeout:       maxConnAge,
-			MaxIdleConnsPerHost:   64,
-			DisableCompression:    true,
-		},
+		pooled: pooled, fresh: fresh, prober: prober, timeouts: t, silent: scope.Counter("transport_silent_connections"),
 	}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
 // Send sends the exchange to the upstream's address. The error is an *outcome.Refusal whose outcome is true: not-run
 // only if no byte of the request can have left this host.
+//
+// A request that may not be repeated always gets a connection of its own, since a pooled one may have gone silent
+// unnoticed. A repeatable one that gets no answer on a pooled connection in time is sent once more on a new one.
 func (c *Client) Send(ctx context.Context, x *exchange.Exchange, upstream, address string) (*exchange.Answer, error) {
+	if !x.Route.Repeatable {
+		return c.send(ctx, c.fresh, x, upstream, address)
+	}
+	answer, err := c.sendPooled(ctx, x, upstream, address)
+	if !errors.Is(err, errSilentPool) {
+		return answer, err
+	}
+	c.silent.Inc(1)
+	// Whatever lost track of one connection has most likely lost track of the others too.
+	c.pooled.CloseIdleConnections()
+	return c.send(ctx, c.fresh, x, upstream, address)
+}
+
+func (c *Client) send(ctx context.Context, via *http.Transport, x *exchange.Exchange, upstream, address string) (*exchange.Answer, error) {
 	body := &trackedBody{r: bytes.NewReader(x.Body)}
 	req, sent, err := c.request(ctx, x, address, body)
 	if err != nil {
 		return nil, outcome.Unavailable(step, "bad-request", "the request cannot be built").WithPeer(upstream, err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := via.RoundTrip(req)
 	if err != nil {
 		return nil, refusal(upstream, sent.Load() || body.read.Load(), err)
 	}
@@ -66,6 +92,7 @@
 		resp.Body.Close()
 		return nil, crossed(upstream, echo)
 	}
+	c.prober.Saw(upstream, resp.Header)
 	return &exchange.Answer{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
