--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,288 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/config"
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/settings"
+)
+
+// bench is a callers' server in front of a chain that counts its requests and keeps the last one.
+type bench struct {
+	address string
+	ran     atomic.Int64
+	last    atomic.Pointer[exchange.Exchange]
+	body    func(context.Context) io.ReadCloser
+}
+
+func startBench(t *testing.T, withDocument bool) *bench {
+	t.Helper()
+	s := &settings.Router{Limits: settings.Limits{HeaderBytes: 2048, BodyBytes: 1024}}
+	s.Timeouts = settings.Timeouts{
+		Header: settings.Duration(300 * time.Millisecond), Body: settings.Duration(300 * time.Millisecond),
+		Write: settings.Duration(300 * time.Millisecond), Idle: settings.Duration(5 * time.Second),
+		Request: settings.Duration(20 * time.Second),
+	}
+	store := config.NewStore(clockwork.NewRealClock(), zerolog.Nop())
+	if withDocument {
+		offer(t, store)
+	}
+	b := &bench{body: func(context.Context) io.ReadCloser { return exchange.BytesBody([]byte("answer")) }}
+	handler := New(store, b.chain, s, clockwork.NewRealClock(), zerolog.Nop(), tally.NoopScope)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := handler.Server()
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	b.address = listener.Addr().String()
+	return b
+}
+
+func offer(t *testing.T, store *config.Store) {
+	t.Helper()
+	doc := document.Document{
+		Schema: document.SchemaVersion, Fleet: "test", Version: 1,
+		DataCentres: []document.DataCentre{{Name: "dc-1", State: document.StateIn}},
+	}
+	raw, err := doc.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Offer(raw, "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (b *bench) chain(ctx context.Context, x *exchange.Exchange) error {
+	b.ran.Add(1)
+	b.last.Store(x)
+	x.Route = &document.Route{Name: "chat"}
+	x.Answer = &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: b.body(ctx), Upstream: "engine-1"}
+	return nil
+}
+
+// send writes the request and returns the answer and its body.
+func (b *bench) send(t *testing.T, request string) (*http.Response, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	// A refused request may be cut off while it is still being sent; the answer says why.
+	_, _ = io.WriteString(conn, request)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp, string(body)
+}
+
+const head = "POST /v1/chat HTTP/1.1\r\nHost: h\r\n"
+
+func TestFaultyRequestsGetAClearRefusalAndRunNothing(t *testing.T) {
+	pad := func(n int) string { return strings.Repeat("a", n) }
+	cases := []struct {
+		name    string
+		request string
+		status  int
+		code    string
+	}{
+		{"body above the limit", head + "Content-Length: 1025\r\n\r\n" + pad(1025), 413, "body-too-large"},
+		{"chunked body above the limit", head + "Transfer-Encoding: chunked\r\n\r\n401\r\n" + pad(1025) + "\r\n0\r\n\r\n", 413, "body-too-large"},
+		{"broken chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "body-incomplete"},
+		{"slow body", head + "Content-Length: 10\r\n\r\nabc", 408, "body-timeout"},
+		{"header above the limit", head + "X-Pad: " + pad(2048) + "\r\n\r\n", 431, "header-too-large"},
+		{"dot segments", "POST /open/../v1/orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"encoded dot segments", "POST /open/%2e%2e/v1/orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"encoded slash after dots", "POST /open/..%2fv1/orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"backslash", "POST /open/..%5cv1 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"line break in the path", "POST /open%0aforged HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"empty segment", "POST /v1//chat HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"asterisk", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad-path"},
+		{"timeout that is no number", head + "Oriole-Timeout-Ms: soon\r\n\r\n", 400, "bad-timeout"},
+		{"timeout of zero", head + "Oriole-Timeout-Ms: 0\r\n\r\n", 400, "bad-timeout"},
+		{"two idempotency keys", head + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", 400, "several-idempotency-keys"},
+	}
+	b := startBench(t, true)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			resp, text := b.send(t, c.request)
+			is.True(resp != nil)
+			var body errorBody
+			is.NoErr(json.Unmarshal([]byte(text), &body))
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(body.Error.Code, c.code)
+			is.Equal(body.Error.Step, step)
+			is.Equal(body.Error.Outcome, outcome.NotRun)
+			is.Equal(resp.Header.Get(outcome.HeaderOutcome), string(outcome.NotRun))
+			is.Equal(resp.Header.Get(outcome.HeaderTrace), body.Error.Trace)
+			is.Equal(len(body.Error.Trace), 16)
+			is.Equal(resp.Header.Get("Content-Type"), "application/json")
+		})
+	}
+	is.New(t).Equal(b.ran.Load(), int64(0))
+}
+
+// net/http answers these itself, without our headers; nothing runs.
+func TestBrokenHTTPRunsNothing(t *testing.T) {
+	cases := map[string]struct {
+		request string
+		status  int
+	}{
+		"no HTTP":                   {"hello\r\n\r\n", 400},
+		"no host":                   {"GET / HTTP/1.1\r\n\r\n", 400},
+		"two lengths":               {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"space in a header name":    {head + "Bad Name: 1\r\n\r\n", 400},
+		"header far over the limit": {head + "X-Pad: " + strings.Repeat("a", 32<<10) + "\r\n\r\n", 431},
+		"unknown transfer encoding": {head + "Transfer-Encoding: odd\r\n\r\n", 501},
+		"slow header":               {"POST / HTTP/1.1\r\n", 0},
+	}
+	b := startBench(t, true)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, _ := b.send(t, c.request)
+			if c.status == 0 {
+				is.True(resp == nil) // the connection is closed without an answer
+				return
+			}
+			is.True(resp != nil)
+			is.Equal(resp.StatusCode, c.status)
+		})
+	}
+	is.New(t).Equal(b.ran.Load(), int64(0))
+}
+
+func TestWithoutADocumentCallersAreToldToComeAgain(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, false)
+	resp, _ := b.send(t, head+"\r\n")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get("Retry-After"), "1")
+	is.Equal(resp.Header.Get(outcome.HeaderOutcome), string(outcome.NotRun))
+}
+
+func TestCallersCannotSpeakInTheFleetsName(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, true)
+	resp, _ := b.send(t, head+"Oriole-Outcome: run\r\noriole-hop-envelope: x\r\nOriole-Timeout-Ms: 1000\r\n"+
+		"Connection: X-Private, close\r\nX-Private: 1\r\nX-Chat-Id: c\r\n\r\n")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	x := b.last.Load()
+	for name := range x.Header {
+		is.True(!strings.HasPrefix(strings.ToLower(name), "oriole-")) // no such header goes on
+	}
+	is.Equal(x.Header.Get("X-Private"), "")
+	is.Equal(x.Header.Get("X-Chat-Id"), "c")
+	is.Equal(x.Deadline.Sub(x.Start), time.Second)
+}
+
+func TestTheCallersTimeoutIsBoundedByTheSettings(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, true)
+	b.send(t, head+"Oriole-Timeout-Ms: 4000000000\r\nConnection: close\r\n\r\n")
+	x := b.last.Load()
+	is.Equal(x.Deadline.Sub(x.Start), 20*time.Second)
+}
+
+// slowAnswer yields one line every pause and breaks off when the request is cancelled, as an upstream's answer does.
+type slowAnswer struct {
+	ctx   context.Context
+	lines int
+	pause time.Duration
+}
+
+func (s *slowAnswer) Read(p []byte) (int, error) {
+	if s.lines == 0 {
+		return 0, io.EOF
+	}
+	s.lines--
+	select {
+	case <-s.ctx.Done():
+		return 0, s.ctx.Err()
+	case <-time.After(s.pause):
+		return copy(p, "line\n"), nil
+	}
+}
+
+func (s *slowAnswer) Close() error { return nil }
+
+// A streamed answer takes much longer than the deadlines for the header, the body and each piece of the answer.
+func TestDeadlinesForSlowCallersDoNotCutLongAnswers(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, true)
+	b.body = func(ctx context.Context) io.ReadCloser {
+		return &slowAnswer{ctx: ctx, lines: 10, pause: 100 * time.Millisecond}
+	}
+	resp, body := b.send(t, head+"Content-Length: 2\r\nConnection: close\r\n\r\nhi")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, strings.Repeat("line\n", 10))
+}
+
+// endless yields as fast as its reader takes.
+type endless struct {
+	closed chan struct{}
+}
+
+func (e *endless) Read(p []byte) (int, error) { return len(p), nil }
+func (e *endless) Close() error               { close(e.closed); return nil }
+
+func TestACallerThatDoesNotReadItsAnswerIsCutOff(t *testing.T) {
+	b := startBench(t, true)
+	answer := &endless{closed: make(chan struct{})}
+	b.body = func(context.Context) io.ReadCloser { return answer }
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, head+"\r\n")
+	select {
+	case <-answer.closed:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the answer is still open")
+	}
+}
+
+func TestAnotherRequestOnTheSameConnectionHasItsOwnDeadlines(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, true)
+	conn, err := net.Dial("tcp", b.address)
+	is.NoErr(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := range 3 {
+		fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nhi", head)
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(b.ran.Load(), int64(n+1))
+		time.Sleep(350 * time.Millisecond) // longer than the deadlines of body and write
+	}
+}
--- /dev/null
+++ b/internal/callers/receive.go
@@ -0,0 +1,156 @@
+package callers
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+// step is the name that this package's refusals carry.
+const step = "receive"
+
+// HeaderTimeout lets a caller say, in milliseconds, how long it waits for the whole answer.
+const HeaderTimeout = "Oriole-Timeout-Ms"
+
+// ownPrefix begins the names of all headers that only routers may set.
+const ownPrefix = "Oriole-"
+
+// noDocumentWait is what a caller is told to wait while the router has no document.
+const noDocumentWait = time.Second
+
+// receive reads the whole request, since its body may have to be sent to more than one host. The returned exchange is
+// never nil; the error is an *outcome.Refusal.
+func (h *Handler) receive(w http.ResponseWriter, r *http.Request) (*exchange.Exchange, error) {
+	now := h.clock.Now()
+	x := &exchange.Exchange{
+		Trace: fmt.Sprintf("%016x", rand.Uint64()), Start: now, Deadline: now.Add(h.timeouts.Request.Std()),
+		Method: r.Method, Path: r.URL.Path, RawQuery: r.URL.RawQuery, Header: r.Header.Clone(),
+		IdempotencyKey: r.Header.Get(outcome.HeaderIdempotencyKey), Snapshot: h.store.Current(),
+	}
+	if x.Snapshot == nil {
+		return x, outcome.Unavailable(step, "no-document", "the router has no configuration yet").WithRetryAfter(noDocumentWait)
+	}
+	if refusal := checkHead(r, h.limits.HeaderBytes); refusal != nil {
+		return x, refusal
+	}
+	timeout, refusal := h.timeout(r.Header)
+	if refusal != nil {
+		return x, refusal
+	}
+	x.Deadline = now.Add(timeout)
+	stripHeader(x.Header)
+	body, refusal := h.readBody(w, r)
+	if refusal != nil {
+		return x, refusal
+	}
+	x.Body = body
+	return x, nil
+}
+
+// checkHead refuses a request line or header that no upstream should see.
+func checkHead(r *http.Request, maxHeader int) *outcome.Refusal {
+	switch {
+	case headerBytes(r) > maxHeader:
+		return outcome.Refuse(step, http.StatusRequestHeaderFieldsTooLarge, "header-too-large",
+			fmt.Sprintf("the request line and header have more than %d bytes", maxHeader))
+	case !plainPath(r.URL.Path):
+		return outcome.Refuse(step, http.StatusBadRequest, "bad-path",
+			"the path must begin with / and have no empty or dot segment, backslash or control character")
+	case len(r.Header.Values(outcome.HeaderIdempotencyKey)) > 1:
+		return outcome.Refuse(step, http.StatusBadRequest, "several-idempotency-keys",
+			"the request carries more than one Idempotency-Key header")
+	default:
+		return nil
+	}
+}
+
+// headerBytes returns the size of the request line and the header fields as they came.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + separators
+		}
+	}
+	return total
+}
+
+// plainPath reports whether every server reads the path in the same way. An upstream that resolves dot segments would
+// otherwise serve another path than the one whose route was authorised.
+func plainPath(p string) bool {
+	if !strings.HasPrefix(p, "/") || strings.ContainsFunc(p, isPathControl) {
+		return false
+	}
+	clean := path.Clean(p)
+	return p == clean || p == clean+"/"
+}
+
+func isPathControl(r rune) bool {
+	const del = 0x7f
+	return r < ' ' || r == del || r == '\\'
+}
+
+// stripHeader removes what only routers may say and what the caller meant for its own connection only.
+func stripHeader(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range header {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), ownPrefix) {
+			delete(header, name)
+		}
+	}
+}
+
+// readBody reads the body, within the server's ReadTimeout.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	return body, nil
+}
+
+func bodyRefusal(err error) *outcome.Refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return outcome.Refuse(step, http.StatusRequestEntityTooLarge, "body-too-large",
+			fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.Refuse(step, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").
+			WithPeer("caller", err)
+	default:
+		return outcome.Refuse(step, http.StatusBadRequest, "body-incomplete", "the request's body could not be read").
+			WithPeer("caller", err)
+	}
+}
+
+// timeout returns the time for the whole answer: what the caller asks for, at most what the settings allow.
+func (h *Handler) timeout(header http.Header) (time.Duration, *outcome.Refusal) {
+	limit := h.timeouts.Request.Std()
+	text := header.Get(HeaderTimeout)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || ms == 0 {
+		return 0, outcome.Refuse(step, http.StatusBadRequest, "bad-timeout",
+			HeaderTimeout+" must be a whole number of milliseconds above 0")
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/callers/refuse.go
@@ -0,0 +1,58 @@
+package callers
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+// errorBody is the JSON body of every refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code           string          `json:"code"`
+	Message        string          `json:"message"`
+	Step           string          `json:"step"`
+	Peer           string          `json:"peer,omitempty"`
+	Outcome        outcome.Outcome `json:"outcome"`
+	Earlier        outcome.Earlier `json:"earlier,omitempty"`
+	IdempotencyKey string          `json:"idempotency_key,omitempty"`
+	Trace          string          `json:"trace"`
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, x *exchange.Exchange, err error) {
+	h.refusals.Inc(1)
+	r := exchange.Refusal(err)
+	h.log.Info().Str("event", "refusal").Str("trace", x.Trace).Str("team", x.TeamName()).Str("step", r.Step).
+		Str("peer", r.Peer).Str("code", r.Code).Str("outcome", string(r.Outcome)).AnErr("cause", r.Cause).Send()
+	WriteRefusal(w, x.Trace, r)
+}
+
+// WriteRefusal writes a refusal as a caller sees it.
+func WriteRefusal(w http.ResponseWriter, trace string, r *outcome.Refusal) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(outcome.HeaderOutcome, string(r.Outcome))
+	header.Set(outcome.HeaderTrace, trace)
+	if r.Earlier != "" {
+		header.Set(outcome.HeaderEarlier, string(r.Earlier))
+	}
+	if r.IdempotencyKey != "" {
+		header.Set(outcome.HeaderIdempotencyKey, r.IdempotencyKey)
+	}
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(r.Status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{
+		Code: r.Code, Message: r.Message, Step: r.Step, Peer: r.Peer, Outcome: r.Outcome, Earlier: r.Earlier,
+		IdempotencyKey: r.IdempotencyKey, Trace: trace,
+	}})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -114,11 +114,7 @@
 	wg.Go(func() { r.platform.Run(loops) })
 	wg.Go(func() { r.gossip.Run(loops) })
 
-	entry := &http.Server{
-		Handler:           callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router(),
-		ReadHeaderTimeout: r.settings.Timeouts.Header.Std(), ReadTimeout: r.settings.Timeouts.Body.Std(),
-		IdleTimeout: r.settings.Timeouts.Idle.Std(), MaxHeaderBytes: r.settings.Limits.HeaderBytes,
-	}
+	entry := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
 	peer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -48,6 +48,8 @@
 	Header Duration `json:"header"`
 	// Body is the time a caller has to send its whole request.
 	Body Duration `json:"body"`
+	// Write is the time a caller has to take each piece of its answer.
+	Write Duration `json:"write"`
 	// Idle is how long an unused keep-alive connection stays open.
 	Idle Duration `json:"idle"`
 	// Request is the longest time from the accepted request to the end of its answer.
@@ -76,6 +78,7 @@
 	defaultBodyBytes    = 4 << 20
 	defaultHeaderTime   = 5 * time.Second
 	defaultBodyTime     = 30 * time.Second
+	defaultWrite        = 30 * time.Second
 	defaultIdle         = 60 * time.Second
 	defaultRequest      = 120 * time.Second
 	defaultConnect      = time.Second
@@ -113,6 +116,7 @@
 	t := &r.Timeouts
 	setInt(&t.Header, Duration(defaultHeaderTime))
 	setInt(&t.Body, Duration(defaultBodyTime))
+	setInt(&t.Write, Duration(defaultWrite))
 	setInt(&t.Idle, Duration(defaultIdle))
 	setInt(&t.Request, Duration(defaultRequest))
 	setInt(&t.Connect, Duration(defaultConnect))
