--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -119,11 +119,8 @@
 		r.gossip.Run(loops)
 	})
 
-	entry := &http.Server{
-		Handler:           r.entryWork.handler(r.clock.Now, callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router()),
-		ReadHeaderTimeout: r.settings.Timeouts.Header.Std(), ReadTimeout: r.settings.Timeouts.Body.Std(),
-		IdleTimeout: r.settings.Timeouts.Idle.Std(), MaxHeaderBytes: r.settings.Limits.HeaderBytes,
-	}
+	entry := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
+	entry.Handler = r.entryWork.handler(r.clock.Now, entry.Handler)
 	peer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
