--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -9,6 +9,8 @@
 	"github.com/orioleusher/orioleusher/internal/filters/idempotency"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
 	"github.com/orioleusher/orioleusher/internal/filters/limit"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
+	"github.com/orioleusher/orioleusher/internal/filters/resume"
 	"github.com/orioleusher/orioleusher/internal/filters/route"
 	"github.com/orioleusher/orioleusher/internal/filters/send"
 )
@@ -30,10 +32,16 @@
 }
 
 func (r *Router) issuerFilters() []exchange.Filter {
+	entry := quarantine.NewEntry(r.quarantine, r.prober, r.scope)
 	return []exchange.Filter{
 		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
-		route.New(r.settings.DataCentre, r.scope),
-		dispatch.New(r.settings.Name, r.members, r.hops, r.ownerChain(), r.scope),
+		entry,
+		resume.New(entry, r.scope),
+		route.New(r.planner, r.scope),
+		dispatch.New(dispatch.Options{
+			Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Hints: r.upstreams,
+			Hops: r.hops, Owner: r.ownerChain(), Scope: r.scope,
+		}),
 	}
 }
 
@@ -41,6 +49,7 @@
 func (r *Router) ownerChain() exchange.Next {
 	return exchange.Chain(
 		awake.New(r.guard, r.store),
+		quarantine.NewOwner(r.quarantine, r.lanes, r.prober, r.scope),
 		admit.New(r.upstreams, r.scope),
 		awake.NewLast(r.guard, r.store),
 		send.New(r.client, r.scope),
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -63,7 +63,9 @@
 }
 
 // extensions returns the parts whose state travels on the gossip.
-func (r *Router) extensions() []peers.Extension { return nil }
+func (r *Router) extensions() []peers.Extension {
+	return []peers.Extension{r.upstreams, r.quarantine}
+}
 
 func (r *Router) peerTransport(dial peers.Dial, idlePerHost int) *http.Transport {
 	t := &http.Transport{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,7 +29,9 @@
 	"github.com/orioleusher/orioleusher/internal/peertls"
 	"github.com/orioleusher/orioleusher/internal/platform"
 	"github.com/orioleusher/orioleusher/internal/process"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/quota"
+	"github.com/orioleusher/orioleusher/internal/routing"
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
 	"github.com/orioleusher/orioleusher/internal/settings"
@@ -46,21 +48,25 @@
 	scope       tally.Scope
 	incarnation uint64
 
-	store     *config.Store
-	members   *peers.Members
-	gossip    *peers.Gossip
-	platform  *platform.Client
-	limiter   *quota.Limiter
-	registry  *idempotency.Registry
-	upstreams *upstreams.Set
-	client    *transport.Client
-	hops      *hop.Client
-	guard     *pause.Guard
-	peerTLS   *peertls.Keeper
-	control   peers.Meter
-	entryWork work
-	hopWork   work
-	stopping  atomic.Bool
+	store      *config.Store
+	members    *peers.Members
+	gossip     *peers.Gossip
+	platform   *platform.Client
+	limiter    *quota.Limiter
+	registry   *idempotency.Registry
+	upstreams  *upstreams.Set
+	planner    *routing.Planner
+	client     *transport.Client
+	prober     *transport.Prober
+	quarantine *quarantine.Table
+	lanes      *quarantine.Lanes
+	hops       *hop.Client
+	stopping   atomic.Bool
+	guard      *pause.Guard
+	peerTLS    *peertls.Keeper
+	control    peers.Meter
+	entryWork  work
+	hopWork    work
 	// settled is true once the document in force is the highest that the platform and the peers had at the start.
 	settled atomic.Bool
 }
@@ -77,13 +83,26 @@
 	r.members = peers.NewMembers(s.Name, r.incarnation, s.Gossip.SuspectAfter.Std(), clock)
 	r.limiter = quota.NewLimiter(s.Name, clock)
 	r.registry = idempotency.NewRegistry(signer, clock)
-	r.upstreams = upstreams.NewSet()
-	r.client = transport.NewClient(s.Timeouts, r.dialer())
+	r.planner = routing.NewPlanner(s.RoutingPolicy, s.DataCentre)
+	r.upstreams = r.newUpstreams()
+	r.quarantine = quarantine.NewTable(clock, nil)
+	r.lanes = quarantine.NewLanes()
+	r.prober = transport.NewProber(r.dialer())
+	r.client = transport.NewClient(s.Timeouts, r.dialer(), r.prober, r.scope)
 	r.guard = pause.New(clock, r.catchUp, log, r.scope)
 	r.entryWork.stopping, r.hopWork.stopping = &r.stopping, &r.stopping
 	return r, r.connectFleet()
 }
 
+// newUpstreams makes the owner's view of its upstreams.
+func (r *Router) newUpstreams() *upstreams.Set {
+	reports := &http.Transport{DialContext: r.dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}
+	return upstreams.NewSet(upstreams.Options{
+		Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Configuration: r.store,
+		Reports: upstreams.HTTPReporter{Transport: reports}, Clock: r.clock, Log: r.log, Scope: r.scope,
+	})
+}
+
 // dialer returns a dialer whose connections come from this host's peer address, so that peers and the network between
 // can tell hosts apart by IP.
 func (r *Router) dialer() *net.Dialer {
@@ -111,12 +130,10 @@
 		r.settle(loops)
 		r.gossip.Run(loops)
 	})
+	wg.Go(func() { r.upstreams.Run(loops) })
 
-	entry := &http.Server{
-		Handler:           r.entryWork.handler(r.clock.Now, callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router()),
-		ReadHeaderTimeout: r.settings.Timeouts.Header.Std(), ReadTimeout: r.settings.Timeouts.Body.Std(),
-		IdleTimeout: r.settings.Timeouts.Idle.Std(), MaxHeaderBytes: r.settings.Limits.HeaderBytes,
-	}
+	entry := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
+	entry.Handler = r.entryWork.handler(r.clock.Now, entry.Handler)
 	peer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
@@ -203,23 +220,24 @@
 
 // State is the router's state dump.
 type State struct {
-	Name        string              `json:"name"`
-	DataCentre  string              `json:"data_centre"`
-	Incarnation uint64              `json:"incarnation"`
-	Time        time.Time           `json:"time"`
-	Ready       string              `json:"not_ready,omitempty"`
-	Config      config.State        `json:"config"`
-	Platform    platform.State      `json:"platform"`
-	Members     []peers.MemberState `json:"members"`
-	Gossip      peers.GossipState   `json:"gossip"`
+	Name        string                        `json:"name"`
+	DataCentre  string                        `json:"data_centre"`
+	Incarnation uint64                        `json:"incarnation"`
+	Time        time.Time                     `json:"time"`
+	Ready       string                        `json:"not_ready,omitempty"`
+	Config      config.State                  `json:"config"`
+	Platform    platform.State                `json:"platform"`
+	Members     []peers.MemberState           `json:"members"`
+	Quota       []quota.TeamState             `json:"quota"`
+	Idempotency idempotency.State             `json:"idempotency"`
+	Upstreams   []upstreams.UpstreamState     `json:"upstreams"`
+	Quarantine  []quarantine.FingerprintState `json:"quarantine"`
+	Gossip      peers.GossipState             `json:"gossip"`
 	// Control counts the bytes on the connections on which this host gossips.
-	Control     peers.MeterState          `json:"control"`
-	Pause       pause.State               `json:"pause"`
-	PeerTLS     peertls.State             `json:"peer_tls"`
-	Stop        StopState                 `json:"stop"`
-	Quota       []quota.TeamState         `json:"quota"`
-	Idempotency idempotency.State         `json:"idempotency"`
-	Upstreams   []upstreams.UpstreamState `json:"upstreams"`
+	Control peers.MeterState `json:"control"`
+	Pause   pause.State      `json:"pause"`
+	PeerTLS peertls.State    `json:"peer_tls"`
+	Stop    StopState        `json:"stop"`
 }
 
 // State returns a copy of the state of every part.
@@ -230,5 +248,6 @@
 		Gossip: r.gossip.State(), Control: r.control.State(), Pause: r.guard.State(), PeerTLS: r.peerTLS.State(),
 		Stop:  StopState{Stopping: r.stopping.Load(), Requests: r.entryWork.inFlight.Load(), Hops: r.hopWork.inFlight.Load()},
 		Quota: r.limiter.State(), Idempotency: r.registry.State(), Upstreams: r.upstreams.State(),
+		Quarantine: r.quarantine.State(),
 	}
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -24,9 +24,31 @@
 	Limits    Limits   `json:"limits"`
 	Timeouts  Timeouts `json:"timeouts"`
 	Gossip    Gossip   `json:"gossip"`
-	Log       Log      `json:"log"`
+	// RoutingPolicy is PolicyBounded unless set; the others are baselines for measurements.
+	RoutingPolicy RoutingPolicy `json:"routing_policy,omitempty"`
+	Log           Log           `json:"log"`
 }
 
+// RoutingPolicy names how a request finds its upstream.
+type RoutingPolicy string
+
+// The routing policies.
+const (
+	// PolicyBounded follows the chat's rendezvous order and the load bound at each upstream's owner.
+	PolicyBounded RoutingPolicy = "bounded"
+	// PolicyRandom picks at random, without a bound.
+	PolicyRandom RoutingPolicy = "random"
+	// PolicyRoundRobin takes the upstreams in turn on each host, without a bound.
+	PolicyRoundRobin RoutingPolicy = "round-robin"
+	// PolicyRendezvous follows the chat's rendezvous order without a bound.
+	PolicyRendezvous RoutingPolicy = "rendezvous"
+	// PolicyDirect follows the chat's order and sends from each host directly, bounded by that host's own view alone.
+	PolicyDirect RoutingPolicy = "direct"
+)
+
+// Bound reports whether the policy keeps a load bound.
+func (p RoutingPolicy) Bound() bool { return p == PolicyBounded || p == PolicyDirect }
+
 // PeerTLS configures mutual TLS between the fleet's processes.
 type PeerTLS struct {
 	// Plaintext turns TLS off; meant for loopback.
@@ -48,6 +70,8 @@
 	Header Duration `json:"header"`
 	// Body is the time a caller has to send its whole request.
 	Body Duration `json:"body"`
+	// Write is the time a caller has to take each piece of its answer.
+	Write Duration `json:"write"`
 	// Idle is how long an unused keep-alive connection stays open.
 	Idle Duration `json:"idle"`
 	// Request is the longest time from the accepted request to the end of its answer.
@@ -79,6 +103,7 @@
 	defaultBodyBytes    = 4 << 20
 	defaultHeaderTime   = 5 * time.Second
 	defaultBodyTime     = 30 * time.Second
+	defaultWrite        = 30 * time.Second
 	defaultIdle         = 60 * time.Second
 	defaultRequest      = 120 * time.Second
 	defaultConnect      = time.Second
@@ -105,6 +130,7 @@
 		c.address("seed_peers", a)
 	}
 	c.peerTLS(r.PeerTLS)
+	c.policy(r.RoutingPolicy)
 	c.timeouts(r.Timeouts)
 	c.atLeast("gossip.interval", r.Gossip.Interval, 50*time.Millisecond)
 	c.atLeast("gossip.suspect_after", r.Gossip.SuspectAfter, 2*r.Gossip.Interval.Std())
@@ -117,6 +143,7 @@
 	t := &r.Timeouts
 	setInt(&t.Header, Duration(defaultHeaderTime))
 	setInt(&t.Body, Duration(defaultBodyTime))
+	setInt(&t.Write, Duration(defaultWrite))
 	setInt(&t.Idle, Duration(defaultIdle))
 	setInt(&t.Request, Duration(defaultRequest))
 	setInt(&t.Connect, Duration(defaultConnect))
@@ -124,6 +151,9 @@
 	setInt(&t.BetweenBytes, Duration(defaultBetweenBytes))
 	setInt(&t.Drain, Duration(defaultDrain))
 	setInt(&t.Stop, Duration(defaultStop))
+	if r.RoutingPolicy == "" {
+		r.RoutingPolicy = PolicyBounded
+	}
 	setInt(&r.Gossip.Interval, Duration(defaultGossip))
 	setInt(&r.Gossip.SuspectAfter, Duration(defaultSuspect))
 }
@@ -168,6 +198,14 @@
 	}
 }
 
+func (c *checks) policy(p RoutingPolicy) {
+	switch p {
+	case PolicyBounded, PolicyRandom, PolicyRoundRobin, PolicyRendezvous, PolicyDirect:
+	default:
+		c.add("routing_policy", string(p), "bounded, random, round-robin, rendezvous or direct")
+	}
+}
+
 func (c *checks) timeouts(t Timeouts) {
 	c.atLeast("timeouts.header", t.Header, time.Millisecond)
 	c.atLeast("timeouts.body", t.Body, t.Header.Std())
