--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -32,12 +32,13 @@
 const (
 	// watchWait is how long the platform holds a watch open. It is short, since a watch that the platform forgot or
 	// whose connection went silent tells of nothing until it ends.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// readTimeout bounds a plain read, and a watch beyond its wait.
 	readTimeout = 2 * time.Second
-	// minBackoff and maxBackoff bound the wait after a failed call.
+	// minBackoff and maxBackoff bound the wait after a failed call, before jitter. Together with a call that is silent
+	// to its end the longest wait stays below the 5 s in which a router has to know what it can reach.
 	minBackoff = 200 * time.Millisecond
-	maxBackoff = 10 * time.Second
+	maxBackoff = time.Second
 	// minCallInterval is the least time between two calls, whatever the platform answers.
 	minCallInterval = 100 * time.Millisecond
 	// rankCheck is how often a host that does not watch looks whether it has to.
@@ -117,7 +118,7 @@
 			return
 		case <-c.Clock.After(min(left, rankCheck)):
 		}
-		if wait > maxBackoff && c.rank() < watchersPerDataCentre {
+		if wait >= pollUnit/2 && c.rank() < watchersPerDataCentre {
 			return
 		}
 	}
--- a/internal/proofs/fleet/membership_test.go
+++ b/internal/proofs/fleet/membership_test.go
@@ -107,10 +107,14 @@
 			checkService(t, f, all(f)...)
 			f.Network.Heal()
 			checkTimes(t, inForce(t, f, f.Document.Version, time.Now(), all(f)...))
-			for n := range f.Routers {
+			for n, p := range f.Routers {
 				for m := range f.Routers {
 					waitLive(t, f, n, f.Routers[m].Name, true)
 				}
+				testfleet.Eventually(t, worstTarget, p.Name+" reads the platform again", func() bool {
+					s, ok := f.RouterState(p)
+					return ok && s.Platform.LastError == ""
+				})
 			}
 		})
 	}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -90,6 +90,13 @@
 	}()
 }
 
+// PID returns the number of the running process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal to the process; an ended process is ignored.
 func (p *Process) Signal(s os.Signal) {
 	p.mu.Lock()
