Proofs of streams under the failure of their owner, failing

Seen on this commit: a stream whose owner router was killed was cut after 2 s, one whose owner was frozen was cut after 61 s (go test -run Owner ./internal/proofs/streams).

--- a/internal/proofs/streams/streams_test.go
+++ b/internal/proofs/streams/streams_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,7 +12,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/ownership"
+	"github.com/orioleusher/orioleusher/internal/routing"
 	"github.com/orioleusher/orioleusher/internal/standin/engine"
 	"github.com/orioleusher/orioleusher/internal/standin/faults"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
@@ -120,3 +124,75 @@
 	is.True(c.whole(second))
 	is.True(second.Took < silenceBound)
 }
+
+// chatOwnedBy returns a chat whose first engine is owned by the named host while every host lives.
+func chatOwnedBy(t *testing.T, f *testfleet.Fleet, host string) chat {
+	t.Helper()
+	raw, err := f.Document.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := document.Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 1000 {
+		c := newChat(t, fmt.Sprintf("story number %d", n))
+		first := routing.Candidates(snap, snap.Pool("engines"), routing.ChatID(http.Header{}, c.body, ""), "dc-1")[0]
+		up, _ := snap.Upstream(first)
+		if owner, ok := ownership.Owner(snap, allLive{}, up.Upstream); ok && owner.Name == host {
+			return c
+		}
+	}
+	t.Fatalf("no chat of 1000 has an engine that %s owns", host)
+	return chat{}
+}
+
+type allLive struct{}
+
+func (allLive) Live(string) bool { return true }
+
+// underOwnerFault streams one answer through router-1 from an engine that router-2 owns and applies the fault to
+// router-2 in the middle.
+func underOwnerFault(t *testing.T, block int, fault func(*testfleet.Process)) (chat, *load.Result) {
+	t.Helper()
+	f := testfleet.Start(t, testfleet.Shape{Block: block, Hosts: []int{2}, Engines: 3, Services: 1})
+	testfleet.Eventually(t, callTimeout, "router-1 knows that router-2 lives", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		for _, m := range s.Members {
+			if ok && m.Host == "router-2" && m.Live {
+				return true
+			}
+		}
+		return false
+	})
+	c := chatOwnedBy(t, f, "router-2")
+	var result *load.Result
+	var err error
+	var wg sync.WaitGroup
+	wg.Go(func() { result, err = load.NewCaller(callTimeout).Do(context.Background(), c.call(f.Caller(0))) })
+	busyEngine(t, f)
+	fault(f.Routers[1])
+	wg.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, result
+}
+
+func TestAStreamSurvivesTheDeathOfItsOwner(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, result := underOwnerFault(t, 124, (*testfleet.Process).Kill)
+	is.Equal(result.Status, http.StatusOK)
+	is.True(c.whole(result))
+}
+
+func TestAStreamSurvivesAFrozenOwner(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, result := underOwnerFault(t, 125, (*testfleet.Process).Freeze)
+	is.Equal(result.Status, http.StatusOK)
+	is.True(c.whole(result))
+	is.True(result.Took < silenceBound)
+}
