Give up forwards to peers that became unreachable; push strikes

Cause: a forward in flight to a killed or frozen owner waited for its own connection, and the next attempts went to the same owner until the membership noticed. Ruled out: a shorter first-byte or between-bytes timeout on the hop, which cannot tell a frozen owner from a cold engine.

Change: the hop client watches the membership for the peers with forwards in flight (repeatable requests only) and reports failed connects to it; a strike is pushed to peers at once and before the caller of a held request is answered.

--- a/internal/filters/quarantine/entry.go
+++ b/internal/filters/quarantine/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -28,12 +29,13 @@
 type Entry struct {
 	table  *quarantine.Table
 	prober Prober
+	tell   func(context.Context)
 	held   tally.Counter
 }
 
-// NewEntry returns the filter.
-func NewEntry(table *quarantine.Table, prober Prober, scope tally.Scope) *Entry {
-	return &Entry{table: table, prober: prober, held: scope.Counter("quarantine_held")}
+// NewEntry returns the filter. Tell passes the table on to peers at once.
+func NewEntry(table *quarantine.Table, prober Prober, tell func(context.Context), scope tally.Scope) *Entry {
+	return &Entry{table: table, prober: prober, tell: tell, held: scope.Counter("quarantine_held")}
 }
 
 // Name implements exchange.Filter.
@@ -55,18 +57,27 @@
 		if r.Code != CodeDied {
 			return err
 		}
-		if f.strike(x, r.Peer) || !x.Route.Repeatable {
+		if f.strike(ctx, x, r.Peer) || !x.Route.Repeatable {
 			return err
 		}
 	}
 }
 
-// strike records the death of the upstream under the exchange and reports whether the request is now held back.
-func (f *Entry) strike(x *exchange.Exchange, upstream string) bool {
+// tellTimeout bounds the wait for peers to hear of a request that is now held back.
+const tellTimeout = 300 * time.Millisecond
+
+// strike records the death of the upstream under the exchange and reports whether the request is now held back. Peers
+// hear of it before the caller does, since the caller may send the request again to one of them at once.
+func (f *Entry) strike(ctx context.Context, x *exchange.Exchange, upstream string) bool {
 	x.Suspect = true
 	x.Avoid = append(x.Avoid, upstream)
 	f.table.Strike(x.Fingerprint, upstream)
 	verdict, _ := f.table.Check(x.Fingerprint)
+	if verdict == quarantine.Held || !x.Route.Repeatable {
+		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+		defer cancel()
+		f.tell(ctx)
+	}
 	return verdict == quarantine.Held
 }
 
@@ -75,7 +86,7 @@
 func (f *Entry) Broke(ctx context.Context, x *exchange.Exchange, upstream, boot string) bool {
 	up, ok := x.Snapshot.Upstream(upstream)
 	if ok && f.prober.Died(ctx, up.Address, boot) {
-		return f.strike(x, upstream)
+		return f.strike(ctx, x, upstream)
 	}
 	x.Avoid = append(x.Avoid, upstream)
 	return false
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -25,26 +25,49 @@
 	scheme      string
 	transport   http.RoundTripper
 	clock       clockwork.Clock
+	peers       Peers
+	watch       *watch
+}
+
+// Peers is this host's view of the others.
+type Peers interface {
+	// Reachable reports whether the host is believed live and reachable from here.
+	Reachable(host string) bool
+	// Suspect notes that this host failed to reach the other one.
+	Suspect(host string)
 }
 
 // NewClient returns a client that speaks scheme (http or https) over the transport.
-func NewClient(self string, incarnation uint64, scheme string, transport http.RoundTripper, clock clockwork.Clock) *Client {
-	return &Client{self: self, incarnation: incarnation, scheme: scheme, transport: transport, clock: clock}
+func NewClient(self string, incarnation uint64, scheme string, transport http.RoundTripper, peers Peers, clock clockwork.Clock) *Client {
+	return &Client{
+		self: self, incarnation: incarnation, scheme: scheme, transport: transport, clock: clock,
+		peers: peers, watch: newWatch(peers),
+	}
 }
 
+// Run ends forwards whose peer is no longer reachable, until the context ends.
+func (c *Client) Run(ctx context.Context) { c.watch.run(ctx, c.clock) }
+
 // Forward sends the exchange to the destination. The error is an *outcome.Refusal, either the receiver's own or, when
 // the receiver did not answer, one whose outcome is not-run only if the request cannot have reached it.
 func (c *Client) Forward(ctx context.Context, x *exchange.Exchange, d Destination) (*exchange.Answer, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := c.request(httptrace.WithClientTrace(ctx, trace), x, d)
+	ctx, done := c.watched(httptrace.WithClientTrace(ctx, trace), x, d.Host.Name)
+	req, err := c.request(ctx, x, d)
 	if err != nil {
+		done()
 		return nil, outcome.Unavailable(step, "internal", "the request cannot be forwarded").WithPeer(d.Host.Name, err)
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.peers.Suspect(d.Host.Name)
+		}
+		done()
 		return nil, noAnswer(d.Host.Name, sent.Load(), err)
 	}
+	resp.Body = &watchedBody{ReadCloser: resp.Body, done: done}
 	if resp.Header.Get(headerRefusal) != "" {
 		return nil, readRefusal(resp, d.Host.Name)
 	}
@@ -52,6 +75,15 @@
 	return &exchange.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Upstream: upstream}, nil
 }
 
+// watched returns a context that ends when the peer becomes unreachable, and the function that ends the watch. A
+// request that may not be repeated is not watched: its answer may still come, and nothing else could be done.
+func (c *Client) watched(ctx context.Context, x *exchange.Exchange, host string) (context.Context, func()) {
+	if !x.Route.Repeatable {
+		return ctx, func() {}
+	}
+	return c.watch.add(ctx, host)
+}
+
 func (c *Client) request(ctx context.Context, x *exchange.Exchange, d Destination) (*http.Request, error) {
 	text, err := encodeEnvelope(envelope(x, d, c.self, c.incarnation, c.clock.Now()))
 	if err != nil {
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -79,6 +79,16 @@
 	return e != nil && m.live(e)
 }
 
+// Reachable reports whether the host is believed live and reachable from here. Unlike Live it holds for a host that is
+// leaving, which still finishes what it has.
+func (m *Members) Reachable(host string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	now := m.clock.Now()
+	e := m.table[host]
+	return e != nil && !m.dead(e, now) && !now.Before(e.failedUntil)
+}
+
 func (m *Members) live(e *member) bool {
 	now := m.clock.Now()
 	return !e.leaving && !m.dead(e, now) && !now.Before(e.failedUntil)
--- a/internal/proofs/streams/streams_test.go
+++ b/internal/proofs/streams/streams_test.go
@@ -16,6 +16,7 @@
 	"github.com/orioleusher/orioleusher/internal/load"
 	"github.com/orioleusher/orioleusher/internal/ownership"
 	"github.com/orioleusher/orioleusher/internal/routing"
+	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/standin/engine"
 	"github.com/orioleusher/orioleusher/internal/standin/faults"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
@@ -136,9 +137,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	planner := routing.NewPlanner(settings.PolicyBounded, "dc-1")
 	for n := range 1000 {
 		c := newChat(t, fmt.Sprintf("story number %d", n))
-		first := routing.Candidates(snap, snap.Pool("engines"), routing.ChatID(http.Header{}, c.body, ""), "dc-1")[0]
+		id := routing.ReadContent(c.body).ChatID(http.Header{}, "")
+		first := planner.Candidates(snap, snap.Pool("engines"), id, make([]string, 0, routing.MaxCandidates))[0]
 		up, _ := snap.Upstream(first)
 		if owner, ok := ownership.Owner(snap, allLive{}, up.Upstream); ok && owner.Name == host {
 			return c
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -32,7 +32,7 @@
 }
 
 func (r *Router) issuerFilters() []exchange.Filter {
-	entry := quarantine.NewEntry(r.quarantine, r.prober, r.scope)
+	entry := quarantine.NewEntry(r.quarantine, r.prober, r.gossip.Push, r.scope)
 	return []exchange.Filter{
 		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
 		entry,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,7 +85,7 @@
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.planner = routing.NewPlanner(s.RoutingPolicy, s.DataCentre)
 	r.upstreams = r.newUpstreams()
-	r.quarantine = quarantine.NewTable(clock, nil)
+	r.quarantine = quarantine.NewTable(clock, r.passOn)
 	r.lanes = quarantine.NewLanes()
 	r.prober = transport.NewProber(r.dialer())
 	r.client = transport.NewClient(s.Timeouts, r.dialer(), r.prober, r.scope)
@@ -112,6 +112,11 @@
 	}
 }
 
+// passOn tells a few peers, in the background, of a strike that is new to this host.
+func (r *Router) passOn() {
+	go r.gossip.Push(context.Background())
+}
+
 // newIncarnation returns a random identity for one run of the process.
 func newIncarnation() uint64 {
 	var raw [8]byte
@@ -126,6 +131,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.platform.Run(loops) })
 	wg.Go(func() { r.guard.Run(loops) })
+	wg.Go(func() { r.hops.Run(loops) })
 	wg.Go(func() {
 		r.settle(loops)
 		r.gossip.Run(loops)
