Settings and document: every problem at once, with field, value and what would be right

Cause: decoding stopped at the first problem without a field, took names in any letter case, fields given twice and trailing data, and clashing addresses or impossible durations passed. Change: internal/strictjson decodes strictly and goes on; more checks of names, addresses, durations, paths and numbers; a router logs event=placement-wrong when the document has it elsewhere; tests of the log's quoting, and a process test that no key or prompt is in logs, dumps and metrics.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -7,9 +7,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/strictjson"
 )
 
 // SchemaVersion is the only document schema that this build reads.
@@ -151,6 +154,36 @@
 	return newSnapshot(&doc)
 }
 
+// Inspect decodes raw as strictly as an operator wants it and returns every problem at once. The snapshot is nil if there
+// is any. Parse, which routers use, accepts all that Inspect accepts.
+func Inspect(raw []byte) (*Snapshot, []Problem) {
+	if len(raw) > MaxBytes {
+		return nil, []Problem{{Field: "(file)", Value: fmt.Sprintf("%d bytes", len(raw)), Want: fmt.Sprintf("at most %d bytes", MaxBytes)}}
+	}
+	var doc Document
+	problems := strictjson.Decode(raw, &doc)
+	found := map[string]bool{}
+	for _, p := range problems {
+		found[p.Field] = true
+	}
+	var invalid *ValidationError
+	if errors.As(doc.Validate(), &invalid) {
+		for _, p := range invalid.Problems {
+			if !found[p.Field] {
+				problems = append(problems, p)
+			}
+		}
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	snap, err := newSnapshot(&doc)
+	if err != nil {
+		return nil, []Problem{{Field: "(file)", Want: err.Error()}}
+	}
+	return snap, nil
+}
+
 // Encode returns the canonical form of the document, the one that its hash covers.
 func (d *Document) Encode() ([]byte, error) {
 	raw, err := json.MarshalIndent(d, "", "  ")
--- /dev/null
+++ b/internal/proofs/surface/check_test.go
@@ -0,0 +1,53 @@
+package surface
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+// runRouter runs oriole-router to its end and returns its exit code and what it wrote.
+func runRouter(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	return run(t, "oriole-router", args...)
+}
+
+// run runs a program to its end and returns its exit code and what it wrote.
+func run(t *testing.T, program string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(testfleet.Binaries(t), program), args...)
+	var out, errOut strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), out.String(), errOut.String()
+}
+
+func TestRouterChecksItsSettingsAndExits(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := runRouter(t, "--check", "--settings", "../../../deploy/lobue/acireale-1.router.json")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "settings are valid"))
+	file := filepath.Join(t.TempDir(), "bad.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"name": "", "timeouts": {"body": "soon"}, "colour": "red"}`), 0o600))
+	code, _, errOut := runRouter(t, "--check", "--settings", file)
+	is.Equal(code, 1)
+	for _, want := range []string{`field name: value ""`, `field timeouts.body: value "soon": want a duration`, `field colour: value "red"`} {
+		is.True(strings.Contains(errOut, "settings file "+file+": "+want))
+	}
+	code, _, errOut = runRouter(t, "--settings", filepath.Join(t.TempDir(), "none.json"))
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "read settings"))
+	code, _, _ = runRouter(t)
+	is.Equal(code, 2)
+}
--- /dev/null
+++ b/internal/proofs/surface/secrets_test.go
@@ -0,0 +1,106 @@
+// Package surface proves with real processes what operators and callers see of a router.
+package surface
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/standin/engine"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+const callTimeout = 20 * time.Second
+
+// prompt is a text that must not appear anywhere but at the engine.
+const prompt = "the-buyers-secret-prompt"
+
+// chat makes one streamed chat call with the prompt.
+func chat(t *testing.T, address, key string) *load.Result {
+	t.Helper()
+	body, err := load.ChatBody(testfleet.Model, []engine.Message{{Role: "user", Content: prompt}}, true, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := load.NewCaller(callTimeout).Do(context.Background(), load.Call{
+		Address: address, Method: http.MethodPost, Path: testfleet.PathChat, Key: key, Body: body,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// Answered, refused and failed requests at debug level leave no key and no prompt in logs, state dumps and metrics.
+func TestNoKeyAndNoPromptInLogsDumpsAndMetrics(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 90, Hosts: []int{1, 1}, Engines: 2, Services: 1})
+	key := testfleet.KeyOf("team-1")
+	const wrongKey = "key-that-nobody-has"
+	for n := range f.Routers {
+		is.Equal(chat(t, f.Caller(n), key).Status, http.StatusOK)
+		is.Equal(chat(t, f.Caller(n), wrongKey).Status, http.StatusUnauthorized)
+		for _, path := range []string{"/v1/none?api_key=" + key, "/v1/" + prompt, testfleet.PathHours + "?api_key=" + wrongKey} {
+			get(t, "http://"+f.Caller(n)+path)
+		}
+	}
+	for _, e := range f.Engines {
+		e.Kill()
+	}
+	for n := range f.Routers {
+		is.True(chat(t, f.Caller(n), key).Status >= http.StatusInternalServerError)
+	}
+	for n, p := range f.Routers {
+		raw, err := os.ReadFile(p.Log)
+		is.NoErr(err)
+		log := string(raw)
+		is.True(strings.Contains(log, "event=refusal")) // the log was written at all
+		shown := log + get(t, "http://"+p.Admin+"/debug/state") + get(t, "http://"+p.Admin+"/metrics")
+		for _, secret := range []string{key, wrongKey, prompt, document.HashKey(key)} {
+			if strings.Contains(shown, secret) {
+				t.Errorf("router %d shows %q", n, secret)
+			}
+		}
+	}
+}
+
+func TestARouterSaysThatTheDocumentHasItElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 91, Hosts: []int{1, 1}, Engines: 1, Services: 1})
+	state, ok := f.RouterState(f.Routers[0])
+	is.True(ok)
+	is.Equal(state.Placement, "")
+	f.Publish(func(d *document.Document) {
+		d.DataCentres[0].Hosts, d.DataCentres[1].Hosts = d.DataCentres[1].Hosts, d.DataCentres[0].Hosts
+	})
+	testfleet.Eventually(t, callTimeout, "the log names the other data centre", func() bool {
+		raw, _ := os.ReadFile(f.Routers[0].Log)
+		return strings.Contains(string(raw), "event=placement-wrong") && strings.Contains(string(raw), `under data centre \"dc-2\"`)
+	})
+	state, ok = f.RouterState(f.Routers[0])
+	is.True(ok)
+	is.True(strings.Contains(state.Placement, `setting data_centre says "dc-1"`))
+	is.Equal(chat(t, f.Caller(0), testfleet.KeyOf("team-1")).Status, http.StatusOK) // it serves all the same
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"github.com/orioleusher/orioleusher/internal/idempotency"
 	"github.com/orioleusher/orioleusher/internal/metrics"
 	"github.com/orioleusher/orioleusher/internal/peers"
+	"github.com/orioleusher/orioleusher/internal/placement"
 	"github.com/orioleusher/orioleusher/internal/platform"
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/quota"
@@ -113,6 +114,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.platform.Run(loops) })
 	wg.Go(func() { r.gossip.Run(loops) })
+	wg.Go(func() { placement.Watch(loops, r.store, r.settings.Name, r.settings.DataCentre, r.log) })
 
 	entry := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
 	peer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
@@ -199,13 +201,19 @@
 	}
 }
 
+func (r *Router) placement() string {
+	return placement.Problem(r.store.Current(), r.settings.Name, r.settings.DataCentre)
+}
+
 // State is the router's state dump.
 type State struct {
-	Name        string                    `json:"name"`
-	DataCentre  string                    `json:"data_centre"`
-	Incarnation uint64                    `json:"incarnation"`
-	Time        time.Time                 `json:"time"`
-	Ready       string                    `json:"not_ready,omitempty"`
+	Name        string    `json:"name"`
+	DataCentre  string    `json:"data_centre"`
+	Incarnation uint64    `json:"incarnation"`
+	Time        time.Time `json:"time"`
+	Ready       string    `json:"not_ready,omitempty"`
+	// Placement says how the settings and the document disagree about this host.
+	Placement   string                    `json:"placement_problem,omitempty"`
 	Config      config.State              `json:"config"`
 	Platform    platform.State            `json:"platform"`
 	Members     []peers.MemberState       `json:"members"`
@@ -218,7 +226,7 @@
 func (r *Router) State() State {
 	return State{
 		Name: r.settings.Name, DataCentre: r.settings.DataCentre, Incarnation: r.incarnation, Time: r.clock.Now(),
-		Ready: r.ready(), Config: r.store.State(), Platform: r.platform.State(), Members: r.members.State(),
+		Ready: r.ready(), Placement: r.placement(), Config: r.store.State(), Platform: r.platform.State(), Members: r.members.State(),
 		Quota: r.limiter.State(), Idempotency: r.registry.State(), Upstreams: r.upstreams.State(),
 	}
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,10 +1,7 @@
 package settings
 
 import (
-	"net/url"
 	"time"
-
-	"github.com/orioleusher/orioleusher/internal/document"
 )
 
 // Router holds the settings of one oriole-router process.
@@ -89,10 +86,23 @@
 	defaultSuspect      = 3 * time.Second
 )
 
+// Limits of the router's settings. Those of durations only catch mistakes of writing.
+const (
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 256 << 20
+	minTimeout     = time.Millisecond
+	maxTimeout     = time.Hour
+	minGossip      = 50 * time.Millisecond
+	maxGossip      = time.Minute
+	maxSuspect     = 10 * time.Minute
+)
+
 // Check fills in defaults and reports problems.
 func (r *Router) Check() []Problem {
 	r.fill()
-	var c checks
+	c := newChecks()
 	c.text("name", r.Name)
 	c.text("data_centre", r.DataCentre)
 	c.text("fleet", r.Fleet)
@@ -100,13 +110,15 @@
 	c.address("peer_address", r.PeerAddress)
 	c.address("admin_address", r.AdminAddress)
 	c.url("platform", r.Platform)
-	for _, a := range r.SeedPeers {
-		c.address("seed_peers", a)
-	}
+	c.specific("peer_address", r.PeerAddress)
+	c.distinct()
+	c.seeds(r.SeedPeers)
 	c.peerTLS(r.PeerTLS)
+	c.limits(r.Limits)
 	c.timeouts(r.Timeouts)
-	c.atLeast("gossip.interval", r.Gossip.Interval, 50*time.Millisecond)
-	c.atLeast("gossip.suspect_after", r.Gossip.SuspectAfter, 2*r.Gossip.Interval.Std())
+	c.between("gossip.interval", r.Gossip.Interval, minGossip, maxGossip)
+	c.between("gossip.suspect_after", r.Gossip.SuspectAfter, 2*r.Gossip.Interval.Std(), maxSuspect)
+	c.log(r.Log)
 	return c.problems
 }
 
@@ -132,64 +144,3 @@
 		*field = value
 	}
 }
-
-// checks collects problems.
-type checks struct {
-	problems []Problem
-}
-
-func (c *checks) add(field, value, want string) {
-	c.problems = append(c.problems, Problem{Field: field, Value: value, Want: want})
-}
-
-func (c *checks) text(field, value string) {
-	if value == "" {
-		c.add(field, value, "a name")
-	}
-}
-
-func (c *checks) address(field, value string) {
-	if !document.ValidAddress(value) {
-		c.add(field, value, "IP:port with a port of 1 to 65535")
-	}
-}
-
-func (c *checks) url(field, value string) {
-	u, err := url.Parse(value)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.add(field, value, "a URL that begins with http:// or https://")
-	}
-}
-
-func (c *checks) atLeast(field string, value Duration, low time.Duration) {
-	if value.Std() < low {
-		c.add(field, value.Std().String(), "at least "+low.String())
-	}
-}
-
-func (c *checks) timeouts(t Timeouts) {
-	c.atLeast("timeouts.header", t.Header, time.Millisecond)
-	c.atLeast("timeouts.body", t.Body, t.Header.Std())
-	c.atLeast("timeouts.idle", t.Idle, time.Millisecond)
-	c.atLeast("timeouts.connect", t.Connect, time.Millisecond)
-	c.atLeast("timeouts.first_byte", t.FirstByte, time.Millisecond)
-	c.atLeast("timeouts.between_bytes", t.BetweenBytes, time.Millisecond)
-	c.atLeast("timeouts.request", t.Request, t.FirstByte.Std())
-	c.atLeast("timeouts.stop", t.Stop, time.Millisecond)
-}
-
-func (c *checks) peerTLS(t PeerTLS) {
-	if t.Plaintext {
-		return
-	}
-	const want = `a PEM file, or peer_tls.plaintext set to true`
-	if t.CertFile == "" {
-		c.add("peer_tls.cert_file", "", want)
-	}
-	if t.KeyFile == "" {
-		c.add("peer_tls.key_file", "", want)
-	}
-	if t.CAFile == "" {
-		c.add("peer_tls.ca_file", "", want)
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,6 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"os"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/strictjson"
 )
 
 // Duration is a time.Duration that JSON holds as text such as "1.5s".
@@ -20,16 +20,19 @@
 func (d *Duration) UnmarshalJSON(raw []byte) error {
 	var text string
 	if err := json.Unmarshal(raw, &text); err != nil {
-		return errors.Errorf("duration %s: want text such as \"1.5s\"", raw)
+		return errors.Errorf("duration %s: want %s", raw, d.Want())
 	}
 	v, err := time.ParseDuration(text)
 	if err != nil {
-		return errors.Errorf("duration %q: want text such as \"1.5s\"", text)
+		return errors.Errorf("duration %q: want %s", text, d.Want())
 	}
 	*d = Duration(v)
 	return nil
 }
 
+// Want implements strictjson.Wanter.
+func (d *Duration) Want() string { return `a duration such as "250ms" or "1.5s"` }
+
 // MarshalJSON returns the duration as text.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	raw, err := json.Marshal(time.Duration(d).String())
@@ -48,13 +51,13 @@
 	Problems []Problem
 }
 
-// Error returns all problems on one line.
+// Error returns each problem on a line of its own.
 func (e *Error) Error() string {
 	lines := make([]string, len(e.Problems))
 	for i, p := range e.Problems {
-		lines[i] = p.String()
+		lines[i] = "settings file " + e.File + ": " + p.String()
 	}
-	return "settings file " + e.File + ": " + strings.Join(lines, "; ")
+	return strings.Join(lines, "\n")
 }
 
 // Checker is implemented by each process's settings: it fills in defaults and reports problems.
@@ -62,23 +65,34 @@
 	Check() []Problem
 }
 
-// Load decodes the file at path into v, which holds nothing yet, and checks it. Unknown fields are errors.
+// Load decodes the file at path into v, which holds nothing yet, and checks it. Unknown fields, fields given twice, wrong
+// types and trailing data are problems too. The error is an *Error that lists all problems, unless the file cannot be read.
 func Load(path string, v Checker) error {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
 	}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return errors.Wrapf(err, "settings file %s", path)
-	}
-	if problems := v.Check(); len(problems) > 0 {
+	if problems := decode(raw, v); len(problems) > 0 {
 		return &Error{File: path, Problems: problems}
 	}
 	return nil
 }
 
+// decode returns the problems of the JSON text and, for all fields that it could decode, those that Check finds.
+func decode(raw []byte, v Checker) []Problem {
+	problems := strictjson.Decode(raw, v)
+	found := map[string]bool{}
+	for _, p := range problems {
+		found[p.Field] = true
+	}
+	for _, p := range v.Check() {
+		if !found[p.Field] {
+			problems = append(problems, p)
+		}
+	}
+	return problems
+}
+
 // Log selects how much a process logs.
 type Log struct {
 	// Level is debug, info, warn or error.
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -31,6 +31,12 @@
 	Log       Log      `json:"log"`
 }
 
+// Limits of the stand-ins' settings; they only catch mistakes of writing.
+const (
+	minStep  = 100 * time.Microsecond
+	maxCount = 1 << 24
+)
+
 // Check fills in defaults and reports problems.
 func (e *Engine) Check() []Problem {
 	setInt(&e.Step, Duration(5*time.Millisecond))
@@ -41,12 +47,22 @@
 	setInt(&e.EventLag, Duration(300*time.Millisecond))
 	setInt(&e.ColdTime, Duration(3*time.Second))
 	setInt(&e.ColdLimit, 4)
-	var c checks
+	c := newChecks()
 	c.text("name", e.Name)
-	c.text("model", e.Model)
+	c.present("model", e.Model, "the name of a model")
 	c.address("address", e.Address)
 	c.address("admin_address", e.AdminAddress)
-	c.atLeast("step", e.Step, 100*time.Microsecond)
+	c.distinct()
+	c.between("step", e.Step, minStep, maxTimeout)
+	c.between("report_lag", e.ReportLag, 0, maxTimeout)
+	c.between("event_lag", e.EventLag, 0, maxTimeout)
+	c.between("cold_time", e.ColdTime, 0, maxTimeout)
+	c.betweenInt("prefill_tokens", int64(e.PrefillTokens), 1, maxCount)
+	c.betweenInt("max_active", int64(e.MaxActive), 1, maxCount)
+	c.betweenInt("cache_blocks", int64(e.CacheBlocks), 1, maxCount)
+	c.betweenInt("event_gap", int64(e.EventGap), 0, maxCount)
+	c.betweenInt("cold_limit", int64(e.ColdLimit), 1, maxCount)
+	c.log(e.Log)
 	return c.problems
 }
 
@@ -63,10 +79,13 @@
 // Check fills in defaults and reports problems.
 func (s *Service) Check() []Problem {
 	setInt(&s.WorkTime, Duration(5*time.Millisecond))
-	var c checks
+	c := newChecks()
 	c.text("name", s.Name)
 	c.address("address", s.Address)
 	c.address("admin_address", s.AdminAddress)
+	c.distinct()
+	c.between("work_time", s.WorkTime, 0, maxTimeout)
+	c.log(s.Log)
 	return c.problems
 }
 
@@ -84,10 +103,13 @@
 // Check fills in defaults and reports problems.
 func (p *Platform) Check() []Problem {
 	setInt(&p.HostLag, Duration(2*time.Second))
-	var c checks
+	c := newChecks()
 	c.address("address", p.Address)
 	c.address("admin_address", p.AdminAddress)
-	c.text("document_file", p.DocumentFile)
+	c.distinct()
+	c.present("document_file", p.DocumentFile, "the name of a file")
+	c.between("host_lag", p.HostLag, 0, maxTimeout)
+	c.log(p.Log)
 	return c.problems
 }
 
@@ -107,7 +129,49 @@
 	for i := range s.Services {
 		problems = append(problems, prefix(fmt.Sprintf("services[%d]", i), s.Services[i].Check())...)
 	}
-	return problems
+	return append(problems, s.clashes()...)
+}
+
+// clashes reports names and listen addresses that two stand-ins share.
+func (s *StandIns) clashes() []Problem {
+	u := unique{fields: map[string]string{}}
+	u.addresses("platform", s.Platform.Address, s.Platform.AdminAddress)
+	for i, e := range s.Engines {
+		at := fmt.Sprintf("engines[%d]", i)
+		u.use(at+".name", e.Name, "name")
+		u.addresses(at, e.Address, e.AdminAddress)
+	}
+	for i, v := range s.Services {
+		at := fmt.Sprintf("services[%d]", i)
+		u.use(at+".name", v.Name, "name")
+		u.addresses(at, v.Address, v.AdminAddress)
+	}
+	return u.problems
+}
+
+// unique reports values that are used twice.
+type unique struct {
+	fields   map[string]string
+	problems []Problem
+}
+
+func (u *unique) addresses(at, address, admin string) {
+	u.use(at+".address", address, "address")
+	if admin != address {
+		// Check has reported a process whose two addresses are the same.
+		u.use(at+".admin_address", admin, "address")
+	}
+}
+
+func (u *unique) use(field, value, kind string) {
+	if value == "" {
+		return
+	}
+	if other, used := u.fields[value]; used {
+		u.problems = append(u.problems, Problem{Field: field, Value: value, Want: "a " + kind + " other than that of " + other})
+		return
+	}
+	u.fields[value] = field
 }
 
 func prefix(at string, problems []Problem) []Problem {
