--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,77 @@
+package explain
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/routing"
+)
+
+func parse(t *testing.T, edit func(*document.Document)) *document.Snapshot {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/lobue/document.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := document.Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edit(snap.Document)
+	raw, err = snap.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err = document.Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snap
+}
+
+// only is the view in which one host lives.
+type only string
+
+func (o only) Live(host string) bool { return host == string(o) }
+
+func TestTheReportFollowsTheRequestPath(t *testing.T) {
+	is := is.New(t)
+	snap := parse(t, func(d *document.Document) {
+		d.Pools[0].NearFirst = true
+		d.Pools[0].Upstreams[0].State = document.StateOut
+		d.DataCentres[3].State = document.StateOut
+	})
+	report, err := Chat(snap, AllLive{}, "chat", "chat-1", "catania-b")
+	is.NoErr(err)
+	is.Equal(len(report.Upstreams), 10)
+	for i, name := range routing.Candidates(snap, snap.Pool("quotes"), "chat-1", "catania-b") {
+		is.Equal(report.Upstreams[i].Name, name)
+		is.Equal(report.Upstreams[i].Position, i+1)
+	}
+	is.Equal(report.Upstreams[0].Reason, "near, in rendezvous order of the chat")
+	reasons := map[string]string{}
+	for _, u := range report.Upstreams[7:] {
+		is.Equal(u.Position, 0)
+		reasons[u.Name] = u.Reason
+	}
+	is.Equal(reasons, map[string]string{"engine-1": "upstream is out", "engine-9": "data centre is out", "engine-10": "data centre is out"})
+}
+
+func TestOwnersFollowTheViewOfLiveHosts(t *testing.T) {
+	is := is.New(t)
+	snap := parse(t, func(*document.Document) {})
+	report, err := Chat(snap, only("siracusa-1"), "chat", "c", "acireale")
+	is.NoErr(err)
+	for _, u := range report.Upstreams {
+		is.Equal(u.Owner, "siracusa-1")
+	}
+	report, err = Chat(snap, only("nobody"), "chat", "c", "acireale")
+	is.NoErr(err)
+	is.Equal(report.Upstreams[0].Owner, "")
+	is.Equal(report.Upstreams[0].Reason, "rendezvous order of the chat; no live host can own it")
+	_, err = Chat(snap, AllLive{}, "none", "c", "acireale")
+	is.True(err != nil)
+}
