--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -172,9 +172,6 @@
 		if p.Kind != KindEngine && p.Kind != KindService {
 			v.add(at+".kind", string(p.Kind), `"engine" or "service"`)
 		}
-		if p.Kind == KindEngine && p.Model == "" {
-			v.add(at+".model", p.Model, "the model of the pool's engines")
-		}
 		v.between(at+".load_factor", p.LoadFactor, 1, MaxLoadFactor)
 		for j, u := range p.Upstreams {
 			v.upstream(fmt.Sprintf("%s.upstreams[%d]", at, j), u)
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -139,6 +139,7 @@
 	c.between("timeouts.first_byte", t.FirstByte, minTimeout, maxTimeout)
 	c.between("timeouts.between_bytes", t.BetweenBytes, minTimeout, maxTimeout)
 	c.between("timeouts.request", t.Request, t.FirstByte.Std(), maxTimeout)
+	c.between("timeouts.drain", t.Drain, minTimeout, maxTimeout)
 	c.between("timeouts.stop", t.Stop, minTimeout, maxTimeout)
 }
 
