--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,11 +3,14 @@
 package explain
 
 import (
+	"fmt"
+
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/ownership"
 	"github.com/orioleusher/orioleusher/internal/routing"
+	"github.com/orioleusher/orioleusher/internal/settings"
 )
 
 // Report is the answer for one chat on one route.
@@ -15,9 +18,11 @@
 	// Host and DataCentre are those of the entry host that answers; Host is empty for a report from a document alone.
 	Host       string `json:"host,omitempty"`
 	DataCentre string `json:"data_centre,omitempty"`
-	Version    uint64 `json:"version"`
-	Route      string `json:"route"`
-	Pool       string `json:"pool"`
+	// Policy is the setting routing_policy; the order holds for the next request only if it is random or round-robin.
+	Policy  settings.RoutingPolicy `json:"policy"`
+	Version uint64                 `json:"version"`
+	Route   string                 `json:"route"`
+	Pool    string                 `json:"pool"`
 	// NearFirst says that upstreams of the entry host's own data centre come first.
 	NearFirst bool   `json:"near_first"`
 	Chat      string `json:"chat"`
@@ -27,7 +32,7 @@
 
 // Upstream is one upstream of the pool.
 type Upstream struct {
-	// Position counts from 1 in the order of preference; 0 means that the upstream takes no new work.
+	// Position counts from 1 in the order of preference; 0 means that the upstream is not considered.
 	Position   int    `json:"position"`
 	Name       string `json:"name"`
 	DataCentre string `json:"data_centre"`
@@ -37,25 +42,35 @@
 	Reason string `json:"reason"`
 }
 
-// Chat explains the chat on the named route, seen from dataCentre with the given view of live hosts.
-func Chat(snap *document.Snapshot, live ownership.Liveness, route, chat, dataCentre string) (*Report, error) {
+// View is the place from which a chat is explained.
+type View struct {
+	// Host is the entry host, or empty.
+	Host       string
+	DataCentre string
+	Policy     settings.RoutingPolicy
+	Live       ownership.Liveness
+}
+
+// Chat explains the chat on the named route, seen from the view.
+func Chat(snap *document.Snapshot, view View, route, chat string) (*Report, error) {
 	r := findRoute(snap, route)
 	if r == nil {
 		return nil, errors.Errorf("route %q is not in document version %d", route, snap.Version)
 	}
 	pool := snap.Pool(r.Pool)
 	report := &Report{
-		DataCentre: dataCentre, Version: snap.Version, Route: r.Name, Pool: pool.Name, NearFirst: pool.NearFirst, Chat: chat,
+		Host: view.Host, DataCentre: view.DataCentre, Policy: view.Policy, Version: snap.Version, Route: r.Name, Pool: pool.Name, NearFirst: pool.NearFirst, Chat: chat,
 	}
 	placed := map[string]bool{}
-	for i, name := range routing.Candidates(snap, pool, chat, dataCentre) {
+	planner := routing.NewPlanner(view.Policy, view.DataCentre)
+	for i, name := range planner.Candidates(snap, pool, chat, nil) {
 		placed[name] = true
 		up, _ := snap.Upstream(name)
-		report.Upstreams = append(report.Upstreams, describe(snap, live, up.Upstream, i+1, orderReason(pool, up.Upstream, dataCentre)))
+		report.Upstreams = append(report.Upstreams, view.describe(snap, up.Upstream, i+1, view.orderReason(pool, up.Upstream)))
 	}
 	for i := range pool.Upstreams {
 		if u := &pool.Upstreams[i]; !placed[u.Name] {
-			report.Upstreams = append(report.Upstreams, describe(snap, live, u, 0, outReason(u)))
+			report.Upstreams = append(report.Upstreams, view.describe(snap, u, 0, restReason(snap, u)))
 		}
 	}
 	return report, nil
@@ -70,30 +85,38 @@
 	return nil
 }
 
-func describe(snap *document.Snapshot, live ownership.Liveness, u *document.Upstream, position int, reason string) Upstream {
-	owner, ok := ownership.Owner(snap, live, u)
+func (v View) describe(snap *document.Snapshot, u *document.Upstream, position int, reason string) Upstream {
+	owner, ok := ownership.Owner(snap, v.Live, u)
 	if !ok {
 		reason += "; no live host can own it"
 	}
 	return Upstream{Position: position, Name: u.Name, DataCentre: u.DataCentre, Owner: owner.Name, Reason: reason}
 }
 
-func orderReason(pool *document.Pool, u *document.Upstream, dataCentre string) string {
+func (v View) orderReason(pool *document.Pool, u *document.Upstream) string {
+	order := "rendezvous order of the chat"
+	if v.Policy == settings.PolicyRandom || v.Policy == settings.PolicyRoundRobin {
+		order = string(v.Policy) + " order"
+	}
 	switch {
 	case !pool.NearFirst:
-		return "rendezvous order of the chat"
-	case u.DataCentre == dataCentre:
-		return "near, in rendezvous order of the chat"
+		return order
+	case u.DataCentre == v.DataCentre:
+		return "near, in " + order
 	default:
-		return "far, in rendezvous order of the chat"
+		return "far, in " + order
 	}
 }
 
-func outReason(u *document.Upstream) string {
-	if u.State != document.StateIn {
+func restReason(snap *document.Snapshot, u *document.Upstream) string {
+	switch {
+	case snap.TakesWork(u):
+		return fmt.Sprintf("behind the first %d, which alone are considered", routing.MaxCandidates)
+	case u.State != document.StateIn:
 		return "upstream is out"
+	default:
+		return "data centre is out"
 	}
-	return "data centre is out"
 }
 
 // AllLive is the view in which every host lives, for a report from a document alone.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -7,7 +7,9 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/ownership"
 	"github.com/orioleusher/orioleusher/internal/routing"
+	"github.com/orioleusher/orioleusher/internal/settings"
 )
 
 func parse(t *testing.T, edit func(*document.Document)) *document.Snapshot {
@@ -32,6 +34,10 @@
 	return snap
 }
 
+func view(live ownership.Liveness, dataCentre string) View {
+	return View{DataCentre: dataCentre, Policy: settings.PolicyBounded, Live: live}
+}
+
 // only is the view in which one host lives.
 type only string
 
@@ -44,10 +50,11 @@
 		d.Pools[0].Upstreams[0].State = document.StateOut
 		d.DataCentres[3].State = document.StateOut
 	})
-	report, err := Chat(snap, AllLive{}, "chat", "chat-1", "catania-b")
+	report, err := Chat(snap, view(AllLive{}, "catania-b"), "chat", "chat-1")
 	is.NoErr(err)
 	is.Equal(len(report.Upstreams), 10)
-	for i, name := range routing.Candidates(snap, snap.Pool("quotes"), "chat-1", "catania-b") {
+	planner := routing.NewPlanner(settings.PolicyBounded, "catania-b")
+	for i, name := range planner.Candidates(snap, snap.Pool("quotes"), "chat-1", nil) {
 		is.Equal(report.Upstreams[i].Name, name)
 		is.Equal(report.Upstreams[i].Position, i+1)
 	}
@@ -63,15 +70,17 @@
 func TestOwnersFollowTheViewOfLiveHosts(t *testing.T) {
 	is := is.New(t)
 	snap := parse(t, func(*document.Document) {})
-	report, err := Chat(snap, only("siracusa-1"), "chat", "c", "acireale")
+	report, err := Chat(snap, view(only("siracusa-1"), "acireale"), "chat", "c")
 	is.NoErr(err)
 	for _, u := range report.Upstreams {
 		is.Equal(u.Owner, "siracusa-1")
 	}
-	report, err = Chat(snap, only("nobody"), "chat", "c", "acireale")
+	is.Equal(report.Upstreams[9].Position, 0)
+	is.Equal(report.Upstreams[9].Reason, "behind the first 8, which alone are considered")
+	report, err = Chat(snap, view(only("nobody"), "acireale"), "chat", "c")
 	is.NoErr(err)
 	is.Equal(report.Upstreams[0].Owner, "")
 	is.Equal(report.Upstreams[0].Reason, "rendezvous order of the chat; no live host can own it")
-	_, err = Chat(snap, AllLive{}, "none", "c", "acireale")
+	_, err = Chat(snap, view(AllLive{}, "acireale"), "none", "c")
 	is.True(err != nil)
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -64,7 +64,7 @@
 
 // extensions returns the parts whose state travels on the gossip.
 func (r *Router) extensions() []peers.Extension {
-	return []peers.Extension{r.quarantine}
+	return []peers.Extension{r.upstreams, r.quarantine}
 }
 
 func (r *Router) peerTransport(dial peers.Dial, idlePerHost int) *http.Transport {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/quota"
+	"github.com/orioleusher/orioleusher/internal/routing"
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
 	"github.com/orioleusher/orioleusher/internal/settings"
@@ -55,6 +56,7 @@
 	limiter    *quota.Limiter
 	registry   *idempotency.Registry
 	upstreams  *upstreams.Set
+	planner    *routing.Planner
 	client     *transport.Client
 	prober     *transport.Prober
 	quarantine *quarantine.Table
@@ -82,7 +84,8 @@
 	r.members = peers.NewMembers(s.Name, r.incarnation, s.Gossip.SuspectAfter.Std(), clock)
 	r.limiter = quota.NewLimiter(s.Name, clock)
 	r.registry = idempotency.NewRegistry(signer, clock)
-	r.upstreams = upstreams.NewSet()
+	r.planner = routing.NewPlanner(s.RoutingPolicy, s.DataCentre)
+	r.upstreams = r.newUpstreams()
 	r.quarantine = quarantine.NewTable(clock, nil)
 	r.lanes = quarantine.NewLanes()
 	r.prober = transport.NewProber(r.dialer())
@@ -92,6 +95,15 @@
 	return r, r.connectFleet()
 }
 
+// newUpstreams makes the owner's view of its upstreams.
+func (r *Router) newUpstreams() *upstreams.Set {
+	reports := &http.Transport{DialContext: r.dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}
+	return upstreams.NewSet(upstreams.Options{
+		Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Configuration: r.store,
+		Reports: upstreams.HTTPReporter{Transport: reports}, Clock: r.clock, Log: r.log, Scope: r.scope,
+	})
+}
+
 // dialer returns a dialer whose connections come from this host's peer address, so that peers and the network between
 // can tell hosts apart by IP.
 func (r *Router) dialer() *net.Dialer {
@@ -120,6 +132,7 @@
 		r.settle(loops)
 		r.gossip.Run(loops)
 	})
+	wg.Go(func() { r.upstreams.Run(loops) })
 
 	entry := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
 	entry.Handler = r.entryWork.handler(r.clock.Now, entry.Handler)
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -125,6 +125,14 @@
 	}
 }
 
+func (c *checks) policy(p RoutingPolicy) {
+	switch p {
+	case PolicyBounded, PolicyRandom, PolicyRoundRobin, PolicyRendezvous, PolicyDirect:
+	default:
+		c.add("routing_policy", string(p), "bounded, random, round-robin, rendezvous or direct")
+	}
+}
+
 func (c *checks) limits(l Limits) {
 	c.betweenInt("limits.header_bytes", int64(l.HeaderBytes), minHeaderBytes, maxHeaderBytes)
 	c.betweenInt("limits.body_bytes", l.BodyBytes, minBodyBytes, maxBodyBytes)
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -21,9 +21,31 @@
 	Limits    Limits   `json:"limits"`
 	Timeouts  Timeouts `json:"timeouts"`
 	Gossip    Gossip   `json:"gossip"`
-	Log       Log      `json:"log"`
+	// RoutingPolicy is PolicyBounded unless set; the others are baselines for measurements.
+	RoutingPolicy RoutingPolicy `json:"routing_policy,omitempty"`
+	Log           Log           `json:"log"`
 }
 
+// RoutingPolicy names how a request finds its upstream.
+type RoutingPolicy string
+
+// The routing policies.
+const (
+	// PolicyBounded follows the chat's rendezvous order and the load bound at each upstream's owner.
+	PolicyBounded RoutingPolicy = "bounded"
+	// PolicyRandom picks at random, without a bound.
+	PolicyRandom RoutingPolicy = "random"
+	// PolicyRoundRobin takes the upstreams in turn on each host, without a bound.
+	PolicyRoundRobin RoutingPolicy = "round-robin"
+	// PolicyRendezvous follows the chat's rendezvous order without a bound.
+	PolicyRendezvous RoutingPolicy = "rendezvous"
+	// PolicyDirect follows the chat's order and sends from each host directly, bounded by that host's own view alone.
+	PolicyDirect RoutingPolicy = "direct"
+)
+
+// Bound reports whether the policy keeps a load bound.
+func (p RoutingPolicy) Bound() bool { return p == PolicyBounded || p == PolicyDirect }
+
 // PeerTLS configures mutual TLS between the fleet's processes.
 type PeerTLS struct {
 	// Plaintext turns TLS off; meant for loopback.
@@ -119,6 +141,7 @@
 	c.seeds(r.SeedPeers)
 	c.peerTLS(r.PeerTLS)
 	c.limits(r.Limits)
+	c.policy(r.RoutingPolicy)
 	c.timeouts(r.Timeouts)
 	c.between("gossip.interval", r.Gossip.Interval, minGossip, maxGossip)
 	c.between("gossip.suspect_after", r.Gossip.SuspectAfter, 2*r.Gossip.Interval.Std(), maxSuspect)
@@ -140,6 +163,9 @@
 	setInt(&t.BetweenBytes, Duration(defaultBetweenBytes))
 	setInt(&t.Drain, Duration(defaultDrain))
 	setInt(&t.Stop, Duration(defaultStop))
+	if r.RoutingPolicy == "" {
+		r.RoutingPolicy = PolicyBounded
+	}
 	setInt(&r.Gossip.Interval, Duration(defaultGossip))
 	setInt(&r.Gossip.SuspectAfter, Duration(defaultSuspect))
 }
