oriole-load: run scenarios, check, compare, plot; bench over policies

Requests are planned from the seed and sent when due, and latency counts from then, so a stalled fleet can't slow its callers down. Chats return by a Zipf law with prompts that grow; reuse is compared with a cache that never loses a block. Callers spread over ready hosts and send again only what did not run. Faults go to the stand-ins' admin addresses and to a hook file that scripts/faults.sh carries out; the tool starts no process. Test: go test -race -short ./internal/load/...

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down generate
+.PHONY: build test lint demo up down bench generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -25,6 +25,11 @@
 down:
 	@scripts/fleet.sh down deploy/lobue
 
+# Measures both deployments under churn with every routing policy that the routers accept. POLICIES and BENCH_FLEETS
+# narrow it down.
+bench: build
+	@scripts/bench.sh $(POLICIES)
+
 # Generated code is committed; this target is only needed after a change to a .proto file.
 generate:
 	@mkdir -p $(GOBIN)
--- /dev/null
+++ b/cmd/oriole-load/check.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/checker"
+	"github.com/orioleusher/orioleusher/internal/record"
+)
+
+// shownViolations bounds the violations that are printed for one promise.
+const shownViolations = 5
+
+type checkCommand struct {
+	Records string `long:"records" required:"yes" value-name:"FILE" description:"records of a run"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	file, err := os.Open(c.Records)
+	if err != nil {
+		return errors.Wrap(err, "open records")
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := record.Read(file)
+	if err != nil {
+		return err
+	}
+	return printReports(checker.Check(lines))
+}
+
+func printReports(reports []checker.Report) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "PROMISE\tRECORDS\tVERIFIED")
+	broken := 0
+	for i := range reports {
+		r := &reports[i]
+		fmt.Fprintf(table, "%s\t%d\t%s\n", r.Promise, r.Examined, verdict(r))
+		broken += len(r.Violations)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	for i := range reports {
+		for _, v := range reports[i].Violations[:min(shownViolations, len(reports[i].Violations))] {
+			fmt.Println(v)
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d violations", broken)
+	}
+	return nil
+}
+
+func verdict(r *checker.Report) string {
+	switch {
+	case len(r.Violations) > 0:
+		return fmt.Sprintf("FAIL, %d violations", len(r.Violations))
+	case r.Examined == 0:
+		return "not shown: no record"
+	default:
+		return "pass"
+	}
+}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -152,3 +152,19 @@
 	}
 	return text.String(), false
 }
+
+// StreamUsage returns the token counts at the end of a streamed answer, or nil.
+func StreamUsage(body []byte) *engine.Usage {
+	var usage *engine.Usage
+	for line := range strings.Lines(string(body)) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok || !strings.Contains(data, `"usage"`) {
+			continue
+		}
+		var chunk engine.Completion
+		if json.Unmarshal([]byte(data), &chunk) == nil && chunk.Usage != nil {
+			usage = chunk.Usage
+		}
+	}
+	return usage
+}
--- /dev/null
+++ b/internal/load/report/rate.go
@@ -0,0 +1,62 @@
+package report
+
+import (
+	"sort"
+	"time"
+)
+
+// bucket is the one exact token bucket that a team would have if the whole fleet were one host.
+type bucket struct {
+	rate   TeamRate
+	tokens float64
+	last   time.Duration
+}
+
+func (b *bucket) take(at time.Duration) bool {
+	b.tokens = min(b.rate.Burst, b.tokens+b.rate.PerSecond*(at-b.last).Seconds())
+	b.last = at
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// rateCount says how the refusals for a team's rate compare with one exact bucket, which starts full.
+type rateCount struct {
+	charged  int
+	refused  int
+	wrongful int
+}
+
+// rateCounts replays the charges of each team against its exact bucket. A refused charge that the bucket would have
+// admitted is wrongful. Every charge fills and drains the bucket; only those at times that keep accepts are counted.
+func rateCounts(charges []Charge, rates map[string]TeamRate, keep func(time.Duration) bool) map[string]*rateCount {
+	sorted := append([]Charge(nil), charges...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At < sorted[j].At })
+	buckets := map[string]*bucket{}
+	counts := map[string]*rateCount{}
+	for _, c := range sorted {
+		b := buckets[c.Team]
+		if b == nil {
+			b = &bucket{rate: rates[c.Team], tokens: rates[c.Team].Burst}
+			buckets[c.Team] = b
+			counts[c.Team] = &rateCount{}
+		}
+		admits := b.take(c.At)
+		if keep(c.At) {
+			counts[c.Team].add(c.Refused, admits)
+		}
+	}
+	return counts
+}
+
+func (n *rateCount) add(refused, admits bool) {
+	n.charged++
+	if refused {
+		n.refused++
+	}
+	if refused && admits {
+		n.wrongful++
+	}
+}
--- /dev/null
+++ b/internal/load/run_test.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/load/plots"
+	"github.com/orioleusher/orioleusher/internal/load/report"
+	"github.com/orioleusher/orioleusher/internal/load/scenario"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/record"
+	"github.com/orioleusher/orioleusher/internal/settings"
+)
+
+// callScenario makes calls of one kind at a mean of 50 a second for 2 s.
+func callScenario(c scenario.Call) *scenario.Scenario {
+	c.Route, c.Path, c.PerSecond = "r", "/r", 50
+	return &scenario.Scenario{
+		Name: "t", Seed: 3, Duration: settings.Duration(2 * time.Second), Scale: 1, Attempts: 3,
+		RequestTimeout: settings.Duration(5 * time.Second),
+		Teams:          []scenario.Team{{Name: "a", Calls: []scenario.Call{c}}},
+	}
+}
+
+// drive runs the scenario against two hosts with the same handler.
+func drive(t *testing.T, s *scenario.Scenario, handler http.HandlerFunc) (*report.Result, []record.Line) {
+	t.Helper()
+	callers := &Callers{Teams: []CallerTeam{{Name: "a", Key: "k"}}}
+	for range 2 {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		callers.EntryAddresses = append(callers.EntryAddresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	result, lines, err := Run(context.Background(), RunOptions{Scenario: s, Callers: callers, Label: "t", Progress: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result, lines
+}
+
+func answer(w http.ResponseWriter, status int, o outcome.Outcome) {
+	w.Header().Set(outcome.HeaderOutcome, string(o))
+	w.WriteHeader(status)
+	fmt.Fprint(w, "{}")
+}
+
+func TestAStallDelaysEveryRequestThatIsDueMeanwhile(t *testing.T) {
+	is := is.New(t)
+	const stall = time.Second
+	var once sync.Once
+	var end time.Time
+	result, _ := drive(t, callScenario(scenario.Call{Method: "GET"}), func(w http.ResponseWriter, _ *http.Request) {
+		once.Do(func() { end = time.Now().Add(stall) })
+		time.Sleep(time.Until(end))
+		answer(w, http.StatusOK, outcome.Run)
+	})
+	is.Equal(result.Total.OK, result.Total.Requests)
+	// About half of the requests are due within the stall and wait for the rest of it; a closed loop would show one.
+	is.True(result.Total.Requests > 60)
+	is.True(result.Total.FirstByte.P50 > 1)
+	is.True(result.Total.FirstByte.P90 > 600)
+}
+
+func TestCallersSendAgainOnlyWhatDidNotRun(t *testing.T) {
+	cases := []struct {
+		name    string
+		status  int
+		outcome outcome.Outcome
+		resent  bool
+		ending  func(report.TeamResult) int
+	}{
+		{"not run", http.StatusServiceUnavailable, outcome.NotRun, true, func(t report.TeamResult) int { return t.Refused }},
+		{"unknown", http.StatusBadGateway, outcome.Unknown, false, func(t report.TeamResult) int { return t.Failed }},
+		{"no outcome", http.StatusBadGateway, "", false, func(t report.TeamResult) int { return t.Failed }},
+		{"over the rate", http.StatusTooManyRequests, outcome.NotRun, false, func(t report.TeamResult) int { return t.RateRefused }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := callScenario(scenario.Call{Method: "GET"})
+			s.Duration = settings.Duration(300 * time.Millisecond)
+			result, lines := drive(t, s, func(w http.ResponseWriter, _ *http.Request) { answer(w, c.status, c.outcome) })
+			is.True(result.Total.Requests > 0)
+			is.Equal(c.ending(result.Total), result.Total.Requests)
+			hosts := map[uint64]map[string]bool{}
+			for _, l := range lines {
+				if hosts[l.Call.ID] == nil {
+					hosts[l.Call.ID] = map[string]bool{}
+				}
+				hosts[l.Call.ID][l.Call.Host] = true
+			}
+			for _, list := range hosts {
+				is.Equal(len(list) == 2, c.resent)
+			}
+		})
+	}
+}
+
+func TestAnOrderAsksForItsKeyAndThenUsesIt(t *testing.T) {
+	is := is.New(t)
+	s := callScenario(scenario.Call{Method: "POST", Once: true})
+	var asked, ran atomic.Int64
+	result, lines := drive(t, s, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "" {
+			asked.Add(1)
+			w.Header().Set(outcome.HeaderIdempotencyKey, "issued")
+			answer(w, http.StatusPreconditionRequired, outcome.NotRun)
+			return
+		}
+		ran.Add(1)
+		answer(w, http.StatusOK, outcome.Run)
+	})
+	is.Equal(result.Total.OK, result.Total.Requests)
+	is.Equal(int(asked.Load()), result.Total.Requests)
+	is.Equal(int(ran.Load()), result.Total.Requests)
+	is.Equal(result.Total.Retried, 0)
+	is.Equal(len(lines), 2*result.Total.Requests)
+}
+
+func TestAResultCanBeDrawn(t *testing.T) {
+	is := is.New(t)
+	result, _ := drive(t, callScenario(scenario.Call{Method: "GET"}), func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, outcome.Run)
+	})
+	for _, name := range []string{"plot.png", "plot.svg"} {
+		is.NoErr(plots.Write(filepath.Join(t.TempDir(), name), []*report.Result{result}))
+	}
+	is.True(plots.Write(filepath.Join(t.TempDir(), "plot.txt"), []*report.Result{result}) != nil)
+}
