--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -48,6 +48,8 @@
 	Header Duration `json:"header"`
 	// Body is the time a caller has to send its whole request.
 	Body Duration `json:"body"`
+	// Write is the time a caller has to take each piece of its answer.
+	Write Duration `json:"write"`
 	// Idle is how long an unused keep-alive connection stays open.
 	Idle Duration `json:"idle"`
 	// Request is the longest time from the accepted request to the end of its answer.
@@ -58,7 +60,10 @@
 	FirstByte Duration `json:"first_byte"`
 	// BetweenBytes is the longest silence inside an answer.
 	BetweenBytes Duration `json:"between_bytes"`
-	// Stop is how long a planned stop waits for requests in flight.
+	// Drain is how long a stopping router goes on to take requests while its readiness probe fails, so that the balancer
+	// and the peers learn of the stop before an address closes.
+	Drain Duration `json:"drain"`
+	// Stop is how long a planned stop then waits for requests in flight.
 	Stop Duration `json:"stop"`
 }
 
@@ -76,11 +81,13 @@
 	defaultBodyBytes    = 4 << 20
 	defaultHeaderTime   = 5 * time.Second
 	defaultBodyTime     = 30 * time.Second
+	defaultWrite        = 30 * time.Second
 	defaultIdle         = 60 * time.Second
 	defaultRequest      = 120 * time.Second
 	defaultConnect      = time.Second
 	defaultFirstByte    = 20 * time.Second
 	defaultBetweenBytes = 5 * time.Second
+	defaultDrain        = 3 * time.Second
 	defaultStop         = 30 * time.Second
 	defaultGossip       = 500 * time.Millisecond
 	defaultSuspect      = 3 * time.Second
@@ -113,11 +120,13 @@
 	t := &r.Timeouts
 	setInt(&t.Header, Duration(defaultHeaderTime))
 	setInt(&t.Body, Duration(defaultBodyTime))
+	setInt(&t.Write, Duration(defaultWrite))
 	setInt(&t.Idle, Duration(defaultIdle))
 	setInt(&t.Request, Duration(defaultRequest))
 	setInt(&t.Connect, Duration(defaultConnect))
 	setInt(&t.FirstByte, Duration(defaultFirstByte))
 	setInt(&t.BetweenBytes, Duration(defaultBetweenBytes))
+	setInt(&t.Drain, Duration(defaultDrain))
 	setInt(&t.Stop, Duration(defaultStop))
 	setInt(&r.Gossip.Interval, Duration(defaultGossip))
 	setInt(&r.Gossip.SuspectAfter, Duration(defaultSuspect))
@@ -171,6 +180,7 @@
 	c.atLeast("timeouts.first_byte", t.FirstByte, time.Millisecond)
 	c.atLeast("timeouts.between_bytes", t.BetweenBytes, time.Millisecond)
 	c.atLeast("timeouts.request", t.Request, t.FirstByte.Std())
+	c.atLeast("timeouts.drain", t.Drain, time.Millisecond)
 	c.atLeast("timeouts.stop", t.Stop, time.Millisecond)
 }
 
