--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -69,6 +69,7 @@
 // Start starts the fleet and waits until every router is ready. Everything ends with the test.
 func Start(t *testing.T, shape Shape) *Fleet {
 	t.Helper()
+	lockBlock(t, shape.Block)
 	f := &Fleet{t: t, shape: shape, dir: t.TempDir(), bin: Binaries(t), Network: newNetwork(t)}
 	f.Document = f.makeDocument()
 	if shape.Edit != nil {
