--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -69,7 +69,8 @@
 	// answered is when a peer last answered, in Unix milliseconds.
 	answered atomic.Int64
 	wantAll  atomic.Bool
-	listed   uint64
+	// listed is the hash of the document whose hosts the table is limited to.
+	listed string
 }
 
 type documentID struct {
@@ -79,6 +80,7 @@
 
 type gossipMetrics struct {
 	rounds, messages, failed, pulls, pushes, offers, accused tally.Counter
+	live, version                                            tally.Gauge
 }
 
 // Options configures NewGossip.
@@ -111,6 +113,7 @@
 		failed: o.Scope.Counter("gossip_calls_failed"), pulls: o.Scope.Counter("documents_pulled"),
 		pushes: o.Scope.Counter("documents_pushed"), offers: o.Scope.Counter("documents_offered"),
 		accused: o.Scope.Counter("members_accused"),
+		live:    o.Scope.Gauge("members_live"), version: o.Scope.Gauge("document_version"),
 	}}
 	g.wantAll.Store(true)
 	return g
@@ -137,9 +140,19 @@
 func (g *Gossip) Round(ctx context.Context) {
 	g.metrics.rounds.Inc(1)
 	g.Members.Expire()
+	g.report()
 	g.exchangeAll(ctx, g.targets())
 }
 
+// report sets the gauges.
+func (g *Gossip) report() {
+	live, _ := g.peers()
+	g.metrics.live.Update(float64(len(live)))
+	if snap := g.Store.Current(); snap != nil {
+		g.metrics.version.Update(float64(snap.Version))
+	}
+}
+
 // Push tells a few random live peers of the document in force; each that did not know it pulls it and pushes on.
 func (g *Gossip) Push(ctx context.Context) {
 	g.metrics.pushes.Inc(1)
@@ -203,10 +216,10 @@
 	snap := g.Store.Current()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.listed == snap.Version {
+	if g.listed == snap.Hash {
 		return
 	}
-	g.listed = snap.Version
+	g.listed = snap.Hash
 	names := make([]string, 0, len(snap.Seats()))
 	for _, seat := range snap.Seats() {
 		names = append(names, seat.Name)
--- a/internal/proofs/fleet/capacity_test.go
+++ b/internal/proofs/fleet/capacity_test.go
@@ -79,11 +79,11 @@
 	}
 	t.Log("routers | platform calls/s | exchanges/s/router | control B/s/router | processor ms/s/router | resident MB/router | in force median, worst | control B/router a publication")
 	var rates []float64
-	for i, hosts := range []int{4, 8, 16, 32, 64} {
+	for _, hosts := range []int{4, 8, 16, 32, 64} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			ca := certtest.NewCA(t)
 			f := testfleet.Start(t, testfleet.Shape{
-				Block: 110 + i, Hosts: []int{hosts / 4, hosts / 4, hosts / 4, hosts / 4}, Teams: teams(capacityTeams),
+				Block: 89, Hosts: []int{hosts / 4, hosts / 4, hosts / 4, hosts / 4}, Teams: teams(capacityTeams),
 				EditRouter: func(s *settings.Router) {
 					s.Log.Level = "warn"
 					ip, _, _ := net.SplitHostPort(s.PeerAddress)
--- a/internal/proofs/fleet/config_test.go
+++ b/internal/proofs/fleet/config_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/standin/engine"
 	"github.com/orioleusher/orioleusher/internal/standin/faults"
 	"github.com/orioleusher/orioleusher/internal/standin/platform"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
@@ -178,3 +179,41 @@
 	}
 	checkHistories(t, f)
 }
+
+// TestAWithdrawnKeyAndADataCentreOutTakeEffect lets one router alone reach the platform.
+func TestAWithdrawnKeyAndADataCentreOutTakeEffect(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{
+		Block: 87, Hosts: []int{1, 2}, Engines: 2, Teams: []document.Team{
+			{Name: team, RatePerSecond: 1e6, Burst: 1e6}, {Name: "team-2", RatePerSecond: 1e6, Burst: 1e6},
+		},
+	})
+	f.Network.Cut(f.RouterIP(0), f.PlatformIP(), testfleet.CutRefuse)
+	f.Network.Cut(f.RouterIP(1), f.PlatformIP(), testfleet.CutRefuse)
+	checkService(t, f, all(f)...)
+	from := time.Now()
+	f.Publish(func(d *document.Document) {
+		d.Teams[1].Keys = nil
+		d.DataCentres[0].State = document.StateOut
+	})
+	caller := load.NewCaller(callTimeout)
+	for n := range f.Routers {
+		testfleet.Eventually(t, time.Until(from.Add(worstTarget)), "the withdrawn key is refused by "+f.Routers[n].Name, func() bool {
+			return chatAs(f, caller, n, "team-2", "withdrawn") == http.StatusUnauthorized
+		})
+	}
+	before := requests(t, f, 0)
+	checkService(t, f, all(f)...)
+	is.Equal(requests(t, f, 0), before)
+	is.True(requests(t, f, 1) > 0)
+}
+
+// requests returns the number of requests that the engine has received.
+func requests(t *testing.T, f *testfleet.Fleet, n int) uint64 {
+	t.Helper()
+	var s engine.State
+	if !f.State(f.Engines[n], &s) {
+		t.Fatalf("%s does not answer", f.Engines[n].Name)
+	}
+	return s.Stats.Requests
+}
--- a/internal/proofs/fleet/fleet_test.go
+++ b/internal/proofs/fleet/fleet_test.go
@@ -100,6 +100,11 @@
 
 // chat asks the n-th router for a short streamed answer and returns the status, 0 if there was no answer.
 func chat(f *testfleet.Fleet, caller *load.Caller, n int, content string) int {
+	return chatAs(f, caller, n, team, content)
+}
+
+// chatAs is chat with the key of a team.
+func chatAs(f *testfleet.Fleet, caller *load.Caller, n int, team, content string) int {
 	messages := []engine.Message{{Role: "user", Content: content}}
 	body, err := load.ChatBody(testfleet.Model, messages, true, 4)
 	if err != nil {
--- a/internal/proofs/fleet/membership_test.go
+++ b/internal/proofs/fleet/membership_test.go
@@ -43,6 +43,34 @@
 	checkService(t, f, all(f)...)
 }
 
+func TestAWholeDataCentreDiesAndTheOthersTakeItsUpstreams(t *testing.T) {
+	skipIfShort(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 88, Hosts: []int{2, 2, 1}, Engines: 3})
+	for n := range f.Routers {
+		for m := range f.Routers {
+			waitLive(t, f, n, f.Routers[m].Name, true)
+		}
+	}
+	f.Routers[0].Kill()
+	f.Routers[1].Kill()
+	for n := 2; n < len(f.Routers); n++ {
+		waitLive(t, f, n, "router-1", false)
+		waitLive(t, f, n, "router-2", false)
+	}
+	checkService(t, f, 2, 3, 4)
+	from := time.Now()
+	f.Publish(touch)
+	checkTimes(t, inForce(t, f, f.Document.Version, from, 2, 3, 4))
+	f.Routers[0].Restart()
+	f.Routers[1].Restart()
+	for n := range f.Routers {
+		f.WaitReady(f.Routers[n])
+		waitLive(t, f, n, "router-1", true)
+		waitLive(t, f, n, "router-2", true)
+	}
+	checkService(t, f, all(f)...)
+}
+
 // cut is one way in which data centre 1 (routers 0 and 1) is separated.
 type cut struct {
 	name string
@@ -193,6 +221,11 @@
 				go func() { statuses <- chat(f, caller, 0, "withdrawn") }()
 			}
 			time.Sleep(length)
+			if length > settleTime {
+				for n := range 2 {
+					waitLive(t, f, n+1, "router-1", false)
+				}
+			}
 			f.Routers[0].Thaw()
 			for range requests {
 				is.Equal(<-statuses, 401)
