Acknowledge hops, guard their answers against silence

Cause: the hop trusted a pooled connection until the caller's deadline; the membership watch sees a dead peer but not one dead connection. Ruled out: a first-byte timeout on the hop, which cannot tell a silent connection from a request that waits for its engine.

Change: the receiver acknowledges a hop with a 102 response at once; a pooled hop without it within 2 s is sent again on a new connection (repeatable requests only; others always use a new one); answers on a hop have the silence guard of upstreams' answers plus a second.

Before: stream cut after 61 s, request on the pooled hop unanswered after 60 s.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -5,14 +5,15 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/silence"
 )
 
 // maxRefusalBytes bounds the refusal that a peer may send.
@@ -23,10 +24,33 @@
 	self        string
 	incarnation uint64
 	scheme      string
-	transport   http.RoundTripper
 	clock       clockwork.Clock
 	peers       Peers
 	watch       *watch
+	// pooled keeps connections open for the next hop; fresh opens one for each.
+	pooled *http.Transport
+	fresh  *http.Transport
+	// betweenBytes is the longest silence inside an answer.
+	betweenBytes time.Duration
+	silent       tally.Counter
+}
+
+// silenceMargin is added to the silence that the peer itself allows, so that the peer's own verdict comes first.
+const silenceMargin = time.Second
+
+// Options configures NewClient.
+type Options struct {
+	// Self is this host's name.
+	Self        string
+	Incarnation uint64
+	// Scheme is http or https.
+	Scheme    string
+	Transport *http.Transport
+	// BetweenBytes is the longest silence that an owner allows inside an upstream's answer.
+	BetweenBytes time.Duration
+	Peers        Peers
+	Clock        clockwork.Clock
+	Scope        tally.Scope
 }
 
 // Peers is this host's view of the others.
@@ -37,11 +61,14 @@
 	Suspect(host string)
 }
 
-// NewClient returns a client that speaks scheme (http or https) over the transport.
-func NewClient(self string, incarnation uint64, scheme string, transport http.RoundTripper, peers Peers, clock clockwork.Clock) *Client {
+// NewClient returns a client.
+func NewClient(o Options) *Client {
+	fresh := o.Transport.Clone()
+	fresh.DisableKeepAlives = true
 	return &Client{
-		self: self, incarnation: incarnation, scheme: scheme, transport: transport, clock: clock,
-		peers: peers, watch: newWatch(peers),
+		self: o.Self, incarnation: o.Incarnation, scheme: o.Scheme, clock: o.Clock, peers: o.Peers,
+		watch: newWatch(o.Peers), pooled: o.Transport, fresh: fresh, betweenBytes: o.BetweenBytes + silenceMargin,
+		silent: o.Scope.Counter("hop_silent_connections"),
 	}
 }
 
@@ -51,23 +78,16 @@
 // Forward sends the exchange to the destination. The error is an *outcome.Refusal, either the receiver's own or, when
 // the receiver did not answer, one whose outcome is not-run only if the request cannot have reached it.
 func (c *Client) Forward(ctx context.Context, x *exchange.Exchange, d Destination) (*exchange.Answer, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	ctx, done := c.watched(httptrace.WithClientTrace(ctx, trace), x, d.Host.Name)
-	req, err := c.request(ctx, x, d)
-	if err != nil {
-		done()
-		return nil, outcome.Unavailable(step, "internal", "the request cannot be forwarded").WithPeer(d.Host.Name, err)
-	}
-	resp, err := c.transport.RoundTrip(req)
+	ctx, done := c.watched(ctx, x, d.Host.Name)
+	resp, sent, err := c.roundTrip(ctx, x, d)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.peers.Suspect(d.Host.Name)
 		}
 		done()
-		return nil, noAnswer(d.Host.Name, sent.Load(), err)
+		return nil, noAnswer(d.Host.Name, sent, err)
 	}
-	resp.Body = &watchedBody{ReadCloser: resp.Body, done: done}
+	resp.Body = silence.OnClose(silence.Guard(resp.Body, c.betweenBytes), done)
 	if resp.Header.Get(headerRefusal) != "" {
 		return nil, readRefusal(resp, d.Host.Name)
 	}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -31,6 +31,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	acknowledge(w)
 	env, x, err := s.receive(r)
 	if err != nil {
 		writeRefusal(w, outcome.Refuse(step, http.StatusBadRequest, "bad-hop", err.Error()))
--- a/internal/hop/watch.go
+++ b/internal/hop/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -81,15 +80,3 @@
 		}
 	}
 }
-
-// watchedBody ends the watch when the answer is closed.
-type watchedBody struct {
-	io.ReadCloser
-	done func()
-}
-
-// Close implements io.Closer.
-func (b *watchedBody) Close() error {
-	defer b.done()
-	return b.ReadCloser.Close()
-}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -46,7 +46,10 @@
 		scheme = "http"
 	}
 	dial := r.dialer().DialContext
-	r.hops = hop.NewClient(r.settings.Name, r.incarnation, scheme, r.peerTransport(dial, maxIdleHopConns), r.members, r.clock)
+	r.hops = hop.NewClient(hop.Options{
+		Self: r.settings.Name, Incarnation: r.incarnation, Scheme: scheme, Transport: r.peerTransport(dial, maxIdleHopConns),
+		BetweenBytes: r.settings.Timeouts.BetweenBytes.Std(), Peers: r.members, Clock: r.clock, Scope: r.scope,
+	})
 	gossipClient := &http.Client{Transport: r.peerTransport(r.control.Dial(dial), maxIdleGossipConns)}
 	r.gossip = peers.NewGossip(peers.Options{
 		Self: r.settings.Name, SelfAddress: r.settings.PeerAddress, Incarnation: r.incarnation,
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/silence"
 )
 
 // pooledPatience is how long a request on a pooled connection waits for the first byte of its answer before the
@@ -38,6 +39,6 @@
 		}
 		return nil, err
 	}
-	answer.Body = &cancellingBody{ReadCloser: answer.Body, cancel: func() { cancel(nil) }}
+	answer.Body = silence.OnClose(answer.Body, func() { cancel(nil) })
 	return answer, nil
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -17,6 +17,7 @@
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/silence"
 )
 
 // step is the name that this package's refusals carry.
@@ -96,7 +97,7 @@
 	return &exchange.Answer{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
-		Body:     newSilenceGuard(resp.Body, c.timeouts.BetweenBytes.Std()),
+		Body:     silence.Guard(resp.Body, c.timeouts.BetweenBytes.Std()),
 		Upstream: upstream,
 	}, nil
 }
