--- /dev/null
+++ b/cmd/oriolectl/main.go
@@ -0,0 +1,12 @@
+// Command oriolectl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/orioleusher/orioleusher/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,13 @@
 	PathReady   = "/readyz"
 	PathMetrics = "/metrics"
 	PathState   = "/debug/state"
+	PathExplain = "/debug/explain"
+)
+
+// Query parameters of PathExplain.
+const (
+	ParamRoute = "route"
+	ParamChat  = "chat"
 )
 
 // Source is what a process shows on its admin address.
@@ -23,6 +30,8 @@
 	// State returns the state dump, a value that encodes as JSON.
 	State   func() any
 	Metrics http.Handler
+	// Explain, if not nil, says why a chat on a route goes to its upstream, a value that encodes as JSON.
+	Explain func(route, chat string) (any, error)
 }
 
 // Handler returns the admin handler.
@@ -34,9 +43,22 @@
 	if s.Metrics != nil {
 		r.Handle(PathMetrics, s.Metrics)
 	}
+	if s.Explain != nil {
+		r.HandleFunc(PathExplain, func(w http.ResponseWriter, r *http.Request) { explain(w, r, s.Explain) })
+	}
 	return r
 }
 
+func explain(w http.ResponseWriter, r *http.Request, answer func(route, chat string) (any, error)) {
+	query := r.URL.Query()
+	v, err := answer(query.Get(ParamRoute), query.Get(ParamChat))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	WriteJSON(w, v)
+}
+
 func ready(w http.ResponseWriter, reason string) {
 	if reason == "" {
 		w.WriteHeader(http.StatusOK)
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,106 @@
+// Package ctl is the operators' command line: it checks and compares documents, shows the fleet's state, explains where
+// a chat goes and issues keys. It only reads from routers, but for the issue of idempotency keys.
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	pkgerrors "github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/process"
+)
+
+const description = `Checks and compares documents, shows the state of a fleet, explains routing and issues keys.
+
+Exit codes: 0 done and nothing wrong, 1 failed, 2 wrong command line, 4 done and something found: the ` +
+	`document is invalid, the documents differ, something in the fleet is wrong, or no upstream serves the chat.`
+
+// errFinding ends a command that worked and found something wrong; what was found has been written already.
+var errFinding = errors.New("something was found")
+
+// app is what every command shares.
+type app struct {
+	out io.Writer
+	// errOut takes what must not mix with the output, such as hints.
+	errOut  io.Writer
+	options *options
+}
+
+type options struct {
+	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Timeout time.Duration `long:"timeout" default:"3s" description:"longest wait for one answer"`
+
+	Validate       validateCommand       `command:"validate" description:"check a document"`
+	Diff           diffCommand           `command:"diff" description:"compare two documents"`
+	Status         statusCommand         `command:"status" description:"show the fleet at a glance"`
+	Dump           dumpCommand           `command:"dump" description:"show the state of routers"`
+	Explain        explainCommand        `command:"explain" description:"say why a chat goes to its upstream"`
+	Key            keyCommand            `command:"key" description:"make callers' keys"`
+	IdempotencyKey idempotencyKeyCommand `command:"idempotency-key" description:"get idempotency keys"`
+	Version        versionCommand        `command:"version" description:"print the version"`
+}
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	var opts options
+	a := &app{out: out, errOut: errOut, options: &opts}
+	opts.Validate.app, opts.Diff.app, opts.Status.app, opts.Dump.app = a, a, a, a
+	opts.Explain.app, opts.Key.New.app, opts.IdempotencyKey.Issue.app, opts.Version.app = a, a, a, a
+	parser := flags.NewNamedParser("oriolectl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintln(errOut, err)
+		return process.ExitFailed
+	}
+	parser.LongDescription = description
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, out, errOut)
+}
+
+func exitCode(err error, out, errOut io.Writer) int {
+	var flagErr *flags.Error
+	switch {
+	case err == nil:
+		return process.ExitOK
+	case errors.Is(err, errFinding):
+		return process.ExitFinding
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(out, err)
+		return process.ExitOK
+	case errors.As(err, &flagErr):
+		fmt.Fprintln(errOut, err)
+		return process.ExitUsage
+	default:
+		fmt.Fprintln(errOut, "oriolectl:", err)
+		return process.ExitFailed
+	}
+}
+
+// show writes v as JSON if that was asked for, else what table writes.
+func (a *app) show(v any, table func(w io.Writer)) error {
+	if a.options.Output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return pkgerrors.Wrap(enc.Encode(v), "write output")
+	}
+	const gap = 2
+	w := tabwriter.NewWriter(a.out, 0, 8, gap, ' ', 0)
+	table(w)
+	return pkgerrors.Wrap(w.Flush(), "write output")
+}
+
+type versionCommand struct {
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	return c.app.show(struct {
+		Version string `json:"version"`
+	}{process.Version}, func(w io.Writer) { fmt.Fprintln(w, process.Version) })
+}
--- /dev/null
+++ b/internal/ctl/documents.go
@@ -0,0 +1,161 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+)
+
+// readDocument reads and checks a document file.
+func readDocument(path string) (*document.Snapshot, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read document")
+	}
+	snap, problems := document.Inspect(raw)
+	if len(problems) > 0 {
+		return nil, errors.Wrapf(&document.ValidationError{Problems: problems}, "document %s", path)
+	}
+	return snap, nil
+}
+
+// source says where the document is that names the routers.
+type source struct {
+	Document string `short:"d" long:"document" value-name:"FILE" description:"document file that names the routers"`
+	Platform string `long:"platform" value-name:"URL" description:"platform to read the document from, instead of a file"`
+	Fleet    string `long:"fleet" value-name:"NAME" description:"name of the document on the platform"`
+}
+
+func (s *source) read(c *client) (*document.Snapshot, error) {
+	switch {
+	case s.Document != "" && s.Platform == "":
+		return readDocument(s.Document)
+	case s.Document == "" && s.Platform != "" && s.Fleet != "":
+		return s.readPlatform(c)
+	default:
+		return nil, errors.New("want either --document FILE or --platform URL with --fleet NAME")
+	}
+}
+
+func (s *source) readPlatform(c *client) (*document.Snapshot, error) {
+	raw, err := c.get(s.Platform + "/v1/config/" + url.PathEscape(s.Fleet))
+	if err != nil {
+		return nil, errors.Wrap(err, "read document from the platform")
+	}
+	snap, err := document.Parse(raw)
+	return snap, errors.Wrap(err, "document of the platform")
+}
+
+type validateCommand struct {
+	app  *app
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// validation is the result of the command validate.
+type validation struct {
+	File     string             `json:"file"`
+	Valid    bool               `json:"valid"`
+	Version  uint64             `json:"version,omitempty"`
+	Hash     string             `json:"hash,omitempty"`
+	Problems []document.Problem `json:"problems,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	raw, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	snap, problems := document.Inspect(raw)
+	result := validation{File: c.Args.File, Valid: snap != nil, Problems: problems}
+	if snap != nil {
+		result.Version, result.Hash = snap.Version, snap.Hash
+	}
+	if err := c.app.show(result, result.table); err != nil {
+		return err
+	}
+	if !result.Valid {
+		return errFinding
+	}
+	return nil
+}
+
+func (v *validation) table(w io.Writer) {
+	if v.Valid {
+		fmt.Fprintf(w, "%s: valid, version %d, hash %s\n", v.File, v.Version, v.Hash)
+		return
+	}
+	fmt.Fprintln(w, "FIELD\tVALUE\tWANT")
+	for _, p := range v.Problems {
+		fmt.Fprintf(w, "%s\t%q\t%s\n", p.Field, p.Value, p.Want)
+	}
+}
+
+type diffCommand struct {
+	app  *app
+	Args struct {
+		Before string `positional-arg-name:"BEFORE" required:"yes"`
+		After  string `positional-arg-name:"AFTER" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	before, err := readDocument(c.Args.Before)
+	if err != nil {
+		return err
+	}
+	after, err := readDocument(c.Args.After)
+	if err != nil {
+		return err
+	}
+	changes, err := document.Diff(before.Document, after.Document)
+	if err != nil {
+		return err
+	}
+	err = c.app.show(changes, func(w io.Writer) {
+		for _, change := range changes {
+			fmt.Fprintln(w, change)
+		}
+	})
+	if err == nil && len(changes) > 0 {
+		err = errFinding
+	}
+	return err
+}
+
+// client reads from routers and the platform.
+type client struct {
+	http *http.Client
+}
+
+func (a *app) client() *client {
+	return &client{http: &http.Client{Timeout: a.options.Timeout}}
+}
+
+// maxAnswerBytes bounds an answer; a state dump may be larger than a document.
+const maxAnswerBytes = 16 << 20
+
+func (c *client) get(address string) ([]byte, error) {
+	resp, err := c.http.Get(address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", address)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("read %s: status %d: %.200s", address, resp.StatusCode, raw)
+	}
+	return raw, nil
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,8 @@
 	ExitFailed  = 1
 	ExitUsage   = 2
 	ExitStopped = 3
+	// ExitFinding says that a checking command worked and found something wrong or different.
+	ExitFinding = 4
 )
 
 // VersionFlag is embedded in the options of each program.
--- a/internal/proofs/surface/secrets_test.go
+++ b/internal/proofs/surface/secrets_test.go
@@ -25,14 +25,25 @@
 
 // chat makes one streamed chat call with the prompt.
 func chat(t *testing.T, address, key string) *load.Result {
+	t.Helper()
+	return call(t, load.Call{Address: address, Key: key})
+}
+
+// chatWithID makes one streamed call of the chat.
+func chatWithID(t *testing.T, address, chatID string) *load.Result {
+	t.Helper()
+	return call(t, load.Call{Address: address, Key: testfleet.KeyOf("team-1"), ChatID: chatID})
+}
+
+// call completes and makes the call.
+func call(t *testing.T, c load.Call) *load.Result {
 	t.Helper()
 	body, err := load.ChatBody(testfleet.Model, []engine.Message{{Role: "user", Content: prompt}}, true, 8)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := load.NewCaller(callTimeout).Do(context.Background(), load.Call{
-		Address: address, Method: http.MethodPost, Path: testfleet.PathChat, Key: key, Body: body,
-	})
+	c.Method, c.Path, c.Body = http.MethodPost, testfleet.PathChat, body
+	result, err := load.NewCaller(callTimeout).Do(context.Background(), c)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/orioleusher/orioleusher/internal/callers"
 	"github.com/orioleusher/orioleusher/internal/config"
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/explain"
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/idempotency"
 	"github.com/orioleusher/orioleusher/internal/metrics"
@@ -203,9 +204,22 @@
 func (r *Router) adminHandler() http.Handler {
 	return admin.Handler(admin.Source{
 		Ready: r.ready, State: func() any { return r.State() }, Metrics: r.metrics.Handler,
+		Explain: r.explain,
 	})
 }
 
+// explain says why a chat goes to its upstream, as seen from this host.
+func (r *Router) explain(route, chat string) (any, error) {
+	snap := r.store.Current()
+	if snap == nil {
+		return nil, errors.New("no document in force")
+	}
+	view := explain.View{
+		Host: r.settings.Name, DataCentre: r.settings.DataCentre, Policy: r.settings.RoutingPolicy, Live: r.members,
+	}
+	return explain.Chat(snap, view, route, chat)
+}
+
 // ready returns "" when the router takes new requests.
 func (r *Router) ready() string {
 	switch {
