--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -46,7 +46,7 @@
 		scheme = "http"
 	}
 	dial := r.dialer().DialContext
-	r.hops = hop.NewClient(r.settings.Name, r.incarnation, scheme, r.peerTransport(dial, maxIdleHopConns), r.clock)
+	r.hops = hop.NewClient(r.settings.Name, r.incarnation, scheme, r.peerTransport(dial, maxIdleHopConns), r.members, r.clock)
 	gossipClient := &http.Client{Transport: r.peerTransport(r.control.Dial(dial), maxIdleGossipConns)}
 	r.gossip = peers.NewGossip(peers.Options{
 		Self: r.settings.Name, SelfAddress: r.settings.PeerAddress, Incarnation: r.incarnation,
@@ -92,6 +92,7 @@
 		if now := r.store.Current(); now != nil && now == before {
 			r.log.Info().Str("event", "settled").Uint64("version", now.Version).Int("asked", asked).Int("reached", reached).Send()
 			r.settled.Store(true)
+			r.guard.Start()
 			return
 		}
 		if before == nil {
