--- a/internal/prove/knownred.go
+++ b/internal/prove/knownred.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// Count returns the number of tests with the verdict.
+func (r Results) Count(v Verdict) int {
+	n := 0
+	for _, got := range r {
+		if got == v {
+			n++
+		}
+	}
+	return n
+}
+
 // Failures returns the tests that failed and are not known to.
 func (r Results) Failures() []TestID {
 	var list []TestID
--- a/scripts/prove/main.go
+++ b/scripts/prove/main.go
@@ -81,7 +81,7 @@
 	for _, id := range failures {
 		fmt.Printf("FAIL: %s %s\n", id.Package, id.Name)
 	}
-	fmt.Printf("%d tests, %d failed\n", len(results), len(failures))
+	fmt.Printf("%d passed, %d failed, %d skipped\n", results.Count(prove.Pass), len(failures), results.Count(prove.NotRun))
 	if len(failures) > 0 {
 		return errors.Errorf("%d tests failed that %s does not list", len(failures), "KNOWN-RED.txt")
 	}
