--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down bench prove check proofs-page generate
+.PHONY: build test lint demo up down bench prove check proofs-page capacity generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -43,6 +43,11 @@
 proofs-page:
 	go run ./scripts/prove --page docs/PROOFS.md
 
+# Measures what the control of a fleet costs at 4 to 64 routers, and the benchmarks whose slopes docs/CAPACITY.md uses.
+capacity:
+	ORIOLE_CAPACITY=1 go test -count=1 -v -run 'TestCapacity' ./internal/proofs/fleet
+	go test -run NONE -bench . ./internal/proofs/fleet
+
 # Generated code is committed; this target is only needed after a change to a .proto file.
 generate:
 	@mkdir -p $(GOBIN)
--- a/internal/proofs/fleet/capacity_test.go
+++ b/internal/proofs/fleet/capacity_test.go
@@ -1,17 +1,24 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load"
 	"github.com/orioleusher/orioleusher/internal/peertls/certtest"
 	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/standin/engine"
 	"github.com/orioleusher/orioleusher/internal/standin/platform"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
 )
@@ -124,3 +131,109 @@
 		t.Errorf("control bytes a router: %.0f B/s at 64 routers, %.0f B/s at 32", rates[4], rates[3])
 	}
 }
+
+const (
+	// capacityWorkers call at the same time in the measurement of requests.
+	capacityWorkers = 8
+	requestWindow   = 8 * time.Second
+	// capacityStreams are held open in the measurement of memory.
+	capacityStreams = 400
+	longAnswer      = 200
+	shortAnswer     = 1
+)
+
+// TestCapacityOfRequests measures processor time and memory of the two roles that a request passes: the entry host, here
+// router 2, and the owner of the engine, router 1.
+func TestCapacityOfRequests(t *testing.T) {
+	if os.Getenv(capacityVariable) == "" {
+		t.Skip("runs under make capacity")
+	}
+	f := testfleet.Start(t, testfleet.Shape{
+		Block: 89, Hosts: []int{1, 1}, Engines: 1,
+		Edit:       func(d *document.Document) { d.Pools[0].Upstreams[0].Capacity = 2 * capacityStreams },
+		EditRouter: func(s *settings.Router) { s.Log.Level = "warn" },
+		EditEngine: func(e *settings.Engine) {
+			e.MaxActive = 2 * capacityStreams
+			e.ColdTime = settings.Duration(time.Millisecond)
+		},
+	})
+	waitLive(t, f, 1, "router-1", true)
+	time.Sleep(worstTarget)
+	roles := []struct {
+		name string
+		pid  int
+	}{{"owner", f.Routers[0].PID()}, {"entry", f.Routers[1].PID()}}
+	for _, tokens := range []int{shortAnswer, longAnswer} {
+		var before [2]time.Duration
+		for i, role := range roles {
+			before[i], _ = processUse(t, role.pid)
+		}
+		requests := answerLoad(t, f, tokens)
+		for i, role := range roles {
+			after, _ := processUse(t, role.pid)
+			t.Logf("%s: %d tokens a request: %.1f us of processor time a request, %d requests", role.name, tokens,
+				float64((after-before[i]).Microseconds())/float64(requests), requests)
+		}
+	}
+	var before [2]uint64
+	for i, role := range roles {
+		_, before[i] = processUse(t, role.pid)
+	}
+	holdStreams(t, f)
+	for i, role := range roles {
+		_, after := processUse(t, role.pid)
+		t.Logf("%s: %.1f KB of resident memory a stream", role.name, (float64(after)-float64(before[i]))/capacityStreams)
+	}
+}
+
+// answerLoad calls router 2 for a while and returns the number of answers.
+func answerLoad(t *testing.T, f *testfleet.Fleet, tokens int) int64 {
+	t.Helper()
+	var wg sync.WaitGroup
+	var answers atomic.Int64
+	end := time.Now().Add(requestWindow)
+	for worker := range capacityWorkers {
+		wg.Go(func() {
+			caller := load.NewCaller(callTimeout)
+			for time.Now().Before(end) {
+				if ask(f, caller, fmt.Sprint(worker), tokens) == http.StatusOK {
+					answers.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if answers.Load() == 0 {
+		t.Fatal("no answers")
+	}
+	return answers.Load()
+}
+
+// holdStreams returns while many streams are open; they end with the test's processes.
+func holdStreams(t *testing.T, f *testfleet.Fleet) {
+	t.Helper()
+	const endless = 100000
+	caller := load.NewCaller(time.Minute)
+	for n := range capacityStreams {
+		go ask(f, caller, fmt.Sprint("stream ", n), endless)
+	}
+	testfleet.Eventually(t, 2*worstTarget, "the streams are open", func() bool {
+		s, ok := f.RouterState(f.Routers[0])
+		return ok && s.Stop.Hops >= capacityStreams*9/10
+	})
+	time.Sleep(worstTarget)
+}
+
+func ask(f *testfleet.Fleet, caller *load.Caller, content string, tokens int) int {
+	body, err := load.ChatBody(testfleet.Model, []engine.Message{{Role: "user", Content: content}}, true, tokens)
+	if err != nil {
+		return 0
+	}
+	result, err := caller.Do(context.Background(), load.Call{
+		Address: f.Caller(1), Method: http.MethodPost, Path: testfleet.PathChat, Key: testfleet.KeyOf(team), Body: body,
+	})
+	if err != nil {
+		return 0
+	}
+	return result.Status
+}
