--- a/internal/proofs/surface/ctl_test.go
+++ b/internal/proofs/surface/ctl_test.go
@@ -1,6 +1,7 @@
 package surface
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,11 +17,16 @@
 // documentFile writes the fleet's document to a file, as an operator has it.
 func documentFile(t *testing.T, doc *document.Document) string {
 	t.Helper()
-	raw, err := doc.Encode()
+	return writeJSON(t, "document.json", doc)
+}
+
+func writeJSON(t *testing.T, name string, v any) string {
+	t.Helper()
+	raw, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "document.json")
+	path := filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -89,6 +90,40 @@
 	}
 }
 
+func TestTheConsolesSettings(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(*Console)
+		want []string
+	}{
+		{"right", func(*Console) {}, nil},
+		{"no source", func(c *Console) { c.Platform = "" }, []string{"document_file"}},
+		{"two sources", func(c *Console) { c.DocumentFile = "d.json" }, []string{"document_file"}},
+		{"platform without fleet", func(c *Console) { c.Fleet = "" }, []string{"fleet"}},
+		{"no TLS", func(c *Console) { c.TLS.Plaintext = false }, []string{"tls.cert_file", "tls.key_file"}},
+		{"no operators", func(c *Console) { c.Operators = nil }, []string{"operators"}},
+		{"password instead of a hash", func(c *Console) { c.Operators[0].Bcrypt = "secret" }, []string{"operators[0].bcrypt"}},
+		{"weak hash", func(c *Console) {
+			c.Operators[0].Bcrypt = "$2a$04$XajjQvNhvvRt5GSeFk1xFeyqRrsxkhBkUiQeg0dt.wU1qD4aFDcga"
+		}, []string{"operators[0].bcrypt"}},
+		{"idle beyond lifetime", func(c *Console) { c.Sessions.Idle = Duration(9 * time.Hour) }, []string{"sessions.lifetime"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s Console
+			is.NoErr(Load("../../deploy/lobue/console.json", &s))
+			c.edit(&s)
+			var fields []string
+			for _, p := range s.Check() {
+				fields = append(fields, p.Field)
+				is.True(!strings.Contains(p.String(), "secret"))
+			}
+			is.Equal(fields, c.want)
+		})
+	}
+}
+
 func TestStandInsMayNotShareNamesOrAddresses(t *testing.T) {
 	is := is.New(t)
 	s := StandIns{
@@ -124,6 +159,9 @@
 	snap, problems := document.Inspect(raw)
 	is.Equal(problems, nil)
 	is.NoErr(Load(filepath.Join(folder, "standins.json"), &StandIns{}))
+	var console Console
+	is.NoErr(Load(filepath.Join(folder, "console.json"), &console))
+	is.Equal(console.Fleet, snap.Fleet)
 	files, err := filepath.Glob(filepath.Join(folder, "*.router.json"))
 	is.NoErr(err)
 	is.Equal(len(files), len(snap.Seats()))
