--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down bench prove check proofs-page generate
+.PHONY: build test lint demo up down console bench prove check proofs-page generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -43,6 +43,11 @@
 proofs-page:
 	go run ./scripts/prove --page docs/PROOFS.md
 
+# Needs a running deployment, see up.
+console: build
+	@echo "http://127.10.4.1:8443, user operator, password demo-password-lobue"
+	@$(GOBIN)/oriole-console --settings deploy/lobue/console.json
+
 # Generated code is committed; this target is only needed after a change to a .proto file.
 generate:
 	@mkdir -p $(GOBIN)
