Callers: bound the memory of all bodies in flight

Cause: each request may hold limits.body_bytes, and nothing bounded their number, so that callers without a key could take all memory of an entry host. Change: limits.total_body_bytes; a slow caller is charged only for what has arrived.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -27,6 +27,7 @@
 	timeouts settings.Timeouts
 	clock    clockwork.Clock
 	log      zerolog.Logger
+	bodies   *budget
 	requests tally.Counter
 	refusals tally.Counter
 	cut      tally.Counter
@@ -36,6 +37,7 @@
 func New(store *config.Store, chain exchange.Next, s *settings.Router, clock clockwork.Clock, log zerolog.Logger, scope tally.Scope) *Handler {
 	return &Handler{
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
+		bodies:   &budget{total: s.Limits.TotalBodyBytes},
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), cut: scope.Counter("answers_cut"),
 	}
 }
@@ -78,7 +80,9 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	h.requests.Inc(1)
 	w = newDeadlineWriter(w, h.timeouts.Write.Std())
-	x, err := h.receive(w, r)
+	body := h.limitBody(w, r)
+	defer body.release()
+	x, err := h.receive(r, body)
 	if err != nil {
 		h.refuse(w, x, err)
 		return
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -35,7 +35,7 @@
 
 func startBench(t *testing.T, withDocument bool) *bench {
 	t.Helper()
-	s := &settings.Router{Limits: settings.Limits{HeaderBytes: 2048, BodyBytes: 1024}}
+	s := &settings.Router{Limits: settings.Limits{HeaderBytes: 2048, BodyBytes: 1024, TotalBodyBytes: 1536}}
 	s.Timeouts = settings.Timeouts{
 		Header: settings.Duration(300 * time.Millisecond), Body: settings.Duration(300 * time.Millisecond),
 		Write: settings.Duration(300 * time.Millisecond), Idle: settings.Duration(5 * time.Second),
@@ -268,6 +268,42 @@
 	}
 }
 
+// Two bodies of 1000 bytes are above the total; when the first request ends there is room again.
+func TestTheBodiesOfAllRequestsTogetherAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := startBench(t, true)
+	release := make(chan struct{})
+	b.body = func(context.Context) io.ReadCloser { return &heldAnswer{release: release} }
+	request := head + "Connection: close\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("a", 1000)
+	first := make(chan int)
+	go func() {
+		resp, _ := b.send(t, request)
+		first <- resp.StatusCode
+	}()
+	for b.ran.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, text := b.send(t, request)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(text, `"bodies-full"`))
+	is.Equal(resp.Header.Get("Retry-After"), "1")
+	is.Equal(b.ran.Load(), int64(1))
+	close(release)
+	is.Equal(<-first, http.StatusOK)
+	for range 5 { // every request gives back what it took
+		resp, _ = b.send(t, request)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
+
+// heldAnswer ends when it is released.
+type heldAnswer struct {
+	release chan struct{}
+}
+
+func (h *heldAnswer) Read([]byte) (int, error) { <-h.release; return 0, io.EOF }
+func (h *heldAnswer) Close() error             { return nil }
+
 func TestAnotherRequestOnTheSameConnectionHasItsOwnDeadlines(t *testing.T) {
 	is := is.New(t)
 	b := startBench(t, true)
--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -29,9 +29,12 @@
 // noDocumentWait is what a caller is told to wait while the router has no document.
 const noDocumentWait = time.Second
 
+// bodiesFullWait is what a caller is told to wait while the bodies in flight take all memory that they may.
+const bodiesFullWait = time.Second
+
 // receive reads the whole request, since its body may have to be sent to more than one host. The returned exchange is
 // never nil; the error is an *outcome.Refusal.
-func (h *Handler) receive(w http.ResponseWriter, r *http.Request) (*exchange.Exchange, error) {
+func (h *Handler) receive(r *http.Request, body io.Reader) (*exchange.Exchange, error) {
 	now := h.clock.Now()
 	x := &exchange.Exchange{
 		Trace: fmt.Sprintf("%016x", rand.Uint64()), Start: now, Deadline: now.Add(h.timeouts.Request.Std()),
@@ -50,11 +53,11 @@
 	}
 	x.Deadline = now.Add(timeout)
 	stripHeader(x.Header)
-	body, refusal := h.readBody(w, r)
-	if refusal != nil {
-		return x, refusal
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return x, bodyRefusal(err)
 	}
-	x.Body = body
+	x.Body = raw
 	return x, nil
 }
 
@@ -116,13 +119,9 @@
 	}
 }
 
-// readBody reads the body, within the server's ReadTimeout.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
-	if err != nil {
-		return nil, bodyRefusal(err)
-	}
-	return body, nil
+// limitBody returns a reader of the body that fails above the limits. The server's ReadTimeout bounds the time.
+func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) *bodyReader {
+	return &bodyReader{body: http.MaxBytesReader(w, r.Body, h.limits.BodyBytes), budget: h.bodies}
 }
 
 func bodyRefusal(err error) *outcome.Refusal {
@@ -131,6 +130,9 @@
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(step, http.StatusRequestEntityTooLarge, "body-too-large",
 			fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
+	case errors.Is(err, errBudget):
+		return outcome.Unavailable(step, "bodies-full", "the router holds as many bytes of bodies as it may").
+			WithRetryAfter(bodiesFullWait)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return outcome.Refuse(step, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").
 			WithPeer("caller", err)
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -136,6 +136,7 @@
 func (c *checks) limits(l Limits) {
 	c.betweenInt("limits.header_bytes", int64(l.HeaderBytes), minHeaderBytes, maxHeaderBytes)
 	c.betweenInt("limits.body_bytes", l.BodyBytes, minBodyBytes, maxBodyBytes)
+	c.betweenInt("limits.total_body_bytes", l.TotalBodyBytes, l.BodyBytes, maxTotalBody)
 }
 
 func (c *checks) timeouts(t Timeouts) {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -59,6 +59,8 @@
 type Limits struct {
 	HeaderBytes int   `json:"header_bytes"`
 	BodyBytes   int64 `json:"body_bytes"`
+	// TotalBodyBytes bounds the bodies of all callers' requests in flight together.
+	TotalBodyBytes int64 `json:"total_body_bytes"`
 }
 
 // Timeouts bounds each wait of a request.
@@ -98,6 +100,7 @@
 const (
 	defaultHeaderBytes  = 32 << 10
 	defaultBodyBytes    = 4 << 20
+	defaultTotalBody    = 128 << 20
 	defaultHeaderTime   = 5 * time.Second
 	defaultBodyTime     = 30 * time.Second
 	defaultWrite        = 30 * time.Second
@@ -118,6 +121,7 @@
 	maxHeaderBytes = 1 << 20
 	minBodyBytes   = 1 << 10
 	maxBodyBytes   = 256 << 20
+	maxTotalBody   = 64 << 30
 	minTimeout     = time.Millisecond
 	maxTimeout     = time.Hour
 	minGossip      = 50 * time.Millisecond
@@ -152,6 +156,7 @@
 func (r *Router) fill() {
 	setInt(&r.Limits.HeaderBytes, defaultHeaderBytes)
 	setInt(&r.Limits.BodyBytes, defaultBodyBytes)
+	setInt(&r.Limits.TotalBodyBytes, max(defaultTotalBody, r.Limits.BodyBytes))
 	t := &r.Timeouts
 	setInt(&t.Header, Duration(defaultHeaderTime))
 	setInt(&t.Body, Duration(defaultBodyTime))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,7 +33,7 @@
 	is := is.New(t)
 	r, err := load(t, good)
 	is.NoErr(err)
-	is.Equal(r.Limits, Limits{HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes})
+	is.Equal(r.Limits, Limits{HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, TotalBodyBytes: defaultTotalBody})
 	is.Equal(r.Timeouts.Request.Std(), defaultRequest)
 	is.Equal(r.Gossip.SuspectAfter.Std(), defaultSuspect)
 }
