--- a/cmd/oriole-console/main.go
+++ b/cmd/oriole-console/main.go
@@ -30,10 +30,13 @@
 	if err := settings.Load(opts.Settings, &s); err != nil {
 		process.Exit(err)
 	}
+	c := console.New(&s, clockwork.NewRealClock(), logging.New(os.Stderr, s.Log.Level, "console"))
+	if err := c.CheckFiles(); err != nil {
+		process.Exit(err)
+	}
 	if opts.Check {
 		fmt.Printf("%s: settings are valid\n", opts.Settings)
 		return
 	}
-	c := console.New(&s, clockwork.NewRealClock(), logging.New(os.Stderr, s.Log.Level, "console"))
 	process.Exit(c.Run(process.SignalContext()))
 }
--- a/cmd/oriole-router/main.go
+++ b/cmd/oriole-router/main.go
@@ -26,13 +26,14 @@
 	if err := settings.Load(opts.Settings, &s); err != nil {
 		process.Exit(err)
 	}
-	if opts.Check {
-		fmt.Printf("%s: settings are valid\n", opts.Settings)
-		return
-	}
 	r, err := router.New(&s, clockwork.NewRealClock(), logging.New(os.Stderr, s.Log.Level, s.Name))
 	if err != nil {
 		process.Exit(err)
 	}
+	if opts.Check {
+		// New has read the TLS files too; nothing listens before Run.
+		fmt.Printf("%s: settings are valid\n", opts.Settings)
+		return
+	}
 	process.Exit(r.Run(process.SignalContext()))
 }
--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -5,16 +5,19 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"os"
 	"path"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/routing"
 )
 
 // step is the name that this package's refusals carry.
@@ -69,7 +72,12 @@
 			fmt.Sprintf("the request line and header have more than %d bytes", maxHeader))
 	case !plainPath(r.URL.Path):
 		return outcome.Refuse(step, http.StatusBadRequest, "bad-path",
-			"the path must begin with / and have no empty or dot segment, backslash or control character")
+			"the path must be UTF-8, begin with / and have no empty or dot segment, backslash or control character")
+	case !plainQuery(r.URL.RawQuery):
+		return outcome.Refuse(step, http.StatusBadRequest, "bad-query", "the query is not in the form of name=value pairs")
+	case !plainChatID(r.Header.Get(routing.HeaderChatID)):
+		return outcome.Refuse(step, http.StatusBadRequest, "bad-chat-id",
+			fmt.Sprintf("%s must be printable ASCII of at most %d characters", routing.HeaderChatID, maxChatID))
 	case len(r.Header.Values(outcome.HeaderIdempotencyKey)) > 1:
 		return outcome.Refuse(step, http.StatusBadRequest, "several-idempotency-keys",
 			"the request carries more than one Idempotency-Key header")
@@ -93,7 +101,7 @@
 // plainPath reports whether every server reads the path in the same way. An upstream that resolves dot segments would
 // otherwise serve another path than the one whose route was authorised.
 func plainPath(p string) bool {
-	if !strings.HasPrefix(p, "/") || strings.ContainsFunc(p, isPathControl) {
+	if !strings.HasPrefix(p, "/") || !utf8.ValidString(p) || strings.ContainsFunc(p, isPathControl) {
 		return false
 	}
 	clean := path.Clean(p)
@@ -105,6 +113,19 @@
 	return r < ' ' || r == del || r == '\\'
 }
 
+// plainQuery reports whether the query can be searched for a key.
+func plainQuery(query string) bool {
+	_, err := url.ParseQuery(query)
+	return err == nil
+}
+
+// maxChatID is the longest chat id, in bytes.
+const maxChatID = 256
+
+func plainChatID(id string) bool {
+	return len(id) <= maxChatID && !strings.ContainsFunc(id, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
 // stripHeader removes what only routers may say and what the caller meant for its own connection only.
 func stripHeader(header http.Header) {
 	for _, value := range header.Values("Connection") {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -58,6 +59,20 @@
 	}
 }
 
+// CheckFiles reads the files that the settings name.
+func (c *Console) CheckFiles() error {
+	if tlsFiles := c.settings.TLS; !tlsFiles.Plaintext {
+		if _, err := tls.LoadX509KeyPair(tlsFiles.CertFile, tlsFiles.KeyFile); err != nil {
+			return errors.Wrap(err, "read tls.cert_file and tls.key_file")
+		}
+	}
+	if c.settings.DocumentFile != "" {
+		_, err := c.inForce.read(context.Background())
+		return err
+	}
+	return nil
+}
+
 // Handler returns the operators' pages.
 func (c *Console) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -160,15 +175,15 @@
 	return errors.Wrap(operators.Shutdown(stop), "stop admin server")
 }
 
-func (c *Console) serve(s *http.Server, address string, tls settings.ConsoleTLS) error {
+func (c *Console) serve(s *http.Server, address string, files settings.ConsoleTLS) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	if tls.Plaintext {
+	if files.Plaintext {
 		err = s.Serve(listener)
 	} else {
-		err = s.ServeTLS(listener, tls.CertFile, tls.KeyFile)
+		err = s.ServeTLS(listener, files.CertFile, files.KeyFile)
 	}
 	return errors.Wrapf(process.IgnoreClosed(err), "serve %s", address)
 }
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,15 @@
 
 const password = "a long enough password"
 
+// passwordHash is the cheapest hash of password.
+var passwordHash = sync.OnceValue(func() string {
+	hash, err := bcrypt.GenerateFromPassword([]byte(password), bcrypt.MinCost)
+	if err != nil {
+		panic(err)
+	}
+	return string(hash)
+})
+
 // desk is a console in front of a document file.
 type desk struct {
 	t     *testing.T
@@ -41,13 +51,10 @@
 		t.Fatal(err)
 	}
 	d.publish(raw)
-	hash, err := bcrypt.GenerateFromPassword([]byte(password), bcrypt.MinCost)
-	if err != nil {
-		t.Fatal(err)
-	}
+	hash := passwordHash()
 	s := &settings.Console{
 		DocumentFile: d.file, TLS: settings.ConsoleTLS{Plaintext: true},
-		Operators: []settings.Operator{{User: "anna", Bcrypt: string(hash)}, {User: "bruno", Bcrypt: string(hash)}},
+		Operators: []settings.Operator{{User: "anna", Bcrypt: hash}, {User: "bruno", Bcrypt: hash}},
 		Sessions:  settings.Sessions{Idle: settings.Duration(30 * time.Minute), Lifetime: settings.Duration(time.Hour), Max: 2},
 	}
 	server := httptest.NewServer(New(s, d.clock, zerolog.Nop()).Handler())
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,6 +35,7 @@
 type options struct {
 	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
 	Timeout time.Duration `long:"timeout" default:"3s" description:"longest wait for one answer"`
+	process.VersionFlag
 
 	Validate       validateCommand       `command:"validate" description:"check a document"`
 	Diff           diffCommand           `command:"diff" description:"compare two documents"`
@@ -43,15 +44,15 @@
 	Explain        explainCommand        `command:"explain" description:"say why a chat goes to its upstream"`
 	Key            keyCommand            `command:"key" description:"make callers' keys"`
 	IdempotencyKey idempotencyKeyCommand `command:"idempotency-key" description:"get idempotency keys"`
-	Version        versionCommand        `command:"version" description:"print the version"`
+	ShowVersion    versionCommand        `command:"version" description:"print the version"`
 }
 
 // Run runs the command line and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
-	var opts options
+	opts := options{VersionFlag: process.NewVersionFlag()}
 	a := &app{out: out, errOut: errOut, options: &opts}
 	opts.Validate.app, opts.Diff.app, opts.Status.app, opts.Dump.app = a, a, a, a
-	opts.Explain.app, opts.Key.New.app, opts.IdempotencyKey.Issue.app, opts.Version.app = a, a, a, a
+	opts.Explain.app, opts.Key.New.app, opts.IdempotencyKey.Issue.app, opts.ShowVersion.app = a, a, a, a
 	parser := flags.NewNamedParser("oriolectl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
 		fmt.Fprintln(errOut, err)
--- a/internal/proofs/surface/check_test.go
+++ b/internal/proofs/surface/check_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
 )
 
@@ -51,3 +52,49 @@
 	code, _, _ = runRouter(t)
 	is.Equal(code, 2)
 }
+
+func TestEveryProgramExplainsItself(t *testing.T) {
+	programs := []string{
+		"oriole-router", "oriole-console", "oriolectl", "oriole-load", "standin-platform", "standin-engine", "standin-service",
+	}
+	for _, program := range programs {
+		t.Run(program, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errOut := run(t, program, "--version")
+			is.Equal(code, 0)
+			is.Equal(out, process.Version+"\n")
+			is.Equal(errOut, "")
+			code, out, _ = run(t, program, "--help")
+			is.Equal(code, 0)
+			is.True(strings.Contains(out, "Usage:"))
+			code, _, errOut = run(t, program, "--no-such-option")
+			is.Equal(code, 2)
+			is.True(strings.Contains(errOut, "no-such-option"))
+		})
+	}
+}
+
+// Settings that name files are checked with the files.
+func TestTheCheckReadsTheNamedFiles(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../../deploy/lobue/acireale-1.router.json")
+	is.NoErr(err)
+	text := strings.Replace(string(raw), `"plaintext": true`, `"cert_file": "none.pem", "key_file": "none.pem", "ca_file": "none.pem"`, 1)
+	is.True(text != string(raw))
+	file := filepath.Join(t.TempDir(), "router.json")
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	code, _, errOut := runRouter(t, "--check", "--settings", file)
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "none.pem"))
+
+	raw, err = os.ReadFile("../../../deploy/lobue/console.json")
+	is.NoErr(err)
+	text = strings.Replace(string(raw), `"plaintext": true`, `"cert_file": "none.pem", "key_file": "none.pem"`, 1)
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	code, _, errOut = run(t, "oriole-console", "--check", "--settings", file)
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "none.pem"))
+	code, out, _ := run(t, "oriole-console", "--check", "--settings", "../../../deploy/lobue/console.json")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "settings are valid"))
+}
