--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -150,3 +150,52 @@
 	is.Equal(code, process.ExitFailed)
 	is.True(strings.Contains(errOut, "status 200, want 428"))
 }
+
+// Two documents were made from version 1. The first is published; the second would lose its changes.
+func TestValidateSeesThatADocumentDoesNotFollowTheOneInForce(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile(lobue)
+	is.NoErr(err)
+	inForce, err := document.Parse(raw)
+	is.NoErr(err)
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.URL.Path, "/v1/config/lobue")
+		_, _ = w.Write(inForce.Raw)
+	}))
+	defer platform.Close()
+	first, second := successor(t, inForce, 121), successor(t, inForce, 122)
+	for _, file := range []string{first, second} {
+		code, _, _ := runCtl("validate", file, "--platform", platform.URL)
+		is.Equal(code, process.ExitOK)
+	}
+	inForce, err = readDocument(first)
+	is.NoErr(err)
+	code, out, _ := runCtl("validate", second, "--platform", platform.URL)
+	is.Equal(code, process.ExitFinding)
+	is.True(strings.Contains(out, "a version above 2, which is in force"))
+	is.True(strings.Contains(out, "make the changes anew from there"))
+	platform.Close()
+	code, _, errOut := runCtl("validate", second, "--platform", platform.URL)
+	is.Equal(code, process.ExitFailed)
+	is.True(strings.Contains(errOut, "read document from the platform"))
+}
+
+// successor writes the next version, with another burst, and returns the file.
+func successor(t *testing.T, base *document.Snapshot, burst float64) string {
+	t.Helper()
+	next, err := document.Parse(base.Raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Version, next.Parent = base.Version+1, document.Parent{Version: base.Version, Hash: base.Hash}
+	next.Teams[0].Burst = burst
+	raw, err := next.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "document.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/internal/ctl/documents.go
+++ b/internal/ctl/documents.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -53,8 +54,9 @@
 }
 
 type validateCommand struct {
-	app  *app
-	Args struct {
+	app      *app
+	Platform string `long:"platform" value-name:"URL" description:"also check that the document follows the one in force on this platform"`
+	Args     struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
 }
@@ -75,10 +77,14 @@
 		return errors.Wrap(err, "read document")
 	}
 	snap, problems := document.Inspect(raw)
-	result := validation{File: c.Args.File, Valid: snap != nil, Problems: problems}
+	result := validation{File: c.Args.File, Problems: problems}
 	if snap != nil {
 		result.Version, result.Hash = snap.Version, snap.Hash
+		if result.Problems, err = c.compareInForce(snap); err != nil {
+			return err
+		}
 	}
+	result.Valid = len(result.Problems) == 0
 	if err := c.app.show(result, result.table); err != nil {
 		return err
 	}
@@ -88,6 +94,37 @@
 	return nil
 }
 
+// compareInForce returns why publishing the document would lose somebody else's changes, if the platform is given.
+func (c *validateCommand) compareInForce(snap *document.Snapshot) ([]document.Problem, error) {
+	if c.Platform == "" {
+		return nil, nil
+	}
+	s := source{Platform: c.Platform, Fleet: snap.Fleet}
+	current, err := s.readPlatform(c.app.client())
+	if err != nil {
+		return nil, err
+	}
+	return succession(snap, current), nil
+}
+
+// succession returns why next does not follow current: it was made from another document, or has no higher version.
+func succession(next, current *document.Snapshot) []document.Problem {
+	var problems []document.Problem
+	if next.Version <= current.Version {
+		problems = append(problems, document.Problem{
+			Field: "version", Value: strconv.FormatUint(next.Version, 10),
+			Want: fmt.Sprintf("a version above %d, which is in force", current.Version),
+		})
+	}
+	if next.Parent != (document.Parent{Version: current.Version, Hash: current.Hash}) {
+		problems = append(problems, document.Problem{
+			Field: "parent", Value: fmt.Sprintf("version %d, hash %s", next.Parent.Version, next.Parent.Hash),
+			Want: fmt.Sprintf("version %d, hash %s, which is in force; make the changes anew from there", current.Version, current.Hash),
+		})
+	}
+	return problems
+}
+
 func (v *validation) table(w io.Writer) {
 	if v.Valid {
 		fmt.Fprintf(w, "%s: valid, version %d, hash %s\n", v.File, v.Version, v.Hash)
