--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -5,16 +5,19 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"os"
 	"path"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/routing"
 )
 
 // step is the name that this package's refusals carry.
@@ -29,9 +32,12 @@
 // noDocumentWait is what a caller is told to wait while the router has no document.
 const noDocumentWait = time.Second
 
+// bodiesFullWait is what a caller is told to wait while the bodies in flight take all memory that they may.
+const bodiesFullWait = time.Second
+
 // receive reads the whole request, since its body may have to be sent to more than one host. The returned exchange is
 // never nil; the error is an *outcome.Refusal.
-func (h *Handler) receive(w http.ResponseWriter, r *http.Request) (*exchange.Exchange, error) {
+func (h *Handler) receive(r *http.Request, body io.Reader) (*exchange.Exchange, error) {
 	now := h.clock.Now()
 	x := &exchange.Exchange{
 		Trace: fmt.Sprintf("%016x", rand.Uint64()), Start: now, Deadline: now.Add(h.timeouts.Request.Std()),
@@ -50,11 +56,11 @@
 	}
 	x.Deadline = now.Add(timeout)
 	stripHeader(x.Header)
-	body, refusal := h.readBody(w, r)
-	if refusal != nil {
-		return x, refusal
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return x, bodyRefusal(err)
 	}
-	x.Body = body
+	x.Body = raw
 	return x, nil
 }
 
@@ -66,7 +72,12 @@
 			fmt.Sprintf("the request line and header have more than %d bytes", maxHeader))
 	case !plainPath(r.URL.Path):
 		return outcome.Refuse(step, http.StatusBadRequest, "bad-path",
-			"the path must begin with / and have no empty or dot segment, backslash or control character")
+			"the path must be UTF-8, begin with / and have no empty or dot segment, backslash or control character")
+	case !plainQuery(r.URL.RawQuery):
+		return outcome.Refuse(step, http.StatusBadRequest, "bad-query", "the query is not in the form of name=value pairs")
+	case !plainChatID(r.Header.Get(routing.HeaderChatID)):
+		return outcome.Refuse(step, http.StatusBadRequest, "bad-chat-id",
+			fmt.Sprintf("%s must be printable ASCII of at most %d characters", routing.HeaderChatID, maxChatID))
 	case len(r.Header.Values(outcome.HeaderIdempotencyKey)) > 1:
 		return outcome.Refuse(step, http.StatusBadRequest, "several-idempotency-keys",
 			"the request carries more than one Idempotency-Key header")
@@ -90,7 +101,7 @@
 // plainPath reports whether every server reads the path in the same way. An upstream that resolves dot segments would
 // otherwise serve another path than the one whose route was authorised.
 func plainPath(p string) bool {
-	if !strings.HasPrefix(p, "/") || strings.ContainsFunc(p, isPathControl) {
+	if !strings.HasPrefix(p, "/") || !utf8.ValidString(p) || strings.ContainsFunc(p, isPathControl) {
 		return false
 	}
 	clean := path.Clean(p)
@@ -102,6 +113,19 @@
 	return r < ' ' || r == del || r == '\\'
 }
 
+// plainQuery reports whether the query can be searched for a key.
+func plainQuery(query string) bool {
+	_, err := url.ParseQuery(query)
+	return err == nil
+}
+
+// maxChatID is the longest chat id, in bytes.
+const maxChatID = 256
+
+func plainChatID(id string) bool {
+	return len(id) <= maxChatID && !strings.ContainsFunc(id, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
 // stripHeader removes what only routers may say and what the caller meant for its own connection only.
 func stripHeader(header http.Header) {
 	for _, value := range header.Values("Connection") {
@@ -116,13 +140,9 @@
 	}
 }
 
-// readBody reads the body, within the server's ReadTimeout.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
-	if err != nil {
-		return nil, bodyRefusal(err)
-	}
-	return body, nil
+// limitBody returns a reader of the body that fails above the limits. The server's ReadTimeout bounds the time.
+func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) *bodyReader {
+	return &bodyReader{body: http.MaxBytesReader(w, r.Body, h.limits.BodyBytes), budget: h.bodies}
 }
 
 func bodyRefusal(err error) *outcome.Refusal {
@@ -131,6 +151,9 @@
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(step, http.StatusRequestEntityTooLarge, "body-too-large",
 			fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
+	case errors.Is(err, errBudget):
+		return outcome.Unavailable(step, "bodies-full", "the router holds as many bytes of bodies as it may").
+			WithRetryAfter(bodiesFullWait)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return outcome.Refuse(step, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").
 			WithPeer("caller", err)
