faults.sh leaves no process behind

Cause: the script was a pipeline of tail -F and a loop; ending it left both running, and they held every lock under which the bench had been started (a lock on the deployment stood for ten minutes). Ruled out: ending the process group, since the routers that the script starts again belong to it.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -14,8 +14,10 @@
 deploy=""
 
 stop() {
-	# The process group holds tail and the loop of faults.sh, and no router.
-	[ -z "$hook_pid" ] || kill -- "$hook_pid" 2>/dev/null || true
+	if [ -n "$hook_pid" ]; then
+		kill "$hook_pid" 2>/dev/null || true
+		wait "$hook_pid" 2>/dev/null || true
+	fi
 	hook_pid=""
 	[ -z "$deploy" ] || scripts/fleet.sh down "$deploy"
 	deploy=""
