--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down bench prove check proofs-page generate
+.PHONY: build test lint demo up down bench measures prove check proofs-page generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -31,6 +31,10 @@
 bench: build
 	@scripts/bench.sh $(POLICIES)
 
+# Copies the table of the last bench into README.md.
+measures:
+	@scripts/measures.sh
+
 # Runs every proof, those with real processes too, and prints which promise is shown under which fault.
 prove:
 	go run ./scripts/prove
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -77,14 +77,20 @@
 	done
 done
 [ ${#results[@]} -gt 0 ] || exit 1
-for fleet in $fleets; do
-	list=()
-	for result in "${results[@]}"; do
-		case $result in "$out/$fleet-"*) list+=("$result") ;; esac
+
+table() { # the table of each fleet, with what made it
+	echo "make bench${*:+ POLICIES=\"$*\"}, commit $(git rev-parse --short HEAD 2>/dev/null || echo unknown), $(date -u +%F), scale $scale"
+	for fleet in $fleets; do
+		list=()
+		for result in "${results[@]}"; do
+			case $result in "$out/$fleet-"*) list+=("$result") ;; esac
+		done
+		[ ${#list[@]} -gt 0 ] || continue
+		echo
+		bin/oriole-load compare "${list[@]}"
+		bin/oriole-load plot --out "$out/$fleet.png" "${list[@]}"
 	done
-	[ ${#list[@]} -gt 0 ] || continue
-	echo
-	bin/oriole-load compare "${list[@]}"
-	bin/oriole-load plot --out "$out/$fleet.png" "${list[@]}"
-done
+}
+
+table "$@" | tee "$out/table.txt"
 exit $failed
