--- a/internal/load/watch/control.go
+++ b/internal/load/watch/control.go
@@ -1,59 +1,25 @@
 package watch
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
-
-	"github.com/pkg/errors"
 )
 
-// controlMetric is part of the name of each counter of control traffic in a router's metrics.
-const controlMetric = "control_bytes"
+// controlState is the part of a router's state dump that counts the bytes on the connections that it opened for control
+// traffic.
+type controlState struct {
+	Control *struct {
+		Sent     uint64 `json:"sent_bytes"`
+		Received uint64 `json:"received_bytes"`
+	} `json:"control"`
+}
 
-// ControlBytes returns the control bytes that a router counted since its start. The flag is false if it has no such
-// counter or does not answer.
+// ControlBytes returns the control bytes, both ways, that a router counted since its start. The flag is false if it has
+// no such count or does not answer.
 func ControlBytes(ctx context.Context, admin string) (float64, bool) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/metrics", nil)
-	if err != nil {
-		return 0, false
-	}
-	resp, err := (&http.Client{Timeout: stateTimeout}).Do(req)
-	if err != nil {
+	var state controlState
+	if err := getJSON(ctx, &http.Client{Timeout: stateTimeout}, admin, &state); err != nil || state.Control == nil {
 		return 0, false
 	}
-	defer resp.Body.Close()
-	total, err := sumMetric(resp.Body, controlMetric)
-	return total, err == nil
-}
-
-// sumMetric adds up the samples, in the Prometheus text format, whose name contains part. It is an error if there is
-// none.
-func sumMetric(r io.Reader, part string) (float64, error) {
-	total, found := 0.0, false
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		line := lines.Text()
-		end := strings.LastIndexByte(line, ' ')
-		if strings.HasPrefix(line, "#") || end < 0 {
-			continue
-		}
-		name, _, _ := strings.Cut(line[:end], "{")
-		if !strings.Contains(name, part) {
-			continue
-		}
-		value, err := strconv.ParseFloat(line[end+1:], 64)
-		if err != nil {
-			return 0, errors.Wrapf(err, "metric %s", name)
-		}
-		total += value
-		found = true
-	}
-	if !found {
-		return 0, errors.Errorf("no metric named %s", part)
-	}
-	return total, errors.Wrap(lines.Err(), "read metrics")
+	return float64(state.Control.Sent + state.Control.Received), true
 }
--- a/internal/proofs/churn/churn_test.go
+++ b/internal/proofs/churn/churn_test.go
@@ -72,6 +72,11 @@
 	return scenario.Fault{At: seconds(at), Act: scenario.ActDataCentre, Target: "dc-2", State: state}
 }
 
+// upstreamOut takes one upstream out for the rest of the run.
+func upstreamOut(at float64, target string) scenario.Fault {
+	return scenario.Fault{At: seconds(at), Act: scenario.ActUpstream, Target: target, State: document.StateOut}
+}
+
 func process(at float64, target, signal string) scenario.Fault {
 	return scenario.Fault{At: seconds(at), Act: scenario.ActProcess, Target: target, Signal: signal}
 }
@@ -242,6 +247,16 @@
 	is.Equal(result.Move.Lost, 0)
 }
 
+func TestAnUpstreamThatLeavesGetsNoNewWorkAndFinishesItsOwn(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for 12 seconds")
+	}
+	is := is.New(t)
+	result, reports := drive(t, 105, mixed(12, upstreamOut(3, "engine-1"), upstreamOut(3.5, "service-1")))
+	kept(t, reports, append([]checker.Promise{checker.NoNewWork}, safety...)...)
+	is.Equal(result.Total.Lost(), 0)
+}
+
 func TestManyFaultsAtOnceBreakNoPromise(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for 24 seconds")
