--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,144 @@
+package coldstart
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	capacity = 16
+	lag      = 1500 * time.Millisecond
+)
+
+// at returns the time some milliseconds after the start of a test.
+func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+func warm() *Ramp {
+	r := New(capacity)
+	r.Booted("1", at(0))
+	r.Reported(false, lag, at(0))
+	return r
+}
+
+func TestAColdStartIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		event func(r *Ramp)
+		cold  bool
+	}{
+		{"nothing happens", func(*Ramp) {}, false},
+		{"a new boot id", func(r *Ramp) { r.Booted("2", at(100)) }, true},
+		{"the same boot id again", func(r *Ramp) { r.Booted("1", at(100)) }, false},
+		{"its report", func(r *Ramp) { r.Reported(true, lag, at(100)) }, true},
+		{"it was lost", func(r *Ramp) { r.Lost(8, at(100)) }, true},
+		{"its behaviour", func(r *Ramp) { r.Suspected(at(100)) }, true},
+		{"a late report of before the restart", func(r *Ramp) { r.Booted("2", at(100)); r.Reported(false, lag, at(600)) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := warm()
+			is.Equal(r.Limit(at(0)), Unlimited)
+			c.event(r)
+			if c.cold {
+				is.Equal(r.Limit(at(700)), firstLimit)
+			} else {
+				is.Equal(r.Limit(at(700)), Unlimited)
+			}
+		})
+	}
+}
+
+func TestTheLimitRisesByStepsOnceWarm(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	r.Reported(true, lag, at(0))
+	is.Equal(r.Limit(at(2900)), firstLimit)
+	r.Reported(false, lag, at(3000))
+	is.Equal(r.Limit(at(3000)), firstLimit)
+	is.Equal(r.Limit(at(4000)), 9)
+	is.Equal(r.Limit(at(5000)), Unlimited)
+}
+
+func TestColdTwiceInARowStartsAgain(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	r.Reported(true, lag, at(0))
+	r.Reported(false, lag, at(3000))
+	is.True(r.Limit(at(4000)) > firstLimit)
+	r.Booted("2", at(4100))
+	is.Equal(r.Limit(at(4200)), firstLimit)
+	r.Booted("3", at(5000))
+	r.Reported(true, lag, at(5100))
+	is.Equal(r.Limit(at(30000)), firstLimit)
+}
+
+func TestItLearnsWhatTheUpstreamBears(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	coldStart := func(ms, carried int) {
+		r.Reported(true, lag, at(ms))
+		r.Carried(carried)
+		r.Reported(false, lag, at(ms+3000))
+	}
+	coldStart(0, firstLimit)
+	is.Equal(r.Learned(), 3) // it bore the whole limit
+	coldStart(10000, 1)
+	is.Equal(r.Learned(), 3) // it was not tried
+	coldStart(20000, 3)
+	coldStart(30000, 4)
+	coldStart(40000, 4)
+	is.Equal(r.Learned(), 4) // never above its share of the capacity
+	r.Reported(true, lag, at(50000))
+	r.Lost(4, at(51000))
+	is.Equal(r.Learned(), 3) // it fell over at 4
+	r.Booted("2", at(53000))
+	r.Carried(3)
+	r.Reported(true, lag, at(53000))
+	r.Reported(false, lag, at(56000))
+	coldStart(60000, 3)
+	is.Equal(r.Learned(), 3) // and is never given 4 again
+}
+
+func TestAnUpstreamWithoutReportsWarmsUpInTime(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	r.Lost(8, at(0))
+	is.Equal(r.Limit(at(4900)), firstLimit)
+	is.Equal(r.Limit(at(5100)), firstLimit)
+	is.Equal(r.Limit(at(7200)), Unlimited)
+}
+
+func TestASuspicionEndsByItself(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	r.Suspected(at(0))
+	is.Equal(r.Limit(at(100)), firstLimit)
+	is.Equal(r.Limit(at(1600)), Unlimited)
+	r.Suspected(at(2000))
+	r.Cleared()
+	is.Equal(r.Limit(at(2100)), Unlimited)
+}
+
+func TestPaceFindsASlowUpstream(t *testing.T) {
+	is := is.New(t)
+	var p Pace
+	for range 100 {
+		is.True(!p.Observe(5 * time.Millisecond))
+	}
+	is.True(!p.Observe(18 * time.Millisecond)) // one hiccup
+	slowAfter := 0
+	for !p.Observe(20 * time.Millisecond) {
+		slowAfter++
+	}
+	is.True(slowAfter <= 4)
+	for range 1000 {
+		is.True(p.Observe(20 * time.Millisecond)) // slow does not become usual
+	}
+	back := 0
+	for p.Observe(5 * time.Millisecond) {
+		back++
+	}
+	is.True(back <= 8)
+}
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,82 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// step is one event of a fault table and what the upstream may get after it.
+type step struct {
+	ms    int
+	event string
+	want  Status
+}
+
+func TestHealth(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"a single failure", []step{{0, "failed", Up}, {10, "succeeded", Up}, {20, "failed", Up}, {30, "failed", Up}}},
+		{"failures in a row", []step{{0, "failed", Up}, {10, "failed", Up}, {20, "failed", Down}}},
+		{"a probe resets the row", []step{{0, "failed", Up}, {10, "failed", Up}, {15, "probed", Up}, {20, "failed", Up}}},
+		{"unreachable", []step{{0, "unreachable", Down}}},
+		{"back by probe and trial", []step{{0, "unreachable", Down}, {400, "probed", Down}, {500, "probed", Trial}, {510, "succeeded", Up}}},
+		{"a failed trial", []step{{0, "unreachable", Down}, {500, "probed", Trial}, {510, "failed", Down}, {1010, "probed", Down}, {1510, "probed", Trial}}},
+		{"without a probe it stays down", []step{{0, "unreachable", Down}, {60000, "succeeded", Down}}},
+		{"flapping doubles the backoff", []step{
+			{0, "unreachable", Down}, {500, "probed", Trial}, {501, "succeeded", Up},
+			{600, "unreachable", Down}, {1500, "probed", Down}, {1600, "probed", Trial}, {1601, "succeeded", Up},
+			{1700, "unreachable", Down}, {3600, "probed", Down}, {3700, "probed", Trial},
+		}},
+		{"flapping is forgotten", []step{
+			{0, "unreachable", Down}, {500, "probed", Trial}, {501, "succeeded", Up},
+			{70000, "unreachable", Down}, {70500, "probed", Trial},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var tracker Tracker
+			for _, s := range c.steps {
+				now := time.Unix(1000, 0).Add(time.Duration(s.ms) * time.Millisecond)
+				switch s.event {
+				case "failed":
+					tracker.Failed(now)
+				case "unreachable":
+					tracker.Unreachable(now)
+				case "succeeded":
+					tracker.Succeeded()
+				case "probed":
+					tracker.Probed(now)
+				}
+				is.Equal(tracker.Status(), s.want)
+			}
+		})
+	}
+}
+
+func TestATrialIsOneRequest(t *testing.T) {
+	is := is.New(t)
+	var tracker Tracker
+	now := time.Unix(1000, 0)
+	tracker.Unreachable(now)
+	is.True(!tracker.Admits(0))
+	tracker.Probed(now.Add(time.Second))
+	is.True(tracker.Admits(0))
+	is.True(!tracker.Admits(1))
+}
+
+func TestTheBackoffIsBounded(t *testing.T) {
+	is := is.New(t)
+	var tracker Tracker
+	now := time.Unix(1000, 0)
+	for range 100 {
+		tracker.Unreachable(now)
+		is.True(tracker.RetryAfter(now) <= maxBackoff)
+		now = now.Add(maxBackoff)
+		tracker.Probed(now)
+		tracker.Succeeded()
+	}
+}
--- a/internal/loadbound/bound.go
+++ b/internal/loadbound/bound.go
@@ -16,30 +16,33 @@
 // rounding absorbs the error of the division before a result is rounded to whole requests.
 const rounding = 1e-9
 
-// Totals sums load and capacity over upstreams of one pool, both in requests.
+// Totals sums what upstreams of one pool carry, in requests.
 type Totals struct {
-	Load     float64
+	Load float64
+	// Waiting is the number of requests that wait for a place.
+	Waiting  float64
 	Capacity int
 }
 
 // Add returns the sum of both totals.
 func (t Totals) Add(o Totals) Totals {
-	return Totals{Load: t.Load + o.Load, Capacity: t.Capacity + o.Capacity}
+	return Totals{Load: t.Load + o.Load, Waiting: t.Waiting + o.Waiting, Capacity: t.Capacity + o.Capacity}
 }
 
-// Limit returns the most requests that an upstream of this capacity may carry, including the one that asks, when the
-// others of its pool carry totals (the upstream itself included). It is factor times the mean, rounded down, but never
-// below the mean rounded up, since some upstream has to carry that much, nor below the idle share, nor above the capacity.
+// Limit returns the most requests that an upstream of this capacity may carry, including the one that asks, when its
+// whole pool carries totals. It is factor times the mean load, rounded down, but never below the mean that this request
+// and the waiting ones will bring, rounded up, since some upstream has to carry that much. It is never below the idle
+// share nor above the capacity.
 func Limit(factor float64, capacity int, totals Totals) int {
 	if capacity < 1 {
 		return 1
 	}
-	share := 1.0
-	if totals.Capacity > 0 {
-		share = (totals.Load + 1) / float64(totals.Capacity)
+	if totals.Capacity == 0 {
+		return capacity
 	}
-	mean := share * float64(capacity)
-	limit := max(math.Floor(factor*mean+rounding), math.Ceil(mean-rounding), Idle(capacity))
+	share := float64(capacity) / float64(totals.Capacity)
+	before, after := totals.Load*share, (totals.Load+totals.Waiting+1)*share
+	limit := max(math.Floor(factor*before+rounding), math.Ceil(after-rounding), Idle(capacity))
 	return int(min(limit, float64(capacity)))
 }
 
--- a/internal/loadbound/table.go
+++ b/internal/loadbound/table.go
@@ -25,9 +25,10 @@
 	// Incarnation identifies the run of the owner's process; Sequence grows with its digests.
 	Incarnation uint64
 	Sequence    uint64
-	// Load is the number of requests in flight and waiting.
-	Load int
-	Cold bool
+	// Load is the number of requests in flight; Waiting is the number of those that wait for a place.
+	Load    int
+	Waiting int
+	Cold    bool
 	// Down means that the owner sends it nothing because it fails.
 	Down bool
 }
@@ -105,7 +106,7 @@
 	var fresh Totals
 	for _, m := range members {
 		if e, ok := t.entries[m.Name]; ok && now.Sub(e.heard) < freshFor && !e.Down {
-			fresh = fresh.Add(Totals{Load: float64(e.Load), Capacity: m.Capacity})
+			fresh = fresh.Add(Totals{Load: float64(e.Load), Waiting: float64(e.Waiting), Capacity: m.Capacity})
 		}
 	}
 	total := fresh
--- a/internal/upstreams/acquire.go
+++ b/internal/upstreams/acquire.go
@@ -64,15 +64,14 @@
 	if !st.health.Admits(st.inFlight) {
 		return nil, nil, refuseDown(st, now)
 	}
-	limit := s.limit(st, now)
-	if st.queue.Len() == 0 && st.load() < limit {
+	if st.queue.Len() == 0 && s.hasPlace(st, now) {
 		s.take(st, now)
 		return st, nil, nil
 	}
 	if !req.MayWait {
 		return nil, nil, refuseFull(st)
 	}
-	w, err := s.enqueue(st, req, limit, now)
+	w, err := s.enqueue(st, req, s.limit(st, now), now)
 	return st, w, err
 }
 
@@ -89,6 +88,7 @@
 func (s *Set) take(st *state, now time.Time) {
 	st.change(1, now)
 	st.total++
+	s.changed(st, 1, 0)
 }
 
 // enqueue puts the request into the queue, or refuses it at once if it would wait too long. The caller holds mu.
@@ -105,6 +105,7 @@
 		s.metrics.evicted.Inc(1)
 		return nil, refuseBusy(st, expected)
 	}
+	s.changed(st, 0, 1-len(evicted))
 	for _, e := range evicted {
 		s.metrics.evicted.Inc(1)
 		e.done <- refuseBusy(st, expected)
@@ -139,6 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st.queue.Remove(w.team, w) {
+		s.changed(st, 0, -1)
 		return refusal
 	}
 	if err := <-w.done; err != nil {
@@ -151,13 +153,15 @@
 // giveBack frees a place and grants it to who waits. The caller holds mu.
 func (s *Set) giveBack(st *state) {
 	st.change(-1, s.Clock.Now())
+	s.changed(st, -1, 0)
 	s.drain(st, s.Clock.Now())
 }
 
 // drain grants places to waiting requests as far as the limit allows. The caller holds mu.
 func (s *Set) drain(st *state, now time.Time) {
-	for st.queue.Len() > 0 && st.health.Admits(st.inFlight) && st.load() < s.limit(st, now) {
+	for st.queue.Len() > 0 && st.health.Admits(st.inFlight) && s.hasPlace(st, now) {
 		w, _ := st.queue.Pop()
+		s.changed(st, 0, -1)
 		s.take(st, now)
 		w.state = st
 		w.done <- nil
@@ -168,6 +172,7 @@
 func (s *Set) flush(st *state, refusal error) {
 	for st.queue.Len() > 0 {
 		w, _ := st.queue.Pop()
+		s.changed(st, 0, -1)
 		w.done <- refusal
 	}
 }
--- a/internal/upstreams/bound_test.go
+++ b/internal/upstreams/bound_test.go
@@ -40,6 +40,11 @@
 			}
 		}
 	}},
+	{name: "ownership moves at once and back", fault: func(s *simulation, second int) {
+		for _, h := range s.hosts {
+			h.live["host-1"] = second < 6 || second > 9
+		}
+	}},
 	{name: "an owner is lost for good", fault: func(s *simulation, second int) {
 		s.hosts[1].frozen = second >= 6
 		for _, h := range s.hosts {
--- a/internal/upstreams/gossip.go
+++ b/internal/upstreams/gossip.go
@@ -22,7 +22,8 @@
 	for _, name := range s.turn() {
 		st := s.states[name]
 		d.Loads = append(d.Loads, &gossippb.UpstreamLoad{
-			Upstream: name, Sequence: s.sequence, InFlight: uint32(st.inFlight + st.queue.Len()), Cold: st.ramp.Cold(), Down: st.down(),
+			Upstream: name, Sequence: s.sequence, InFlight: uint32(max(0, st.inFlight)), Waiting: uint32(st.queue.Len()),
+			Cold: st.ramp.Cold(), Down: st.down(),
 		})
 		s.next = name
 	}
@@ -44,24 +45,15 @@
 
 // Merge implements peers.Extension. The digest's sender speaks for its own upstreams.
 func (s *Set) Merge(d *gossippb.Digest) {
+	s.confirm(d.DocumentVersion)
 	for _, l := range d.Loads {
 		s.table.Merge(loadbound.Report{
 			Upstream: l.Upstream, Incarnation: d.Incarnation, Sequence: l.Sequence, Load: int(l.InFlight),
-			Cold: l.Cold, Down: l.Down,
+			Waiting: int(l.Waiting), Cold: l.Cold, Down: l.Down,
 		})
 	}
 }
 
-// rival returns the load that another host reports for an upstream that this host owns: while views differ, both count
-// each other's requests.
-func (s *Set) rival(upstream string) int {
-	r, fresh := s.table.Fresh(upstream)
-	if !fresh {
-		return 0
-	}
-	return r.Load
-}
-
 // Hint is what this host last heard of an upstream from its owner.
 type Hint struct {
 	Down bool
--- /dev/null
+++ b/internal/upstreams/owned.go
@@ -0,0 +1,83 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/loadbound"
+	"github.com/orioleusher/orioleusher/internal/ownership"
+	"github.com/orioleusher/orioleusher/internal/settings"
+)
+
+// ownershipInterval is how often a host finds anew which upstreams it owns.
+const ownershipInterval = 500 * time.Millisecond
+
+// owned says which upstreams other hosts owned at a time.
+type owned struct {
+	snap *document.Snapshot
+	at   time.Time
+	// others lists, for each pool, the upstreams that take work and that this host does not own.
+	others map[string][]loadbound.Member
+}
+
+// due reports whether the ownership is to be found anew.
+func (o *owned) due(snap *document.Snapshot, now time.Time) bool {
+	return o.snap != snap || now.Sub(o.at) >= ownershipInterval
+}
+
+// findOwned finds which upstreams this host owns and starts the ramp of those that are new. The caller holds mu.
+func (s *Set) findOwned(snap *document.Snapshot, now time.Time) owned {
+	found := owned{snap: snap, at: now, others: map[string][]loadbound.Member{}}
+	centres := s.liveCentres(snap)
+	seat, _ := snap.Host(s.Self)
+	for i := range snap.Pools {
+		pool := &snap.Pools[i]
+		others := []loadbound.Member{}
+		for j := range pool.Upstreams {
+			up := &pool.Upstreams[j]
+			if !snap.TakesWork(up) {
+				s.setOwned(document.PoolUpstream{Upstream: up, Pool: pool}, false, now)
+				continue
+			}
+			// The owner is in the upstream's own data centre while a host of it lives.
+			elsewhere := up.DataCentre != seat.DataCentre && centres[up.DataCentre]
+			owns := s.Policy == settings.PolicyDirect || !elsewhere && s.isOwner(snap, up)
+			s.setOwned(document.PoolUpstream{Upstream: up, Pool: pool}, owns, now)
+			if !owns {
+				others = append(others, loadbound.Member{Name: up.Name, Capacity: up.Capacity})
+			}
+		}
+		found.others[pool.Name] = others
+	}
+	return found
+}
+
+// liveCentres returns the data centres with a live host.
+func (s *Set) liveCentres(snap *document.Snapshot) map[string]bool {
+	centres := map[string]bool{}
+	for _, seat := range snap.Seats() {
+		if !centres[seat.DataCentre] && !seat.Retired && s.Live.Live(seat.Name) {
+			centres[seat.DataCentre] = true
+		}
+	}
+	return centres
+}
+
+func (s *Set) isOwner(snap *document.Snapshot, up *document.Upstream) bool {
+	host, ok := ownership.Owner(snap, s.Live, up)
+	return ok && host.Name == s.Self
+}
+
+// setOwned takes over whether this host owns the upstream. The caller holds mu.
+func (s *Set) setOwned(up document.PoolUpstream, owns bool, now time.Time) {
+	st := s.states[up.Name]
+	switch {
+	case st == nil && owns:
+		s.stateOf(up, now).owned = true
+	case st != nil && st.owned != owns:
+		st.owned = owns
+		if owns {
+			s.takeOver(st, now)
+		}
+	}
+}
--- a/internal/upstreams/run.go
+++ b/internal/upstreams/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/orioleusher/orioleusher/internal/document"
-	"github.com/orioleusher/orioleusher/internal/loadbound"
 	"github.com/orioleusher/orioleusher/internal/settings"
 )
 
@@ -16,6 +14,10 @@
 	sleepGap = 1500 * time.Millisecond
 	// idleLife is how long an upstream that this host does not own is watched after its last request.
 	idleLife = 10 * time.Second
+	// settleTime is how long after a sleep a digest may have waited as long as the process slept.
+	settleTime = time.Second
+	// confirmTimeout is how long a process that slept waits for a peer before it goes on alone.
+	confirmTimeout = 3 * time.Second
 )
 
 // Run keeps the set up to date until the context ends.
@@ -43,9 +45,10 @@
 	if snap == nil {
 		return
 	}
-	for i := range snap.Pools {
-		s.refreshPool(snap, &snap.Pools[i], now)
+	if s.ownership.due(snap, now) {
+		s.ownership = s.findOwned(snap, now)
 	}
+	s.sumPools()
 	for name, st := range s.states {
 		s.refreshState(ctx, name, st, now)
 	}
@@ -59,32 +62,24 @@
 	s.lastTick = now
 	s.metrics.slept.Inc(1)
 	s.Log.Warn().Str("event", "slept").Send()
+	s.wokeAt, s.confirmed = now, false
 	s.table.Forget()
 	for _, st := range s.states {
 		s.takeOver(st, now)
 	}
-	clear(s.elsewhere)
+	clear(s.pools)
+	s.ownership = owned{}
 }
 
-// refreshPool finds which of the pool's upstreams this host owns and sums the load of the others. The caller holds mu.
-func (s *Set) refreshPool(snap *document.Snapshot, pool *document.Pool, now time.Time) {
-	var others []loadbound.Member
-	for i := range pool.Upstreams {
-		up := &pool.Upstreams[i]
-		owned := snap.TakesWork(up) && s.owns(snap, up)
-		if st := s.states[up.Name]; st != nil && st.owned != owned {
-			st.owned = owned
-			if owned {
-				s.takeOver(st, now)
-			}
-		} else if st == nil && owned {
-			s.stateOf(document.PoolUpstream{Upstream: up, Pool: pool}, now).owned = true
-		}
-		if !owned && snap.TakesWork(up) {
-			others = append(others, loadbound.Member{Name: up.Name, Capacity: up.Capacity})
-		}
+// confirm ends the hold after a sleep when a peer's document is not newer than the one in force.
+func (s *Set) confirm(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := s.Configuration.Current()
+	if s.confirmed || snap == nil || s.Clock.Since(s.wokeAt) < settleTime {
+		return
 	}
-	s.elsewhere[pool.Name] = s.table.Totals(others)
+	s.confirmed = version <= snap.Version
 }
 
 // refreshState brings one upstream up to date. The caller holds mu.
@@ -100,7 +95,7 @@
 	}
 	st = s.stateOf(up, now)
 	st.expireForeign(now)
-	st.rival = s.rival(name)
+	s.findRival(st)
 	if s.watched(st, now) && !st.polling && !now.Before(st.pollAt) {
 		st.polling = true
 		st.pollAt, st.polledAt = now.Add(pollInterval), now
--- a/internal/upstreams/state.go
+++ b/internal/upstreams/state.go
@@ -33,10 +33,11 @@
 	// foreign is the load that the upstream carries for other hosts, by its own report.
 	foreign   int
 	foreignAt time.Time
-	// rival is the load that another host claims to have there as its owner, by gossip.
-	rival int
-	seen  extremes
-	owned bool
+	// rival is the load that another host claims to have there as its owner, by gossip; contested says that one does.
+	rival     int
+	contested bool
+	seen      extremes
+	owned     bool
 	// takenOver is when this host last became the owner; reported says whether a load report has come since.
 	takenOver time.Time
 	reported  bool
@@ -68,17 +69,22 @@
 // load is the number of requests that the upstream carries, as far as is known.
 func (st *state) load() int { return st.inFlight + max(st.foreign, st.rival) }
 
-// demand is the load with the requests that wait.
-func (st *state) demand() int { return st.load() + st.queue.Len() }
+// totals is what the upstream adds to its pool's totals.
+func (st *state) totals() loadbound.Totals {
+	return loadbound.Totals{Load: float64(st.load()), Waiting: float64(st.queue.Len()), Capacity: st.up.Capacity}
+}
 
 // counts reports whether the upstream is part of the mean.
 func (st *state) counts() bool { return st.owned && st.health.Status() == health.Up }
 
-// takeoverLimit returns the limit of a new owner, which rises to the bound.
-func (st *state) takeoverLimit(bound int, now time.Time) int {
+// ownerLimit returns the limit of a new owner, which rises to the bound. A host that does not believe itself the owner
+// gives no more than the idle load to senders that do.
+func (st *state) ownerLimit(bound int, now time.Time) int {
 	elapsed := now.Sub(st.takenOver)
 	idle := min(bound, int(loadbound.Idle(st.up.Capacity)))
 	switch {
+	case !st.owned:
+		return idle
 	case !st.reported && elapsed < silentReports:
 		return idle
 	case elapsed >= takeoverRamp:
--- a/internal/upstreams/upstreams.go
+++ b/internal/upstreams/upstreams.go
@@ -60,11 +60,16 @@
 
 	mu     sync.Mutex
 	states map[string]*state
-	// elsewhere sums, for each pool, the load at the upstreams that other hosts own.
-	elsewhere map[string]loadbound.Totals
+	pools  map[string]*poolLoad
+	// ownership says which upstreams this host owned when it last looked.
+	ownership owned
 	// lastTick is when the control loop last ran; zero until it starts.
 	lastTick time.Time
-	sequence uint64
+	// wokeAt is when the process last noticed that it had slept; confirmed says whether a peer has shown since then that
+	// the document in force is not behind.
+	wokeAt    time.Time
+	confirmed bool
+	sequence  uint64
 	// next is the name after which the next digest goes on.
 	next string
 }
@@ -95,7 +100,7 @@
 func NewSet(o Options) *Set {
 	return &Set{
 		Options: o, table: loadbound.NewTable(o.Clock), metrics: newSetMetrics(o.Scope),
-		states: map[string]*state{}, elsewhere: map[string]loadbound.Totals{},
+		confirmed: true, states: map[string]*state{}, pools: map[string]*poolLoad{},
 	}
 }
 
@@ -120,34 +125,37 @@
 func (s *Set) takeOver(st *state, now time.Time) {
 	s.metrics.takeover.Inc(1)
 	st.takenOver, st.reported, st.pollAt = now, false, now
+	s.findRival(st)
 }
 
-// owns reports whether this host owns the upstream by its own view.
-func (s *Set) owns(snap *document.Snapshot, up *document.Upstream) bool {
-	if s.Policy == settings.PolicyDirect {
-		return true
+// findRival takes over what another host claims to have at the upstream as its owner. The caller holds mu.
+func (s *Set) findRival(st *state) {
+	report, fresh := s.table.Fresh(st.up.Name)
+	st.rival, st.contested = report.Load, fresh
+	if !fresh {
+		st.rival = 0
 	}
-	host, ok := ownership.Owner(snap, s.Live, up)
-	return ok && host.Name == s.Self
+}
+
+// hasPlace reports whether the upstream may carry one more request. While two hosts own it, each may have half, since
+// both may admit before they hear of each other's last requests. The caller holds mu.
+func (s *Set) hasPlace(st *state, now time.Time) bool {
+	limit := s.limit(st, now)
+	if st.contested && s.Policy.Bound() && st.inFlight >= max(1, limit/2) {
+		return false
+	}
+	return st.load() < limit
 }
 
 // limit returns the most requests that the upstream may carry now. The caller holds mu.
 func (s *Set) limit(st *state, now time.Time) int {
+	if !s.confirmed && now.Sub(s.wokeAt) < confirmTimeout {
+		return 0
+	}
 	limit := loadbound.NoLimit
 	if s.Policy.Bound() {
-		totals := s.elsewhere[st.up.Pool.Name].Add(s.ownTotals(st))
-		limit = st.takeoverLimit(loadbound.Limit(st.up.Pool.LoadFactor, st.up.Capacity, totals), now)
+		totals := s.pool(st).lower()
+		limit = st.ownerLimit(loadbound.Limit(st.up.Pool.LoadFactor, st.up.Capacity, totals), now)
 	}
 	return min(limit, st.ramp.Limit(now))
 }
-
-// ownTotals sums the load of the upstreams of st's pool that this host owns, and of st. The caller holds mu.
-func (s *Set) ownTotals(st *state) loadbound.Totals {
-	var totals loadbound.Totals
-	for _, other := range s.states {
-		if other.up.Pool.Name == st.up.Pool.Name && other.counts() {
-			totals = totals.Add(loadbound.Totals{Load: float64(other.demand()), Capacity: other.up.Capacity})
-		}
-	}
-	return totals
-}
