--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/ownership"
@@ -125,12 +126,17 @@
 }
 
 // mayGoOn reports whether another upstream may be tried after err: when this attempt did not run, and on repeatable
-// routes also when that is unknown, since no byte of an answer has been relayed yet.
+// routes also when that is unknown, since no byte of an answer has been relayed yet. After the death of an upstream the
+// quarantine step decides.
 func mayGoOn(ctx context.Context, x *exchange.Exchange, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	return exchange.Refusal(err).Outcome == outcome.NotRun || x.Route.Repeatable
+	r := exchange.Refusal(err)
+	if r.Code == quarantine.CodeDied || r.Code == quarantine.CodeHeld {
+		return false
+	}
+	return r.Outcome == outcome.NotRun || x.Route.Repeatable
 }
 
 // attempt sends the request to the owner of the upstream and sets the answer.
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -4,10 +4,13 @@
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/filters/admit"
 	"github.com/orioleusher/orioleusher/internal/filters/authorise"
+	"github.com/orioleusher/orioleusher/internal/filters/awake"
 	"github.com/orioleusher/orioleusher/internal/filters/dispatch"
 	"github.com/orioleusher/orioleusher/internal/filters/idempotency"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
 	"github.com/orioleusher/orioleusher/internal/filters/limit"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
+	"github.com/orioleusher/orioleusher/internal/filters/resume"
 	"github.com/orioleusher/orioleusher/internal/filters/route"
 	"github.com/orioleusher/orioleusher/internal/filters/send"
 )
@@ -15,6 +18,7 @@
 // entryChain is what a caller's request passes, in this order, on the host that accepted it.
 func (r *Router) entryChain() exchange.Next {
 	filters := []exchange.Filter{
+		awake.New(r.guard, r.store),
 		identify.New(r.clock, r.scope),
 		authorise.New(r.scope),
 		limit.New(r.limiter, r.scope),
@@ -24,12 +28,15 @@
 
 // issuerChain is what a request with an idempotency key passes on the host that issued the key.
 func (r *Router) issuerChain() exchange.Next {
-	return exchange.Chain(r.issuerFilters()...)
+	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters()...)...)
 }
 
 func (r *Router) issuerFilters() []exchange.Filter {
+	entry := quarantine.NewEntry(r.quarantine, r.prober, r.gossip.Push, r.scope)
 	return []exchange.Filter{
 		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
+		entry,
+		resume.New(entry, r.scope),
 		route.New(r.planner, r.scope),
 		dispatch.New(dispatch.Options{
 			Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Hints: r.upstreams,
@@ -41,7 +48,10 @@
 // ownerChain is what a request passes on the host that owns the chosen upstream.
 func (r *Router) ownerChain() exchange.Next {
 	return exchange.Chain(
+		awake.New(r.guard, r.store),
+		quarantine.NewOwner(r.quarantine, r.lanes, r.prober, r.scope),
 		admit.New(r.upstreams, r.scope),
+		awake.NewLast(r.guard, r.store),
 		send.New(r.client, r.scope),
 	)
 }
--- a/internal/rpc/gossippb/gossip.twirp.go
+++ b/internal/rpc/gossippb/gossip.twirp.go
@@ -36,8 +36,14 @@
 	// Exchange merges the sender's digest and returns the receiver's.
 	Exchange(context.Context, *Digest) (*Digest, error)
 
+	// Probe says whether the receiver reaches another host, for a sender that does not.
+	Probe(context.Context, *ProbeRequest) (*ProbeReply, error)
+
 	// FetchDocument returns the document in force.
 	FetchDocument(context.Context, *FetchDocumentRequest) (*FetchDocumentReply, error)
+
+	// OfferDocument hands the sender's document to a receiver that heard of it and could not fetch it.
+	OfferDocument(context.Context, *OfferDocumentRequest) (*OfferDocumentReply, error)
 }
 
 // ======================
@@ -46,7 +52,7 @@
 
 type gossipProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +80,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "orioleusher.gossip", "Gossip")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Probe",
 		serviceURL + "FetchDocument",
+		serviceURL + "OfferDocument",
 	}
 
 	return &gossipProtobufClient{
@@ -133,6 +141,52 @@
 	return out, nil
 }
 
+func (c *gossipProtobufClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipProtobufClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	out := new(ProbeReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gossipProtobufClient) FetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
@@ -164,7 +218,53 @@
 
 func (c *gossipProtobufClient) callFetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	out := new(FetchDocumentReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *gossipProtobufClient) OfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	caller := c.callOfferDocument
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return c.callOfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipProtobufClient) callOfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	out := new(OfferDocumentReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -185,7 +285,7 @@
 
 type gossipJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -213,9 +313,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "orioleusher.gossip", "Gossip")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Probe",
 		serviceURL + "FetchDocument",
+		serviceURL + "OfferDocument",
 	}
 
 	return &gossipJSONClient{
@@ -272,6 +374,52 @@
 	return out, nil
 }
 
+func (c *gossipJSONClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipJSONClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	out := new(ProbeReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gossipJSONClient) FetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
@@ -303,7 +451,53 @@
 
 func (c *gossipJSONClient) callFetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	out := new(FetchDocumentReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *gossipJSONClient) OfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	caller := c.callOfferDocument
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return c.callOfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipJSONClient) callOfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	out := new(OfferDocumentReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -418,9 +612,15 @@
 	case "Exchange":
 		s.serveExchange(ctx, resp, req)
 		return
+	case "Probe":
+		s.serveProbe(ctx, resp, req)
+		return
 	case "FetchDocument":
 		s.serveFetchDocument(ctx, resp, req)
 		return
+	case "OfferDocument":
+		s.serveOfferDocument(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -608,6 +808,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *gossipServer) serveProbe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveProbeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveProbeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *gossipServer) serveProbeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Gossip.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Gossip.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *gossipServer) serveProbeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Gossip.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Gossip.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *gossipServer) serveFetchDocument(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -788,6 +1168,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *gossipServer) serveOfferDocument(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveOfferDocumentJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveOfferDocumentProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *gossipServer) serveOfferDocumentJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(OfferDocumentRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Gossip.OfferDocument
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return s.Gossip.OfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferDocumentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferDocumentReply and nil error while calling OfferDocument. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *gossipServer) serveOfferDocumentProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(OfferDocumentRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Gossip.OfferDocument
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return s.Gossip.OfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferDocumentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferDocumentReply and nil error while calling OfferDocument. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *gossipServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1369,40 +1929,54 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 560 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x94, 0x51, 0x6f, 0xd3, 0x3e,
-	0x14, 0xc5, 0x95, 0xb5, 0xcd, 0x9a, 0xbb, 0x4d, 0xff, 0xfd, 0xad, 0x81, 0xa2, 0xc2, 0x43, 0x14,
-	0x24, 0x14, 0x84, 0x94, 0xa1, 0x81, 0x10, 0xe2, 0x71, 0x1a, 0x03, 0x24, 0xf6, 0x62, 0x04, 0x48,
-	0xbc, 0x54, 0x6e, 0x72, 0x97, 0x58, 0x24, 0x76, 0xb0, 0xdd, 0x96, 0x7d, 0x2a, 0xde, 0xf8, 0x7a,
-	0x20, 0x3b, 0x49, 0xc9, 0xa0, 0x43, 0x7b, 0xbb, 0xe7, 0xfa, 0xe7, 0xfa, 0xfa, 0xf8, 0x34, 0x10,
-	0x73, 0x61, 0x50, 0x09, 0x56, 0x1d, 0xab, 0x26, 0x3b, 0x2e, 0xa4, 0xd6, 0xbc, 0x69, 0x16, 0x5d,
-	0x91, 0x36, 0x4a, 0x1a, 0x49, 0x88, 0x54, 0x5c, 0x56, 0xb8, 0xd4, 0x25, 0xaa, 0xb4, 0x5d, 0x89,
-	0x57, 0xe0, 0x5f, 0x60, 0xbd, 0x40, 0x45, 0x08, 0x8c, 0x4b, 0xa9, 0x4d, 0xe8, 0x45, 0x5e, 0x12,
-	0x50, 0x57, 0x93, 0x08, 0xf6, 0xb8, 0xc8, 0x98, 0x12, 0xcc, 0x70, 0x29, 0xc2, 0x9d, 0xc8, 0x4b,
-	0x7c, 0x3a, 0x6c, 0x91, 0xfb, 0x10, 0x94, 0xc8, 0x94, 0x59, 0x20, 0x33, 0xe1, 0x28, 0xf2, 0x92,
-	0x31, 0xfd, 0xdd, 0x20, 0x21, 0xec, 0x56, 0xc8, 0x56, 0x5c, 0x14, 0xe1, 0x38, 0xf2, 0x92, 0x29,
-	0xed, 0x65, 0xfc, 0x63, 0x07, 0xfc, 0x33, 0x5e, 0xa0, 0x36, 0xe4, 0x2e, 0xf8, 0x1a, 0x45, 0x8e,
-	0xaa, 0x3b, 0xba, 0x53, 0xb7, 0x38, 0xfc, 0x11, 0x1c, 0xe6, 0x32, 0x5b, 0xd6, 0x28, 0xcc, 0x7c,
-	0x85, 0x4a, 0x5b, 0xac, 0x9d, 0xe1, 0xbf, 0xbe, 0xff, 0xb1, 0x6d, 0x93, 0x07, 0x70, 0xb0, 0x41,
-	0x4b, 0xa6, 0x4b, 0x37, 0x4f, 0x40, 0xf7, 0xfb, 0xe6, 0x1b, 0xa6, 0x4b, 0xf2, 0x0c, 0x76, 0x6b,
-	0x67, 0x86, 0x0e, 0x27, 0xd1, 0x28, 0xd9, 0x3b, 0x99, 0xa5, 0x7f, 0x5b, 0x96, 0xb6, 0x7e, 0xd1,
-	0x1e, 0x25, 0xcf, 0x61, 0x52, 0x49, 0x96, 0xeb, 0xd0, 0x77, 0x7b, 0xa2, 0x6d, 0x7b, 0x3e, 0x34,
-	0xda, 0x28, 0x64, 0xf5, 0x3b, 0xc9, 0x72, 0xda, 0xe2, 0xf6, 0x34, 0x6d, 0x14, 0xff, 0x82, 0x3a,
-	0xdc, 0xbd, 0xf9, 0xb4, 0xf7, 0x0e, 0xa1, 0x3d, 0x1a, 0xff, 0xf4, 0x60, 0x7f, 0xf8, 0x6b, 0x64,
-	0x06, 0xd3, 0x65, 0xa7, 0x3b, 0x03, 0x37, 0x9a, 0x1c, 0xc1, 0x44, 0xae, 0x05, 0x2a, 0x67, 0x5e,
-	0x40, 0x5b, 0x41, 0x1e, 0xc3, 0xff, 0xae, 0x98, 0x0f, 0xed, 0x1d, 0x39, 0x7b, 0x0f, 0xdd, 0xc2,
-	0xdb, 0x81, 0xc7, 0x33, 0x98, 0x6a, 0xfc, 0xba, 0x44, 0x91, 0xa1, 0xf3, 0x6c, 0x4c, 0x37, 0x9a,
-	0xdc, 0x83, 0x80, 0x8b, 0xf9, 0x65, 0xc5, 0x8b, 0xd2, 0x84, 0x93, 0xc8, 0x4b, 0x0e, 0xe8, 0x94,
-	0x8b, 0x73, 0xa7, 0x6d, 0x9e, 0x32, 0x59, 0xe5, 0xa1, 0xef, 0x1e, 0xde, 0xd5, 0xe4, 0x0e, 0xf8,
-	0xac, 0xc0, 0x79, 0x6d, 0x6f, 0x6c, 0xe9, 0x09, 0x2b, 0xf0, 0x42, 0x5b, 0x34, 0x97, 0x6b, 0x11,
-	0x4e, 0x5b, 0xd4, 0xd6, 0x36, 0x3a, 0x6b, 0xc6, 0x8d, 0x8d, 0x4e, 0xe0, 0xd8, 0x5e, 0xc6, 0x9f,
-	0xc0, 0x6f, 0x4d, 0xb1, 0x09, 0xb9, 0xe4, 0xa2, 0x40, 0xd5, 0x28, 0x2e, 0xda, 0xe4, 0xfa, 0x74,
-	0xd8, 0xb2, 0x06, 0xe0, 0x0a, 0x85, 0xe9, 0xd2, 0xd3, 0x8a, 0xc1, 0x18, 0xa3, 0xc1, 0x18, 0x71,
-	0x0a, 0x47, 0xe7, 0x68, 0xb2, 0xf2, 0xac, 0xcb, 0x04, 0xb5, 0xf7, 0xbc, 0x39, 0xa0, 0xf1, 0x13,
-	0x20, 0x7f, 0xf0, 0x4d, 0x75, 0x65, 0x0d, 0xeb, 0x43, 0xe5, 0xf8, 0x7d, 0xba, 0xd1, 0x27, 0xdf,
-	0x3d, 0xf0, 0x5f, 0xbb, 0x77, 0x25, 0xa7, 0x30, 0x7d, 0xf5, 0x2d, 0x2b, 0x99, 0x28, 0x90, 0x6c,
-	0x7d, 0xf8, 0xf6, 0xdf, 0x31, 0xfb, 0xc7, 0x1a, 0x61, 0x70, 0x70, 0x6d, 0x00, 0x92, 0x6c, 0x83,
-	0xb7, 0xdd, 0x69, 0xf6, 0xf0, 0x16, 0x64, 0x53, 0x5d, 0x9d, 0xbe, 0xfc, 0xfc, 0xa2, 0xe0, 0xa6,
-	0x5c, 0x2e, 0xd2, 0x4c, 0xd6, 0xc7, 0x83, 0x3d, 0xd7, 0xea, 0xad, 0x1f, 0x9f, 0x85, 0xef, 0x3e,
-	0x3b, 0x4f, 0x7f, 0x05, 0x00, 0x00, 0xff, 0xff, 0x6f, 0x9c, 0x6e, 0xac, 0x9c, 0x04, 0x00, 0x00,
+	// 771 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0x5d, 0x4f, 0xe3, 0x46,
+	0x14, 0xad, 0xf3, 0xe1, 0x38, 0x97, 0x84, 0xa6, 0xd3, 0x40, 0x4d, 0x5a, 0xa1, 0xc8, 0x55, 0xab,
+	0x94, 0x4a, 0xa1, 0xa2, 0x55, 0x85, 0xfa, 0x16, 0x9a, 0xd0, 0xb2, 0x22, 0x5a, 0x34, 0x09, 0x3c,
+	0x20, 0xad, 0xac, 0x89, 0x3d, 0xb1, 0xad, 0x75, 0xc6, 0xde, 0x19, 0x87, 0x2c, 0x7f, 0x6b, 0xff,
+	0xcf, 0xfe, 0x8f, 0x7d, 0xdb, 0x95, 0xc7, 0x76, 0xe2, 0x80, 0x61, 0x79, 0x9b, 0x7b, 0xe7, 0xcc,
+	0xdc, 0x33, 0xe7, 0xdc, 0x6b, 0x83, 0xe1, 0xb1, 0x88, 0x72, 0x46, 0xfc, 0x63, 0x1e, 0x5a, 0xc7,
+	0x4e, 0x20, 0x84, 0x17, 0x86, 0xb3, 0x74, 0xd1, 0x0f, 0x79, 0x10, 0x05, 0x08, 0x05, 0xdc, 0x0b,
+	0x7c, 0xba, 0x14, 0x2e, 0xe5, 0xfd, 0x64, 0xc7, 0xf8, 0xa0, 0x80, 0x3a, 0xa6, 0x8b, 0x19, 0xe5,
+	0x08, 0x41, 0xc5, 0x0d, 0x44, 0xa4, 0x2b, 0x5d, 0xa5, 0x57, 0xc7, 0x72, 0x8d, 0xba, 0xb0, 0xe3,
+	0x31, 0x8b, 0x70, 0x46, 0x22, 0x2f, 0x60, 0x7a, 0xa9, 0xab, 0xf4, 0x54, 0x9c, 0x4f, 0xa1, 0x43,
+	0x00, 0x87, 0x32, 0xca, 0x13, 0x40, 0xb9, 0xab, 0xf4, 0x2a, 0x38, 0x97, 0x41, 0x3a, 0xd4, 0x7c,
+	0x4a, 0xee, 0x3c, 0xe6, 0xe8, 0x95, 0xae, 0xd2, 0xd3, 0x70, 0x16, 0xa2, 0x53, 0x50, 0x45, 0x44,
+	0xa2, 0xa5, 0xd0, 0xab, 0x5d, 0xa5, 0xb7, 0x7b, 0xd2, 0xed, 0x3f, 0xe6, 0xd7, 0x4f, 0xb8, 0x4d,
+	0x24, 0x0e, 0xa7, 0x78, 0xe3, 0x53, 0x09, 0xd4, 0xa1, 0xe7, 0x50, 0x11, 0xa1, 0x7d, 0x50, 0x05,
+	0x65, 0x36, 0xe5, 0x29, 0xed, 0x34, 0x7a, 0x01, 0xf1, 0xdf, 0xa0, 0x65, 0x07, 0xd6, 0x72, 0x41,
+	0x59, 0x64, 0xde, 0x51, 0x2e, 0x36, 0xf4, 0xbf, 0xcd, 0xf2, 0x37, 0x49, 0x1a, 0xfd, 0x0c, 0xcd,
+	0x35, 0xd4, 0x25, 0xc2, 0x95, 0x2f, 0xa9, 0xe3, 0x46, 0x96, 0xfc, 0x9f, 0x08, 0x17, 0xfd, 0x05,
+	0xb5, 0x85, 0x24, 0x1b, 0xbf, 0xa7, 0xdc, 0xdb, 0x39, 0xe9, 0x3c, 0xfd, 0x1e, 0x9c, 0x41, 0xd1,
+	0xdf, 0x50, 0xf5, 0x03, 0x62, 0x0b, 0x5d, 0x95, 0x67, 0x0a, 0x35, 0xb8, 0x0e, 0x45, 0xc4, 0x29,
+	0x59, 0x5c, 0x06, 0xc4, 0xc6, 0x09, 0x3c, 0xae, 0x26, 0x22, 0xee, 0xbd, 0xa5, 0x42, 0xaf, 0x3d,
+	0x5d, 0x6d, 0x22, 0x21, 0x38, 0x83, 0xa2, 0x5f, 0x60, 0x37, 0xd1, 0xc7, 0x24, 0xb6, 0xcd, 0xa9,
+	0x10, 0xba, 0x26, 0x5f, 0xd2, 0x4c, 0xb2, 0x83, 0x24, 0x89, 0x0e, 0x40, 0x5b, 0x11, 0x16, 0x99,
+	0xc4, 0xf7, 0xf5, 0x7a, 0x62, 0x5a, 0x1c, 0x0f, 0x7c, 0xdf, 0xf8, 0xac, 0x40, 0x23, 0xcf, 0x07,
+	0x75, 0x40, 0x5b, 0xa6, 0x71, 0x6a, 0xc1, 0x3a, 0x46, 0x6d, 0xa8, 0x06, 0x2b, 0x46, 0xb9, 0x94,
+	0xbf, 0x8e, 0x93, 0x00, 0xfd, 0x0e, 0xdf, 0xc9, 0x85, 0x99, 0x37, 0xa8, 0x2c, 0x0d, 0x6a, 0xc9,
+	0x8d, 0x8b, 0x9c, 0x4b, 0x1d, 0xd0, 0x04, 0x7d, 0xb7, 0xa4, 0xcc, 0xa2, 0x52, 0xf5, 0x0a, 0x5e,
+	0xc7, 0xe8, 0x47, 0xa8, 0x7b, 0xcc, 0x9c, 0xfb, 0x9e, 0xe3, 0x46, 0xb2, 0x87, 0x9a, 0x58, 0xf3,
+	0xd8, 0xb9, 0x8c, 0xe3, 0x6e, 0xb6, 0x02, 0xdf, 0xd6, 0x55, 0xc9, 0x5f, 0xae, 0xd1, 0x1e, 0xa8,
+	0xc4, 0xa1, 0xe6, 0x22, 0xd6, 0x2c, 0x46, 0x57, 0x89, 0x43, 0xc7, 0x22, 0x86, 0xda, 0xc1, 0x8a,
+	0x49, 0x2d, 0x34, 0x2c, 0xd7, 0x71, 0xdb, 0xae, 0x88, 0x17, 0xc5, 0x6d, 0x5b, 0x97, 0xd8, 0x2c,
+	0x34, 0xde, 0x80, 0x9a, 0xc8, 0x1a, 0xf7, 0xd8, 0xdc, 0x63, 0x0e, 0xe5, 0x21, 0xf7, 0x58, 0x32,
+	0x37, 0x2a, 0xce, 0xa7, 0xb6, 0xc4, 0x49, 0x5a, 0x70, 0x23, 0xce, 0x86, 0x4c, 0x39, 0x47, 0xc6,
+	0x98, 0x42, 0xe3, 0x8a, 0x07, 0x33, 0x8a, 0xe3, 0x57, 0x3e, 0xd3, 0xe0, 0xd9, 0xb4, 0x96, 0x72,
+	0xd3, 0xaa, 0x43, 0x2d, 0xf3, 0xb5, 0x2c, 0xd3, 0x59, 0x68, 0x1c, 0x01, 0xa4, 0xb7, 0x86, 0xfe,
+	0x3d, 0xfa, 0x09, 0xea, 0x9c, 0x12, 0xcb, 0x25, 0x33, 0x9f, 0xca, 0x6b, 0x35, 0xbc, 0x49, 0x18,
+	0x7d, 0x68, 0x9f, 0xd3, 0xc8, 0x72, 0x87, 0x69, 0x77, 0x7f, 0x85, 0x89, 0xf1, 0x07, 0xa0, 0x07,
+	0xf8, 0xb8, 0x46, 0x07, 0xb4, 0x6c, 0x3c, 0x24, 0xbe, 0x81, 0xd7, 0xb1, 0xf1, 0x0a, 0xda, 0xaf,
+	0xe7, 0x73, 0xca, 0x5f, 0x58, 0x61, 0xeb, 0xae, 0xd2, 0x83, 0xbb, 0xda, 0x80, 0x1e, 0xdc, 0x15,
+	0xfa, 0xf7, 0x47, 0xb7, 0xd0, 0xc8, 0x7f, 0x39, 0xd0, 0x0f, 0xf0, 0xfd, 0x78, 0x34, 0x3e, 0x1b,
+	0x61, 0x73, 0x32, 0x1d, 0x4c, 0xaf, 0x27, 0xe6, 0xe0, 0xf2, 0xe2, 0x66, 0xd4, 0xfa, 0x06, 0x1d,
+	0xc0, 0xde, 0xf6, 0xc6, 0xe4, 0x7a, 0x72, 0x35, 0xfa, 0x77, 0xda, 0x52, 0xd0, 0x3e, 0xa0, 0xed,
+	0xad, 0xe1, 0x68, 0x30, 0x6c, 0x95, 0x4e, 0x3e, 0x96, 0x40, 0xfd, 0x4f, 0xce, 0x17, 0x3a, 0x03,
+	0x6d, 0xf4, 0xde, 0x72, 0x09, 0x73, 0x28, 0x2a, 0x1c, 0xc0, 0xe4, 0x2b, 0xd5, 0x79, 0x66, 0x0f,
+	0x5d, 0x40, 0x55, 0x5a, 0x83, 0x0a, 0x67, 0x3f, 0xdf, 0x0b, 0x9d, 0xc3, 0x67, 0x10, 0xb1, 0xe6,
+	0x04, 0x9a, 0x5b, 0x4e, 0xa0, 0x5e, 0xd1, 0x81, 0x22, 0x73, 0x3b, 0xbf, 0xbe, 0x00, 0x99, 0x96,
+	0xd8, 0x92, 0xbb, 0xb8, 0x44, 0x91, 0xbb, 0xc5, 0x25, 0x1e, 0x7b, 0x77, 0xf6, 0xcf, 0xed, 0xa9,
+	0xe3, 0x45, 0xee, 0x72, 0xd6, 0xb7, 0x82, 0xc5, 0x71, 0xee, 0xcc, 0xd6, 0xba, 0xf0, 0x7f, 0x37,
+	0x53, 0xe5, 0x9f, 0xee, 0xcf, 0x2f, 0x01, 0x00, 0x00, 0xff, 0xff, 0x4b, 0xdc, 0x47, 0x94, 0x0f,
+	0x07, 0x00, 0x00,
 }
