Lend rate tokens between seats and hand parts over with acknowledgements

Change: quotapb.Quota with Borrow and Status; buckets that count lent tokens until they lapse; a handover that waits for every seat's answer under the same split; queues with a bounded wait; small teams on few seats. The simulation failed first: a repeated reply was spent twice, a seat that had only lost parts vouched for a restarted one, and a lone seat of an old document settled alone. Existing checks: none changed; quota's section of the state dump has a new form.

--- a/internal/filters/limit/limit.go
+++ b/internal/filters/limit/limit.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/quota"
@@ -15,15 +16,20 @@
 // Name is the filter's step.
 const Name = "limit"
 
+// Admitter spends one token of a team.
+type Admitter interface {
+	Admit(ctx context.Context, snap *document.Snapshot, team *document.Team) quota.Decision
+}
+
 // Filter is the limit step.
 type Filter struct {
-	limiter  *quota.Limiter
+	limiter  Admitter
 	admitted tally.Counter
 	refused  tally.Counter
 }
 
 // New returns the filter.
-func New(limiter *quota.Limiter, scope tally.Scope) *Filter {
+func New(limiter Admitter, scope tally.Scope) *Filter {
 	return &Filter{
 		limiter: limiter, admitted: scope.Counter("limit_admitted"), refused: scope.Counter("limit_refused"),
 	}
@@ -37,7 +43,7 @@
 	if x.Team == nil {
 		return next(ctx, x)
 	}
-	d := f.limiter.Admit(x.Snapshot, x.Team)
+	d := f.limiter.Admit(ctx, x.Snapshot, x.Team)
 	if !d.Admitted {
 		f.refused.Inc(1)
 		return outcome.Refuse(Name, http.StatusTooManyRequests, "over-rate", "the team is above its rate").
--- /dev/null
+++ b/internal/quota/borrower_test.go
@@ -0,0 +1,188 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/proofs/rights/window"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
+)
+
+// The fleet of the comparison: seven seats, as the users have, and one large team.
+const (
+	comparedSeats = 7
+	comparedRate  = 500
+	comparedBurst = 100
+	// loanDelay is the time of one loan between two hosts.
+	loanDelay = time.Millisecond
+)
+
+// directLender lends from limiters in the same process, after a delay.
+type directLender struct {
+	limiters map[string]*Limiter
+	calls    atomic.Int64
+}
+
+func (d *directLender) Borrow(_ context.Context, seat document.SeatHost, team string, want uint32) (*quotapb.BorrowReply, error) {
+	d.calls.Add(1)
+	time.Sleep(loanDelay)
+	l := d.limiters[seat.Name]
+	if l == nil {
+		return nil, errors.New("seat is down")
+	}
+	return l.Lend(team, want), nil
+}
+
+type allLive struct{}
+
+func (allLive) Live(string) bool { return true }
+
+// admitter is one host under one of the compared policies.
+type admitter func(ctx context.Context) Decision
+
+// comparedFleet returns the hosts of a policy, settled and with full buckets.
+func comparedFleet(t testing.TB, policy string) ([]admitter, *directLender) {
+	clock := clockwork.NewRealClock()
+	names := make([]string, comparedSeats)
+	for i := range names {
+		names[i] = fmt.Sprintf("host-%d", i)
+	}
+	teams := []document.Team{{Name: "team", RatePerSecond: comparedRate, Burst: comparedBurst}}
+	lender := &directLender{limiters: map[string]*Limiter{}}
+	var hosts []admitter
+	for i, name := range names {
+		seats := names
+		if policy == "each host alone" {
+			seats = []string{name}
+		}
+		snap := seatDocument(t, 1, teams, seats...)
+		l := NewLimiter(name, uint64(i+1), clock)
+		l.Apply(snap)
+		lender.limiters[name] = l
+		b := NewBorrower(l, lender, allLive{}, clock, tally.NoopScope)
+		team := snap.Team("team")
+		hosts = append(hosts, func(ctx context.Context) Decision {
+			if policy == "borrowing" {
+				return b.Admit(ctx, snap, team)
+			}
+			return l.Admit(snap, team)
+		})
+	}
+	settleReal(lender.limiters)
+	time.Sleep(2*GrantValidity + time.Duration(comparedBurst*float64(time.Second)/comparedRate))
+	return hosts, lender
+}
+
+func settleReal(limiters map[string]*Limiter) {
+	time.Sleep(3 * GrantValidity)
+	for name, l := range limiters {
+		for _, q := range l.Questions() {
+			l.Learn(q, limiters[q.Seat.Name].Status(name, l.incarnation))
+		}
+	}
+}
+
+// report is what a load saw.
+type report struct {
+	sent, refused int
+	waited        time.Duration
+	admitted      []time.Time
+}
+
+// drive sends Poisson arrivals at a multiple of the team's rate to the given number of hosts.
+func drive(hosts []admitter, multiple float64, d time.Duration) report {
+	rnd := rand.New(rand.NewPCG(7, 7))
+	var mu sync.Mutex
+	var r report
+	var wg sync.WaitGroup
+	start := time.Now()
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rnd.ExpFloat64() / (multiple * comparedRate) * float64(time.Second))
+		if at > d {
+			break
+		}
+		time.Sleep(time.Until(start.Add(at)))
+		host := hosts[r.sent%len(hosts)]
+		r.sent++
+		wg.Go(func() {
+			called := time.Now()
+			decision := host(context.Background())
+			mu.Lock()
+			defer mu.Unlock()
+			if !decision.Admitted {
+				r.refused++
+				return
+			}
+			r.admitted = append(r.admitted, decision.At)
+			r.waited = max(r.waited, time.Since(called))
+		})
+	}
+	wg.Wait()
+	return r
+}
+
+func TestBorrowingServesASkewedTeamWithinItsRateAndNeverOverIt(t *testing.T) {
+	d := 10 * time.Second
+	if testing.Short() {
+		t.Skip("measures for a minute")
+	}
+	loads := []struct {
+		name     string
+		multiple float64
+		hosts    int
+	}{
+		{"80% of the rate, one host", 0.8, 1},
+		{"80% of the rate, all hosts", 0.8, comparedSeats},
+		{"10 times the rate, one host", 10, 1},
+		{"10 times the rate, all hosts", 10, comparedSeats},
+	}
+	for _, load := range loads {
+		for _, policy := range []string{"borrowing", "static split", "each host alone"} {
+			t.Run(load.name+"/"+policy, func(t *testing.T) {
+				t.Parallel()
+				hosts, lender := comparedFleet(t, policy)
+				r := drive(hosts[:load.hosts], load.multiple, d)
+				err := window.Check(r.admitted, comparedRate, comparedBurst)
+				refused := float64(r.refused) / float64(r.sent)
+				t.Logf("sent %d refused %.3f%% admitted %.1f/s loans %.1f/s longest wait %s over the bound: %v", r.sent,
+					100*refused, float64(len(r.admitted))/d.Seconds(), float64(lender.calls.Load())/d.Seconds(), r.waited, err != nil)
+				if policy != "borrowing" {
+					return
+				}
+				if err != nil {
+					t.Error(err)
+				}
+				if load.multiple < 1 && refused > 0.001 {
+					t.Errorf("refused %.3f%% of a team within its rate, target is 0.1%%", 100*refused)
+				}
+			})
+		}
+	}
+}
+
+func TestALenderThatIsDownDelaysButDoesNotRefuse(t *testing.T) {
+	is := is.New(t)
+	hosts, lender := comparedFleet(t, "borrowing")
+	for i := 1; i < 4; i++ {
+		delete(lender.limiters, fmt.Sprintf("host-%d", i))
+	}
+	admitted := 0
+	for range 40 {
+		if hosts[0](context.Background()).Admitted {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 40)
+}
--- /dev/null
+++ b/internal/quota/limiter.go
@@ -0,0 +1,306 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
+)
+
+// Decision is the result of one admission.
+type Decision struct {
+	Admitted bool
+	// At is when the token of an admitted request was spent.
+	At time.Time
+	// Borrowed is set when the token came from another seat.
+	Borrowed bool
+	// RetryAfter is the time until a token for this request can be expected.
+	RetryAfter time.Duration
+}
+
+// Limiter holds one token bucket for each team that was seen. It makes no calls and is safe for concurrent use.
+type Limiter struct {
+	host        string
+	incarnation uint64
+	clock       clockwork.Clock
+
+	mu sync.Mutex
+	// fillFrom is when an unused bucket began to fill: the start of the process or the last gain of a part.
+	fillFrom time.Time
+	view     *view
+	handover *handover
+	buckets  map[string]*bucket
+}
+
+// NewLimiter returns a limiter for the named host. Its buckets are empty and fill once the process holds its part and
+// every token that an earlier process of the host may have lent has lapsed.
+func NewLimiter(host string, incarnation uint64, clock clockwork.Clock) *Limiter {
+	return &Limiter{
+		host: host, incarnation: incarnation, clock: clock, fillFrom: clock.Now().Add(2 * GrantValidity),
+		handover: newHandover(host, incarnation), buckets: map[string]*bucket{},
+	}
+}
+
+// Apply puts a document in force unless the limiter has a newer one.
+func (l *Limiter) Apply(snap *document.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(snap, l.clock.Now())
+}
+
+// newer reports whether b replaces a; of two documents of one version the greater hash wins, as in the config store.
+func newer(a, b *document.Snapshot) bool {
+	return b.Version > a.Version || b.Version == a.Version && b.Hash > a.Hash
+}
+
+func (l *Limiter) apply(snap *document.Snapshot, now time.Time) {
+	old := l.view
+	if old != nil && (old.snap == snap || !newer(old.snap, snap)) {
+		return
+	}
+	l.view = newView(snap)
+	l.handover.apply(old, l.view, now)
+	l.gained(now)
+	if old != nil {
+		l.reshape(old, now)
+	}
+}
+
+// gained makes buckets that are not in use yet start empty.
+func (l *Limiter) gained(now time.Time) {
+	if now.After(l.fillFrom) {
+		l.fillFrom = now
+	}
+}
+
+// reshape gives every bucket its part under the new document. Buckets of deleted teams end; those of new ones start
+// empty.
+func (l *Limiter) reshape(old *view, now time.Time) {
+	for name, b := range l.buckets {
+		b.refill(now)
+		team := l.view.snap.Team(name)
+		if team == nil {
+			b.resize(0, 0)
+			if b.outstanding() == 0 {
+				delete(l.buckets, name)
+			}
+			continue
+		}
+		l.resize(b, team)
+	}
+	for i := range l.view.snap.Teams {
+		team := &l.view.snap.Teams[i]
+		if old.snap.Team(team.Name) == nil {
+			l.bucket(team, now)
+		}
+	}
+}
+
+func (l *Limiter) resize(b *bucket, team *document.Team) {
+	f := l.handover.fraction(l.view, team)
+	b.resize(f*team.RatePerSecond, f*team.Burst)
+}
+
+// bucket returns the team's bucket, refilled to now.
+func (l *Limiter) bucket(team *document.Team, now time.Time) *bucket {
+	b := l.buckets[team.Name]
+	if b == nil {
+		b = &bucket{refilled: l.fillFrom}
+		l.resize(b, team)
+		l.buckets[team.Name] = b
+	}
+	b.refill(now)
+	return b
+}
+
+// Admit spends one token of the team's own bucket. The limiter's document counts if it is newer than snap.
+func (l *Limiter) Admit(snap *document.Snapshot, team *document.Team) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if l.view == nil || l.view.snap != snap {
+		l.apply(snap, now)
+		if team = l.view.snap.Team(team.Name); team == nil {
+			return Decision{RetryAfter: never}
+		}
+	}
+	b := l.bucket(team, now)
+	if b.spend() {
+		return Decision{Admitted: true, At: now}
+	}
+	return Decision{RetryAfter: b.wait(1)}
+}
+
+// admitNamed spends one token of the team of that name under the document in force.
+func (l *Limiter) admitNamed(name string) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view == nil {
+		return Decision{RetryAfter: never}
+	}
+	team := l.view.snap.Team(name)
+	if team == nil {
+		return Decision{RetryAfter: never}
+	}
+	now := l.clock.Now()
+	b := l.bucket(team, now)
+	return Decision{Admitted: b.spend(), At: now, RetryAfter: b.wait(1)}
+}
+
+// Lend debits up to want tokens of the team for a borrower.
+func (l *Limiter) Lend(team string, want uint32) *quotapb.BorrowReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := &quotapb.BorrowReply{Incarnation: l.incarnation}
+	if l.view == nil {
+		return reply
+	}
+	reply.DocumentVersion = l.view.snap.Version
+	t := l.view.snap.Team(team)
+	if t == nil {
+		return reply
+	}
+	now := l.clock.Now()
+	b := l.bucket(t, now)
+	reply.Granted = b.lend(want, now)
+	reply.Spare, reply.Rate = max(0, b.tokens), b.rate
+	return reply
+}
+
+// Grant is a loan on its way: the borrower may spend it once, until GrantValidity after its request was sent.
+type Grant struct {
+	sent time.Time
+	used bool
+}
+
+// NewGrant notes that a request for tokens is sent now.
+func NewGrant(now time.Time) *Grant { return &Grant{sent: now} }
+
+// Redeem reports whether the tokens of the reply may be spent now; a repeated reply may not. Both clocks count: the
+// monotonic one stands still while a host is suspended, and the wall clock may be set back.
+func (g *Grant) Redeem(now time.Time) bool {
+	if g.used {
+		return false
+	}
+	g.used = true
+	return now.Sub(g.sent) <= GrantValidity && now.Round(0).Sub(g.sent.Round(0)) <= GrantValidity
+}
+
+// lenders returns the other seats that hold a part of the team, with the part's rate and burst.
+func (l *Limiter) lenders(name string) (seats []document.SeatHost, team *document.Team, part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view == nil {
+		return nil, nil, 0
+	}
+	team = l.view.snap.Team(name)
+	if team == nil {
+		return nil, nil, 0
+	}
+	all := teamSeats(team, l.view.active)
+	for _, s := range all {
+		if s.Name != l.host {
+			seats = append(seats, s)
+		}
+	}
+	return seats, team, 1 / float64(max(1, len(all)))
+}
+
+// Status answers a peer that asks under which split this host spends.
+func (l *Limiter) Status(peer string, incarnation uint64) *quotapb.StatusReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := l.handover.answer(peer, incarnation, l.clock.Now())
+	if l.view == nil {
+		reply.Drained, reply.Settled = false, false
+		return reply
+	}
+	reply.DocumentVersion = l.view.snap.Version
+	return reply
+}
+
+// Question is a status request to one seat.
+type Question struct {
+	Seat   document.SeatHost
+	number uint64
+}
+
+// Questions returns the status requests that must be answered before the host holds its whole part.
+func (l *Limiter) Questions() []Question {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view == nil {
+		return nil
+	}
+	var questions []Question
+	for _, seat := range l.handover.missing() {
+		questions = append(questions, Question{Seat: seat, number: l.handover.ask()})
+	}
+	slices.SortFunc(questions, func(a, b Question) int { return strings.Compare(a.Seat.Name, b.Seat.Name) })
+	return questions
+}
+
+// Learn takes over the answer to a question.
+func (l *Limiter) Learn(q Question, reply *quotapb.StatusReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fresh, settled := l.handover.fresh, l.handover.settled()
+	l.handover.learn(q.Seat.Name, q.number, reply)
+	if fresh == l.handover.fresh && settled == l.handover.settled() {
+		return
+	}
+	now := l.clock.Now()
+	l.gained(now)
+	for name, b := range l.buckets {
+		b.refill(now)
+		if team := l.view.snap.Team(name); team != nil {
+			l.resize(b, team)
+		}
+	}
+}
+
+// TeamState is one team's bucket in the state dump.
+type TeamState struct {
+	Team   string  `json:"team"`
+	Rate   float64 `json:"rate_per_second"`
+	Burst  float64 `json:"burst"`
+	Tokens float64 `json:"tokens"`
+	// Lent are tokens that borrowers may still spend.
+	Lent float64 `json:"lent"`
+}
+
+// State is the limiter's section of the state dump.
+type State struct {
+	// Fresh is true until this process may spend any part.
+	Fresh bool `json:"fresh"`
+	// Held is the number of teams of which the host spends less than the document gives it.
+	Held int `json:"held"`
+	// Missing are the seats whose acknowledgement is awaited.
+	Missing []string    `json:"missing,omitempty"`
+	Teams   []TeamState `json:"teams"`
+}
+
+// State returns every bucket.
+func (l *Limiter) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	state := State{Fresh: l.handover.fresh, Held: len(l.handover.held), Teams: make([]TeamState, 0, len(l.buckets))}
+	for _, seat := range l.handover.missing() {
+		state.Missing = append(state.Missing, seat.Name)
+	}
+	for name, b := range l.buckets {
+		b.refill(now)
+		state.Teams = append(state.Teams, TeamState{
+			Team: name, Rate: b.rate, Burst: b.burst, Tokens: b.tokens, Lent: b.outstanding(),
+		})
+	}
+	slices.Sort(state.Missing)
+	slices.SortFunc(state.Teams, func(a, b TeamState) int { return strings.Compare(a.Team, b.Team) })
+	return state
+}
--- /dev/null
+++ b/internal/quota/limiter_test.go
@@ -0,0 +1,227 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+)
+
+// seatDocument returns a document with one team of 30 requests a second and a burst of 60 over the seats.
+func seatDocument(t testing.TB, version uint64, teams []document.Team, seats ...string) *document.Snapshot {
+	t.Helper()
+	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "test", Version: version, Teams: teams}
+	dc := document.DataCentre{Name: "dc", State: document.StateIn}
+	for i, name := range seats {
+		address := fmt.Sprintf("127.0.0.1:%d", i+1)
+		dc.Hosts = append(dc.Hosts, document.Host{
+			Name: name, CallerAddress: address, PeerAddress: address, AdminAddress: address,
+		})
+	}
+	doc.DataCentres = []document.DataCentre{dc}
+	raw, err := doc.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := document.Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snap
+}
+
+var oneTeam = []document.Team{{Name: "team", RatePerSecond: 30, Burst: 60}}
+
+// cluster is a few limiters on one fake clock.
+type cluster struct {
+	clock    *clockwork.FakeClock
+	limiters map[string]*Limiter
+	boots    uint64
+}
+
+func newCluster() *cluster {
+	return &cluster{clock: clockwork.NewFakeClock(), limiters: map[string]*Limiter{}}
+}
+
+func (c *cluster) start(name string, snap *document.Snapshot) *Limiter {
+	c.boots++
+	c.limiters[name] = NewLimiter(name, c.boots, c.clock)
+	c.limiters[name].Apply(snap)
+	return c.limiters[name]
+}
+
+// ask lets one host ask the named seats, or all that run.
+func (c *cluster) ask(name string, seats ...string) {
+	asker := c.limiters[name]
+	for _, q := range asker.Questions() {
+		peer := c.limiters[q.Seat.Name]
+		wanted := len(seats) == 0
+		for _, s := range seats {
+			wanted = wanted || s == q.Seat.Name
+		}
+		if peer != nil && wanted {
+			asker.Learn(q, peer.Status(name, asker.incarnation))
+		}
+	}
+}
+
+func (c *cluster) settle(names ...string) {
+	c.clock.Advance(time.Second)
+	for range 2 {
+		for _, name := range names {
+			c.ask(name)
+		}
+	}
+	c.clock.Advance(time.Minute)
+}
+
+// spend admits until the limiter refuses and returns the count.
+func spend(l *Limiter, snap *document.Snapshot) int {
+	n := 0
+	for l.Admit(snap, snap.Team("team")).Admitted {
+		n++
+	}
+	return n
+}
+
+func TestAHostHoldsItsPartOnceEverySeatHasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.ask("a", "b")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.ask("a", "c")
+	is.Equal(spend(c.limiters["a"], v1), 0) // a part that was gained just now is empty
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestARestartedHostIsVouchedForWhileAnotherSeatIsDown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "b", "c")
+	c.limiters["c"] = nil
+	c.start("a", v1)
+	c.clock.Advance(time.Minute)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestAHostThatOnlyLostPartsVouchesForNothingBeforeEverySeatHasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b")
+	v2 := seatDocument(t, 2, oneTeam, "a", "b", "c")
+	c.start("a", v1)
+	c.start("b", v1)
+	c.settle("a", "b")
+	c.limiters["a"].Apply(v2)
+	c.start("c", v2)
+	c.clock.Advance(time.Second)
+	c.ask("c")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["c"], v2), 0) // b still spends under version 1
+}
+
+func TestAnAcknowledgementOfAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "p", "x")
+	v2 := seatDocument(t, 2, oneTeam, "a", "p", "x", "b")
+	for _, name := range []string{"a", "p", "x"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "p", "x")
+	c.limiters["a"].Apply(v2)
+	c.limiters["x"].Apply(v2)
+	c.start("b", v2)
+	c.clock.Advance(time.Second)
+	c.ask("b", "a", "x")
+	// A new process of x reads version 1 again, and p, which is still there, vouches for it.
+	c.start("x", v1)
+	c.ask("x", "p")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["x"], v1), 20)
+	c.limiters["p"].Apply(v2)
+	c.clock.Advance(time.Second)
+	c.ask("b", "p")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v2), 0)
+	c.limiters["x"].Apply(v2)
+	c.clock.Advance(time.Second)
+	c.ask("b")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v2), 15)
+}
+
+func TestALateAnswerFromAnEarlierSplitDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b")
+	v2 := seatDocument(t, 2, oneTeam, "a", "b", "c")
+	v3 := seatDocument(t, 3, oneTeam, "a", "b")
+	a := c.start("a", v1)
+	c.start("b", v1)
+	c.clock.Advance(time.Second)
+	question := a.Questions()[0]
+	answer := c.limiters["b"].Status("a", a.incarnation)
+	a.Apply(v2)
+	a.Apply(v3)
+	a.Learn(question, answer)
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(a, v3), 0)
+}
+
+func TestASmallTeamSitsOnFewSeats(t *testing.T) {
+	is := is.New(t)
+	seats := []string{"a", "b", "c", "d", "e", "f", "g"}
+	for _, tc := range []struct {
+		burst float64
+		want  int
+	}{{1, 1}, {7, 1}, {8, 2}, {15, 2}, {16, 4}, {27, 4}, {28, 7}, {1000, 7}} {
+		snap := seatDocument(t, 1, []document.Team{{Name: "team", RatePerSecond: 5, Burst: tc.burst}}, seats...)
+		active, holders, sum := activeSeats(snap), 0, 0.0
+		for _, seat := range seats {
+			f := fraction(seat, snap.Team("team"), active)
+			sum += f
+			if f > 0 {
+				holders++
+			}
+		}
+		is.Equal(holders, tc.want)
+		is.True(sum < 1+1e-9)
+	}
+}
+
+func TestRetryAfterIsTheTimeUntilATokenIsThere(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "b", "c")
+	a := c.limiters["a"]
+	is.Equal(spend(a, v1), 20)
+	d := a.Admit(v1, v1.Team("team"))
+	is.True(!d.Admitted)
+	c.clock.Advance(d.RetryAfter - time.Millisecond)
+	is.True(!a.Admit(v1, v1.Team("team")).Admitted)
+	c.clock.Advance(2 * time.Millisecond)
+	is.True(a.Admit(v1, v1.Team("team")).Admitted)
+}
--- /dev/null
+++ b/internal/quota/main_test.go
@@ -0,0 +1,13 @@
+package quota
+
+import (
+	"os"
+	"testing"
+
+	"github.com/orioleusher/orioleusher/internal/testfleet/rapidseed"
+)
+
+// simulationChecks is the number of interleavings of a full run.
+const simulationChecks = 5000
+
+func TestMain(m *testing.M) { os.Exit(rapidseed.Run(m, simulationChecks)) }
--- /dev/null
+++ b/internal/quota/service.go
@@ -0,0 +1,146 @@
+package quota
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"github.com/orioleusher/orioleusher/internal/config"
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
+)
+
+const (
+	// askInterval is the time between two rounds of status requests while acknowledgements are missing.
+	askInterval = 250 * time.Millisecond
+	// askTimeout bounds one status request.
+	askTimeout = time.Second
+)
+
+// Server serves quotapb.Quota on the peer address.
+type Server struct {
+	Limiter *Limiter
+	Store   *config.Store
+}
+
+// Borrow implements quotapb.Quota.
+func (s *Server) Borrow(_ context.Context, r *quotapb.BorrowRequest) (*quotapb.BorrowReply, error) {
+	if r.Team == "" || r.Want == 0 {
+		return nil, twirp.InvalidArgumentError("team and want", "must be set")
+	}
+	s.apply()
+	return s.Limiter.Lend(r.Team, r.Want), nil
+}
+
+// Status implements quotapb.Quota.
+func (s *Server) Status(_ context.Context, r *quotapb.StatusRequest) (*quotapb.StatusReply, error) {
+	if r.Sender == "" {
+		return nil, twirp.InvalidArgumentError("sender", "must be set")
+	}
+	s.apply()
+	return s.Limiter.Status(r.Sender, r.Incarnation), nil
+}
+
+// apply puts the store's document in force before an answer depends on it.
+func (s *Server) apply() {
+	if snap := s.Store.Current(); snap != nil {
+		s.Limiter.Apply(snap)
+	}
+}
+
+// Peers calls quotapb.Quota of other routers.
+type Peers struct {
+	Self        string
+	Incarnation uint64
+	// Scheme is http or https.
+	Scheme string
+	Client *http.Client
+	Store  *config.Store
+}
+
+func (p *Peers) quota(seat document.SeatHost) quotapb.Quota {
+	return quotapb.NewQuotaProtobufClient(p.Scheme+"://"+seat.PeerAddress, p.Client)
+}
+
+func (p *Peers) version() uint64 {
+	if snap := p.Store.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
+
+// Borrow implements Lender.
+func (p *Peers) Borrow(ctx context.Context, seat document.SeatHost, team string, want uint32) (*quotapb.BorrowReply, error) {
+	reply, err := p.quota(seat).Borrow(ctx, &quotapb.BorrowRequest{
+		Sender: p.Self, Incarnation: p.Incarnation, DocumentVersion: p.version(), Team: team, Want: want,
+	})
+	return reply, errors.Wrapf(err, "borrow from %s", seat.Name)
+}
+
+// Status asks a seat under which split it spends.
+func (p *Peers) Status(ctx context.Context, seat document.SeatHost) (*quotapb.StatusReply, error) {
+	reply, err := p.quota(seat).Status(ctx, &quotapb.StatusRequest{
+		Sender: p.Self, Incarnation: p.Incarnation, DocumentVersion: p.version(),
+	})
+	return reply, errors.Wrapf(err, "status of %s", seat.Name)
+}
+
+// Loop applies documents to the limiter and collects the acknowledgements that a gain needs.
+type Loop struct {
+	Limiter *Limiter
+	Store   *config.Store
+	Peers   *Peers
+	Clock   clockwork.Clock
+	Log     zerolog.Logger
+}
+
+// Run works until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		changed := l.Store.Changed()
+		if snap := l.Store.Current(); snap != nil {
+			l.Limiter.Apply(snap)
+		}
+		var again <-chan time.Time
+		if questions := l.Limiter.Questions(); len(questions) > 0 {
+			l.round(ctx, questions)
+			again = l.Clock.After(askInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-again:
+		}
+	}
+}
+
+// round asks every seat in parallel.
+func (l *Loop) round(ctx context.Context, questions []Question) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	done := make(chan struct{}, len(questions))
+	for _, q := range questions {
+		go func() {
+			l.ask(ctx, q)
+			done <- struct{}{}
+		}()
+	}
+	for range questions {
+		<-done
+	}
+}
+
+func (l *Loop) ask(ctx context.Context, q Question) {
+	reply, err := l.Peers.Status(ctx, q.Seat)
+	if err != nil {
+		l.Log.Debug().Str("event", "quota-status-failed").Str("peer", q.Seat.Name).Err(err).Send()
+		return
+	}
+	l.Limiter.Learn(q, reply)
+}
--- /dev/null
+++ b/internal/quota/simulation_test.go
@@ -0,0 +1,329 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/proofs/rights/window"
+)
+
+// The teams of the simulation. The rate and burst of the first two never change, so that their bound is exact; the
+// number of their seats changes with the number of seats.
+var simTeams = []document.Team{
+	{Name: "large", RatePerSecond: 60, Burst: 40},
+	{Name: "small", RatePerSecond: 10, Burst: 9},
+	{Name: "edited", RatePerSecond: 30, Burst: 8},
+}
+
+// editedBursts are the bursts that documents give the third team; its bound is that of the largest.
+var editedBursts = []float64{8, 16, 24}
+
+const simHosts = 4
+
+// simulation is a set of limiters with a network that loses, repeats and delays every message.
+type simulation struct {
+	t         *rapid.T
+	now       time.Duration
+	hosts     []*simHost
+	documents []*document.Snapshot
+	retired   map[string]bool
+	messages  []func()
+	admitted  map[string][]time.Time
+	nextBoot  uint64
+}
+
+type simHost struct {
+	name    string
+	clock   *clockwork.FakeClock
+	limiter *Limiter
+	boot    uint64
+	cut     bool
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{t: t, retired: map[string]bool{}, admitted: map[string][]time.Time{}}
+	for i := range simHosts {
+		h := &simHost{name: fmt.Sprintf("host-%d", i)}
+		skew := rapid.IntRange(-3600, 3600).Draw(t, "skew")
+		h.clock = clockwork.NewFakeClockAt(time.Unix(1e6, 0).Add(time.Duration(skew) * time.Second))
+		s.hosts = append(s.hosts, h)
+	}
+	s.publish(simHosts-1, editedBursts[0])
+	for _, h := range s.hosts {
+		s.start(h)
+		h.limiter.Apply(s.documents[0])
+	}
+	// The fleet begins settled and full, which is where a violation is nearest.
+	for range simHosts {
+		s.settleAll()
+		s.advance(time.Second)
+	}
+	return s
+}
+
+func (s *simulation) start(h *simHost) {
+	s.nextBoot++
+	h.boot = s.nextBoot
+	h.limiter = NewLimiter(h.name, h.boot, h.clock)
+}
+
+// publish makes a document whose active seats are the first hosts, less the retired ones.
+func (s *simulation) publish(seats int, editedBurst float64) {
+	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "sim", Version: uint64(len(s.documents) + 1)}
+	dc := document.DataCentre{Name: "dc", State: document.StateIn}
+	for i, h := range s.hosts {
+		if i < seats || s.listed(h.name) {
+			dc.Hosts = append(dc.Hosts, document.Host{
+				Name: h.name, CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", AdminAddress: "127.0.0.1:3",
+				Retired: s.retired[h.name],
+			})
+		}
+	}
+	doc.DataCentres = []document.DataCentre{dc}
+	doc.Teams = append([]document.Team(nil), simTeams...)
+	doc.Teams[2].Burst = editedBurst
+	raw, err := doc.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	snap, err := document.Parse(raw)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.documents = append(s.documents, snap)
+}
+
+// listed reports whether the last document lists the host; a listed host is never dropped, only retired.
+func (s *simulation) listed(host string) bool {
+	if len(s.documents) == 0 {
+		return false
+	}
+	_, ok := s.documents[len(s.documents)-1].Host(host)
+	return ok
+}
+
+func (s *simulation) advance(d time.Duration) {
+	s.now += d
+	for _, h := range s.hosts {
+		h.clock.Advance(d)
+	}
+}
+
+func (s *simulation) admit(team string, count uint32) {
+	for range count {
+		s.admitted[team] = append(s.admitted[team], time.Unix(0, 0).Add(s.now))
+	}
+}
+
+func (s *simulation) host() *simHost {
+	return s.hosts[rapid.IntRange(0, simHosts-1).Draw(s.t, "host")]
+}
+
+// document returns a document of any age.
+func (s *simulation) document(t *rapid.T) *document.Snapshot {
+	return s.documents[rapid.IntRange(0, len(s.documents)-1).Draw(t, "document")]
+}
+
+func (s *simulation) team() string {
+	return simTeams[rapid.IntRange(0, len(simTeams)-1).Draw(s.t, "team")].Name
+}
+
+// request sends requests to one host until it refuses.
+func (s *simulation) request(h *simHost, team string) {
+	if h.limiter == nil || h.limiter.view == nil {
+		return
+	}
+	snap := h.limiter.view.snap
+	for h.limiter.Admit(snap, snap.Team(team)).Admitted {
+		s.admit(team, 1)
+	}
+}
+
+// borrow sends a loan request; its answer is another message.
+func (s *simulation) borrow(h, lender *simHost, team string, want uint32) {
+	boot, grant := h.boot, NewGrant(h.clock.Now())
+	s.send(h, lender, func() {
+		reply := lender.limiter.Lend(team, want)
+		s.send(lender, h, func() {
+			if h.boot == boot && grant.Redeem(h.clock.Now()) {
+				s.admit(team, reply.Granted)
+			}
+		})
+	})
+}
+
+// ask sends the status requests of a host.
+func (s *simulation) ask(h *simHost) {
+	boot := h.boot
+	for _, q := range h.limiter.Questions() {
+		peer := s.named(q.Seat.Name)
+		s.send(h, peer, func() {
+			reply := peer.limiter.Status(h.name, boot)
+			s.send(peer, h, func() {
+				if h.boot == boot {
+					h.limiter.Learn(q, reply)
+				}
+			})
+		})
+	}
+}
+
+func (s *simulation) named(name string) *simHost {
+	for _, h := range s.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	s.t.Fatalf("host %q does not exist", name)
+	return nil
+}
+
+// send puts a message on the network. A message to a host that is down is lost when it is delivered.
+func (s *simulation) send(from, to *simHost, deliver func()) {
+	s.messages = append(s.messages, func() {
+		if !from.cut && !to.cut && to.limiter != nil {
+			deliver()
+		}
+	})
+}
+
+// deliver takes one message off the network, in any order; some are lost and some come twice.
+func (s *simulation) deliver() {
+	if len(s.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.messages)-1).Draw(s.t, "message")
+	m := s.messages[i]
+	fate := rapid.IntRange(0, 9).Draw(s.t, "fate")
+	if fate != 0 {
+		s.messages = append(s.messages[:i], s.messages[i+1:]...)
+	}
+	if fate != 1 {
+		m()
+	}
+}
+
+// settleAll exchanges status without loss.
+func (s *simulation) settleAll() {
+	for _, h := range s.hosts {
+		if h.limiter == nil {
+			continue
+		}
+		for _, q := range h.limiter.Questions() {
+			if peer := s.named(q.Seat.Name); peer.limiter != nil && !peer.cut && !h.cut {
+				h.limiter.Learn(q, peer.limiter.Status(h.name, h.boot))
+			}
+		}
+	}
+}
+
+// actions are the steps of an interleaving.
+func (s *simulation) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"wait": func(t *rapid.T) {
+			s.advance(time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond)
+		},
+		"sleep":   func(*rapid.T) { s.advance(2 * time.Second) },
+		"request": func(*rapid.T) { s.request(s.host(), s.team()) },
+		"request everywhere": func(*rapid.T) {
+			team := s.team()
+			for _, h := range s.hosts {
+				s.request(h, team)
+			}
+		},
+		"borrow": func(t *rapid.T) {
+			if h := s.host(); h.limiter != nil {
+				s.borrow(h, s.host(), s.team(), uint32(rapid.IntRange(1, 12).Draw(t, "want")))
+			}
+		},
+		"deliver": func(*rapid.T) { s.deliver() },
+		"deliver more": func(*rapid.T) {
+			for range 6 {
+				s.deliver()
+			}
+		},
+		"ask": func(*rapid.T) {
+			if h := s.host(); h.limiter != nil {
+				s.ask(h)
+			}
+		},
+		"settle all": func(*rapid.T) { s.settleAll() },
+		"publish": func(t *rapid.T) {
+			s.publish(rapid.IntRange(1, simHosts).Draw(t, "seats"), rapid.SampledFrom(editedBursts).Draw(t, "burst"))
+		},
+		"retire": func(*rapid.T) { s.retire(s.host()) },
+		"apply": func(t *rapid.T) {
+			if h := s.host(); h.limiter != nil {
+				h.limiter.Apply(s.document(t))
+			}
+		},
+		"restart": func(t *rapid.T) { s.restart(t, s.host()) },
+		"cut":     func(*rapid.T) { h := s.host(); h.cut = !h.cut },
+		"":        s.check,
+	}
+}
+
+// retire stops a host for good and publishes the operator's word.
+func (s *simulation) retire(h *simHost) {
+	last := s.documents[len(s.documents)-1]
+	if len(s.retired) > 1 || !s.listed(h.name) {
+		return
+	}
+	h.limiter, h.boot = nil, 0
+	s.retired[h.name] = true
+	s.publish(1, last.Team("edited").Burst)
+}
+
+// restart starts a new process of the host, which may read a document of any age that some seat still remembers.
+func (s *simulation) restart(t *rapid.T, h *simHost) {
+	if s.retired[h.name] {
+		return
+	}
+	snap := s.document(t)
+	if !s.remembered(h, snap) {
+		snap = s.documents[len(s.documents)-1]
+	}
+	s.start(h)
+	h.limiter.Apply(snap)
+}
+
+// remembered is the condition under which the bound holds: a host that starts with an old document finds another seat
+// of it that runs and knows a newer one. Nobody can know better once every seat of the old document has forgotten.
+func (s *simulation) remembered(h *simHost, snap *document.Snapshot) bool {
+	newest := snap.Version
+	seatKnows := false
+	for _, other := range s.hosts {
+		if other == h || other.limiter == nil {
+			continue
+		}
+		version := other.limiter.view.snap.Version
+		newest = max(newest, version)
+		seat, ok := snap.Host(other.name)
+		seatKnows = seatKnows || ok && !seat.Retired && version > snap.Version
+	}
+	return newest == snap.Version || seatKnows
+}
+
+// check compares all admissions with each team's bound.
+func (s *simulation) check(t *rapid.T) {
+	for _, team := range simTeams {
+		burst := team.Burst
+		if team.Name == "edited" {
+			burst = editedBursts[len(editedBursts)-1]
+		}
+		if err := window.Check(s.admitted[team.Name], team.RatePerSecond, burst); err != nil {
+			t.Fatalf("team %s: %v", team.Name, err)
+		}
+	}
+}
+
+func TestNoInterleavingAdmitsMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(newSimulation(t).actions())
+	})
+}
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -17,7 +17,7 @@
 	filters := []exchange.Filter{
 		identify.New(r.clock, r.scope),
 		authorise.New(r.scope),
-		limit.New(r.limiter, r.scope),
+		limit.New(r.borrower, r.scope),
 	}
 	return exchange.Chain(append(filters, r.issuerFilters()...)...)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,7 @@
 	"github.com/orioleusher/orioleusher/internal/quota"
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/transport"
 	"github.com/orioleusher/orioleusher/internal/upstreams"
@@ -50,6 +51,8 @@
 	gossip    *peers.Gossip
 	platform  *platform.Client
 	limiter   *quota.Limiter
+	borrower  *quota.Borrower
+	quota     *quota.Loop
 	registry  *idempotency.Registry
 	upstreams *upstreams.Set
 	client    *transport.Client
@@ -67,7 +70,7 @@
 	}
 	r.store = config.NewStore(clock, log)
 	r.members = peers.NewMembers(s.Name, r.incarnation, s.Gossip.SuspectAfter.Std(), clock)
-	r.limiter = quota.NewLimiter(s.Name, clock)
+	r.limiter = quota.NewLimiter(s.Name, r.incarnation, clock)
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.upstreams = upstreams.NewSet()
 	r.client = transport.NewClient(s.Timeouts, r.dialer())
@@ -82,6 +85,12 @@
 	peerTransport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true}
 	const scheme = "http"
 	r.hops = hop.NewClient(r.settings.Name, r.incarnation, scheme, peerTransport, r.clock)
+	lenders := &quota.Peers{
+		Self: r.settings.Name, Incarnation: r.incarnation, Scheme: scheme,
+		Client: &http.Client{Transport: peerTransport}, Store: r.store,
+	}
+	r.borrower = quota.NewBorrower(r.limiter, lenders, r.members, r.clock, r.scope)
+	r.quota = &quota.Loop{Limiter: r.limiter, Store: r.store, Peers: lenders, Clock: r.clock, Log: r.log}
 	r.gossip = peers.NewGossip(peers.Options{
 		Self: r.settings.Name, SelfAddress: r.settings.PeerAddress, Incarnation: r.incarnation,
 		Seeds: r.settings.SeedPeers, Scheme: scheme, Client: &http.Client{Transport: peerTransport},
@@ -113,6 +122,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.platform.Run(loops) })
 	wg.Go(func() { r.gossip.Run(loops) })
+	wg.Go(func() { r.quota.Run(loops) })
 
 	entry := &http.Server{
 		Handler:           callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Router(),
@@ -175,6 +185,7 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(gossippb.GossipPathPrefix, gossippb.NewGossipServer(r.gossip))
+	mux.Handle(quotapb.QuotaPathPrefix, quotapb.NewQuotaServer(&quota.Server{Limiter: r.limiter, Store: r.store}))
 	mux.Handle(hop.Path, &hop.Server{
 		Store: r.store, Clock: r.clock, Log: r.log, MaxBody: r.settings.Limits.BodyBytes,
 		Chains: map[hoppb.Role]exchange.Next{
@@ -213,7 +224,7 @@
 	Config      config.State              `json:"config"`
 	Platform    platform.State            `json:"platform"`
 	Members     []peers.MemberState       `json:"members"`
-	Quota       []quota.TeamState         `json:"quota"`
+	Quota       quota.State               `json:"quota"`
 	Idempotency idempotency.State         `json:"idempotency"`
 	Upstreams   []upstreams.UpstreamState `json:"upstreams"`
 }
