--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -31,6 +31,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	acknowledge(w)
 	env, x, err := s.receive(r)
 	if err != nil {
 		writeRefusal(w, outcome.Refuse(step, http.StatusBadRequest, "bad-hop", err.Error()))
@@ -83,7 +84,8 @@
 		Trace: env.Trace, Start: now, Deadline: now.Add(time.Duration(env.TimeoutMs) * time.Millisecond),
 		Method: env.Method, Path: env.Path, RawQuery: env.RawQuery, Header: header, Body: body,
 		Snapshot: snap, Route: route, Team: team, KeyID: env.KeyId, ChatID: env.ChatId,
-		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env),
+		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env), MayWait: env.MayWait,
+		Suspect: env.Suspect,
 	}, nil
 }
 
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -1,17 +1,31 @@
 package idempotency
 
 import (
+	"context"
+	"crypto/sha256"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
-// keyLifetime is how long an issued key may be used and its answer is kept.
-const keyLifetime = 10 * time.Minute
+const (
+	// keyLifetime is how long an issued key may be used and its answer is kept.
+	keyLifetime = 10 * time.Minute
+	// maxRuns bounds the runs that are remembered. A run is never forgotten before its key expires.
+	maxRuns = 100_000
+	// maxKeptBytes bounds the bodies of all kept answers, in bytes.
+	maxKeptBytes = 32 << 20
+	// sweepInterval is the time between two removals of expired runs.
+	sweepInterval = time.Second
+)
+
+// ErrStopping is returned by Issue during a planned stop: the key would die with the process.
+var ErrStopping = errors.New("the process is stopping")
 
 // Kept is the answer of a key's only run.
 type Kept struct {
@@ -19,38 +33,85 @@
 	Header   http.Header
 	Body     []byte
 	Upstream string
-	Refusal  *outcome.Refusal
+	// Refusal is set when the run did not end with a whole answer.
+	Refusal *outcome.Refusal
+	// Dropped is set when the run was answered but the answer did not fit into the bound of kept bytes.
+	Dropped bool
 }
 
+// Verdict says what is to be done with a request that carries a key.
+type Verdict int
+
+// The verdicts of Begin.
+const (
+	// Execute: the caller must run the request and call Finish.
+	Execute Verdict = iota + 1
+	// Join: the request has been run or is running; its run says when it is done.
+	Join
+	// Expired: the key may not be used any more.
+	Expired
+	// OtherRequest: the key was used for another request.
+	OtherRequest
+	// Full: the registry cannot remember another run.
+	Full
+)
+
 // Registry holds the state of every key that this incarnation issued and has seen used. It is safe for concurrent use.
 type Registry struct {
-	signer *Signer
-	clock  clockwork.Clock
-
-	mu       sync.Mutex
-	sequence uint64
-	runs     map[uint64]*Run
+	signer   *Signer
+	clock    clockwork.Clock
+	maxRuns  int
+	maxBytes int
+
+	mu sync.Mutex
+	// latest is the latest time seen; a wall clock that is set back must not revive expired keys.
+	latest    time.Time
+	swept     time.Time
+	sequence  uint64
+	runs      map[uint64]*Run
+	running   int
+	keptBytes int
+	stopping  bool
 }
 
 // Run is the one run of a key.
 type Run struct {
-	done    chan struct{}
-	kept    Kept
-	expires time.Time
+	sequence uint64
+	request  [sha256.Size]byte
+	done     chan struct{}
+	kept     Kept
+	expires  time.Time
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(signer *Signer, clock clockwork.Clock) *Registry {
-	return &Registry{signer: signer, clock: clock, runs: map[uint64]*Run{}}
+	return &Registry{
+		signer: signer, clock: clock, maxRuns: maxRuns, maxBytes: maxKeptBytes, runs: map[uint64]*Run{},
+	}
+}
+
+// now returns the clock's time, but never one before an earlier result.
+func (r *Registry) now() time.Time {
+	if now := r.clock.Now(); now.Round(0).After(r.latest) {
+		r.latest = now.Round(0)
+	}
+	return r.latest
 }
 
 // Issue returns a fresh key for the team.
-func (r *Registry) Issue(team string) string {
+func (r *Registry) Issue(team string) (string, error) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return "", ErrStopping
+	}
 	r.sequence++
-	seq := r.sequence
-	r.mu.Unlock()
-	return r.signer.Sign(team, seq, r.clock.Now().Add(keyLifetime))
+	return r.signer.Sign(team, r.sequence, r.now().Add(keyLifetime)), nil
+}
+
+// Incarnation reports whether this incarnation is the one that the key names.
+func (r *Registry) Incarnation(k Key) bool {
+	return k.Host == r.signer.host && k.Incarnation == r.signer.incarnation
 }
 
 // Verify reports whether this incarnation issued the key to the team.
@@ -58,37 +119,104 @@
 	return k.Team == team && r.signer.Verify(k)
 }
 
-// Begin claims the key's only run. It returns the run and true to the one caller that must execute it and call Finish;
-// to every other it returns the run to wait for and false. It returns nil for an expired key.
-func (r *Registry) Begin(k Key) (*Run, bool) {
+// Begin decides about a request with a verified key. Request is the hash of what the key stands for. The run is
+// returned with Execute and Join.
+func (r *Registry) Begin(k Key, request [sha256.Size]byte) (*Run, Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
-	r.expire(now)
+	now := r.now()
+	r.sweep(now)
 	if !now.Before(k.Expires) {
-		return nil, false
+		return nil, Expired
 	}
 	if run, ok := r.runs[k.Sequence]; ok {
-		return run, false
+		if run.request != request {
+			return nil, OtherRequest
+		}
+		return run, Join
 	}
-	run := &Run{done: make(chan struct{}), expires: k.Expires}
+	if len(r.runs) >= r.maxRuns {
+		return nil, Full
+	}
+	run := &Run{sequence: k.Sequence, request: request, done: make(chan struct{}), expires: k.Expires}
 	r.runs[k.Sequence] = run
-	return run, true
+	r.running++
+	return run, Execute
 }
 
-// expire forgets runs whose key can no longer be used. Expired keys are refused, so forgetting cannot repeat a run.
-func (r *Registry) expire(now time.Time) {
+// sweep forgets finished runs whose key has expired. Expired keys are refused before any look-up, so that forgetting
+// cannot lead to a second run.
+func (r *Registry) sweep(now time.Time) {
+	if now.Sub(r.swept) < sweepInterval {
+		return
+	}
+	r.swept = now
 	for seq, run := range r.runs {
-		if !now.Before(run.expires) {
+		if !now.Before(run.expires) && run.finished() {
+			r.keptBytes -= len(run.kept.Body)
 			delete(r.runs, seq)
 		}
 	}
 }
 
-// Finish keeps the run's answer and wakes everyone who waits for it.
-func (run *Run) Finish(kept Kept) {
+// Finish keeps the run's answer and wakes everyone who waits for it. A key whose run did not reach an upstream may be
+// used again.
+func (r *Registry) Finish(run *Run, kept Kept) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.keptBytes+len(kept.Body) > r.maxBytes {
+		kept = Kept{Dropped: true, Upstream: kept.Upstream}
+	}
+	r.keptBytes += len(kept.Body)
 	run.kept = kept
 	close(run.done)
+	if kept.Refusal != nil && kept.Refusal.Outcome == outcome.NotRun {
+		delete(r.runs, run.sequence)
+	}
+	r.running--
+}
+
+// Stop ends the issue of keys. Keys that were issued before may be used until the process ends.
+func (r *Registry) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// Wait returns when no run is left or the context ends. Runs outlive the connections of their callers, so that a
+// server's own stop does not wait for them.
+func (r *Registry) Wait(ctx context.Context) error {
+	for {
+		run := r.anyRunning()
+		if run == nil {
+			return nil
+		}
+		select {
+		case <-run.done:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for runs")
+		}
+	}
+}
+
+func (r *Registry) anyRunning() *Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		if !run.finished() {
+			return run
+		}
+	}
+	return nil
+}
+
+func (run *Run) finished() bool {
+	select {
+	case <-run.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // Done is closed when the run has finished.
@@ -99,13 +227,18 @@
 
 // State is the registry's section of the state dump.
 type State struct {
-	Issued uint64 `json:"issued"`
-	Runs   int    `json:"runs"`
+	Issued    uint64 `json:"issued"`
+	Runs      int    `json:"runs"`
+	Running   int    `json:"running"`
+	KeptBytes int    `json:"kept_bytes"`
+	Stopping  bool   `json:"stopping"`
 }
 
 // State returns the counts.
 func (r *Registry) State() State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return State{Issued: r.sequence, Runs: len(r.runs)}
+	return State{
+		Issued: r.sequence, Runs: len(r.runs), Running: r.running, KeptBytes: r.keptBytes, Stopping: r.stopping,
+	}
 }
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/proofs/rights/window"
 )
 
 // seatDocument returns a document with one team of 30 requests a second and a burst of 60 over the seats.
@@ -17,10 +18,7 @@
 	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "test", Version: version, Teams: teams}
 	dc := document.DataCentre{Name: "dc", State: document.StateIn}
 	for i, name := range seats {
-		address := fmt.Sprintf("127.0.0.1:%d", i+1)
-		dc.Hosts = append(dc.Hosts, document.Host{
-			Name: name, CallerAddress: address, PeerAddress: address, AdminAddress: address,
-		})
+		dc.Hosts = append(dc.Hosts, numberedHost(name, i+1))
 	}
 	doc.DataCentres = []document.DataCentre{dc}
 	raw, err := doc.Encode()
@@ -34,6 +32,12 @@
 	return snap
 }
 
+// numberedHost returns a host with addresses of its own.
+func numberedHost(name string, n int) document.Host {
+	address := func(port int) string { return fmt.Sprintf("127.0.0.%d:%d", n, port) }
+	return document.Host{Name: name, CallerAddress: address(8080), PeerAddress: address(7080), AdminAddress: address(9080)}
+}
+
 var oneTeam = []document.Team{{Name: "team", RatePerSecond: 30, Burst: 60}}
 
 // cluster is a few limiters on one fake clock.
@@ -225,3 +229,26 @@
 	c.clock.Advance(2 * time.Millisecond)
 	is.True(a.Admit(v1, v1.Team("team")).Admitted)
 }
+
+func TestTokensThatWereLentBeforeAWindowCountInIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	teams := []document.Team{{Name: "team", RatePerSecond: 300, Burst: 20}}
+	v1 := seatDocument(t, 1, teams, "a")
+	a := c.start("a", v1)
+	c.clock.Advance(time.Minute)
+	grant := NewGrant(c.clock.Now())
+	lent := a.Lend("team", 100)
+	is.Equal(lent.Granted, uint32(20))
+	c.clock.Advance(GrantValidity)
+	is.True(grant.Redeem(c.clock.Now()))
+	is.True(!grant.Redeem(c.clock.Now())) // a repeated reply brings nothing
+	var admitted []time.Time
+	for range int(lent.Granted) + spend(a, v1) {
+		admitted = append(admitted, c.clock.Now())
+	}
+	is.NoErr(window.Check(admitted, 300, 20))
+	late := NewGrant(c.clock.Now())
+	c.clock.Advance(GrantValidity + time.Millisecond)
+	is.True(!late.Redeem(c.clock.Now()))
+}
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -78,10 +78,9 @@
 	dc := document.DataCentre{Name: "dc", State: document.StateIn}
 	for i, h := range s.hosts {
 		if i < seats || s.listed(h.name) {
-			dc.Hosts = append(dc.Hosts, document.Host{
-				Name: h.name, CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", AdminAddress: "127.0.0.1:3",
-				Retired: s.retired[h.name],
-			})
+			host := numberedHost(h.name, i+1)
+			host.Retired = s.retired[h.name]
+			dc.Hosts = append(dc.Hosts, host)
 		}
 	}
 	doc.DataCentres = []document.DataCentre{dc}
@@ -157,6 +156,31 @@
 	})
 }
 
+// lendLate borrows from every seat, spends everything at home meanwhile and takes the loans at the last moment.
+func (s *simulation) lendLate(h *simHost, team string) {
+	if h.limiter == nil {
+		return
+	}
+	grant := NewGrant(h.clock.Now())
+	lent := uint32(0)
+	for _, lender := range s.hosts {
+		if lender != h && lender.limiter != nil && !lender.cut && !h.cut {
+			lent += lender.limiter.Lend(team, 100).Granted
+		}
+	}
+	s.advance(GrantValidity - time.Millisecond)
+	for _, other := range s.hosts {
+		s.request(other, team)
+	}
+	s.advance(time.Millisecond)
+	if grant.Redeem(h.clock.Now()) {
+		s.admit(team, lent)
+	}
+	for _, other := range s.hosts {
+		s.request(other, team)
+	}
+}
+
 // ask sends the status requests of a host.
 func (s *simulation) ask(h *simHost) {
 	boot := h.boot
@@ -225,6 +249,7 @@
 // actions are the steps of an interleaving.
 func (s *simulation) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
+		"lend everything late": func(*rapid.T) { s.lendLate(s.host(), s.team()) },
 		"wait": func(t *rapid.T) {
 			s.advance(time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond)
 		},
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -4,10 +4,13 @@
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/filters/admit"
 	"github.com/orioleusher/orioleusher/internal/filters/authorise"
+	"github.com/orioleusher/orioleusher/internal/filters/awake"
 	"github.com/orioleusher/orioleusher/internal/filters/dispatch"
 	"github.com/orioleusher/orioleusher/internal/filters/idempotency"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
 	"github.com/orioleusher/orioleusher/internal/filters/limit"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
+	"github.com/orioleusher/orioleusher/internal/filters/resume"
 	"github.com/orioleusher/orioleusher/internal/filters/route"
 	"github.com/orioleusher/orioleusher/internal/filters/send"
 )
@@ -15,30 +18,43 @@
 // entryChain is what a caller's request passes, in this order, on the host that accepted it.
 func (r *Router) entryChain() exchange.Next {
 	filters := []exchange.Filter{
+		awake.New(r.guard, r.store),
 		identify.New(r.clock, r.scope),
 		authorise.New(r.scope),
 		limit.New(r.borrower, r.scope),
 	}
-	return exchange.Chain(append(filters, r.issuerFilters()...)...)
+	return exchange.Chain(append(filters, r.issuerFilters(true)...)...)
 }
 
 // issuerChain is what a request with an idempotency key passes on the host that issued the key.
 func (r *Router) issuerChain() exchange.Next {
-	return exchange.Chain(r.issuerFilters()...)
+	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters(false)...)...)
 }
 
-func (r *Router) issuerFilters() []exchange.Filter {
+// issuerFilters are shared by both; entry is set on the host that accepted the request.
+func (r *Router) issuerFilters(entry bool) []exchange.Filter {
+	suspects := quarantine.NewEntry(r.quarantine, r.prober, r.gossip.Push, r.scope)
 	return []exchange.Filter{
-		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
-		route.New(r.settings.DataCentre, r.scope),
-		dispatch.New(r.settings.Name, r.members, r.hops, r.ownerChain(), r.scope),
+		idempotency.New(idempotency.Options{
+			Self: r.settings.Name, Registry: r.registry, Hops: r.hops, Live: r.members, Entry: entry, Scope: r.scope,
+		}),
+		suspects,
+		resume.New(suspects, r.scope),
+		route.New(r.planner, r.scope),
+		dispatch.New(dispatch.Options{
+			Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Hints: r.upstreams,
+			Hops: r.hops, Owner: r.ownerChain(), Scope: r.scope,
+		}),
 	}
 }
 
 // ownerChain is what a request passes on the host that owns the chosen upstream.
 func (r *Router) ownerChain() exchange.Next {
 	return exchange.Chain(
+		awake.New(r.guard, r.store),
+		quarantine.NewOwner(r.quarantine, r.lanes, r.prober, r.scope),
 		admit.New(r.upstreams, r.scope),
+		awake.NewLast(r.guard, r.store),
 		send.New(r.client, r.scope),
 	)
 }
--- a/internal/rpc/gossippb/gossip.twirp.go
+++ b/internal/rpc/gossippb/gossip.twirp.go
@@ -36,8 +36,14 @@
 	// Exchange merges the sender's digest and returns the receiver's.
 	Exchange(context.Context, *Digest) (*Digest, error)
 
+	// Probe says whether the receiver reaches another host, for a sender that does not.
+	Probe(context.Context, *ProbeRequest) (*ProbeReply, error)
+
 	// FetchDocument returns the document in force.
 	FetchDocument(context.Context, *FetchDocumentRequest) (*FetchDocumentReply, error)
+
+	// OfferDocument hands the sender's document to a receiver that heard of it and could not fetch it.
+	OfferDocument(context.Context, *OfferDocumentRequest) (*OfferDocumentReply, error)
 }
 
 // ======================
@@ -46,7 +52,7 @@
 
 type gossipProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +80,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "orioleusher.gossip", "Gossip")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Probe",
 		serviceURL + "FetchDocument",
+		serviceURL + "OfferDocument",
 	}
 
 	return &gossipProtobufClient{
@@ -133,6 +141,52 @@
 	return out, nil
 }
 
+func (c *gossipProtobufClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipProtobufClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	out := new(ProbeReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gossipProtobufClient) FetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
@@ -164,7 +218,53 @@
 
 func (c *gossipProtobufClient) callFetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	out := new(FetchDocumentReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *gossipProtobufClient) OfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	caller := c.callOfferDocument
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return c.callOfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipProtobufClient) callOfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	out := new(OfferDocumentReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -185,7 +285,7 @@
 
 type gossipJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -213,9 +313,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "orioleusher.gossip", "Gossip")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Probe",
 		serviceURL + "FetchDocument",
+		serviceURL + "OfferDocument",
 	}
 
 	return &gossipJSONClient{
@@ -272,6 +374,52 @@
 	return out, nil
 }
 
+func (c *gossipJSONClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipJSONClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeReply, error) {
+	out := new(ProbeReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gossipJSONClient) FetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
@@ -303,7 +451,53 @@
 
 func (c *gossipJSONClient) callFetchDocument(ctx context.Context, in *FetchDocumentRequest) (*FetchDocumentReply, error) {
 	out := new(FetchDocumentReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *gossipJSONClient) OfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "orioleusher.gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	caller := c.callOfferDocument
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return c.callOfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gossipJSONClient) callOfferDocument(ctx context.Context, in *OfferDocumentRequest) (*OfferDocumentReply, error) {
+	out := new(OfferDocumentReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -418,9 +612,15 @@
 	case "Exchange":
 		s.serveExchange(ctx, resp, req)
 		return
+	case "Probe":
+		s.serveProbe(ctx, resp, req)
+		return
 	case "FetchDocument":
 		s.serveFetchDocument(ctx, resp, req)
 		return
+	case "OfferDocument":
+		s.serveOfferDocument(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -608,6 +808,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *gossipServer) serveProbe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveProbeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveProbeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *gossipServer) serveProbeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Gossip.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Gossip.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *gossipServer) serveProbeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Gossip.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Gossip.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *gossipServer) serveFetchDocument(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -788,6 +1168,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *gossipServer) serveOfferDocument(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveOfferDocumentJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveOfferDocumentProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *gossipServer) serveOfferDocumentJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(OfferDocumentRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Gossip.OfferDocument
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return s.Gossip.OfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferDocumentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferDocumentReply and nil error while calling OfferDocument. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *gossipServer) serveOfferDocumentProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "OfferDocument")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(OfferDocumentRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Gossip.OfferDocument
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferDocumentRequest) (*OfferDocumentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferDocumentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferDocumentRequest) when calling interceptor")
+					}
+					return s.Gossip.OfferDocument(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferDocumentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferDocumentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferDocumentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferDocumentReply and nil error while calling OfferDocument. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *gossipServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1369,39 +1929,53 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 538 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x51, 0x6f, 0xd3, 0x30,
-	0x10, 0x56, 0xd6, 0xd6, 0x6b, 0x6f, 0xad, 0x18, 0xd6, 0x40, 0x51, 0xe1, 0x21, 0x0a, 0x12, 0x0a,
-	0x42, 0x4a, 0xd1, 0x40, 0x08, 0xf1, 0x38, 0x8d, 0x01, 0x12, 0x7b, 0x31, 0x02, 0x24, 0x5e, 0x2a,
-	0x37, 0xbd, 0x25, 0x16, 0x89, 0x1d, 0x6c, 0xb7, 0xb0, 0x5f, 0xc5, 0x1b, 0xff, 0x83, 0x7f, 0x84,
-	0xe2, 0x24, 0x25, 0x83, 0x0c, 0xed, 0xed, 0xbe, 0xf3, 0x67, 0xdf, 0xdd, 0x77, 0x9f, 0x0c, 0xa1,
-	0x90, 0x16, 0xb5, 0xe4, 0xf9, 0x42, 0x97, 0xc9, 0x22, 0x55, 0xc6, 0x88, 0xb2, 0x5c, 0x35, 0x41,
-	0x5c, 0x6a, 0x65, 0x15, 0xa5, 0x4a, 0x0b, 0x95, 0xe3, 0xc6, 0x64, 0xa8, 0xe3, 0xfa, 0x24, 0xdc,
-	0x02, 0x39, 0xc7, 0x62, 0x85, 0x9a, 0x52, 0x18, 0x66, 0xca, 0x58, 0xdf, 0x0b, 0xbc, 0x68, 0xc2,
-	0x5c, 0x4c, 0x03, 0x38, 0x10, 0x32, 0xe1, 0x5a, 0x72, 0x2b, 0x94, 0xf4, 0xf7, 0x02, 0x2f, 0x22,
-	0xac, 0x9b, 0xa2, 0xf7, 0x61, 0x92, 0x21, 0xd7, 0x76, 0x85, 0xdc, 0xfa, 0x83, 0xc0, 0x8b, 0x86,
-	0xec, 0x4f, 0x82, 0xfa, 0xb0, 0x9f, 0x23, 0xdf, 0x0a, 0x99, 0xfa, 0xc3, 0xc0, 0x8b, 0xc6, 0xac,
-	0x85, 0xe1, 0xcf, 0x3d, 0x20, 0xa7, 0x22, 0x45, 0x63, 0xe9, 0x5d, 0x20, 0x06, 0xe5, 0x1a, 0x75,
-	0x53, 0xba, 0x41, 0x37, 0x28, 0xfe, 0x08, 0x0e, 0xd7, 0x2a, 0xd9, 0x14, 0x28, 0xed, 0x72, 0x8b,
-	0xda, 0x54, 0xb4, 0xba, 0x87, 0x5b, 0x6d, 0xfe, 0x63, 0x9d, 0xa6, 0x0f, 0x60, 0xb6, 0xa3, 0x66,
-	0xdc, 0x64, 0xae, 0x9f, 0x09, 0x9b, 0xb6, 0xc9, 0x37, 0xdc, 0x64, 0xf4, 0x19, 0xec, 0x17, 0x4e,
-	0x0c, 0xe3, 0x8f, 0x82, 0x41, 0x74, 0x70, 0x3c, 0x8f, 0xff, 0x95, 0x2c, 0xae, 0xf5, 0x62, 0x2d,
-	0x95, 0x3e, 0x87, 0x51, 0xae, 0xf8, 0xda, 0xf8, 0xc4, 0xdd, 0x09, 0xfa, 0xee, 0x7c, 0x28, 0x8d,
-	0xd5, 0xc8, 0x8b, 0x77, 0x8a, 0xaf, 0x59, 0x4d, 0xaf, 0xaa, 0x19, 0xab, 0xc5, 0x17, 0x34, 0xfe,
-	0xfe, 0xf5, 0xd5, 0xde, 0x3b, 0x0a, 0x6b, 0xa9, 0xe1, 0x2f, 0x0f, 0xa6, 0xdd, 0xd7, 0xe8, 0x1c,
-	0xc6, 0x9b, 0x06, 0x37, 0x02, 0xee, 0x30, 0x3d, 0x82, 0x91, 0xfa, 0x26, 0x51, 0x3b, 0xf1, 0x26,
-	0xac, 0x06, 0xf4, 0x31, 0xdc, 0x76, 0xc1, 0xb2, 0x2b, 0xef, 0xc0, 0xc9, 0x7b, 0xe8, 0x0e, 0xde,
-	0x76, 0x34, 0x9e, 0xc3, 0xd8, 0xe0, 0xd7, 0x0d, 0xca, 0x04, 0x9d, 0x66, 0x43, 0xb6, 0xc3, 0xf4,
-	0x1e, 0x4c, 0x84, 0x5c, 0x5e, 0xe4, 0x22, 0xcd, 0xac, 0x3f, 0x0a, 0xbc, 0x68, 0xc6, 0xc6, 0x42,
-	0x9e, 0x39, 0x5c, 0xf9, 0x29, 0x51, 0xf9, 0xda, 0x27, 0x6e, 0xf1, 0x2e, 0xa6, 0x77, 0x80, 0xf0,
-	0x14, 0x97, 0x45, 0x35, 0x71, 0xc5, 0x1e, 0xf1, 0x14, 0xcf, 0x4d, 0xf8, 0x09, 0x48, 0x3d, 0x66,
-	0xb5, 0xf3, 0x0b, 0x21, 0x53, 0xd4, 0xa5, 0x16, 0xb2, 0xf6, 0x22, 0x61, 0xdd, 0x54, 0x35, 0x12,
-	0x6e, 0x51, 0xda, 0xc6, 0x0f, 0x35, 0xe8, 0x3c, 0x3c, 0xe8, 0x3e, 0x1c, 0xc3, 0xd1, 0x19, 0xda,
-	0x24, 0x3b, 0x6d, 0xb6, 0xcc, 0xaa, 0xce, 0xaf, 0xb7, 0x5c, 0xf8, 0x04, 0xe8, 0x5f, 0xfc, 0x32,
-	0xbf, 0xac, 0x24, 0x68, 0x6d, 0xe2, 0xf8, 0x53, 0xb6, 0xc3, 0xc7, 0x3f, 0x3c, 0x20, 0xaf, 0xdd,
-	0xa6, 0xe8, 0x09, 0x8c, 0x5f, 0x7d, 0x4f, 0x32, 0x2e, 0x53, 0xa4, 0xbd, 0xab, 0xac, 0xfd, 0x3e,
-	0xff, 0xcf, 0x19, 0xe5, 0x30, 0xbb, 0xd2, 0x00, 0x8d, 0xfa, 0xc8, 0x7d, 0x33, 0xcd, 0x1f, 0xde,
-	0x80, 0x59, 0xe6, 0x97, 0x27, 0x2f, 0x3f, 0xbf, 0x48, 0x85, 0xcd, 0x36, 0xab, 0x38, 0x51, 0xc5,
-	0xa2, 0x73, 0xe7, 0x4a, 0xdc, 0xfb, 0x9d, 0xac, 0x88, 0xfb, 0x48, 0x9e, 0xfe, 0x0e, 0x00, 0x00,
-	0xff, 0xff, 0x7f, 0xd6, 0xbc, 0xe3, 0x6e, 0x04, 0x00, 0x00,
+	// 760 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xcd, 0x6e, 0xdb, 0x46,
+	0x10, 0x2e, 0xf5, 0x43, 0x51, 0x63, 0xc9, 0x55, 0xb7, 0xb2, 0x4b, 0xab, 0x85, 0x21, 0xb0, 0x68,
+	0xa1, 0xba, 0x80, 0x5c, 0xb8, 0x45, 0x61, 0xe4, 0x26, 0x47, 0x72, 0xe2, 0xc0, 0x42, 0x8c, 0x95,
+	0xec, 0x83, 0x81, 0x80, 0x58, 0x91, 0x2b, 0x92, 0x08, 0xb5, 0x64, 0x76, 0x29, 0x3b, 0x7e, 0xad,
+	0xbc, 0x4f, 0x8e, 0x79, 0x87, 0x1c, 0x03, 0x2e, 0x49, 0x89, 0xb2, 0x69, 0xc7, 0xb7, 0x99, 0xd9,
+	0x6f, 0x77, 0x66, 0xbe, 0x6f, 0x86, 0x04, 0xc3, 0x63, 0x11, 0xe5, 0x8c, 0xf8, 0x87, 0x3c, 0xb4,
+	0x0e, 0x9d, 0x40, 0x08, 0x2f, 0x0c, 0x67, 0xa9, 0xd1, 0x0f, 0x79, 0x10, 0x05, 0x08, 0x05, 0xdc,
+	0x0b, 0x7c, 0xba, 0x14, 0x2e, 0xe5, 0xfd, 0xe4, 0xc4, 0xf8, 0xa4, 0x80, 0x3a, 0xa6, 0x8b, 0x19,
+	0xe5, 0x08, 0x41, 0xc5, 0x0d, 0x44, 0xa4, 0x2b, 0x5d, 0xa5, 0x57, 0xc7, 0xd2, 0x46, 0x5d, 0xd8,
+	0xf2, 0x98, 0x45, 0x38, 0x23, 0x91, 0x17, 0x30, 0xbd, 0xd4, 0x55, 0x7a, 0x2a, 0xce, 0x87, 0xd0,
+	0x3e, 0x80, 0x43, 0x19, 0xe5, 0x09, 0xa0, 0xdc, 0x55, 0x7a, 0x15, 0x9c, 0x8b, 0x20, 0x1d, 0x6a,
+	0x3e, 0x25, 0x37, 0x1e, 0x73, 0xf4, 0x4a, 0x57, 0xe9, 0x69, 0x38, 0x73, 0xd1, 0x31, 0xa8, 0x22,
+	0x22, 0xd1, 0x52, 0xe8, 0xd5, 0xae, 0xd2, 0xdb, 0x3e, 0xea, 0xf6, 0x1f, 0xd6, 0xd7, 0x4f, 0x6a,
+	0x9b, 0x48, 0x1c, 0x4e, 0xf1, 0xc6, 0xd7, 0x12, 0xa8, 0x43, 0xcf, 0xa1, 0x22, 0x42, 0xbb, 0xa0,
+	0x0a, 0xca, 0x6c, 0xca, 0xd3, 0xb2, 0x53, 0xef, 0x19, 0x85, 0xff, 0x05, 0x2d, 0x3b, 0xb0, 0x96,
+	0x0b, 0xca, 0x22, 0xf3, 0x86, 0x72, 0xb1, 0x2e, 0xff, 0xc7, 0x2c, 0x7e, 0x95, 0x84, 0xd1, 0xef,
+	0xd0, 0x5c, 0x41, 0x5d, 0x22, 0x5c, 0xd9, 0x49, 0x1d, 0x37, 0xb2, 0xe0, 0x6b, 0x22, 0x5c, 0xf4,
+	0x1f, 0xd4, 0x16, 0xb2, 0xd8, 0xb8, 0x9f, 0x72, 0x6f, 0xeb, 0xa8, 0xf3, 0x78, 0x3f, 0x38, 0x83,
+	0xa2, 0xff, 0xa1, 0xea, 0x07, 0xc4, 0x16, 0xba, 0x2a, 0xef, 0x14, 0x72, 0x70, 0x19, 0x8a, 0x88,
+	0x53, 0xb2, 0x38, 0x0f, 0x88, 0x8d, 0x13, 0x78, 0x9c, 0x4d, 0x44, 0xdc, 0x7b, 0x4f, 0x85, 0x5e,
+	0x7b, 0x3c, 0xdb, 0x44, 0x42, 0x70, 0x06, 0x45, 0x7f, 0xc0, 0x76, 0xc2, 0x8f, 0x49, 0x6c, 0x9b,
+	0x53, 0x21, 0x74, 0x4d, 0x76, 0xd2, 0x4c, 0xa2, 0x83, 0x24, 0x88, 0xf6, 0x40, 0xbb, 0x25, 0x2c,
+	0x32, 0x89, 0xef, 0xeb, 0xf5, 0x44, 0xb4, 0xd8, 0x1f, 0xf8, 0xbe, 0xf1, 0x45, 0x81, 0x46, 0xbe,
+	0x1e, 0xd4, 0x01, 0x6d, 0x99, 0xfa, 0xa9, 0x04, 0x2b, 0x1f, 0xb5, 0xa1, 0x1a, 0xdc, 0x32, 0xca,
+	0x25, 0xfd, 0x75, 0x9c, 0x38, 0xe8, 0x6f, 0xf8, 0x49, 0x1a, 0x66, 0x5e, 0xa0, 0xb2, 0x14, 0xa8,
+	0x25, 0x0f, 0xce, 0x72, 0x2a, 0x75, 0x40, 0x13, 0xf4, 0xc3, 0x92, 0x32, 0x8b, 0x4a, 0xd6, 0x2b,
+	0x78, 0xe5, 0xa3, 0x5f, 0xa1, 0xee, 0x31, 0x73, 0xee, 0x7b, 0x8e, 0x1b, 0xc9, 0x19, 0x6a, 0x62,
+	0xcd, 0x63, 0xa7, 0xd2, 0x8f, 0xa7, 0xd9, 0x0a, 0x7c, 0x5b, 0x57, 0x65, 0xfd, 0xd2, 0x46, 0x3b,
+	0xa0, 0x12, 0x87, 0x9a, 0x8b, 0x98, 0xb3, 0x18, 0x5d, 0x25, 0x0e, 0x1d, 0x8b, 0x18, 0x6a, 0x07,
+	0xb7, 0x4c, 0x72, 0xa1, 0x61, 0x69, 0x1b, 0xef, 0x40, 0x4d, 0xc8, 0x8b, 0x27, 0x69, 0xee, 0x31,
+	0x87, 0xf2, 0x90, 0x7b, 0x2c, 0xd9, 0x0e, 0x15, 0xe7, 0x43, 0x1b, 0x14, 0x24, 0x83, 0xb6, 0xa6,
+	0x60, 0x9d, 0xb2, 0x9c, 0x4b, 0x69, 0x4c, 0xa1, 0x71, 0xc1, 0x83, 0x19, 0xc5, 0x71, 0x2f, 0x4f,
+	0x8c, 0x71, 0xb6, 0x93, 0xa5, 0xdc, 0x4e, 0xea, 0x50, 0xcb, 0xd4, 0x2b, 0xcb, 0x70, 0xe6, 0x1a,
+	0x07, 0x00, 0xe9, 0xab, 0xa1, 0x7f, 0x87, 0x7e, 0x83, 0x3a, 0xa7, 0xc4, 0x72, 0xc9, 0xcc, 0xa7,
+	0xf2, 0x59, 0x0d, 0xaf, 0x03, 0x46, 0x1f, 0xda, 0xa7, 0x34, 0xb2, 0xdc, 0x61, 0x3a, 0xc3, 0xdf,
+	0xa9, 0xc4, 0xf8, 0x07, 0xd0, 0x3d, 0x7c, 0x9c, 0xa3, 0x03, 0x5a, 0xb6, 0x04, 0x12, 0xdf, 0xc0,
+	0x2b, 0xdf, 0x78, 0x03, 0xed, 0xb7, 0xf3, 0x39, 0xe5, 0xcf, 0xcc, 0xb0, 0xf1, 0x56, 0xe9, 0xde,
+	0x5b, 0x6d, 0x40, 0xf7, 0xde, 0x0a, 0xfd, 0xbb, 0x83, 0x6b, 0x68, 0xe4, 0xbf, 0x0f, 0xe8, 0x17,
+	0xf8, 0x79, 0x3c, 0x1a, 0x9f, 0x8c, 0xb0, 0x39, 0x99, 0x0e, 0xa6, 0x97, 0x13, 0x73, 0x70, 0x7e,
+	0x76, 0x35, 0x6a, 0xfd, 0x80, 0xf6, 0x60, 0x67, 0xf3, 0x60, 0x72, 0x39, 0xb9, 0x18, 0xbd, 0x9c,
+	0xb6, 0x14, 0xb4, 0x0b, 0x68, 0xf3, 0x68, 0x38, 0x1a, 0x0c, 0x5b, 0xa5, 0xa3, 0xcf, 0x25, 0x50,
+	0x5f, 0xc9, 0x2d, 0x42, 0x27, 0xa0, 0x8d, 0x3e, 0x5a, 0x2e, 0x61, 0x0e, 0x45, 0x85, 0x6b, 0x96,
+	0x7c, 0x8b, 0x3a, 0x4f, 0x9c, 0xa1, 0x33, 0xa8, 0x4a, 0x69, 0x50, 0xe1, 0x86, 0xe7, 0x67, 0xa1,
+	0xb3, 0xff, 0x04, 0x22, 0xe6, 0x9c, 0x40, 0x73, 0x43, 0x09, 0xd4, 0x2b, 0xba, 0x50, 0x24, 0x6e,
+	0xe7, 0xcf, 0x67, 0x20, 0xd3, 0x14, 0x1b, 0x74, 0x17, 0xa7, 0x28, 0x52, 0xb7, 0x38, 0xc5, 0x43,
+	0xed, 0x4e, 0x5e, 0x5c, 0x1f, 0x3b, 0x5e, 0xe4, 0x2e, 0x67, 0x7d, 0x2b, 0x58, 0x1c, 0xe6, 0xee,
+	0x6c, 0xd8, 0x85, 0x7f, 0xb5, 0x99, 0x2a, 0xff, 0x67, 0xff, 0x7e, 0x0b, 0x00, 0x00, 0xff, 0xff,
+	0x15, 0xc4, 0x5a, 0x0a, 0xf5, 0x06, 0x00, 0x00,
 }
