--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -10,6 +10,9 @@
 // maxPending is the largest number of unconfirmed teams that a status names; with more the host vouches for nothing.
 const maxPending = 1000
 
+// firstWait is how long a fresh process waits for silent seats under the first document.
+const firstWait = 2 * time.Second
+
 // handover decides which part of each team this host may spend while documents move parts between seats.
 //
 // A host that loses applies a document at once. A host that gains keeps its smaller part until every other seat has
@@ -21,18 +24,26 @@
 // An answer given to one incarnation of a host does not bind the next one. Each answer therefore lists the
 // incarnations that the peer has answered; acknowledgements of any other incarnation of these hosts are asked for
 // again, since the new one may rely on what the peer said before it changed its split.
+//
+// The first document of a fleet has no earlier split. Under it a fresh process does not wait for seats that give no
+// answer within firstWait, as long as none of the others contradicts; so a fleet can be started with a seat missing.
 type handover struct {
 	self        string
 	incarnation uint64
 
 	split   uint64
 	changed time.Time
+	// first is set while the document in force is the fleet's first; contradicted are seats that spend otherwise.
+	first        bool
+	contradicted map[string]bool
 	// fresh is true until the first split of this process is settled.
 	fresh bool
 	// all is set while the seats of the current split are not confirmed, unconfirmed holds the teams whose number of
 	// seats is not. Neither may be vouched for: the host may hold its own part, but others may hold more than theirs.
 	all         bool
 	unconfirmed map[string]struct{}
+	// gains counts the moments at which the host took up parts.
+	gains uint64
 	// held are the fractions of teams whose fraction in the document is larger.
 	held map[string]float64
 	// known are the seats whose acknowledgement is awaited, with their addresses; former seats that were not retired
@@ -65,7 +76,7 @@
 	return &handover{
 		self: self, incarnation: incarnation, fresh: true, all: true,
 		unconfirmed: map[string]struct{}{}, held: map[string]float64{}, known: map[string]document.SeatHost{}, acks: map[string]uint64{},
-		doubt: map[string]doubt{}, answered: map[string]uint64{}, noted: map[notedPair]uint64{}, gone: map[string]int{},
+		doubt: map[string]doubt{}, contradicted: map[string]bool{}, answered: map[string]uint64{}, noted: map[notedPair]uint64{}, gone: map[string]int{},
 	}
 }
 
@@ -84,6 +95,7 @@
 // apply moves from the old document, which is nil at the start, to the new one.
 func (h *handover) apply(old, next *view, now time.Time) {
 	h.await(next)
+	h.first = next.snap.Parent.Version == 0
 	if old != nil {
 		h.settle()
 	}
@@ -92,6 +104,7 @@
 	}
 	h.split, h.changed, h.floor = next.split, now, h.asked
 	clear(h.acks)
+	clear(h.contradicted)
 	if old != nil {
 		h.all = h.all || !sameSeats(old, next)
 		h.compare(old, next)
@@ -203,11 +216,23 @@
 			return
 		}
 	}
+	if h.fresh || len(h.held) > 0 {
+		h.gains++
+	}
 	h.fresh, h.all = false, false
 	clear(h.unconfirmed)
 	clear(h.held)
 }
 
+// bootstrap ends the wait for silent seats under the first document.
+func (h *handover) bootstrap(now time.Time) {
+	if !h.fresh || !h.first || len(h.contradicted) > 0 || now.Sub(h.changed) < firstWait {
+		return
+	}
+	h.fresh, h.all = false, false
+	h.gains++
+}
+
 // missing returns the seats whose acknowledgement is awaited.
 func (h *handover) missing() []document.SeatHost {
 	if h.settled() {
@@ -269,6 +294,11 @@
 			h.forget(a.Host, a.Incarnation)
 		}
 	}
+	if reply.Split == h.split {
+		delete(h.contradicted, peer)
+	} else if reply.DocumentVersion > 0 {
+		h.contradicted[peer] = true
+	}
 	doubted := number <= h.doubt[peer].upTo && reply.Incarnation != h.doubt[peer].unless
 	if number <= h.floor || doubted || reply.Split != h.split || !reply.Drained {
 		return
@@ -283,6 +313,7 @@
 // vouched takes up every part but those that the vouching peer does not hold itself.
 func (h *handover) vouched(pending []string) {
 	h.fresh, h.all = false, false
+	h.gains++
 	clear(h.unconfirmed)
 	for _, team := range pending {
 		h.held[team] = 0
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -32,6 +32,8 @@
 	mu sync.Mutex
 	// fillFrom is when an unused bucket began to fill: the start of the process or the last gain of a part.
 	fillFrom time.Time
+	// gains is the handover's count at the last gain that the buckets know of.
+	gains    uint64
 	view     *view
 	handover *handover
 	buckets  map[string]*bucket
@@ -71,11 +73,16 @@
 	}
 }
 
-// gained makes buckets that are not in use yet start empty.
-func (l *Limiter) gained(now time.Time) {
+// gained makes buckets that are not in use yet start empty if the host has taken up parts. It reports whether it has.
+func (l *Limiter) gained(now time.Time) bool {
+	if l.gains == l.handover.gains {
+		return false
+	}
+	l.gains = l.handover.gains
 	if now.After(l.fillFrom) {
 		l.fillFrom = now
 	}
+	return true
 }
 
 // reshape gives every bucket its part under the new document. Buckets of deleted teams end; those of new ones start
@@ -237,6 +244,9 @@
 	if l.view == nil {
 		return nil
 	}
+	now := l.clock.Now()
+	l.handover.bootstrap(now)
+	l.regain(now)
 	var questions []Question
 	for _, seat := range l.handover.missing() {
 		questions = append(questions, Question{Seat: seat, number: l.handover.ask()})
@@ -249,13 +259,15 @@
 func (l *Limiter) Learn(q Question, reply *quotapb.StatusReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fresh, settled := l.handover.fresh, l.handover.settled()
 	l.handover.learn(q.Seat.Name, q.number, reply)
-	if fresh == l.handover.fresh && settled == l.handover.settled() {
+	l.regain(l.clock.Now())
+}
+
+// regain gives every bucket the part that the host holds now, if it has taken up parts.
+func (l *Limiter) regain(now time.Time) {
+	if !l.gained(now) {
 		return
 	}
-	now := l.clock.Now()
-	l.gained(now)
 	for name, b := range l.buckets {
 		b.refill(now)
 		if team := l.view.snap.Team(name); team != nil {
@@ -264,6 +276,17 @@
 	}
 }
 
+// startWait is how long a starting process may count as not ready because it holds no part yet.
+const startWait = 3 * time.Second
+
+// Starting reports whether the process still waits for its first parts. It gives up after startWait, since a host that
+// is cut off can serve open routes and, once others are reached, borrowed tokens.
+func (l *Limiter) Starting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handover.fresh && (l.view == nil || l.clock.Since(l.handover.changed) < startWait)
+}
+
 // TeamState is one team's bucket in the state dump.
 type TeamState struct {
 	Team   string  `json:"team"`
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -16,6 +16,7 @@
 func seatDocument(t testing.TB, version uint64, teams []document.Team, seats ...string) *document.Snapshot {
 	t.Helper()
 	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "test", Version: version, Teams: teams}
+	doc.Parent.Version = version - 1
 	dc := document.DataCentre{Name: "dc", State: document.StateIn}
 	for i, name := range seats {
 		dc.Hosts = append(dc.Hosts, numberedHost(name, i+1))
@@ -99,10 +100,9 @@
 	for _, name := range []string{"a", "b", "c"} {
 		c.start(name, v1)
 	}
-	c.clock.Advance(time.Minute)
 	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.clock.Advance(time.Second)
 	c.ask("a", "b")
-	c.clock.Advance(time.Minute)
 	is.Equal(spend(c.limiters["a"], v1), 0)
 	c.ask("a", "c")
 	is.Equal(spend(c.limiters["a"], v1), 0) // a part that was gained just now is empty
@@ -176,19 +176,80 @@
 func TestALateAnswerFromAnEarlierSplitDoesNotCount(t *testing.T) {
 	is := is.New(t)
 	c := newCluster()
-	v1 := seatDocument(t, 1, oneTeam, "a", "b")
-	v2 := seatDocument(t, 2, oneTeam, "a", "b", "c")
-	v3 := seatDocument(t, 3, oneTeam, "a", "b")
-	a := c.start("a", v1)
-	c.start("b", v1)
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	v3 := seatDocument(t, 3, []document.Team{{Name: "team", RatePerSecond: 30, Burst: 1}}, "a", "b")
+	v4 := seatDocument(t, 4, oneTeam, "a", "b")
+	a := c.start("a", v2)
+	c.start("b", v2)
 	c.clock.Advance(time.Second)
 	question := a.Questions()[0]
 	answer := c.limiters["b"].Status("a", a.incarnation)
-	a.Apply(v2)
 	a.Apply(v3)
+	a.Apply(v4)
 	a.Learn(question, answer)
 	c.clock.Advance(time.Minute)
-	is.Equal(spend(a, v3), 0)
+	is.Equal(spend(a, v4), 0)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(a, v4), 30)
+}
+
+func TestAnAnswerOnItsWayFromAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v2 := seatDocument(t, 2, oneTeam, "p", "x")
+	v3 := seatDocument(t, 3, oneTeam, "p", "x", "b")
+	c.start("p", v2)
+	c.start("x", v2)
+	c.settle("p", "x")
+	c.limiters["x"].Apply(v3)
+	b := c.start("b", v3)
+	c.clock.Advance(time.Second)
+	questions := b.Questions()
+	late := c.limiters["x"].Status("b", b.incarnation)
+	c.start("x", v2)
+	c.ask("x", "p")
+	c.limiters["p"].Apply(v3)
+	c.clock.Advance(time.Second)
+	c.ask("b", "p")
+	b.Learn(questions[1], late)
+	c.clock.Advance(time.Minute)
+	is.Equal(questions[1].Seat.Name, "x")
+	is.Equal(spend(b, v3), 0)
+}
+
+func TestALoserAcknowledgesOnceItsLoansHaveLapsed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	v3 := seatDocument(t, 3, oneTeam, "a", "b", "c")
+	a := c.start("a", v2)
+	c.start("b", v2)
+	c.settle("a", "b")
+	a.Apply(v3)
+	is.True(!a.Status("c", 9).Drained)
+	c.clock.Advance(2*GrantValidity + time.Millisecond)
+	is.True(a.Status("c", 9).Drained)
+	is.Equal(spend(a, v3), 20) // what was full with 30 holds the smaller part at once
+	c.limiters["b"].Apply(v3)
+	c.start("c", v3)
+	c.ask("c")
+	is.True(c.limiters["c"].State().Fresh) // b has lent tokens that may still be spent
+	c.clock.Advance(time.Second)
+	c.ask("c")
+	is.True(!c.limiters["c"].State().Fresh)
+	is.Equal(spend(c.limiters["c"], v3), 0) // a part that nobody used yet is empty, too
+}
+
+func TestABucketStaysEmptyWhileAnEarlierProcessMayHaveLentTokens(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a")
+	a := c.start("a", v1)
+	c.clock.Advance(2 * GrantValidity)
+	is.Equal(spend(a, v1), 0)
+	c.clock.Advance(100 * time.Millisecond)
+	is.Equal(spend(a, v1), 3)
 }
 
 func TestASmallTeamSitsOnFewSeats(t *testing.T) {
@@ -252,3 +313,36 @@
 	c.clock.Advance(GrantValidity + time.Millisecond)
 	is.True(!late.Redeem(c.clock.Now()))
 }
+
+func TestAFleetStartsUnderItsFirstDocumentWithASeatMissing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	c.start("a", v1)
+	c.start("b", v1)
+	c.clock.Advance(firstWait - time.Millisecond)
+	c.ask("a")
+	c.clock.Advance(time.Millisecond)
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestASeatMissingUnderALaterDocumentOrAContradictionKeepsPartsEmpty(t *testing.T) {
+	is := is.New(t)
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	c := newCluster()
+	c.start("a", v2)
+	c.clock.Advance(time.Minute)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v2), 0)
+	c.start("b", v1)
+	c.ask("b", "a")
+	c.clock.Advance(time.Minute)
+	c.ask("b", "a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v1), 0)
+}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -17,7 +17,7 @@
 
 const (
 	// askInterval is the time between two rounds of status requests while acknowledgements are missing.
-	askInterval = 250 * time.Millisecond
+	askInterval = 100 * time.Millisecond
 	// askTimeout bounds one status request.
 	askTimeout = time.Second
 )
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -75,6 +75,7 @@
 // publish makes a document whose active seats are the first hosts, less the retired ones.
 func (s *simulation) publish(seats int, editedBurst float64) {
 	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "sim", Version: uint64(len(s.documents) + 1)}
+	doc.Parent.Version = doc.Version - 1
 	dc := document.DataCentre{Name: "dc", State: document.StateIn}
 	for i, h := range s.hosts {
 		if i < seats || s.listed(h.name) {
@@ -319,7 +320,11 @@
 
 // remembered is the condition under which the bound holds: a host that starts with an old document finds another seat
 // of it that runs and knows a newer one. Nobody can know better once every seat of the old document has forgotten.
+// The fleet's first document is not read again after a second one.
 func (s *simulation) remembered(h *simHost, snap *document.Snapshot) bool {
+	if snap.Version == 1 && len(s.documents) > 1 {
+		return false
+	}
 	newest := snap.Version
 	seatKnows := false
 	for _, other := range s.hosts {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -240,6 +240,8 @@
 		return "no document in force"
 	case !r.settled.Load():
 		return "has not asked the fleet for its version yet"
+	case r.limiter.Starting():
+		return "waits for its parts of the teams' rates"
 	default:
 		return ""
 	}
