--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -51,6 +51,9 @@
 	// Avoid names upstreams that failed this request; they are tried last.
 	Avoid []string
 
+	// Budget bounds the attempts at upstreams over all hosts.
+	Budget *Budget
+
 	// Candidates are upstream names in the order of preference, set by route.
 	Candidates []string
 	// MayWait tells the upstream's owner to let the request wait for a place instead of refusing it.
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -70,6 +70,10 @@
 
 // Handle implements exchange.Filter.
 func (f *Filter) Handle(ctx context.Context, x *exchange.Exchange, _ exchange.Next) error {
+	return x.Budget.Truthful(f.handle(ctx, x))
+}
+
+func (f *Filter) handle(ctx context.Context, x *exchange.Exchange) error {
 	full, err := f.tryEach(ctx, x)
 	if err == nil || len(full) == 0 || !mayGoOn(ctx, x, err) {
 		return err
@@ -141,6 +145,17 @@
 
 // attempt sends the request to the owner of the upstream and sets the answer.
 func (f *Filter) attempt(ctx context.Context, x *exchange.Exchange, name string, wait bool) error {
+	if !x.Budget.Take() {
+		return outcome.Unavailable(Name, "retry-budget", "the request has used up its attempts").WithPeer(name, nil)
+	}
+	err := f.send(ctx, x, name, wait)
+	if err != nil && exchange.Refusal(err).Outcome == outcome.Unknown {
+		x.Budget.NoteUnknown()
+	}
+	return err
+}
+
+func (f *Filter) send(ctx context.Context, x *exchange.Exchange, name string, wait bool) error {
 	up, ok := x.Snapshot.Upstream(name)
 	if !ok {
 		return outcome.Unavailable(Name, "no-upstream", "the upstream is not in the document").WithPeer(name, nil)
--- a/internal/filters/idempotency/idempotency.go
+++ b/internal/filters/idempotency/idempotency.go
@@ -28,6 +28,14 @@
 // maxKeptBytes is the largest answer that is kept for repeats.
 const maxKeptBytes = 1 << 20
 
+// Codes of refusals that several places give.
+const (
+	codeRequired = "key-required"
+	codeBadKey   = "bad-idempotency-key"
+	codeDead     = "key-dead"
+	codeExpired  = "key-expired"
+)
+
 // fullRetry is the wait told when no further run can be remembered; finished runs are forgotten all the time.
 const fullRetry = 5 * time.Second
 
@@ -74,15 +82,15 @@
 		return next(ctx, x)
 	}
 	if x.IdempotencyKey == "" {
-		return f.demand(ctx, x, http.StatusPreconditionRequired, "key-required", "the route demands an idempotency key")
+		return f.demand(ctx, x, http.StatusPreconditionRequired, codeRequired, "the route demands an idempotency key")
 	}
 	key, err := idempotency.ParseKey(x.IdempotencyKey)
 	if err != nil || key.Team != x.TeamName() {
-		return f.demand(ctx, x, http.StatusBadRequest, "bad-idempotency-key", "the idempotency key was not issued to this team")
+		return f.demand(ctx, x, http.StatusBadRequest, codeBadKey, "the idempotency key was not issued to this team")
 	}
 	if key.Host != f.Self {
 		if !f.Entry {
-			return f.lost(key, "key-dead", "the request was forwarded to a host that did not issue its idempotency key")
+			return f.lost(key, codeDead, "the request was forwarded to a host that did not issue its idempotency key")
 		}
 		return f.forward(ctx, x, key)
 	}
@@ -128,7 +136,7 @@
 func (f *Filter) forward(ctx context.Context, x *exchange.Exchange, key idempotency.Key) error {
 	host, ok := x.Snapshot.Host(key.Host)
 	if !ok || host.Retired {
-		return f.lost(key, "key-dead", "the host that issued the idempotency key is not in the document")
+		return f.lost(key, codeDead, "the host that issued the idempotency key is not in the document")
 	}
 	answer, err := f.Hops.Forward(ctx, x, hop.Destination{Role: hoppb.Role_ROLE_ISSUER, Host: host})
 	if err != nil {
@@ -153,10 +161,10 @@
 
 func (f *Filter) runOnce(ctx context.Context, x *exchange.Exchange, key idempotency.Key, next exchange.Next) error {
 	if !f.Registry.Incarnation(key) {
-		return f.lost(key, "key-dead", "the router process that issued the idempotency key is gone")
+		return f.lost(key, codeDead, "the router process that issued the idempotency key is gone")
 	}
 	if !f.Registry.Verify(key, x.TeamName()) {
-		return f.demand(ctx, x, http.StatusBadRequest, "bad-idempotency-key", "the idempotency key was not issued to this team")
+		return f.demand(ctx, x, http.StatusBadRequest, codeBadKey, "the idempotency key was not issued to this team")
 	}
 	run, verdict := f.Registry.Begin(key, request(x))
 	switch verdict {
@@ -168,7 +176,7 @@
 		f.repeats.Inc(1)
 		return f.wait(ctx, x, run, true)
 	case idempotency.Expired:
-		return f.lost(key, "key-expired", "the idempotency key has expired")
+		return f.lost(key, codeExpired, "the idempotency key has expired")
 	case idempotency.OtherRequest:
 		return f.otherRequest()
 	default:
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -68,7 +68,7 @@
 		Trace: x.Trace, Method: x.Method, Path: x.Path, RawQuery: x.RawQuery, Route: x.Route.Name,
 		Team: teamOf(x), KeyId: x.KeyID, ChatId: x.ChatID, IdempotencyKey: x.IdempotencyKey,
 		Fingerprint: x.Fingerprint, Upstream: d.Upstream, MayWait: d.MayWait, TimeoutMs: x.Deadline.Sub(now).Milliseconds(),
-		Suspect: x.Suspect,
+		Suspect: x.Suspect, Attempts: uint32(x.Budget.Left()),
 	}
 }
 
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -34,7 +34,7 @@
 	acknowledge(w)
 	env, x, err := s.receive(r)
 	if err != nil {
-		writeRefusal(w, outcome.Refuse(step, http.StatusBadRequest, "bad-hop", err.Error()))
+		writeRefusal(w, receiveRefusal(err))
 		return
 	}
 	chain := s.Chains[env.Role]
@@ -78,6 +78,9 @@
 		return nil, nil, errors.Errorf("team %q is not in document version %d", env.Team, snap.Version)
 	}
 	now := s.Clock.Now()
+	if refusal := checkKey(snap, team, env, now); refusal != nil {
+		return nil, nil, refusal
+	}
 	header := r.Header.Clone()
 	header.Del(headerEnvelope)
 	return env, &exchange.Exchange{
@@ -85,10 +88,33 @@
 		Method: env.Method, Path: env.Path, RawQuery: env.RawQuery, Header: header, Body: body,
 		Snapshot: snap, Route: route, Team: team, KeyID: env.KeyId, ChatID: env.ChatId,
 		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env), MayWait: env.MayWait,
-		Suspect: env.Suspect,
+		Suspect: env.Suspect, Budget: exchange.NewBudget(int(min(env.Attempts, exchange.MaxAttempts))),
 	}, nil
 }
 
+// receiveRefusal returns the refusal of a hop that could not be taken on.
+func receiveRefusal(err error) *outcome.Refusal {
+	var r *outcome.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return outcome.Refuse(step, http.StatusBadRequest, "bad-hop", err.Error())
+}
+
+// checkKey refuses a request whose key the receiver's document does not list any more. A sender with a newer document
+// may know a key that the receiver does not know yet.
+func checkKey(snap *document.Snapshot, team *document.Team, env *hoppb.Envelope, now time.Time) error {
+	if team == nil || env.KeyId == "" || snap.Version < env.DocumentVersion {
+		return nil
+	}
+	for i := range team.Keys {
+		if key := &team.Keys[i]; key.ID == env.KeyId && !key.Expired(now) {
+			return nil
+		}
+	}
+	return outcome.Refuse(step, http.StatusUnauthorized, "bad-key", "the key is withdrawn or expired")
+}
+
 func candidates(env *hoppb.Envelope) []string {
 	if env.Upstream == "" {
 		return nil
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -226,12 +226,16 @@
 	a := c.start("a", v2)
 	c.start("b", v2)
 	c.settle("a", "b")
+	b := c.limiters["b"]
+	is.Equal(spend(b, v2), 30)
+	c.clock.Advance(time.Minute)
 	a.Apply(v3)
 	is.True(!a.Status("c", 9).Drained)
 	c.clock.Advance(2*GrantValidity + time.Millisecond)
 	is.True(a.Status("c", 9).Drained)
 	is.Equal(spend(a, v3), 20) // what was full with 30 holds the smaller part at once
-	c.limiters["b"].Apply(v3)
+	b.Apply(v3)
+	is.Equal(spend(b, v3), 20)
 	c.start("c", v3)
 	c.ask("c")
 	is.True(c.limiters["c"].State().Fresh) // b has lent tokens that may still be spent
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -19,7 +19,7 @@
 func (r *Router) entryChain() exchange.Next {
 	filters := []exchange.Filter{
 		awake.New(r.guard, r.store),
-		identify.New(r.clock, r.scope),
+		identify.New(r.clock, r.store, r.scope),
 		authorise.New(r.scope),
 		limit.New(r.borrower, r.scope),
 	}
