--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down bench prove check proofs-page capacity generate
+.PHONY: build test lint demo up down console bench measures prove check proofs-page capacity generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -31,6 +31,10 @@
 bench: build
 	@scripts/bench.sh $(POLICIES)
 
+# Copies the table of the last bench into README.md.
+measures:
+	@scripts/measures.sh
+
 # Runs every proof, those with real processes too, and prints which promise is shown under which fault.
 prove:
 	go run ./scripts/prove
@@ -48,6 +52,11 @@
 	ORIOLE_CAPACITY=1 go test -count=1 -v -run 'TestCapacity' ./internal/proofs/fleet
 	go test -run NONE -bench . ./internal/proofs/fleet
 
+# Needs a running deployment, see up.
+console: build
+	@echo "http://127.10.4.1:8443, user operator, password demo-password-lobue"
+	@$(GOBIN)/oriole-console --settings deploy/lobue/console.json
+
 # Generated code is committed; this target is only needed after a change to a .proto file.
 generate:
 	@mkdir -p $(GOBIN)
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -92,7 +92,10 @@
 		return nil, readRefusal(resp, d.Host.Name)
 	}
 	upstream := resp.Header.Get(outcome.HeaderUpstream)
-	return &exchange.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Upstream: upstream}, nil
+	return &exchange.Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Upstream: upstream,
+		Earlier: outcome.Earlier(resp.Header.Get(outcome.HeaderEarlier)),
+	}, nil
 }
 
 // watched returns a context that ends when the peer becomes unreachable, and the function that ends the watch. A
--- a/internal/idempotency/key.go
+++ b/internal/idempotency/key.go
@@ -103,12 +103,17 @@
 	if len(numbers) != 24 || len(mac) != macBytes {
 		return Key{}, errors.New("idempotency key has parts of the wrong length")
 	}
-	return Key{
+	key := Key{
 		Host:        string(raw[0]),
 		Team:        string(raw[1]),
 		Incarnation: binary.BigEndian.Uint64(numbers[0:]),
 		Sequence:    binary.BigEndian.Uint64(numbers[8:]),
 		Expires:     time.Unix(int64(binary.BigEndian.Uint64(numbers[16:])), 0),
 		mac:         mac,
-	}, nil
+	}
+	// The decoder ignores line breaks; a key has one text form only.
+	if key.String() != text {
+		return Key{}, errors.New("idempotency key is not in its canonical form")
+	}
+	return key, nil
 }
--- /dev/null
+++ b/internal/quota/limiter_test.go
@@ -0,0 +1,352 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/proofs/rights/window"
+)
+
+// seatDocument returns a document with one team of 30 requests a second and a burst of 60 over the seats.
+func seatDocument(t testing.TB, version uint64, teams []document.Team, seats ...string) *document.Snapshot {
+	t.Helper()
+	doc := &document.Document{Schema: document.SchemaVersion, Fleet: "test", Version: version, Teams: teams}
+	doc.Parent.Version = version - 1
+	dc := document.DataCentre{Name: "dc", State: document.StateIn}
+	for i, name := range seats {
+		dc.Hosts = append(dc.Hosts, numberedHost(name, i+1))
+	}
+	doc.DataCentres = []document.DataCentre{dc}
+	raw, err := doc.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := document.Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snap
+}
+
+// numberedHost returns a host with addresses of its own.
+func numberedHost(name string, n int) document.Host {
+	address := func(port int) string { return fmt.Sprintf("127.0.0.%d:%d", n, port) }
+	return document.Host{Name: name, CallerAddress: address(8080), PeerAddress: address(7080), AdminAddress: address(9080)}
+}
+
+var oneTeam = []document.Team{{Name: "team", RatePerSecond: 30, Burst: 60}}
+
+// cluster is a few limiters on one fake clock.
+type cluster struct {
+	clock    *clockwork.FakeClock
+	limiters map[string]*Limiter
+	boots    uint64
+}
+
+func newCluster() *cluster {
+	return &cluster{clock: clockwork.NewFakeClock(), limiters: map[string]*Limiter{}}
+}
+
+func (c *cluster) start(name string, snap *document.Snapshot) *Limiter {
+	c.boots++
+	c.limiters[name] = NewLimiter(name, c.boots, c.clock)
+	c.limiters[name].Apply(snap)
+	return c.limiters[name]
+}
+
+// ask lets one host ask the named seats, or all that run.
+func (c *cluster) ask(name string, seats ...string) {
+	asker := c.limiters[name]
+	for _, q := range asker.Questions() {
+		peer := c.limiters[q.Seat.Name]
+		wanted := len(seats) == 0
+		for _, s := range seats {
+			wanted = wanted || s == q.Seat.Name
+		}
+		if peer != nil && wanted {
+			asker.Learn(q, peer.Status(name, asker.incarnation))
+		}
+	}
+}
+
+func (c *cluster) settle(names ...string) {
+	c.clock.Advance(time.Second)
+	for range 2 {
+		for _, name := range names {
+			c.ask(name)
+		}
+	}
+	c.clock.Advance(time.Minute)
+}
+
+// spend admits until the limiter refuses and returns the count.
+func spend(l *Limiter, snap *document.Snapshot) int {
+	n := 0
+	for l.Admit(snap, snap.Team("team")).Admitted {
+		n++
+	}
+	return n
+}
+
+func TestAHostHoldsItsPartOnceEverySeatHasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.clock.Advance(time.Second)
+	c.ask("a", "b")
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.ask("a", "c")
+	is.Equal(spend(c.limiters["a"], v1), 0) // a part that was gained just now is empty
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestARestartedHostIsVouchedForWhileAnotherSeatIsDown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "b", "c")
+	c.limiters["c"] = nil
+	c.start("a", v1)
+	c.clock.Advance(time.Minute)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestAHostThatOnlyLostPartsVouchesForNothingBeforeEverySeatHasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b")
+	v2 := seatDocument(t, 2, oneTeam, "a", "b", "c")
+	c.start("a", v1)
+	c.start("b", v1)
+	c.settle("a", "b")
+	c.limiters["a"].Apply(v2)
+	c.start("c", v2)
+	c.clock.Advance(time.Second)
+	c.ask("c")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["c"], v2), 0) // b still spends under version 1
+}
+
+func TestAnAcknowledgementOfAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "p", "x")
+	v2 := seatDocument(t, 2, oneTeam, "a", "p", "x", "b")
+	for _, name := range []string{"a", "p", "x"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "p", "x")
+	c.limiters["a"].Apply(v2)
+	c.limiters["x"].Apply(v2)
+	c.start("b", v2)
+	c.clock.Advance(time.Second)
+	c.ask("b", "a", "x")
+	// A new process of x reads version 1 again, and p, which is still there, vouches for it.
+	c.start("x", v1)
+	c.ask("x", "p")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["x"], v1), 20)
+	c.limiters["p"].Apply(v2)
+	c.clock.Advance(time.Second)
+	c.ask("b", "p")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v2), 0)
+	c.limiters["x"].Apply(v2)
+	c.clock.Advance(time.Second)
+	c.ask("b")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v2), 15)
+}
+
+func TestALateAnswerFromAnEarlierSplitDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	v3 := seatDocument(t, 3, []document.Team{{Name: "team", RatePerSecond: 30, Burst: 1}}, "a", "b")
+	v4 := seatDocument(t, 4, oneTeam, "a", "b")
+	a := c.start("a", v2)
+	c.start("b", v2)
+	c.clock.Advance(time.Second)
+	question := a.Questions()[0]
+	answer := c.limiters["b"].Status("a", a.incarnation)
+	a.Apply(v3)
+	a.Apply(v4)
+	a.Learn(question, answer)
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(a, v4), 0)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(a, v4), 30)
+}
+
+func TestAnAnswerOnItsWayFromAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v2 := seatDocument(t, 2, oneTeam, "p", "x")
+	v3 := seatDocument(t, 3, oneTeam, "p", "x", "b")
+	c.start("p", v2)
+	c.start("x", v2)
+	c.settle("p", "x")
+	c.limiters["x"].Apply(v3)
+	b := c.start("b", v3)
+	c.clock.Advance(time.Second)
+	questions := b.Questions()
+	late := c.limiters["x"].Status("b", b.incarnation)
+	c.start("x", v2)
+	c.ask("x", "p")
+	c.limiters["p"].Apply(v3)
+	c.clock.Advance(time.Second)
+	c.ask("b", "p")
+	b.Learn(questions[1], late)
+	c.clock.Advance(time.Minute)
+	is.Equal(questions[1].Seat.Name, "x")
+	is.Equal(spend(b, v3), 0)
+}
+
+func TestALoserAcknowledgesOnceItsLoansHaveLapsed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	v3 := seatDocument(t, 3, oneTeam, "a", "b", "c")
+	a := c.start("a", v2)
+	c.start("b", v2)
+	c.settle("a", "b")
+	b := c.limiters["b"]
+	is.Equal(spend(b, v2), 30)
+	c.clock.Advance(time.Minute)
+	a.Apply(v3)
+	is.True(!a.Status("c", 9).Drained)
+	c.clock.Advance(2*GrantValidity + time.Millisecond)
+	is.True(a.Status("c", 9).Drained)
+	is.Equal(spend(a, v3), 20) // what was full with 30 holds the smaller part at once
+	b.Apply(v3)
+	is.Equal(spend(b, v3), 20)
+	c.start("c", v3)
+	c.ask("c")
+	is.True(c.limiters["c"].State().Fresh) // b has lent tokens that may still be spent
+	c.clock.Advance(time.Second)
+	c.ask("c")
+	is.True(!c.limiters["c"].State().Fresh)
+	is.Equal(spend(c.limiters["c"], v3), 0) // a part that nobody used yet is empty, too
+}
+
+func TestABucketStaysEmptyWhileAnEarlierProcessMayHaveLentTokens(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a")
+	a := c.start("a", v1)
+	c.clock.Advance(2 * GrantValidity)
+	is.Equal(spend(a, v1), 0)
+	c.clock.Advance(100 * time.Millisecond)
+	is.Equal(spend(a, v1), 3)
+}
+
+func TestASmallTeamSitsOnFewSeats(t *testing.T) {
+	is := is.New(t)
+	seats := []string{"a", "b", "c", "d", "e", "f", "g"}
+	for _, tc := range []struct {
+		burst float64
+		want  int
+	}{{1, 1}, {7, 1}, {8, 2}, {15, 2}, {16, 4}, {27, 4}, {28, 7}, {1000, 7}} {
+		snap := seatDocument(t, 1, []document.Team{{Name: "team", RatePerSecond: 5, Burst: tc.burst}}, seats...)
+		active, holders, sum := activeSeats(snap), 0, 0.0
+		for _, seat := range seats {
+			f := fraction(seat, snap.Team("team"), active)
+			sum += f
+			if f > 0 {
+				holders++
+			}
+		}
+		is.Equal(holders, tc.want)
+		is.True(sum < 1+1e-9)
+	}
+}
+
+func TestRetryAfterIsTheTimeUntilATokenIsThere(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name, v1)
+	}
+	c.settle("a", "b", "c")
+	a := c.limiters["a"]
+	is.Equal(spend(a, v1), 20)
+	d := a.Admit(v1, v1.Team("team"))
+	is.True(!d.Admitted)
+	c.clock.Advance(d.RetryAfter - time.Millisecond)
+	is.True(!a.Admit(v1, v1.Team("team")).Admitted)
+	c.clock.Advance(2 * time.Millisecond)
+	is.True(a.Admit(v1, v1.Team("team")).Admitted)
+}
+
+func TestTokensThatWereLentBeforeAWindowCountInIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	teams := []document.Team{{Name: "team", RatePerSecond: 300, Burst: 20}}
+	v1 := seatDocument(t, 1, teams, "a")
+	a := c.start("a", v1)
+	c.clock.Advance(time.Minute)
+	grant := NewGrant(c.clock.Now())
+	lent := a.Lend("team", 100)
+	is.Equal(lent.Granted, uint32(20))
+	c.clock.Advance(GrantValidity)
+	is.True(grant.Redeem(c.clock.Now()))
+	is.True(!grant.Redeem(c.clock.Now())) // a repeated reply brings nothing
+	var admitted []time.Time
+	for range int(lent.Granted) + spend(a, v1) {
+		admitted = append(admitted, c.clock.Now())
+	}
+	is.NoErr(window.Check(admitted, 300, 20))
+	late := NewGrant(c.clock.Now())
+	c.clock.Advance(GrantValidity + time.Millisecond)
+	is.True(!late.Redeem(c.clock.Now()))
+}
+
+func TestAFleetStartsUnderItsFirstDocumentWithASeatMissing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	c.start("a", v1)
+	c.start("b", v1)
+	c.clock.Advance(firstWait - time.Millisecond)
+	c.ask("a")
+	c.clock.Advance(time.Millisecond)
+	is.Equal(spend(c.limiters["a"], v1), 0)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v1), 20)
+}
+
+func TestASeatMissingUnderALaterDocumentOrAContradictionKeepsPartsEmpty(t *testing.T) {
+	is := is.New(t)
+	v1 := seatDocument(t, 1, oneTeam, "a", "b", "c")
+	v2 := seatDocument(t, 2, oneTeam, "a", "b")
+	c := newCluster()
+	c.start("a", v2)
+	c.clock.Advance(time.Minute)
+	c.ask("a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["a"], v2), 0)
+	c.start("b", v1)
+	c.ask("b", "a")
+	c.clock.Advance(time.Minute)
+	c.ask("b", "a")
+	c.clock.Advance(time.Minute)
+	is.Equal(spend(c.limiters["b"], v1), 0)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,9 @@
 	header.Set(outcome.HeaderOutcome, string(outcome.Run))
 	header.Set(outcome.HeaderUpstream, answer.Upstream)
 	header.Set(outcome.HeaderTrace, x.Trace)
+	if answer.Earlier != "" {
+		header.Set(outcome.HeaderEarlier, string(answer.Earlier))
+	}
 	w.WriteHeader(answer.Status)
 	return copyFlush(w, answer.Body)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,6 +36,7 @@
 	"github.com/orioleusher/orioleusher/internal/routing"
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/transport"
 	"github.com/orioleusher/orioleusher/internal/upstreams"
@@ -55,6 +56,8 @@
 	gossip     *peers.Gossip
 	platform   *platform.Client
 	limiter    *quota.Limiter
+	borrower   *quota.Borrower
+	quota      *quota.Loop
 	registry   *idempotency.Registry
 	upstreams  *upstreams.Set
 	planner    *routing.Planner
@@ -83,7 +86,7 @@
 	}
 	r.store = config.NewStore(clock, log)
 	r.members = peers.NewMembers(s.Name, r.incarnation, s.Gossip.SuspectAfter.Std(), clock)
-	r.limiter = quota.NewLimiter(s.Name, clock)
+	r.limiter = quota.NewLimiter(s.Name, r.incarnation, clock)
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.planner = routing.NewPlanner(s.RoutingPolicy, s.DataCentre)
 	r.upstreams = r.newUpstreams()
@@ -135,6 +138,7 @@
 	wg.Go(func() { placement.Watch(loops, r.store, r.settings.Name, r.settings.DataCentre, r.log) })
 	wg.Go(func() { r.guard.Run(loops) })
 	wg.Go(func() { r.hops.Run(loops) })
+	wg.Go(func() { r.quota.Run(loops) })
 	wg.Go(func() {
 		r.settle(loops)
 		r.gossip.Run(loops)
@@ -203,6 +207,7 @@
 			hoppb.Role_ROLE_ISSUER: r.issuerChain(),
 		},
 	}
+	mux.Handle(quotapb.QuotaPathPrefix, quotapb.NewQuotaServer(&quota.Server{Limiter: r.limiter, Store: r.store}))
 	mux.Handle(hop.Path, r.hopWork.handler(r.clock.Now, r.guard.Handler(hops)))
 	return mux
 }
@@ -235,6 +240,8 @@
 		return "no document in force"
 	case !r.settled.Load():
 		return "has not asked the fleet for its version yet"
+	case r.limiter.Starting():
+		return "waits for its parts of the teams' rates"
 	default:
 		return ""
 	}
@@ -256,7 +263,7 @@
 	Config      config.State                  `json:"config"`
 	Platform    platform.State                `json:"platform"`
 	Members     []peers.MemberState           `json:"members"`
-	Quota       []quota.TeamState             `json:"quota"`
+	Quota       quota.State                   `json:"quota"`
 	Idempotency idempotency.State             `json:"idempotency"`
 	Upstreams   []upstreams.UpstreamState     `json:"upstreams"`
 	Quarantine  []quarantine.FingerprintState `json:"quarantine"`
