--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -86,11 +86,37 @@
 			a = r.try(ctx, call)
 			tries = append(tries, a)
 		}
-		if a.rateRefused() || !a.notRun() || ctx.Err() != nil {
+		if !again(req, &a) || ctx.Err() != nil {
 			break
 		}
 		time.Sleep(time.Duration(len(tries)) * resendPause)
 	}
+	return append(tries, r.repeat(ctx, req, call)...)
+}
+
+// again reports whether the caller sends the request once more: if it did not run, or if it has a key with which a
+// repeat is safe and the scenario wants repeats.
+func again(req *arrivals.Request, a *attempt) bool {
+	if a.rateRefused() {
+		return false
+	}
+	if a.notRun() {
+		return true
+	}
+	doubtful := a.err != nil || a.result.Outcome == outcome.Unknown
+	return doubtful && a.call.IdempotencyKey != "" && req.Call.Repeats > 0
+}
+
+// repeat sends a call that has its key again, as often as the scenario wants, each time to another host.
+func (r *run) repeat(ctx context.Context, req *arrivals.Request, call Call) []attempt {
+	if req.Call == nil || call.IdempotencyKey == "" {
+		return nil
+	}
+	var tries []attempt
+	for range req.Call.Repeats {
+		call.Address = r.balancer.Pick(call.Address)
+		tries = append(tries, r.try(ctx, call))
+	}
 	return tries
 }
 
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -128,6 +128,38 @@
 	is.Equal(len(lines), 2*result.Total.Requests)
 }
 
+func TestRepeatsCarryTheSameKeyAndGoOnThroughDoubt(t *testing.T) {
+	is := is.New(t)
+	s := callScenario(scenario.Call{Method: "POST", Once: true, Repeats: 2})
+	s.Duration = settings.Duration(500 * time.Millisecond)
+	var sends atomic.Int64
+	_, lines := drive(t, s, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "" {
+			w.Header().Set(outcome.HeaderIdempotencyKey, "issued-"+strings.Repeat("x", int(sends.Load()%7)))
+			answer(w, http.StatusPreconditionRequired, outcome.NotRun)
+			return
+		}
+		if sends.Add(1)%2 == 1 {
+			answer(w, http.StatusBadGateway, outcome.Unknown)
+			return
+		}
+		answer(w, http.StatusOK, outcome.Run)
+	})
+	keys := map[uint64]string{}
+	count := map[uint64]int{}
+	for _, l := range lines {
+		if key := l.Call.IdempotencyKey; key != "" {
+			is.True(keys[l.Call.ID] == "" || keys[l.Call.ID] == key)
+			keys[l.Call.ID] = key
+			count[l.Call.ID]++
+		}
+	}
+	is.True(len(count) > 0)
+	for _, n := range count {
+		is.True(n >= 3)
+	}
+}
+
 func TestAResultCanBeDrawn(t *testing.T) {
 	is := is.New(t)
 	result, _ := drive(t, callScenario(scenario.Call{Method: "GET"}), func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/load/scenario/scenario.go
+++ b/internal/load/scenario/scenario.go
@@ -66,6 +66,9 @@
 	PerSecond float64 `json:"per_second"`
 	// Once marks calls that may not be repeated; the caller asks for an idempotency key first.
 	Once bool `json:"once,omitempty"`
+	// Repeats is how often a caller of such a call sends it again, with the same key, after it was answered. It also
+	// sends it again with that key when the outcome is unknown. It is meant for proofs that the call runs once.
+	Repeats int `json:"repeats,omitempty"`
 	// Open calls carry no key.
 	Open bool `json:"open,omitempty"`
 }
--- a/internal/proofs/churn/churn_test.go
+++ b/internal/proofs/churn/churn_test.go
@@ -44,7 +44,7 @@
 
 // mixed is chats and orders of three teams, one of which surges from the third to the sixth second.
 func mixed(duration float64, schedule ...scenario.Fault) *scenario.Scenario {
-	order := scenario.Call{Route: "orders", Method: "POST", Path: testfleet.PathOrders, PerSecond: 4, Once: true}
+	order := scenario.Call{Route: "orders", Method: "POST", Path: testfleet.PathOrders, PerSecond: 4, Once: true, Repeats: 2}
 	hours := scenario.Call{Route: "hours", Method: "GET", Path: testfleet.PathHours, PerSecond: 2, Open: true}
 	return &scenario.Scenario{
 		Name: "mixed", Seed: seed, Duration: seconds(duration), Warmup: seconds(1), Scale: 1, Attempts: 3,
