--- /dev/null
+++ b/internal/proofs/rights/once_test.go
@@ -0,0 +1,247 @@
+// Package rights proves with real processes that rates, keys and at-most-once hold through kills, freezes and cuts.
+package rights
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/standin/service"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+const callTimeout = 4 * time.Second
+
+// attempt is what a caller saw of one use of a key.
+type attempt struct {
+	key    string
+	at     time.Time
+	result *load.Result
+}
+
+// orders is a set of callers that send each order again, to any host, until it has run or its key is lost.
+type orders struct {
+	fleet  *testfleet.Fleet
+	caller *load.Caller
+
+	mu       sync.Mutex
+	attempts []attempt
+}
+
+// maxUses is how often a caller sends one order.
+const maxUses = 8
+
+func (o *orders) run(ctx context.Context, worker int) {
+	rnd := rand.New(rand.NewPCG(uint64(worker), 1))
+	for n := 0; ctx.Err() == nil; n++ {
+		call := load.Call{
+			Method: http.MethodPost, Path: testfleet.PathOrders, Key: testfleet.KeyOf("team-1"),
+			Body: fmt.Appendf(nil, "order %d of worker %d", n, worker),
+		}
+		if call.IdempotencyKey = o.obtain(rnd, call); call.IdempotencyKey == "" {
+			continue
+		}
+		o.submit(rnd, call)
+	}
+}
+
+func (o *orders) anyHost(rnd *rand.Rand) string {
+	return o.fleet.Caller(rnd.IntN(len(o.fleet.Routers)))
+}
+
+func (o *orders) obtain(rnd *rand.Rand, call load.Call) string {
+	call.Address = o.anyHost(rnd)
+	result, err := o.caller.Do(context.Background(), call)
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return ""
+	}
+	return result.IdempotencyKey
+}
+
+// submit sends the order to two hosts at once and again, until one answer says that it ran or the key is lost.
+func (o *orders) submit(rnd *rand.Rand, call load.Call) {
+	for range maxUses {
+		var wg sync.WaitGroup
+		over := make([]bool, 2)
+		for i := range over {
+			again := call
+			again.Address = o.anyHost(rnd)
+			wg.Go(func() { over[i] = o.use(again) })
+		}
+		wg.Wait()
+		if over[0] || over[1] {
+			return
+		}
+	}
+}
+
+func (o *orders) use(call load.Call) bool {
+	result, err := o.caller.Do(context.Background(), call)
+	if err != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempts = append(o.attempts, attempt{key: call.IdempotencyKey, at: time.Now(), result: result})
+	return result.Status == http.StatusOK && result.Whole || result.Code == "key-dead"
+}
+
+// disturb kills, freezes and cuts until the context ends, and then mends everything.
+func disturb(ctx context.Context, f *testfleet.Fleet) {
+	rnd := rand.New(rand.NewPCG(3, 3))
+	for ctx.Err() == nil {
+		n := rnd.IntN(len(f.Routers))
+		other := rnd.IntN(len(f.Routers))
+		switch rnd.IntN(5) {
+		case 0:
+			f.Routers[n].Kill()
+			f.Routers[n].Restart()
+		case 1:
+			f.Routers[n].Freeze()
+			time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+			f.Routers[n].Thaw()
+		case 2:
+			f.Network.CutBoth(f.RouterIP(n), f.RouterIP(other), testfleet.CutRefuse)
+		case 3:
+			f.Network.Cut(f.RouterIP(n), f.ServiceIP(rnd.IntN(len(f.Services))), testfleet.CutSilent)
+		case 4:
+			f.Network.Cut(f.RouterIP(n), f.RouterIP(other), testfleet.CutSilent)
+		}
+		time.Sleep(300 * time.Millisecond)
+		f.Network.Heal()
+	}
+	f.Network.Heal()
+}
+
+func TestAnOrderRunsAtMostOnceAndEveryNotRunIsTrue(t *testing.T) {
+	is := is.New(t)
+	d := 20 * time.Second
+	if testing.Short() {
+		d = 3 * time.Second
+	}
+	f := testfleet.Start(t, testfleet.Shape{
+		Block: 33, Hosts: []int{2, 2}, Services: 3,
+		EditRouter: func(s *settings.Router) {
+			s.Timeouts.FirstByte = settings.Duration(1500 * time.Millisecond)
+			s.Timeouts.Request = settings.Duration(3 * time.Second)
+		},
+	})
+	o := &orders{fleet: f, caller: load.NewCaller(callTimeout)}
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	var wg sync.WaitGroup
+	for worker := range 8 {
+		wg.Go(func() { o.run(ctx, worker) })
+	}
+	disturb(ctx, f)
+	wg.Wait()
+	// Late runs end within a request's time.
+	time.Sleep(time.Second)
+	byKey, byTrace := ranOrders(t, f)
+	for key, runs := range byKey {
+		if len(runs) > 1 {
+			t.Errorf("key %s ran %d times: %+v", key, len(runs), runs)
+		}
+	}
+	counts := map[outcome.Outcome]int{}
+	for _, a := range o.attempts {
+		counts[a.result.Outcome]++
+		o.check(t, a, byKey, byTrace)
+	}
+	t.Logf("%d keys ran, answers: %v", len(byKey), counts)
+	is.True(counts[outcome.Run] > 20)
+}
+
+// check compares one answer with the record of the services.
+func (o *orders) check(t *testing.T, a attempt, byKey map[string][]service.Ran, byTrace map[string]bool) {
+	r := a.result
+	switch {
+	case r.Outcome == outcome.NotRun && byTrace[r.Trace]:
+		t.Errorf("attempt %s with key %s was said not to have run (code %s) and ran", r.Trace, a.key, r.Code)
+	case r.Outcome == outcome.NotRun && r.Earlier == outcome.EarlierNone:
+		for _, run := range byKey[a.key] {
+			if run.At.Before(a.at.Add(-callTimeout)) {
+				t.Errorf("key %s was said to have no earlier run (code %s) and ran at %s", a.key, r.Code, run.At)
+			}
+		}
+	case r.Outcome == outcome.Run && len(byKey[a.key]) != 1:
+		t.Errorf("key %s was said to have run and ran %d times", a.key, len(byKey[a.key]))
+	case r.Outcome == "":
+		t.Errorf("attempt %s says no outcome: status %d", r.Trace, r.Status)
+	}
+}
+
+// ranOrders returns the services' record by idempotency key and the request ids that ran.
+func ranOrders(t *testing.T, f *testfleet.Fleet) (map[string][]service.Ran, map[string]bool) {
+	t.Helper()
+	byKey, byTrace := map[string][]service.Ran{}, map[string]bool{}
+	for _, p := range f.Services {
+		var s service.State
+		if !f.State(p, &s) {
+			t.Fatalf("%s does not answer", p.Name)
+		}
+		for _, run := range s.Runs {
+			byKey[run.IdempotencyKey] = append(byKey[run.IdempotencyKey], run)
+			byTrace[run.RequestID] = true
+		}
+	}
+	return byKey, byTrace
+}
+
+func TestAKeyIsBoundToItsTeamItsRequestAndItsIssuer(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{Block: 34, Hosts: []int{1, 1}, Services: 1, Teams: twoTeams()})
+	caller := load.NewCaller(callTimeout)
+	order := func(host int, team, key, body string) *load.Result {
+		result, err := caller.Do(context.Background(), load.Call{
+			Address: f.Caller(host), Method: http.MethodPost, Path: testfleet.PathOrders, Key: testfleet.KeyOf(team),
+			IdempotencyKey: key, Body: []byte(body),
+		})
+		is.NoErr(err)
+		return result
+	}
+	first := order(0, "team-1", "", "sacks")
+	is.Equal(first.Outcome, outcome.NotRun)
+	is.Equal(first.Earlier, outcome.EarlierNone)
+	key := first.IdempotencyKey
+	foreign := order(1, "team-2", key, "sacks")
+	is.Equal(foreign.Code, "bad-idempotency-key")
+	is.Equal(foreign.Outcome, outcome.NotRun)
+	ran := order(1, "team-1", key, "sacks")
+	is.Equal(ran.Outcome, outcome.Run)
+	is.Equal(ran.Earlier, outcome.EarlierNone)
+	repeat := order(0, "team-1", key, "sacks")
+	is.Equal(repeat.Outcome, outcome.Run)
+	is.Equal(repeat.Earlier, outcome.EarlierRun)
+	is.Equal(string(repeat.Body), string(ran.Body))
+	other := order(1, "team-1", key, "two thousand sacks")
+	is.Equal(other.Code, "key-reused")
+	is.Equal(other.Outcome, outcome.NotRun)
+	is.Equal(other.Earlier, outcome.EarlierPossible)
+	unused := order(0, "team-1", "", "sacks").IdempotencyKey
+	f.Routers[0].Kill()
+	f.Routers[0].Restart()
+	f.WaitReady(f.Routers[0])
+	for _, dead := range []string{key, unused} {
+		testfleet.Eventually(t, 10*time.Second, "the key is dead", func() bool {
+			r := order(1, "team-1", dead, "sacks")
+			is.Equal(r.Outcome, outcome.NotRun)
+			is.Equal(r.Earlier, outcome.EarlierPossible)
+			is.Equal(r.IdempotencyKey, "")
+			return r.Code == "key-dead"
+		})
+	}
+	byKey, _ := ranOrders(t, f)
+	is.Equal(len(byKey), 1)
+	is.Equal(len(byKey[key]), 1)
+}
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -19,24 +19,27 @@
 func (r *Router) entryChain() exchange.Next {
 	filters := []exchange.Filter{
 		awake.New(r.guard, r.store),
-		identify.New(r.clock, r.scope),
+		identify.New(r.clock, r.store, r.scope),
 		authorise.New(r.scope),
-		limit.New(r.limiter, r.scope),
+		limit.New(r.borrower, r.scope),
 	}
-	return exchange.Chain(append(filters, r.issuerFilters()...)...)
+	return exchange.Chain(append(filters, r.issuerFilters(true)...)...)
 }
 
 // issuerChain is what a request with an idempotency key passes on the host that issued the key.
 func (r *Router) issuerChain() exchange.Next {
-	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters()...)...)
+	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters(false)...)...)
 }
 
-func (r *Router) issuerFilters() []exchange.Filter {
-	entry := quarantine.NewEntry(r.quarantine, r.prober, r.gossip.Push, r.scope)
+// issuerFilters are shared by both; entry is set on the host that accepted the request.
+func (r *Router) issuerFilters(entry bool) []exchange.Filter {
+	suspects := quarantine.NewEntry(r.quarantine, r.prober, r.gossip.Push, r.scope)
 	return []exchange.Filter{
-		idempotency.New(r.settings.Name, r.registry, r.hops, r.scope),
-		entry,
-		resume.New(entry, r.scope),
+		idempotency.New(idempotency.Options{
+			Self: r.settings.Name, Registry: r.registry, Hops: r.hops, Live: r.members, Entry: entry, Scope: r.scope,
+		}),
+		suspects,
+		resume.New(suspects, r.scope),
 		route.New(r.planner, r.scope),
 		dispatch.New(dispatch.Options{
 			Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Live: r.members, Hints: r.upstreams,
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/orioleusher/orioleusher/internal/peers"
 	"github.com/orioleusher/orioleusher/internal/peertls"
 	"github.com/orioleusher/orioleusher/internal/platform"
+	"github.com/orioleusher/orioleusher/internal/quota"
 )
 
 const (
@@ -58,6 +59,11 @@
 		Interval: r.settings.Gossip.Interval.Std(), Members: r.members, Store: r.store, Clock: r.clock,
 		Rand: mathrand.New(mathrand.NewPCG(r.incarnation, 0)), Log: r.log, Scope: r.scope,
 	})
+	lenders := &quota.Peers{
+		Self: r.settings.Name, Incarnation: r.incarnation, Scheme: scheme, Client: gossipClient, Store: r.store,
+	}
+	r.borrower = quota.NewBorrower(r.limiter, lenders, r.members, r.clock, r.scope)
+	r.quota = &quota.Loop{Limiter: r.limiter, Store: r.store, Peers: lenders, Clock: r.clock, Log: r.log}
 	r.platform = platform.NewClient(platform.Options{
 		Base: r.settings.Platform, Fleet: r.settings.Fleet, Self: r.settings.Name, Dialer: r.dialer(), Live: r.members,
 		Store: r.store, Clock: r.clock, Rand: mathrand.New(mathrand.NewPCG(r.incarnation, 1)), Log: r.log, Scope: r.scope,
@@ -164,11 +170,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Timeouts.Drain.Std()+r.settings.Timeouts.Stop.Std())
 	defer cancel()
 	r.stopping.Store(true)
+	r.registry.Stop()
 	r.members.Leave()
 	r.gossip.Push(ctx)
 	r.clock.Sleep(r.settings.Timeouts.Drain.Std())
 	err := r.shutdown(ctx, entry, "caller")
 	r.waitQuiet(ctx)
+	r.waitRuns(ctx)
 	if peerErr := r.shutdown(ctx, peer, "peer"); err == nil {
 		err = peerErr
 	}
@@ -205,3 +213,10 @@
 		}
 	}
 }
+
+// waitRuns waits for requests with an idempotency key whose callers have gone; they may still be at their upstream.
+func (r *Router) waitRuns(ctx context.Context) {
+	if err := r.registry.Wait(ctx); err != nil {
+		r.log.Error().Str("event", "stop-limit").Int("runs", r.registry.State().Running).Err(err).Send()
+	}
+}
