--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"testing"
 	"time"
 
@@ -9,8 +10,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/orioleusher/orioleusher/internal/record"
+	"github.com/orioleusher/orioleusher/internal/testfleet/rapidseed"
 )
 
+// bucketChecks is the number of random sequences of admissions.
+const bucketChecks = 2000
+
+func TestMain(m *testing.M) { os.Exit(rapidseed.Run(m, bucketChecks)) }
+
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -143,3 +144,28 @@
 		})
 	}
 }
+
+// link matches the target of a relative link in Markdown, without its anchor.
+var link = regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+
+func TestEveryRelativeLinkOfThePagesLeadsSomewhere(t *testing.T) {
+	var pages []string
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/*/*.md"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages = append(pages, found...)
+	}
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range link.FindAllStringSubmatch(string(text), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), m[1])); err != nil {
+				t.Errorf("%s links to %s, which does not exist", page, m[1])
+			}
+		}
+	}
+}
--- a/scripts/prove/main.go
+++ b/scripts/prove/main.go
@@ -56,12 +56,12 @@
 	return verdict(results, known)
 }
 
-// arguments runs two packages at a time, because each starts many processes.
+// arguments runs two packages and three tests of each at a time, because each test starts many processes.
 func arguments(o *options, index *prove.Index) []string {
 	if len(o.Args.GoTest) > 0 {
 		return o.Args.GoTest
 	}
-	args := []string{"-p=2", "-timeout=30m", "./internal/proofs/..."}
+	args := []string{"-p=2", "-parallel=3", "-timeout=30m", "./internal/proofs/..."}
 	for _, name := range index.Packages() {
 		args = append(args, "./"+name)
 	}
