Prove rates, keys and orders with real processes; measure the admission path; fuzz the parsers

An order's stream without its end event is not kept as whole; a panic in a run ends the run, not the process. Existing checks: none changed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 GOBIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 
-.PHONY: build test lint demo up down bench prove check proofs-page generate
+FUZZ_TIME ?= 10s
+
+.PHONY: fuzz build test lint demo up down bench prove check proofs-page generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -52,3 +54,10 @@
 		PATH="$(GOBIN):$$PATH" protoc --proto_path=. --go_out=. --go_opt=paths=source_relative \
 			--twirp_out=. --twirp_opt=paths=source_relative $$file || exit 1; \
 	done
+
+# Fuzzes the parsers of idempotency keys, documents and envelopes of peers for a short time each; go test runs the kept
+# corpus in testdata/fuzz.
+fuzz:
+	go test ./internal/idempotency -run NONE -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./internal/document -run NONE -fuzz FuzzParse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./internal/hop -run NONE -fuzz FuzzEnvelope -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -151,7 +151,7 @@
 	if err := doc.Validate(); err != nil {
 		return nil, err
 	}
-	return newSnapshot(&doc)
+	return NewSnapshot(&doc)
 }
 
 // Inspect decodes raw as strictly as an operator wants it and returns every problem at once. The snapshot is nil if there
@@ -177,7 +177,7 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	snap, err := newSnapshot(&doc)
+	snap, err := NewSnapshot(&doc)
 	if err != nil {
 		return nil, []Problem{{Field: "(file)", Want: err.Error()}}
 	}
--- a/internal/document/snapshot.go
+++ b/internal/document/snapshot.go
@@ -43,7 +43,8 @@
 	Pool *Pool
 }
 
-func newSnapshot(doc *Document) (*Snapshot, error) {
+// NewSnapshot indexes a valid document. Unlike Parse it takes one of any size.
+func NewSnapshot(doc *Document) (*Snapshot, error) {
 	raw, err := doc.Encode()
 	if err != nil {
 		return nil, err
@@ -53,8 +54,8 @@
 		Document:  doc,
 		Hash:      hex.EncodeToString(sum[:]),
 		Raw:       raw,
-		keys:      map[[sha256.Size]byte]TeamKey{},
-		teams:     map[string]*Team{},
+		keys:      make(map[[sha256.Size]byte]TeamKey, doc.keyCount()),
+		teams:     make(map[string]*Team, len(doc.Teams)),
 		pools:     map[string]*Pool{},
 		hosts:     map[string]SeatHost{},
 		upstreams: map[string]PoolUpstream{},
@@ -65,6 +66,15 @@
 	return s, s.indexTeams()
 }
 
+// keyCount returns the number of keys of all teams.
+func (d *Document) keyCount() int {
+	count := 0
+	for i := range d.Teams {
+		count += len(d.Teams[i].Keys)
+	}
+	return count
+}
+
 func (s *Snapshot) indexHosts() {
 	for i := range s.DataCentres {
 		dc := &s.DataCentres[i]
--- a/internal/filters/idempotency/idempotency.go
+++ b/internal/filters/idempotency/idempotency.go
@@ -4,16 +4,19 @@
 package idempotency
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/idempotency"
@@ -231,7 +234,13 @@
 // execute runs the rest of the chain and keeps the whole answer.
 func (f *Filter) execute(ctx context.Context, x *exchange.Exchange, run *idempotency.Run, next exchange.Next) {
 	kept := idempotency.Kept{Refusal: unread("", errors.New("the run ended early"))}
-	defer func() { f.Registry.Finish(run, kept) }()
+	defer func() {
+		// The run is not on a server's goroutine, so that nobody else keeps a panic from ending the process.
+		if failure := recover(); failure != nil {
+			kept.Refusal = unread("", errors.Errorf("panic: %v", failure))
+		}
+		f.Registry.Finish(run, kept)
+	}()
 	ctx, cancel := context.WithDeadline(ctx, x.Deadline)
 	defer cancel()
 	// The caller's goroutine may return before the run ends, so the run works on its own copy.
@@ -242,6 +251,19 @@
 		return
 	}
 	kept = read(own.Answer)
+	if kept.Refusal == nil && brokenStream(&own, kept) {
+		kept = idempotency.Kept{Refusal: unread(kept.Upstream, errors.New("the stream has no end event"))}
+	}
+}
+
+// brokenStream reports whether an engine's stream lacks the event that ends it.
+func brokenStream(x *exchange.Exchange, kept idempotency.Kept) bool {
+	pool := x.Snapshot.Pool(x.Route.Pool)
+	if pool == nil || pool.Kind != document.KindEngine || kept.Status != http.StatusOK {
+		return false
+	}
+	isStream := strings.HasPrefix(kept.Header.Get("Content-Type"), "text/event-stream")
+	return isStream && !bytes.HasSuffix(bytes.TrimSpace(kept.Body), []byte("data: [DONE]"))
 }
 
 // read keeps an answer.
--- /dev/null
+++ b/internal/proofs/rights/rate_test.go
@@ -0,0 +1,126 @@
+package rights
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load"
+	"github.com/orioleusher/orioleusher/internal/proofs/rights/window"
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+// The limited team of the rate proofs.
+const (
+	limitedRate  = 40
+	limitedBurst = 40
+	pathQuotes   = "/v1/quotes"
+	// recordDelay allows for the way from the admission to the service's record, in requests at the team's rate.
+	recordDelay = 250 * time.Millisecond
+)
+
+func limitedFleet(t *testing.T, block int, hosts []int) *testfleet.Fleet {
+	return testfleet.Start(t, testfleet.Shape{
+		Block: block, Hosts: hosts, Services: 2,
+		Teams: []document.Team{{Name: "team-1", RatePerSecond: limitedRate, Burst: limitedBurst}},
+		Edit: func(d *document.Document) {
+			d.Routes = append(d.Routes, document.Route{
+				Name: "quotes", Path: pathQuotes, Methods: []string{"POST"}, Pool: "services", Repeatable: true,
+			})
+		},
+	})
+}
+
+// flood sends requests at a pace to the hosts in turn and counts the answers by status.
+func flood(f *testfleet.Fleet, hosts []int, perSecond int, d time.Duration) map[int]int {
+	caller := load.NewCaller(callTimeout)
+	counts := map[int]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for n := range int(d.Seconds() * float64(perSecond)) {
+		<-ticker.C
+		wg.Go(func() {
+			status := 0
+			result, err := caller.Do(context.Background(), load.Call{
+				Address: f.Caller(hosts[n%len(hosts)]), Method: http.MethodPost, Path: pathQuotes, Key: testfleet.KeyOf("team-1"),
+			})
+			if err == nil {
+				status = result.Status
+			}
+			mu.Lock()
+			counts[status]++
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return counts
+}
+
+// checkRate compares everything that the services ran with the team's rate and burst.
+func checkRate(t *testing.T, f *testfleet.Fleet) {
+	t.Helper()
+	byKey, _ := ranOrders(t, f)
+	var times []time.Time
+	for _, runs := range byKey {
+		for _, run := range runs {
+			times = append(times, run.At)
+		}
+	}
+	if err := window.Check(times, limitedRate, limitedBurst+limitedRate*recordDelay.Seconds()); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestATeamWithinItsRateIsServedFromOneHostAndNeverGetsMore(t *testing.T) {
+	is := is.New(t)
+	f := limitedFleet(t, 36, []int{2, 1})
+	time.Sleep(time.Second)
+	within := flood(f, []int{0}, limitedRate*8/10, 3*time.Second)
+	t.Logf("80%% of the rate, one host: %v", within)
+	is.Equal(within[http.StatusOK], limitedRate*8/10*3)
+	over := flood(f, []int{0, 1, 2}, limitedRate*10, 2*time.Second)
+	t.Logf("10 times the rate, all hosts: %v", over)
+	is.True(over[http.StatusTooManyRequests] > 0)
+	checkRate(t, f)
+}
+
+func TestTheRateHoldsThroughKillsFreezesCutsAndMovedParts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for half a minute")
+	}
+	is := is.New(t)
+	f := limitedFleet(t, 37, []int{2, 2})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			flood(f, []int{0, 1, 2, 3}, limitedRate*4, time.Second)
+		}
+	})
+	wg.Go(func() { moveParts(ctx, f) })
+	disturb(ctx, f)
+	wg.Wait()
+	checkRate(t, f)
+	last := flood(f, []int{0, 1, 2, 3}, limitedRate, 2*time.Second)
+	t.Logf("afterwards: %v", last)
+	is.True(last[http.StatusOK] > 0)
+}
+
+// moveParts publishes documents whose small team sits on more and fewer seats.
+func moveParts(ctx context.Context, f *testfleet.Fleet) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(2 * time.Second)
+		f.Publish(func(d *document.Document) {
+			// The burst stays below its bound; it decides the number of seats.
+			d.Teams[0].Burst = []float64{limitedBurst, 9, 4}[n%3]
+		})
+	}
+}
