Loans of rate wait for the catch-up after a pause

Cause: a lender that woke answered from the document and the bucket it had before the pause; its address was the one part of the peer server beside gossip that the pause guard did not cover. go test -race -short ./internal/proofs/rights/... ./internal/quota passes.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -207,7 +207,7 @@
 			hoppb.Role_ROLE_ISSUER: r.issuerChain(),
 		},
 	}
-	mux.Handle(quotapb.QuotaPathPrefix, quotapb.NewQuotaServer(&quota.Server{Limiter: r.limiter, Store: r.store}))
+	mux.Handle(quotapb.QuotaPathPrefix, r.guard.Handler(quotapb.NewQuotaServer(&quota.Server{Limiter: r.limiter, Store: r.store})))
 	mux.Handle(hop.Path, r.hopWork.handler(r.clock.Now, r.guard.Handler(hops)))
 	return mux
 }
