--- a/internal/load/arrivals/arrivals.go
+++ b/internal/load/arrivals/arrivals.go
@@ -61,7 +61,7 @@
 	book := newChatBook(s.Chat, t, rnd)
 	var requests []Request
 	for _, due := range poisson(s, t, t.ChatsPerSecond, rnd) {
-		requests = append(requests, Request{Due: due, Team: t.Name, Chat: book.next()})
+		requests = append(requests, Request{Due: due, Team: t.Name, Chat: book.next(due)})
 	}
 	return requests
 }
--- a/internal/load/arrivals/chats.go
+++ b/internal/load/arrivals/chats.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/orioleusher/orioleusher/internal/load/scenario"
 	"github.com/orioleusher/orioleusher/internal/standin/engine"
@@ -23,7 +24,9 @@
 type chat struct {
 	generation int
 	turns      int
-	messages   []engine.Message
+	// ready is when the chat may return.
+	ready    time.Duration
+	messages []engine.Message
 }
 
 func newChatBook(shape scenario.Chat, t *scenario.Team, rnd *rand.Rand) *chatBook {
@@ -34,12 +37,13 @@
 }
 
 // next returns the next turn of the chat that returns now. A chat that had its last turn starts again as a new one.
-func (b *chatBook) next() *ChatTurn {
-	number := b.zipf.Uint64()
+func (b *chatBook) next(now time.Duration) *ChatTurn {
+	number := b.pick(now)
 	c := &b.chats[number]
 	if c.turns >= b.shape.MaxTurns {
 		*c = chat{generation: c.generation + 1}
 	}
+	c.ready = now + b.shape.Pause.Std()
 	id := fmt.Sprintf("%s-%d-%d", b.team, number, c.generation)
 	c.messages = append(c.messages, b.userMessages(c, id)...)
 	c.turns++
@@ -49,6 +53,20 @@
 	return turn
 }
 
+// pick returns the number of the most popular chat from a drawn one on that does not pause. If all pause, a new chat
+// joins the book.
+func (b *chatBook) pick(now time.Duration) int {
+	drawn := int(b.zipf.Uint64())
+	for i := range b.chats {
+		number := (drawn + i) % len(b.chats)
+		if b.chats[number].ready <= now {
+			return number
+		}
+	}
+	b.chats = append(b.chats, chat{})
+	return len(b.chats) - 1
+}
+
 func (b *chatBook) userMessages(c *chat, id string) []engine.Message {
 	if c.turns > 0 {
 		return []engine.Message{{Role: "user", Content: words(id, c.turns, b.shape.TurnTokens)}}
--- a/internal/load/report/fairness.go
+++ b/internal/load/report/fairness.go
@@ -26,6 +26,9 @@
 	var f Fairness
 	var success, slowness []float64
 	for _, name := range sortedNames(teams) {
+		if slices.Contains(in.Surging, name) {
+			continue
+		}
 		t := teams[name].result()
 		success = append(success, t.Success)
 		slowness = append(slowness, t.FirstByte.P95)
--- a/internal/load/report/finished.go
+++ b/internal/load/report/finished.go
@@ -79,8 +79,9 @@
 	Rates    map[string]TeamRate
 	// Moves are the spans in which a data centre was out or had just come back.
 	Moves []Window
-	// Surges are the spans in which a team surged.
-	Surges []Window
+	// Surges are the spans in which a team surged, Surging the teams that did.
+	Surges  []Window
+	Surging []string
 	// ControlBytesPerSecond holds one figure a router; it is empty where routers do not report it.
 	ControlBytesPerSecond map[string]float64
 }
--- a/internal/load/report/result.go
+++ b/internal/load/report/result.go
@@ -100,7 +100,7 @@
 }
 
 // Fairness compares the worst-served team with the median team, over the spans in which a team surged, or over the
-// whole run if none did. The surging teams' own requests count as far as their rate allows them.
+// whole run if none did. Surging teams are left out: the question is what the others get meanwhile.
 type Fairness struct {
 	WorstTeam     string  `json:"worst_team"`
 	WorstSuccess  float64 `json:"worst_success"`
--- a/internal/load/scenario/scenario.go
+++ b/internal/load/scenario/scenario.go
@@ -42,6 +42,9 @@
 	HistoryTokens int `json:"history_tokens"`
 	TurnTokens    int `json:"turn_tokens"`
 	AnswerTokens  int `json:"answer_tokens"`
+	// Pause is the least time between two turns of one chat: a turn holds the answer to the one before, which must have
+	// come. If every chat of the team pauses, a new one begins.
+	Pause settings.Duration `json:"pause"`
 	// MaxTurns is when a chat ends and a new one takes its place.
 	MaxTurns int `json:"max_turns"`
 }
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -14,7 +14,7 @@
 	defer r.mu.Unlock()
 	in := &report.Input{
 		Warmup: r.o.Scenario.Warmup.Std(), Duration: r.o.Scenario.Duration.Std(), Finished: r.finish, Charges: r.charges,
-		Rates: r.rates(), Moves: r.moves.windows(r.start, r.o.Scenario.Duration.Std()), Surges: surges(r.o.Scenario),
+		Rates: r.rates(), Moves: r.moves.windows(r.start, r.o.Scenario.Duration.Std()), Surges: surges(r.o.Scenario), Surging: surging(r.o.Scenario),
 		ControlBytesPerSecond: control,
 	}
 	loads, _ := r.sampler.Samples()
@@ -55,6 +55,16 @@
 	return rates
 }
 
+func surging(s *scenario.Scenario) []string {
+	var names []string
+	for _, t := range s.Teams {
+		if len(t.Surges) > 0 {
+			names = append(names, t.Name)
+		}
+	}
+	return names
+}
+
 func surges(s *scenario.Scenario) []report.Window {
 	var windows []report.Window
 	for _, t := range s.Teams {
--- a/internal/prove/knownred.go
+++ b/internal/prove/knownred.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io/fs"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -66,13 +68,16 @@
 	return n
 }
 
-// Failures returns the tests that failed and are not known to.
-func (r Results) Failures() []TestID {
+// With returns the tests with the verdict, in order.
+func (r Results) With(verdict Verdict) []TestID {
 	var list []TestID
 	for id, v := range r {
-		if v == Fail {
+		if v == verdict {
 			list = append(list, id)
 		}
 	}
+	slices.SortFunc(list, func(a, b TestID) int {
+		return cmp.Or(cmp.Compare(a.Package, b.Package), cmp.Compare(a.Name, b.Name))
+	})
 	return list
 }
--- a/scripts/prove/main.go
+++ b/scripts/prove/main.go
@@ -72,12 +72,10 @@
 	for _, red := range known {
 		fmt.Printf("known red: %s\n", red.Line)
 	}
-	for id, v := range results {
-		if v == prove.NotRun {
-			fmt.Printf("not run: %s %s\n", id.Package, id.Name)
-		}
+	for _, id := range results.With(prove.NotRun) {
+		fmt.Printf("not run: %s %s\n", id.Package, id.Name)
 	}
-	failures := results.Failures()
+	failures := results.With(prove.Fail)
 	for _, id := range failures {
 		fmt.Printf("FAIL: %s %s\n", id.Package, id.Name)
 	}
