--- /dev/null
+++ b/internal/load/churn/churn_test.go
@@ -0,0 +1,71 @@
+package churn
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/load/scenario"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/standin/faults"
+)
+
+func TestAFaultThatCannotBeCarriedOutIsAnError(t *testing.T) {
+	order := &faults.Order{Kind: faults.Cold}
+	unreachable := &settings.StandIns{
+		Platform: settings.Platform{Address: "127.0.0.1:1", AdminAddress: "127.0.0.1:1"},
+		Engines:  []settings.Engine{{Name: "e", AdminAddress: "127.0.0.1:1"}},
+	}
+	for _, c := range []struct {
+		name     string
+		standIns *settings.StandIns
+		fault    scenario.Fault
+	}{
+		{"no hook file", nil, scenario.Fault{Act: scenario.ActProcess, Target: "r", Signal: scenario.SignalKill}},
+		{"no file of stand-ins", nil, scenario.Fault{Act: scenario.ActStandIn, Target: "e", Order: order}},
+		{"unknown stand-in", unreachable, scenario.Fault{Act: scenario.ActStandIn, Target: "f", Order: order}},
+		{"stand-in does not answer", unreachable, scenario.Fault{Act: scenario.ActStandIn, Target: "e", Order: order}},
+		{"platform does not answer", unreachable, scenario.Fault{Act: scenario.ActDataCentre, Target: "d", State: document.StateOut}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var seen []error
+			s := &Schedule{StandIns: c.standIns, Done: func(_ scenario.Fault, _ time.Time, err error) { seen = append(seen, err) }}
+			s.Run(context.Background(), time.Now(), []scenario.Fault{c.fault})
+			is.Equal(len(seen), 1)
+			is.True(seen[0] != nil)
+		})
+	}
+}
+
+func TestFaultsComeInTheOrderOfTheirTimes(t *testing.T) {
+	is := is.New(t)
+	var hook bytes.Buffer
+	at := func(ms int, target string) scenario.Fault {
+		return scenario.Fault{
+			At: settings.Duration(time.Duration(ms) * time.Millisecond), Act: scenario.ActProcess, Target: target, Signal: scenario.SignalKill,
+		}
+	}
+	s := &Schedule{Hook: &hook, Done: func(_ scenario.Fault, _ time.Time, err error) { is.NoErr(err) }}
+	s.Run(context.Background(), time.Now(), []scenario.Fault{at(20, "b"), at(0, "a"), at(40, "c")})
+	is.Equal(hook.String(), "kill a\nkill b\nkill c\n")
+}
+
+func TestAnEditNamesItsParentAndMovesOnlyItsTarget(t *testing.T) {
+	is := is.New(t)
+	snap := &document.Snapshot{Hash: "h", Document: &document.Document{
+		Version: 4, DataCentres: []document.DataCentre{{Name: "a", State: document.StateIn}, {Name: "b", State: document.StateIn}},
+	}}
+	_, err := edit(snap, scenario.Fault{Act: scenario.ActDataCentre, Target: "b", State: document.StateOut})
+	is.NoErr(err)
+	is.Equal(snap.Version, uint64(5))
+	is.Equal(snap.Parent, document.Parent{Version: 4, Hash: "h"})
+	is.Equal(snap.DataCentres[0].State, document.StateIn)
+	is.Equal(snap.DataCentres[1].State, document.StateOut)
+	_, err = edit(snap, scenario.Fault{Act: scenario.ActDataCentre, Target: "c", State: document.StateOut})
+	is.True(err != nil)
+}
