Let a chat wait shortly at its first choice before it goes elsewhere

Cause: at a mean load of 2 the bound leaves an engine 2 or 3 places, so that many returning chats overflowed to an engine without their prefix.

Change: the first choice's owner lets a request wait for up to 300 ms if a place is expected by then. Such requests do not count as waiting in the mean, since others may have a place for them.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -56,8 +56,8 @@
 
 	// Candidates are upstream names in the order of preference, set by route.
 	Candidates []string
-	// MayWait tells the upstream's owner to let the request wait for a place instead of refusing it.
-	MayWait bool
+	// MaxWait is how long the upstream's owner may let the request wait for a place instead of refusing it.
+	MaxWait time.Duration
 	// Answer is the upstream's answer, set by dispatch.
 	Answer *Answer
 }
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -60,7 +60,7 @@
 
 func request(x *exchange.Exchange) upstreams.Request {
 	r := upstreams.Request{
-		Upstream: x.Candidates[0], Team: x.TeamName(), Deadline: x.Deadline, MayWait: x.MayWait,
+		Upstream: x.Candidates[0], Team: x.TeamName(), Deadline: x.Deadline, MaxWait: x.MaxWait,
 	}
 	if x.Team != nil {
 		r.Weight = x.Team.Weight
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -80,7 +81,7 @@
 	}
 	for _, name := range full[:min(maxWaits, len(full))] {
 		f.waits.Inc(1)
-		err = f.attempt(ctx, x, name, true)
+		err = f.attempt(ctx, x, name, upstreams.LastWait)
 		if err == nil || !mayGoOn(ctx, x, err) || exchange.Refusal(err).Code == upstreams.CodeBusy {
 			return err
 		}
@@ -88,15 +89,17 @@
 	return err
 }
 
-// tryEach asks the candidates in order for a place at once. It returns the candidates that were full, the warm ones
+// tryEach asks the candidates in order for a place, the first one for a short wait, the others at once. It returns the candidates that were full, the warm ones
 // first, and the last error.
 func (f *Filter) tryEach(ctx context.Context, x *exchange.Exchange) (full []string, err error) {
 	var cold []string
 	for i, name := range f.usable(x.Candidates) {
+		wait := upstreams.FirstWait
 		if i > 0 {
+			wait = 0
 			f.retry.Inc(1)
 		}
-		err = f.attempt(ctx, x, name, false)
+		err = f.attempt(ctx, x, name, wait)
 		if err == nil || !mayGoOn(ctx, x, err) {
 			return nil, err
 		}
@@ -144,7 +147,7 @@
 }
 
 // attempt sends the request to the owner of the upstream and sets the answer.
-func (f *Filter) attempt(ctx context.Context, x *exchange.Exchange, name string, wait bool) error {
+func (f *Filter) attempt(ctx context.Context, x *exchange.Exchange, name string, wait time.Duration) error {
 	if !x.Budget.Take() {
 		return outcome.Unavailable(Name, "retry-budget", "the request has used up its attempts").WithPeer(name, nil)
 	}
@@ -155,7 +158,7 @@
 	return err
 }
 
-func (f *Filter) send(ctx context.Context, x *exchange.Exchange, name string, wait bool) error {
+func (f *Filter) send(ctx context.Context, x *exchange.Exchange, name string, wait time.Duration) error {
 	up, ok := x.Snapshot.Upstream(name)
 	if !ok {
 		return outcome.Unavailable(Name, "no-upstream", "the upstream is not in the document").WithPeer(name, nil)
@@ -172,18 +175,18 @@
 	}
 	f.hop.Inc(1)
 	answer, err := f.Hops.Forward(ctx, x, hop.Destination{
-		Role: hoppb.Role_ROLE_OWNER, Host: host, Upstream: name, MayWait: wait,
+		Role: hoppb.Role_ROLE_OWNER, Host: host, Upstream: name, MaxWait: wait,
 	})
 	x.Answer = answer
 	return err
 }
 
 // here runs the owner's chain on this host.
-func (f *Filter) here(ctx context.Context, x *exchange.Exchange, name string, wait bool) error {
+func (f *Filter) here(ctx context.Context, x *exchange.Exchange, name string, wait time.Duration) error {
 	f.local.Inc(1)
 	own := *x
 	own.Candidates = []string{name}
-	own.MayWait = wait
+	own.MaxWait = wait
 	if err := f.Owner(ctx, &own); err != nil {
 		return err
 	}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -36,8 +36,8 @@
 	Role     hoppb.Role
 	Host     document.SeatHost
 	Upstream string
-	// MayWait lets the request wait for a place at the upstream.
-	MayWait bool
+	// MaxWait is how long the request may wait for a place at the upstream.
+	MaxWait time.Duration
 }
 
 func encodeEnvelope(e *hoppb.Envelope) (string, error) {
@@ -67,7 +67,7 @@
 		Role: d.Role, Sender: sender, SenderIncarnation: incarnation, DocumentVersion: x.Snapshot.Version,
 		Trace: x.Trace, Method: x.Method, Path: x.Path, RawQuery: x.RawQuery, Route: x.Route.Name,
 		Team: teamOf(x), KeyId: x.KeyID, ChatId: x.ChatID, IdempotencyKey: x.IdempotencyKey,
-		Fingerprint: x.Fingerprint, Upstream: d.Upstream, MayWait: d.MayWait, TimeoutMs: x.Deadline.Sub(now).Milliseconds(),
+		Fingerprint: x.Fingerprint, Upstream: d.Upstream, MaxWaitMs: uint32(d.MaxWait.Milliseconds()), TimeoutMs: x.Deadline.Sub(now).Milliseconds(),
 		Suspect: x.Suspect, Attempts: uint32(x.Budget.Left()),
 	}
 }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -87,7 +87,8 @@
 		Trace: env.Trace, Start: now, Deadline: now.Add(time.Duration(env.TimeoutMs) * time.Millisecond),
 		Method: env.Method, Path: env.Path, RawQuery: env.RawQuery, Header: header, Body: body,
 		Snapshot: snap, Route: route, Team: team, KeyID: env.KeyId, ChatID: env.ChatId,
-		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env), MayWait: env.MayWait,
+		IdempotencyKey: env.IdempotencyKey, Fingerprint: env.Fingerprint, Candidates: candidates(env),
+		MaxWait: time.Duration(env.MaxWaitMs) * time.Millisecond,
 		Suspect: env.Suspect, Budget: exchange.NewBudget(int(min(env.Attempts, exchange.MaxAttempts))),
 	}, nil
 }
--- a/internal/upstreams/acquire.go
+++ b/internal/upstreams/acquire.go
@@ -10,8 +10,14 @@
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
-// maxWait is the longest that a request waits for a place.
-const maxWait = 5 * time.Second
+// The waits for a place that senders ask for.
+const (
+	// FirstWait is how long a request waits at its first choice, where its prefix is cached, before another upstream
+	// is asked.
+	FirstWait = 300 * time.Millisecond
+	// LastWait is the longest that a request waits when every upstream is full.
+	LastWait = 5 * time.Second
+)
 
 // Request is what asks for a place.
 type Request struct {
@@ -20,13 +26,15 @@
 	// Weight is the team's part in fair queueing; 0 means 1.
 	Weight   int
 	Deadline time.Time
-	// MayWait lets the request wait for a place instead of being refused.
-	MayWait bool
+	// MaxWait is how long the request may wait for a place instead of being refused.
+	MaxWait time.Duration
 }
 
 // waiter is a request in the queue. Done receives nil when it has a place, or the refusal.
 type waiter struct {
 	team string
+	// last means that no other upstream has a place, so that the request counts in the mean that will be carried.
+	last bool
 	done chan error
 	// state is where the place was granted; set before done receives nil.
 	state *state
@@ -68,7 +76,7 @@
 		s.take(st, now)
 		return st, nil, nil
 	}
-	if !req.MayWait {
+	if req.MaxWait <= 0 {
 		return nil, nil, refuseFull(st)
 	}
 	w, err := s.enqueue(st, req, s.limit(st, now), now)
@@ -97,17 +105,18 @@
 	expected := time.Duration(ahead+1) * st.duration / time.Duration(max(1, min(limit, st.up.Capacity)))
 	if expected > s.patience(req, now) {
 		s.metrics.early.Inc(1)
-		return nil, refuseBusy(st, expected)
+		return nil, refuseWait(st, req, expected)
 	}
-	w := &waiter{team: req.Team, done: make(chan error, 1)}
+	w := &waiter{team: req.Team, last: req.MaxWait >= LastWait, done: make(chan error, 1)}
 	evicted, ok := st.queue.Push(req.Team, req.Weight, w)
 	if !ok {
 		s.metrics.evicted.Inc(1)
-		return nil, refuseBusy(st, expected)
+		return nil, refuseWait(st, req, expected)
 	}
-	s.changed(st, 0, 1-len(evicted))
+	s.waits(st, w, 1)
 	for _, e := range evicted {
 		s.metrics.evicted.Inc(1)
+		s.waits(st, e, -1)
 		e.done <- refuseBusy(st, expected)
 	}
 	s.metrics.queued.Inc(1)
@@ -116,7 +125,7 @@
 
 // patience is how long the request may wait.
 func (s *Set) patience(req Request, now time.Time) time.Duration {
-	return min(maxWait, req.Deadline.Sub(now))
+	return min(req.MaxWait, req.Deadline.Sub(now))
 }
 
 // wait waits until the request has a place.
@@ -131,7 +140,7 @@
 	case <-ctx.Done():
 		return s.giveUp(st, w, outcome.Unavailable(step, CodeBusy, "the caller went away").WithPeer(st.up.Name, ctx.Err()))
 	case <-timer.Chan():
-		return s.giveUp(st, w, refuseBusy(st, s.Clock.Since(start)))
+		return s.giveUp(st, w, refuseWait(st, req, s.Clock.Since(start)))
 	}
 }
 
@@ -140,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st.queue.Remove(w.team, w) {
-		s.changed(st, 0, -1)
+		s.waits(st, w, -1)
 		return refusal
 	}
 	if err := <-w.done; err != nil {
@@ -161,7 +170,7 @@
 func (s *Set) drain(st *state, now time.Time) {
 	for st.queue.Len() > 0 && st.health.Admits(st.inFlight) && s.hasPlace(st, now) {
 		w, _ := st.queue.Pop()
-		s.changed(st, 0, -1)
+		s.waits(st, w, -1)
 		s.take(st, now)
 		w.state = st
 		w.done <- nil
@@ -172,7 +181,7 @@
 func (s *Set) flush(st *state, refusal error) {
 	for st.queue.Len() > 0 {
 		w, _ := st.queue.Pop()
-		s.changed(st, 0, -1)
+		s.waits(st, w, -1)
 		w.done <- refusal
 	}
 }
@@ -193,6 +202,15 @@
 	return outcome.Unavailable(step, CodeFull, "the upstream is at its load bound").WithPeer(st.up.Name, nil)
 }
 
+// refuseWait refuses a request whose wait is too long. One that would have waited for a short time only may be placed
+// elsewhere, as with any full upstream.
+func refuseWait(st *state, req Request, wait time.Duration) error {
+	if req.MaxWait < LastWait {
+		return refuseFull(st)
+	}
+	return refuseBusy(st, wait)
+}
+
 func refuseBusy(st *state, wait time.Duration) error {
 	return outcome.Refuse(step, http.StatusServiceUnavailable, CodeBusy, "no place at the upstream in time").
 		WithPeer(st.up.Name, nil).WithRetryAfter(max(time.Second, wait))
--- a/internal/upstreams/acquire_test.go
+++ b/internal/upstreams/acquire_test.go
@@ -34,7 +34,7 @@
 
 func (s *simulation) patient() Request {
 	r := s.request("b")
-	r.MayWait = true
+	r.MaxWait = LastWait
 	return r
 }
 
--- a/internal/upstreams/gossip.go
+++ b/internal/upstreams/gossip.go
@@ -22,7 +22,7 @@
 	for _, name := range s.turn() {
 		st := s.states[name]
 		d.Loads = append(d.Loads, &gossippb.UpstreamLoad{
-			Upstream: name, Sequence: s.sequence, InFlight: uint32(max(0, st.inFlight)), Waiting: uint32(st.queue.Len()),
+			Upstream: name, Sequence: s.sequence, InFlight: uint32(max(0, st.inFlight)), Waiting: uint32(max(0, st.waiting)),
 			Cold: st.ramp.Cold(), Down: st.down(),
 		})
 		s.next = name
--- a/internal/upstreams/pool.go
+++ b/internal/upstreams/pool.go
@@ -31,6 +31,14 @@
 	p.totals.Waiting = max(0, p.totals.Waiting+float64(waiting))
 }
 
+// waits adds n to the requests that wait and that no other upstream has a place for. The caller holds mu.
+func (s *Set) waits(st *state, w *waiter, n int) {
+	if w.last {
+		st.waiting += n
+		s.changed(st, 0, n)
+	}
+}
+
 // sumPools sums every pool anew: what other hosts report and what this host owns. The caller holds mu.
 func (s *Set) sumPools() {
 	elsewhere := map[string]loadbound.Totals{}
--- a/internal/upstreams/simulation_test.go
+++ b/internal/upstreams/simulation_test.go
@@ -295,12 +295,12 @@
 // arrive sends one request of the chat into the host; it holds its place for the duration. When all candidates are full
 // it waits at the first.
 func (s *simulation) arrive(entry *host, chat string, d time.Duration) {
-	if !s.try(entry, chat, d, false) {
-		s.try(entry, chat, d, true)
+	if !s.try(entry, chat, d, 0) {
+		s.try(entry, chat, d, LastWait)
 	}
 }
 
-func (s *simulation) try(entry *host, chat string, d time.Duration, mayWait bool) bool {
+func (s *simulation) try(entry *host, chat string, d, maxWait time.Duration) bool {
 	pool := s.snap.Pool("pool")
 	names := entry.plan.Candidates(s.snap, pool, chat, nil)
 	for _, name := range names {
@@ -312,7 +312,7 @@
 		engine := s.engines[up.Address]
 		owner.set.mu.Lock()
 		st, w, err := owner.set.admit(Request{
-			Upstream: name, Team: "team", Deadline: s.clock.Now().Add(time.Minute), MayWait: mayWait,
+			Upstream: name, Team: "team", Deadline: s.clock.Now().Add(time.Minute), MaxWait: maxWait,
 		})
 		owner.set.mu.Unlock()
 		switch {
--- a/internal/upstreams/state.go
+++ b/internal/upstreams/state.go
@@ -42,7 +42,9 @@
 	takenOver time.Time
 	reported  bool
 
-	queue    *fairqueue.Queue[*waiter]
+	queue *fairqueue.Queue[*waiter]
+	// waiting is the number of requests in the queue that no other upstream has a place for.
+	waiting  int
 	ramp     *coldstart.Ramp
 	pace     coldstart.Pace
 	health   health.Tracker
@@ -63,7 +65,7 @@
 
 // inherit takes over what stays true when the document changes the upstream's capacity or address.
 func (st *state) inherit(old *state) {
-	st.total, st.queue, st.owned, st.duration = old.total, old.queue, old.owned, old.duration
+	st.total, st.queue, st.waiting, st.owned, st.duration = old.total, old.queue, old.waiting, old.owned, old.duration
 }
 
 // load is the number of requests that the upstream carries, as far as is known.
@@ -71,7 +73,7 @@
 
 // totals is what the upstream adds to its pool's totals.
 func (st *state) totals() loadbound.Totals {
-	return loadbound.Totals{Load: float64(st.load()), Waiting: float64(st.queue.Len()), Capacity: st.up.Capacity}
+	return loadbound.Totals{Load: float64(st.load()), Waiting: float64(st.waiting), Capacity: st.up.Capacity}
 }
 
 // counts reports whether the upstream is part of the mean.
