Take only the late part of the mean at its lowest; wait 500 ms at first

Cause: TestTheLoadBoundHoldsInAQuietRun still saw an engine rise to 4 where 3 was the most. The mean's late part swings, and its peaks lifted the limit through the term for waiting requests.

Change: the lowest of the last second applies to what other hosts report; this host's own part is exact. A peak no longer counts as waiting. The first wait is 500 ms, about a third of the first token's 1.4 s.

--- a/internal/loadbound/recent.go
+++ b/internal/loadbound/recent.go
@@ -17,14 +17,11 @@
 	r.known = min(r.known+1, recentTicks)
 }
 
-// Lower returns the totals with the lowest load of the recent past; what the pool carries above it counts as waiting. A
-// bound from a short peak, or from late reports of one, would be too wide as soon as the peak is over.
+// Lower returns the totals with the lowest load of the recent past. A bound from a short peak, or from late reports of
+// one, would be too wide as soon as the peak is over.
 func (r *Recent) Lower(t Totals) Totals {
 	for _, load := range r.loads[:r.known] {
-		if load < t.Load {
-			t.Waiting += t.Load - load
-			t.Load = load
-		}
+		t.Load = min(t.Load, load)
 	}
 	return t
 }
--- a/internal/upstreams/acquire.go
+++ b/internal/upstreams/acquire.go
@@ -14,7 +14,7 @@
 const (
 	// FirstWait is how long a request waits at its first choice, where its prefix is cached, before another upstream
 	// is asked.
-	FirstWait = 300 * time.Millisecond
+	FirstWait = 500 * time.Millisecond
 	// LastWait is the longest that a request waits when every upstream is full.
 	LastWait = 5 * time.Second
 )
--- a/internal/upstreams/pool.go
+++ b/internal/upstreams/pool.go
@@ -5,12 +5,15 @@
 // poolLoad is what is known of one pool's load. The control loop sums it anew at each tick; between ticks each change at
 // an upstream of this host is added.
 type poolLoad struct {
-	totals loadbound.Totals
-	recent loadbound.Recent
+	// own is the load of the upstreams that this host owns, which it knows exactly; elsewhere is that of the others, as
+	// far as it is known.
+	own       loadbound.Totals
+	elsewhere loadbound.Totals
+	recent    loadbound.Recent
 }
 
 // lower returns the totals on which limits rest.
-func (p *poolLoad) lower() loadbound.Totals { return p.recent.Lower(p.totals) }
+func (p *poolLoad) lower() loadbound.Totals { return p.recent.Lower(p.elsewhere).Add(p.own) }
 
 // pool returns the load of the upstream's pool. The caller holds mu.
 func (s *Set) pool(st *state) *poolLoad {
@@ -27,8 +30,8 @@
 		return
 	}
 	p := s.pool(st)
-	p.totals.Load = max(0, p.totals.Load+float64(load))
-	p.totals.Waiting = max(0, p.totals.Waiting+float64(waiting))
+	p.own.Load = max(0, p.own.Load+float64(load))
+	p.own.Waiting = max(0, p.own.Waiting+float64(waiting))
 }
 
 // waits adds n to the requests that wait and that no other upstream has a place for. The caller holds mu.
@@ -41,23 +44,20 @@
 
 // sumPools sums every pool anew: what other hosts report and what this host owns. The caller holds mu.
 func (s *Set) sumPools() {
-	elsewhere := map[string]loadbound.Totals{}
-	for name, members := range s.ownership.others {
-		elsewhere[name] = s.table.Totals(members)
-	}
+	own := map[string]loadbound.Totals{}
 	for _, st := range s.states {
 		if st.counts() {
 			name := st.up.Pool.Name
-			elsewhere[name] = elsewhere[name].Add(st.totals())
+			own[name] = own[name].Add(st.totals())
 		}
 	}
-	for name, totals := range elsewhere {
+	for name, members := range s.ownership.others {
 		p := s.pools[name]
 		if p == nil {
 			p = &poolLoad{}
 			s.pools[name] = p
 		}
-		p.totals = totals
-		p.recent.Record(totals.Load)
+		p.own, p.elsewhere = own[name], s.table.Totals(members)
+		p.recent.Record(p.elsewhere.Load)
 	}
 }
