--- a/internal/proofs/rights/once_test.go
+++ b/internal/proofs/rights/once_test.go
@@ -7,11 +7,13 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/load"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/settings"
@@ -245,3 +247,42 @@
 	is.Equal(len(byKey), 1)
 	is.Equal(len(byKey[key]), 1)
 }
+
+func TestAStoppingHostLetsAnotherIssueTheKeyAndItsOwnKeysDie(t *testing.T) {
+	is := is.New(t)
+	f := testfleet.Start(t, testfleet.Shape{
+		Block: 38, Hosts: []int{1, 1}, Services: 1,
+		EditRouter: func(s *settings.Router) { s.Timeouts.Drain = settings.Duration(2 * time.Second) },
+	})
+	caller := load.NewCaller(callTimeout)
+	order := func(host int, key string) *load.Result {
+		result, err := caller.Do(context.Background(), load.Call{
+			Address: f.Caller(host), Method: http.MethodPost, Path: testfleet.PathOrders, Key: testfleet.KeyOf("team-1"),
+			IdempotencyKey: key, Body: []byte("sacks"),
+		})
+		is.NoErr(err)
+		return result
+	}
+	before, outstanding := order(0, "").IdempotencyKey, order(0, "").IdempotencyKey
+	f.Routers[0].Signal(syscall.SIGTERM)
+	testfleet.Eventually(t, time.Second, "the host is stopping", func() bool {
+		state, ok := f.RouterState(f.Routers[0])
+		return ok && state.Idempotency.Stopping
+	})
+	during := order(0, "")
+	is.Equal(during.Code, "key-required")
+	is.Equal(order(1, before).Outcome, outcome.Run) // outstanding keys work until the process ends
+	<-f.Routers[0].Exited()
+	is.Equal(order(1, during.IdempotencyKey).Outcome, outcome.Run)
+	// The proxy before the stopped host accepts connections, so that the hop cannot know that nothing arrived.
+	r := order(1, outstanding)
+	is.True(r.Outcome != outcome.Run)
+	is.Equal(r.Earlier, outcome.EarlierPossible)
+	f.Publish(func(d *document.Document) { d.DataCentres[0].Hosts[0].Retired = true })
+	testfleet.Eventually(t, 10*time.Second, "the key of the retired host is dead", func() bool {
+		r := order(1, outstanding)
+		return r.Code == "key-dead" && r.Outcome == outcome.NotRun && r.Earlier == outcome.EarlierPossible
+	})
+	byKey, _ := ranOrders(t, f)
+	is.Equal(len(byKey), 2)
+}
--- a/internal/quota/borrower_test.go
+++ b/internal/quota/borrower_test.go
@@ -186,3 +186,41 @@
 	}
 	is.Equal(admitted, 40)
 }
+
+func TestAHostWithoutASeatServesOnBorrowedTokens(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	snap := seatDocument(t, 1, []document.Team{{Name: "team", RatePerSecond: 100, Burst: 20}}, "a", "b")
+	lender := &directLender{limiters: map[string]*Limiter{}}
+	for i, name := range []string{"a", "b", "seatless"} {
+		lender.limiters[name] = NewLimiter(name, uint64(i+1), clock)
+		lender.limiters[name].Apply(snap)
+	}
+	settleReal(lender.limiters)
+	time.Sleep(300 * time.Millisecond)
+	guest := lender.limiters["seatless"]
+	b := NewBorrower(guest, lender, allLive{}, clock, tally.NoopScope)
+	is.Equal(spend(guest, snap), 0)
+	for range 10 {
+		d := b.Admit(context.Background(), snap, snap.Team("team"))
+		is.True(d.Admitted)
+		is.True(d.Borrowed)
+	}
+}
+
+func TestWithoutAnyLenderTheRefusalComesAtOnce(t *testing.T) {
+	is := is.New(t)
+	snap := seatDocument(t, 2, oneTeam, "a", "b")
+	l := NewLimiter("a", 1, clockwork.NewRealClock())
+	l.Apply(snap)
+	b := NewBorrower(l, &directLender{}, noneLive{}, clockwork.NewRealClock(), tally.NoopScope)
+	start := time.Now()
+	d := b.Admit(context.Background(), snap, snap.Team("team"))
+	is.True(!d.Admitted)
+	is.Equal(d.RetryAfter, unknownRetry)
+	is.True(time.Since(start) < maxWait)
+}
+
+type noneLive struct{}
+
+func (noneLive) Live(string) bool { return false }
