--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -267,6 +268,9 @@
 		active, holders, sum := activeSeats(snap), 0, 0.0
 		for _, seat := range seats {
 			f := fraction(seat, snap.Team("team"), active)
+			is.Equal(f > 0, slices.ContainsFunc(teamSeats(snap.Team("team"), active), func(s document.SeatHost) bool {
+				return s.Name == seat
+			}))
 			sum += f
 			if f > 0 {
 				holders++
@@ -350,3 +354,34 @@
 	c.clock.Advance(time.Minute)
 	is.Equal(spend(c.limiters["b"], v1), 0)
 }
+
+// BenchmarkChangeOfSeats is one change of seats with the teams and routers that the users expect, every second team a
+// small one.
+func BenchmarkChangeOfSeats(b *testing.B) {
+	const teamCount, seatCount = 33_000, 850
+	teams := make([]document.Team, teamCount)
+	for n := range teams {
+		teams[n] = document.Team{Name: fmt.Sprintf("team-%d", n), RatePerSecond: 10, Burst: float64(20 + n%2*10_000)}
+	}
+	snapshot := func(version uint64, seats int) *document.Snapshot {
+		doc := &document.Document{Schema: document.SchemaVersion, Fleet: "bench", Version: version, Teams: teams}
+		dc := document.DataCentre{Name: "dc", State: document.StateIn}
+		for n := range seats {
+			dc.Hosts = append(dc.Hosts, document.Host{Name: fmt.Sprintf("host-%d", n)})
+		}
+		doc.DataCentres = []document.DataCentre{dc}
+		snap, err := document.NewSnapshot(doc)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return snap
+	}
+	from, to := snapshot(1, seatCount), snapshot(2, seatCount-1)
+	for b.Loop() {
+		b.StopTimer()
+		l := NewLimiter("host-0", 1, clockwork.NewFakeClock())
+		l.Apply(from)
+		b.StartTimer()
+		l.Apply(to)
+	}
+}
--- a/internal/quota/split.go
+++ b/internal/quota/split.go
@@ -55,27 +55,58 @@
 	key := loadbalancer.HashKey(team.Name)
 	ordered := slices.Clone(active)
 	slices.SortFunc(ordered, func(a, b document.SeatHost) int {
-		sa, sb := loadbalancer.Score(key, a.Name), loadbalancer.Score(key, b.Name)
-		switch {
-		case sa > sb:
+		if before(key, a.Name, b.Name) {
 			return -1
-		case sa < sb:
-			return 1
-		default:
-			return 0
 		}
+		return 1
 	})
 	return ordered[:count]
 }
 
-// fraction returns the host's part of the team's rate and burst, from 0 to 1.
+// before reports whether seat a comes before seat b in the order of a team's key.
+func before(key uint64, a, b string) bool {
+	sa, sb := loadbalancer.Score(key, a), loadbalancer.Score(key, b)
+	if sa != sb {
+		return sa > sb
+	}
+	return a < b
+}
+
+// fraction returns the host's part of the team's rate and burst, from 0 to 1. It counts the seats before the host
+// until there are too many instead of ordering all of them, since a change of seats asks for every team.
 func fraction(host string, team *document.Team, active []document.SeatHost) float64 {
-	for _, s := range teamSeats(team, active) {
-		if s.Name == host {
-			return 1 / float64(seatCount(team, len(active)))
+	count := seatCount(team, len(active))
+	if !seated(host, active) || count < len(active) && !among(count, host, team, active) {
+		return 0
+	}
+	return 1 / float64(count)
+}
+
+func seated(host string, active []document.SeatHost) bool {
+	for i := range active {
+		if active[i].Name == host {
+			return true
+		}
+	}
+	return false
+}
+
+// among reports whether the host is one of the first count seats of the team.
+func among(count int, host string, team *document.Team, active []document.SeatHost) bool {
+	key := loadbalancer.HashKey(team.Name)
+	own := loadbalancer.Score(key, host)
+	rank := 0
+	for i := range active {
+		name := active[i].Name
+		score := loadbalancer.Score(key, name)
+		if score > own || score == own && name < host {
+			rank++
+		}
+		if rank >= count {
+			return false
 		}
 	}
-	return 0
+	return true
 }
 
 // splitHash identifies the fractions of every team on every seat: the active seats, and the seat count of each team
