An engine that grows slower is not taken for cold for ever

Cause: the pieces at the end of a short answer are written together, and their gaps of microseconds became the usual pace; the 5 ms between the tokens of a long answer then counted as slow, and as long as the upstream seemed slow its usual pace was not learned, so that the suspicion never ended although every load report said warm. Ruled out: the ramp itself (learned 2, as it should) and the load bound (one engine, mean equals load).

Change: gaps under 1 ms say nothing of the pace; a load report that says warm and was taken after the suspicion began ends it and takes the recent pace for the usual one.

--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -142,3 +142,40 @@
 	}
 	is.True(back <= 8)
 }
+
+func TestPiecesWrittenTogetherSayNothingOfThePace(t *testing.T) {
+	is := is.New(t)
+	var p Pace
+	for range 1000 {
+		is.True(!p.Observe(50 * time.Microsecond)) // the end of a short answer
+	}
+	for range 1000 {
+		is.True(!p.Observe(5 * time.Millisecond)) // long answers at the usual pace
+	}
+}
+
+func TestAnAcceptedPaceBecomesTheUsualOne(t *testing.T) {
+	is := is.New(t)
+	var p Pace
+	for range 100 {
+		p.Observe(5 * time.Millisecond)
+	}
+	for range 100 {
+		p.Observe(20 * time.Millisecond)
+	}
+	is.True(p.Observe(20 * time.Millisecond))
+	p.Accept()
+	is.True(!p.Observe(20 * time.Millisecond))
+}
+
+func TestASuspicionLastsFromItsFirstSign(t *testing.T) {
+	is := is.New(t)
+	r := warm()
+	is.Equal(r.SuspectedFor(at(0)), time.Duration(0))
+	r.Suspected(at(100))
+	r.Suspected(at(1100))
+	is.Equal(r.SuspectedFor(at(2000)), 1900*time.Millisecond)
+	is.Equal(r.SuspectedFor(at(2600)), time.Duration(0)) // ended by itself
+	r.Suspected(at(3000))
+	is.Equal(r.SuspectedFor(at(3100)), 100*time.Millisecond)
+}
--- a/internal/coldstart/pace.go
+++ b/internal/coldstart/pace.go
@@ -12,7 +12,7 @@
 	// slowFactor times the usual gap is slow; below recoveredFactor the pace is usual again.
 	slowFactor      = 2.5
 	recoveredFactor = 1.5
-	// minimumGap is the least usual gap, below which the scheduler's noise decides.
+	// minimumGap is the least gap that says anything: pieces that come closer were written together.
 	minimumGap = time.Millisecond
 )
 
@@ -26,18 +26,20 @@
 
 // Observe records a gap and returns whether the upstream is slow now.
 func (p *Pace) Observe(gap time.Duration) bool {
+	if gap < minimumGap {
+		return p.slow
+	}
 	g := float64(gap)
 	if p.known == 0 {
 		p.normal, p.recent = g, g
 	}
 	p.known++
 	p.recent += recentWeight * (g - p.recent)
-	usual := max(p.normal, float64(minimumGap))
 	switch {
 	case p.known < paceMinimum:
-	case p.recent > slowFactor*usual:
+	case p.recent > slowFactor*p.normal:
 		p.slow = true
-	case p.recent < recoveredFactor*usual:
+	case p.recent < recoveredFactor*p.normal:
 		p.slow = false
 	}
 	if !p.slow {
@@ -45,3 +47,8 @@
 	}
 	return p.slow
 }
+
+// Accept takes the recent gaps for the usual ones, because the upstream itself says that it is warm.
+func (p *Pace) Accept() {
+	p.normal, p.slow = p.recent, false
+}
--- a/internal/coldstart/ramp.go
+++ b/internal/coldstart/ramp.go
@@ -43,6 +43,8 @@
 	since    time.Time
 	warmAt   time.Time
 
+	// suspectSince is when the running suspicion began.
+	suspectSince time.Time
 	suspectUntil time.Time
 }
 
@@ -78,7 +80,20 @@
 }
 
 // Suspected records that the upstream behaves as if cold; the suspicion ends suspicionLife later unless renewed.
-func (r *Ramp) Suspected(now time.Time) { r.suspectUntil = now.Add(suspicionLife) }
+func (r *Ramp) Suspected(now time.Time) {
+	if !now.Before(r.suspectUntil) {
+		r.suspectSince = now
+	}
+	r.suspectUntil = now.Add(suspicionLife)
+}
+
+// SuspectedFor returns how long the running suspicion has lasted, 0 if there is none.
+func (r *Ramp) SuspectedFor(now time.Time) time.Duration {
+	if !now.Before(r.suspectUntil) {
+		return 0
+	}
+	return now.Sub(r.suspectSince)
+}
 
 // Cleared records that the upstream behaves as usual.
 func (r *Ramp) Cleared() { r.suspectUntil = time.Time{} }
--- a/internal/upstreams/poll.go
+++ b/internal/upstreams/poll.go
@@ -97,5 +97,10 @@
 		st.ramp.Booted(strconv.FormatUint(report.BootID, 16), now)
 	}
 	st.ramp.Reported(report.Cold, reportLag, now)
+	if !report.Cold && st.ramp.SuspectedFor(now) > reportLag {
+		// The report was taken after the suspicion began: the upstream is slower than before, but not cold.
+		st.ramp.Cleared()
+		st.pace.Accept()
+	}
 	st.setReport(report.InFlight, now)
 }
