--- /dev/null
+++ b/internal/router/servers.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/admin"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/explain"
+	"github.com/orioleusher/orioleusher/internal/hop"
+	"github.com/orioleusher/orioleusher/internal/placement"
+	"github.com/orioleusher/orioleusher/internal/process"
+	"github.com/orioleusher/orioleusher/internal/quota"
+	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
+	"github.com/orioleusher/orioleusher/internal/rpc/hoppb"
+	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
+)
+
+func (r *Router) serve(s *http.Server, name, address string, failed chan<- error) {
+	go func() {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			err = process.IgnoreClosed(s.Serve(listener))
+		}
+		if err != nil {
+			failed <- errors.Wrapf(err, "serve %s address %s", name, address)
+		}
+	}()
+}
+
+// servePeers serves the peer address with TLS unless the settings turn it off.
+func (r *Router) servePeers(s *http.Server, failed chan<- error) {
+	if r.peerTLS == nil {
+		r.serve(s, "peer", r.settings.PeerAddress, failed)
+		return
+	}
+	go func() {
+		listener, err := net.Listen("tcp", r.settings.PeerAddress)
+		if err == nil {
+			err = process.IgnoreClosed(s.Serve(r.peerTLS.Listener(listener)))
+		}
+		if err != nil {
+			failed <- errors.Wrapf(err, "serve peer address %s", r.settings.PeerAddress)
+		}
+	}()
+}
+
+func (r *Router) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(gossippb.GossipPathPrefix, gossippb.NewGossipServer(r.gossip))
+	hops := &hop.Server{
+		Store: r.store, Clock: r.clock, Log: r.log, MaxBody: r.settings.Limits.BodyBytes,
+		Chains: map[hoppb.Role]exchange.Next{
+			hoppb.Role_ROLE_OWNER:  r.ownerChain(),
+			hoppb.Role_ROLE_ISSUER: r.issuerChain(),
+		},
+	}
+	mux.Handle(quotapb.QuotaPathPrefix, r.guard.Handler(quotapb.NewQuotaServer(&quota.Server{Limiter: r.limiter, Store: r.store})))
+	mux.Handle(hop.Path, r.hopWork.handler(r.clock.Now, r.guard.Handler(hops)))
+	return mux
+}
+
+func (r *Router) adminHandler() http.Handler {
+	return admin.Handler(admin.Source{
+		Ready: r.ready, State: func() any { return r.State() }, Metrics: r.metrics.Handler,
+		Explain: r.explain,
+	})
+}
+
+// explain says why a chat goes to its upstream, as seen from this host.
+func (r *Router) explain(route, chat string) (any, error) {
+	snap := r.store.Current()
+	if snap == nil {
+		return nil, errors.New("no document in force")
+	}
+	view := explain.View{
+		Host: r.settings.Name, DataCentre: r.settings.DataCentre, Policy: r.settings.RoutingPolicy, Live: r.members,
+	}
+	return explain.Chat(snap, view, route, chat)
+}
+
+// ready returns "" when the router takes new requests.
+func (r *Router) ready() string {
+	switch {
+	case r.stopping.Load():
+		return "stopping"
+	case r.store.Current() == nil:
+		return "no document in force"
+	case !r.settled.Load():
+		return "has not asked the fleet for its version yet"
+	case r.limiter.Starting():
+		return "waits for its parts of the teams' rates"
+	default:
+		return ""
+	}
+}
+
+func (r *Router) placement() string {
+	return placement.Problem(r.store.Current(), r.settings.Name, r.settings.DataCentre)
+}
--- /dev/null
+++ b/internal/router/state.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/config"
+	"github.com/orioleusher/orioleusher/internal/idempotency"
+	"github.com/orioleusher/orioleusher/internal/pause"
+	"github.com/orioleusher/orioleusher/internal/peers"
+	"github.com/orioleusher/orioleusher/internal/peertls"
+	"github.com/orioleusher/orioleusher/internal/platform"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
+	"github.com/orioleusher/orioleusher/internal/quota"
+	"github.com/orioleusher/orioleusher/internal/upstreams"
+)
+
+// State is the router's state dump.
+type State struct {
+	Name        string    `json:"name"`
+	DataCentre  string    `json:"data_centre"`
+	Incarnation uint64    `json:"incarnation"`
+	Time        time.Time `json:"time"`
+	Ready       string    `json:"not_ready,omitempty"`
+	// Placement says how the settings and the document disagree about this host.
+	Placement   string                        `json:"placement_problem,omitempty"`
+	Config      config.State                  `json:"config"`
+	Platform    platform.State                `json:"platform"`
+	Members     []peers.MemberState           `json:"members"`
+	Quota       quota.State                   `json:"quota"`
+	Idempotency idempotency.State             `json:"idempotency"`
+	Upstreams   []upstreams.UpstreamState     `json:"upstreams"`
+	Quarantine  []quarantine.FingerprintState `json:"quarantine"`
+	Gossip      peers.GossipState             `json:"gossip"`
+	// Control counts the bytes on the connections on which this host gossips.
+	Control peers.MeterState `json:"control"`
+	Pause   pause.State      `json:"pause"`
+	PeerTLS peertls.State    `json:"peer_tls"`
+	Stop    StopState        `json:"stop"`
+}
+
+// State returns a copy of the state of every part.
+func (r *Router) State() State {
+	return State{
+		Name: r.settings.Name, DataCentre: r.settings.DataCentre, Incarnation: r.incarnation, Time: r.clock.Now(),
+		Ready: r.ready(), Placement: r.placement(), Config: r.store.State(), Platform: r.platform.State(), Members: r.members.State(),
+		Gossip: r.gossip.State(), Control: r.control.State(), Pause: r.guard.State(), PeerTLS: r.peerTLS.State(),
+		Stop:  StopState{Stopping: r.stopping.Load(), Requests: r.entryWork.inFlight.Load(), Hops: r.hopWork.inFlight.Load()},
+		Quota: r.limiter.State(), Idempotency: r.registry.State(), Upstreams: r.upstreams.State(),
+		Quarantine: r.quarantine.State(),
+	}
+}
