--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,7 +3,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 
 	"github.com/gorilla/mux"
 )
@@ -15,6 +17,8 @@
 	PathMetrics = "/metrics"
 	PathState   = "/debug/state"
 	PathExplain = "/debug/explain"
+	// PathLift takes a POST that ends the quarantine of a request on this router.
+	PathLift = "/debug/quarantine/lift"
 )
 
 // Query parameters of PathExplain.
@@ -23,6 +27,9 @@
 	ParamChat  = "chat"
 )
 
+// ParamFingerprint is the query parameter of PathLift, a decimal number as in the state dump.
+const ParamFingerprint = "fingerprint"
+
 // Source is what a process shows on its admin address.
 type Source struct {
 	// Ready returns "" when the process takes work, else the reason why not.
@@ -32,6 +39,8 @@
 	Metrics http.Handler
 	// Explain, if not nil, says why a chat on a route goes to its upstream, a value that encodes as JSON.
 	Explain func(route, chat string) (any, error)
+	// Lift, if not nil, ends the quarantine of a request.
+	Lift func(fingerprint uint64)
 }
 
 // Handler returns the admin handler.
@@ -46,9 +55,22 @@
 	if s.Explain != nil {
 		r.HandleFunc(PathExplain, func(w http.ResponseWriter, r *http.Request) { explain(w, r, s.Explain) })
 	}
+	if s.Lift != nil {
+		r.HandleFunc(PathLift, func(w http.ResponseWriter, r *http.Request) { lift(w, r, s.Lift) }).Methods(http.MethodPost)
+	}
 	return r
 }
 
+func lift(w http.ResponseWriter, r *http.Request, end func(fingerprint uint64)) {
+	text := r.URL.Query().Get(ParamFingerprint)
+	fingerprint, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("fingerprint %q: want a decimal number as in the state dump", text), http.StatusBadRequest)
+		return
+	}
+	end(fingerprint)
+}
+
 func explain(w http.ResponseWriter, r *http.Request, answer func(route, chat string) (any, error)) {
 	query := r.URL.Query()
 	v, err := answer(query.Get(ParamRoute), query.Get(ParamChat))
--- a/internal/proofs/poison/poison_test.go
+++ b/internal/proofs/poison/poison_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/admin"
 	"github.com/orioleusher/orioleusher/internal/load"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/standin/engine"
@@ -43,12 +45,11 @@
 	body, err := load.ChatBody(testfleet.Model, []engine.Message{{Role: "user", Content: engine.CrashMarker}}, true, 8)
 	is.NoErr(err)
 	caller := load.NewCaller(callTimeout)
+	call := load.Call{Method: http.MethodPost, Path: testfleet.PathChat, Key: testfleet.KeyOf("team-1"), Body: body}
 	var last *load.Result
 	for n := range resends {
-		last, err = caller.Do(context.Background(), load.Call{
-			Address: f.Caller(n % len(f.Routers)), Method: http.MethodPost, Path: testfleet.PathChat,
-			Key: testfleet.KeyOf("team-1"), Body: body,
-		})
+		call.Address = f.Caller(n % len(f.Routers))
+		last, err = caller.Do(context.Background(), call)
 		is.NoErr(err)
 	}
 	lost := crashes(t, f)
@@ -56,4 +57,28 @@
 	is.True(lost <= lossBound)
 	is.Equal(last.Code, "quarantined")
 	is.Equal(last.Outcome, outcome.NotRun)
+	liftEverywhere(t, f)
+	call.Address = f.Caller(0)
+	last, err = caller.Do(context.Background(), call)
+	is.NoErr(err)
+	is.True(last.Code != "quarantined") // lifted by the operator
+}
+
+// liftEverywhere ends every quarantine that the first router shows, on all routers, as oriolectl lift does.
+func liftEverywhere(t *testing.T, f *testfleet.Fleet) {
+	t.Helper()
+	state, ok := f.RouterState(f.Routers[0])
+	if !ok || len(state.Quarantine) == 0 {
+		t.Fatal("the first router shows no quarantine")
+	}
+	for _, held := range state.Quarantine {
+		for _, p := range f.Routers {
+			address := fmt.Sprintf("http://%s%s?%s=%d", p.Admin, admin.PathLift, admin.ParamFingerprint, held.Fingerprint)
+			resp, err := http.Post(address, "", nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("lift on %s: %v", p.Name, err)
+			}
+			resp.Body.Close()
+		}
+	}
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -62,10 +62,16 @@
 	return mux
 }
 
+// lift ends the quarantine of a request on this host.
+func (r *Router) lift(fingerprint uint64) {
+	r.log.Info().Str("event", "quarantine-lifted").Uint64("fingerprint", fingerprint).Send()
+	r.quarantine.Lift(fingerprint)
+}
+
 func (r *Router) adminHandler() http.Handler {
 	return admin.Handler(admin.Source{
 		Ready: r.ready, State: func() any { return r.State() }, Metrics: r.metrics.Handler,
-		Explain: r.explain,
+		Explain: r.explain, Lift: r.lift,
 	})
 }
 
