--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -57,7 +57,7 @@
 		{"unknown command", []string{"paint"}, process.ExitUsage, "", "Unknown command"},
 		{"unknown output", []string{"version", "-o", "xml"}, process.ExitUsage, "", "Invalid value"},
 		{"lift without a fingerprint", []string{"lift", "-d", lobue}, process.ExitUsage, "", "FINGERPRINT"},
-		{"lift of no number", []string{"lift", "-d", lobue, "all"}, process.ExitUsage, "", "invalid syntax"},
+		{"lift of no number", []string{"lift", "-d", lobue, "all"}, process.ExitUsage, "", "want a decimal number"},
 		{"lift on routers that are down", []string{"lift", "-d", lobue, "7"}, process.ExitFinding, "connection refused", ""},
 		{"version", []string{"version"}, process.ExitOK, process.Version + "\n", ""},
 		{"version as JSON", []string{"version", "-o", "json"}, process.ExitOK, `"version": "` + process.Version, ""},
--- a/internal/ctl/lift.go
+++ b/internal/ctl/lift.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/admin"
@@ -16,7 +17,7 @@
 	app *app
 	source
 	Args struct {
-		Fingerprint uint64 `positional-arg-name:"FINGERPRINT" description:"as in the section quarantine of a dump"`
+		Fingerprint string `positional-arg-name:"FINGERPRINT" description:"as in the section quarantine of a dump"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -28,6 +29,11 @@
 
 // Execute implements flags.Commander. Every running router is told, since strikes travel between them.
 func (c *liftCommand) Execute([]string) error {
+	fingerprint, err := strconv.ParseUint(c.Args.Fingerprint, 10, 64)
+	if err != nil {
+		message := fmt.Sprintf("fingerprint %q: want a decimal number as in a dump", c.Args.Fingerprint)
+		return &flags.Error{Type: flags.ErrMarshal, Message: message}
+	}
 	client := c.app.client()
 	snap, err := c.read(client)
 	if err != nil {
@@ -37,7 +43,7 @@
 	failed := false
 	for _, seat := range runningSeats(snap) {
 		result := liftResult{Router: seat.Name}
-		if err := client.lift(seat, c.Args.Fingerprint); err != nil {
+		if err := client.lift(seat, fingerprint); err != nil {
 			result.Error = err.Error()
 			failed = true
 		}
