Name the upstreams' interface once

The boot id header, the path of the load report and the code of a failed connect stood both in internal/transport and in internal/upstreams; the code was a literal in the place that sets it, so that a change there would have switched off the health check of refused connections without an error. internal/transport now has all three and the others use them.

--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -10,6 +10,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/transport"
 	"github.com/orioleusher/orioleusher/internal/upstreams"
 )
 
@@ -72,7 +73,7 @@
 // not answer.
 func blamesUpstream(err error) bool {
 	refusal := exchange.Refusal(err)
-	return refusal.Code == upstreams.CodeConnectFailed || refusal.Outcome == outcome.Unknown
+	return refusal.Code == transport.CodeConnectFailed || refusal.Outcome == outcome.Unknown
 }
 
 // watchedBody tells the place how the answer goes on and gives it back when the answer is closed.
--- a/internal/transport/probe.go
+++ b/internal/transport/probe.go
@@ -13,8 +13,8 @@
 // probeTimeout bounds one probe of an upstream that closed a connection.
 const probeTimeout = 500 * time.Millisecond
 
-// pathLoad is the upstreams' load report, the cheapest call that they all answer.
-const pathLoad = "/v1/load"
+// PathLoad is the upstreams' load report, the cheapest call that they all answer.
+const PathLoad = "/v1/load"
 
 // HeaderBootID identifies the run of an engine in each of its answers.
 const HeaderBootID = "X-Boot-Id"
@@ -74,7 +74,7 @@
 
 // probe asks for the load report and returns the boot of the upstream, or "" if it names none.
 func (p *Prober) probe(ctx context.Context, address string) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathLoad, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
 	if err != nil {
 		return "", errors.Wrapf(err, "probe %s", address)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,6 +23,9 @@
 // step is the name that this package's refusals carry.
 const step = "transport"
 
+// CodeConnectFailed is the code of a refusal when no connection to the upstream could be made.
+const CodeConnectFailed = "connect-failed"
+
 // HeaderRequestID carries the trace to the upstream, which echoes it.
 const HeaderRequestID = "X-Request-Id"
 
@@ -104,7 +107,7 @@
 
 func refusal(upstream string, sent bool, err error) *outcome.Refusal {
 	if !sent {
-		return outcome.Unavailable(step, "connect-failed", "the upstream could not be reached").WithPeer(upstream, err)
+		return outcome.Unavailable(step, CodeConnectFailed, "the upstream could not be reached").WithPeer(upstream, err)
 	}
 	return &outcome.Refusal{
 		Status: http.StatusBadGateway, Code: "no-answer", Message: "the upstream did not answer",
--- a/internal/upstreams/place.go
+++ b/internal/upstreams/place.go
@@ -7,14 +7,9 @@
 	"time"
 
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/transport"
 )
 
-// headerBootID identifies an engine's run in its answers.
-const headerBootID = "X-Boot-Id"
-
-// CodeConnectFailed is the code of a refusal by transport when no connection could be made.
-const CodeConnectFailed = "connect-failed"
-
 // Place is one request's place at an upstream. End must be called once; the other methods say what was seen meanwhile.
 type Place struct {
 	set   *Set
@@ -29,7 +24,7 @@
 	p.set.mu.Lock()
 	defer p.set.mu.Unlock()
 	now := p.set.Clock.Now()
-	p.state.ramp.Booted(header.Get(headerBootID), now)
+	p.state.ramp.Booted(header.Get(transport.HeaderBootID), now)
 	if p.state.health.Succeeded() {
 		p.set.takeOver(p.state, now)
 	}
@@ -95,7 +90,7 @@
 func refusedConnection(err error) bool {
 	var refusal *outcome.Refusal
 	if errors.As(err, &refusal) {
-		return refusal.Code == CodeConnectFailed
+		return refusal.Code == transport.CodeConnectFailed
 	}
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/upstreams/poll.go
+++ b/internal/upstreams/poll.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/transport"
 )
 
 // The pace of load reports, which also serve as probes.
@@ -24,9 +26,6 @@
 	maxReportBytes = 4 << 10
 )
 
-// pathLoad is where upstreams publish their load report.
-const pathLoad = "/v1/load"
-
 // LoadReport is what an upstream says of itself, with a lag.
 type LoadReport struct {
 	// BootID identifies the run of an engine; 0 for services.
@@ -49,7 +48,7 @@
 
 // Read implements Reporter.
 func (h HTTPReporter) Read(ctx context.Context, address string) (LoadReport, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathLoad, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+transport.PathLoad, nil)
 	if err != nil {
 		return LoadReport{}, errors.Wrap(err, "build load request")
 	}
