--- /dev/null
+++ b/internal/allowance/allowance.go
@@ -0,0 +1,159 @@
+// Package allowance keeps bounds that count over all hosts without asking any of them: each host has a fixed part, and
+// the parts add up to no more than the bound even while hosts disagree about who is alive.
+package allowance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+)
+
+// Hosts returns how many hosts a bound is split over. It never returns fewer than may share the bound.
+type Hosts interface {
+	// Split is the number of parts.
+	Split() int
+	// Chosen reports whether this host is among the first n of all hosts in the rendezvous order of the key.
+	Chosen(key uint64, n int) bool
+}
+
+// RetryBounds is the bound on requests sent once more, over all hosts together.
+type RetryBounds struct {
+	// Ratio is the retries for each request.
+	Ratio float64
+	// Slack is how many more are allowed in a window.
+	Slack float64
+	// Window is the length of any span in which the bound holds.
+	Window time.Duration
+}
+
+// Retries is this host's part of the retry budget of each service. It is safe for concurrent use.
+type Retries struct {
+	bounds RetryBounds
+	hosts  Hosts
+	clock  clockwork.Clock
+
+	mu       sync.Mutex
+	services map[string]*bucket
+}
+
+type bucket struct {
+	tokens float64
+	last   time.Time
+}
+
+// NewRetries returns a full budget.
+func NewRetries(b RetryBounds, hosts Hosts, clock clockwork.Clock) *Retries {
+	return &Retries{bounds: b, hosts: hosts, clock: clock, services: map[string]*bucket{}}
+}
+
+// slackInBucket is the part of the slack that the bucket holds; the rest refills it within a window. Half and half
+// keeps their sum, the most that a window can see, at the slack.
+const slackInBucket = 0.5
+
+// refill returns the service's bucket as of now; the caller holds mu.
+func (r *Retries) refill(service string) *bucket {
+	now := r.clock.Now()
+	capacity := slackInBucket * r.bounds.Slack / float64(r.hosts.Split())
+	b := r.services[service]
+	if b == nil {
+		b = &bucket{tokens: capacity, last: now}
+		r.services[service] = b
+	}
+	rate := (1 - slackInBucket) * r.bounds.Slack / float64(r.hosts.Split()) / r.bounds.Window.Seconds()
+	b.tokens = min(capacity, b.tokens+rate*now.Sub(b.last).Seconds())
+	b.last = now
+	return b
+}
+
+// Request counts a request for the service.
+func (r *Retries) Request(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.refill(service)
+	capacity := slackInBucket * r.bounds.Slack / float64(r.hosts.Split())
+	b.tokens = min(max(capacity, 1), b.tokens+r.bounds.Ratio)
+}
+
+// Take uses one retry at the service. It returns false when none is left.
+func (r *Retries) Take(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.refill(service)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// ColdBounds is the bound on requests to one cold upstream in any second, over all hosts together.
+type ColdBounds struct {
+	// Overage times the service's rate, and Slack more, are allowed.
+	Overage float64
+	Slack   float64
+}
+
+// coldWindow is the span in which the bound on cold upstreams holds; a little more than the stated second, since
+// requests that were sent apart may arrive together.
+const coldWindow = 1050 * time.Millisecond
+
+// Cold is this host's part of what cold upstreams may get. It is safe for concurrent use.
+type Cold struct {
+	bounds ColdBounds
+	hosts  Hosts
+	clock  clockwork.Clock
+
+	mu   sync.Mutex
+	sent map[string][]time.Time
+}
+
+// NewCold returns the limiter.
+func NewCold(b ColdBounds, hosts Hosts, clock clockwork.Clock) *Cold {
+	return &Cold{bounds: b, hosts: hosts, clock: clock, sent: map[string][]time.Time{}}
+}
+
+// part returns how many requests this host may send to the cold upstream in a window. If there are more hosts than
+// requests, half of the requests go to as many hosts, so that disagreement about who they are stays under the bound.
+func (c *Cold) part(upstream string, rate float64) int {
+	bound := math.Floor(rate*c.bounds.Overage + c.bounds.Slack)
+	part := int(bound) / c.hosts.Split()
+	if part > 0 {
+		return part
+	}
+	if c.hosts.Chosen(loadbalancer.HashKey(upstream), int(bound)/2) {
+		return 1
+	}
+	return 0
+}
+
+// Take uses one request to the upstream, whose service bears rate requests a second while cold. It returns false if
+// this host has used its part of the present window.
+func (c *Cold) Take(upstream string, rate float64) bool {
+	now := c.clock.Now()
+	part := c.part(upstream, rate)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recent := c.sent[upstream][:0]
+	for _, t := range c.sent[upstream] {
+		if now.Sub(t) < coldWindow {
+			recent = append(recent, t)
+		}
+	}
+	if len(recent) >= part {
+		c.sent[upstream] = recent
+		return false
+	}
+	c.sent[upstream] = append(recent, now)
+	return true
+}
+
+// Forget drops what is kept of the upstream.
+func (c *Cold) Forget(upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.sent, upstream)
+}
--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,130 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+)
+
+// Bounds of the load that affinity may put on one engine: loadFactor times the mean of its service, and loadRoom more.
+// Deployments ask for at most twice the mean and 3.
+const (
+	loadFactor = 1.4
+	loadRoom   = 2
+)
+
+// localRoom is the part of its slots up to which an upstream of the own data centre goes before those of others.
+const localRoom = 0.7
+
+// Want is what a request asks of its upstream.
+type Want struct {
+	// Affinity is the hash of the part of the prompt that other requests share; 0 if none.
+	Affinity uint64
+	// Engine is set for pools of model engines.
+	Engine bool
+	// Tried are the upstreams that the request was sent to.
+	Tried []catalog.UpstreamKey
+}
+
+// candidate is an upstream with the figures that decide.
+type candidate struct {
+	upstream *catalog.Upstream
+	// tier is how far the upstream is passed over: 0 sound, 1 grey or full, 2 suspected, 3 tried before.
+	tier  int
+	load  float64
+	local bool
+	rank  uint64
+}
+
+// Order returns the usable upstreams of the service in the order in which the request should try them.
+func (t *Table) Order(snap *catalog.Snapshot, service string, w Want) []*catalog.Upstream {
+	candidates := t.candidates(snap, service, w)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if w.Engine && w.Affinity != 0 {
+		orderByAffinity(candidates)
+	} else {
+		orderByLoad(candidates)
+	}
+	order := make([]*catalog.Upstream, len(candidates))
+	for i, c := range candidates {
+		order[i] = c.upstream
+	}
+	return order
+}
+
+func (t *Table) candidates(snap *catalog.Snapshot, service string, w Want) []candidate {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	var list []candidate
+	for _, u := range snap.Upstreams[service] {
+		if !snap.Usable(u) {
+			continue
+		}
+		key := u.Key()
+		v := t.view(key, now)
+		list = append(list, candidate{
+			upstream: u, tier: v.tier(now, slices.Contains(w.Tried, key)), load: v.load(now), local: u.DataCentre == t.local,
+			rank: loadbalancer.Score(w.Affinity, u.ID),
+		})
+	}
+	return list
+}
+
+func (v *view) tier(now time.Time, tried bool) int {
+	switch {
+	case tried:
+		return 3
+	case now.Before(v.suspectUntil):
+		return 2
+	case now.Before(v.fullUntil) || v.failureShare > greyShare:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// orderByLoad puts the least loaded first, those of the own data centre before the others while they have room.
+func orderByLoad(list []candidate) {
+	far := func(c candidate) int {
+		if c.local && (c.upstream.Slots == 0 || c.load < localRoom*float64(c.upstream.Slots)) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(far(a), far(b)), cmp.Compare(a.load, b.load),
+			cmp.Compare(b.rank, a.rank))
+	})
+}
+
+// orderByAffinity puts the engines in the rendezvous order of the prompt's shared part, on which all hosts agree.
+// Engines over the load bound come after those under it, by load.
+func orderByAffinity(list []candidate) {
+	var sum float64
+	for _, c := range list {
+		sum += c.load
+	}
+	bound := loadFactor*sum/float64(len(list)) + loadRoom
+	over := func(c candidate) int {
+		if c.load+1 > bound {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if order := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(over(a), over(b))); order != 0 {
+			return order
+		}
+		if over(a) == 1 {
+			return cmp.Compare(a.load, b.load)
+		}
+		return cmp.Compare(b.rank, a.rank)
+	})
+}
--- /dev/null
+++ b/internal/balance/table.go
@@ -0,0 +1,186 @@
+// Package balance chooses the upstream of a request from what this host knows of each: its own requests in flight, the
+// load that answers tell, and recent failures.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// Times and weights of the view of an upstream.
+const (
+	// loadAge is how long a told load counts; the upstreams of a data centre answer a host about once a second.
+	loadAge = 1500 * time.Millisecond
+	// minSuspect and maxSuspect bound how long an upstream is passed over after a failure, doubled with each one.
+	minSuspect = 200 * time.Millisecond
+	maxSuspect = 2 * time.Second
+	// fullFor is how long an upstream that refused for want of room is passed over.
+	fullFor = 150 * time.Millisecond
+	// failureWeight is the weight of one outcome in the moving share of failures.
+	failureWeight = 0.1
+	// greyShare is the share of failures from which an upstream is taken only after the others.
+	greyShare = 0.3
+	// forgetAfter is how long an upstream that is no longer published is remembered.
+	forgetAfter = 10 * time.Second
+)
+
+// view is what this host knows of one incarnation of an upstream.
+type view struct {
+	inFlight int
+	// told is the load of the last answer that told it, at toldAt; sent counts this host's requests since then.
+	told   int
+	toldAt time.Time
+	sent   int
+
+	failures     int
+	failureShare float64
+	suspectUntil time.Time
+	fullUntil    time.Time
+	seen         time.Time
+}
+
+// load estimates the upstream's requests, running and waiting.
+func (v *view) load(now time.Time) float64 {
+	if now.Sub(v.toldAt) > loadAge {
+		return float64(v.inFlight)
+	}
+	return float64(max(v.told+v.sent, v.inFlight))
+}
+
+// Table holds the views. It is safe for concurrent use.
+type Table struct {
+	clock clockwork.Clock
+	log   zerolog.Logger
+	// local is this host's data centre.
+	local string
+
+	mu    sync.Mutex
+	views map[catalog.UpstreamKey]*view
+	swept time.Time
+}
+
+// NewTable returns an empty table of a host in the data centre.
+func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
+	return &Table{clock: clock, log: log, local: local, views: map[catalog.UpstreamKey]*view{}}
+}
+
+// view returns the view of the upstream; the caller holds mu.
+func (t *Table) view(key catalog.UpstreamKey, now time.Time) *view {
+	v := t.views[key]
+	if v == nil {
+		v = &view{}
+		t.views[key] = v
+	}
+	v.seen = now
+	return v
+}
+
+// sweep forgets upstreams that were not asked about for long; the caller holds mu.
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.swept) < forgetAfter {
+		return
+	}
+	t.swept = now
+	for key, v := range t.views {
+		if v.inFlight == 0 && now.Sub(v.seen) > forgetAfter {
+			delete(t.views, key)
+		}
+	}
+}
+
+// Begin counts a request that is sent to the upstream.
+func (t *Table) Begin(key catalog.UpstreamKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view(key, t.clock.Now())
+	v.inFlight++
+	v.sent++
+}
+
+// End counts the end of a request.
+func (t *Table) End(key catalog.UpstreamKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view(key, t.clock.Now()).inFlight--
+}
+
+// Told takes the load that an answer told: requests running and waiting.
+func (t *Table) Told(key catalog.UpstreamKey, load int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	v := t.view(key, now)
+	v.told, v.toldAt, v.sent = load, now, 0
+}
+
+// Answered counts an answer of the upstream. Failed answers are those by which it says that it failed.
+func (t *Table) Answered(key catalog.UpstreamKey, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view(key, t.clock.Now())
+	if v.failures > 0 {
+		t.log.Info().Str("event", "upstream-back").Str("upstream", key.ID).Str("peer", key.Address).Int("failures", v.failures).Send()
+	}
+	v.failures, v.suspectUntil = 0, time.Time{}
+	v.count(failed)
+}
+
+func (v *view) count(failed bool) {
+	v.failureShare *= 1 - failureWeight
+	if failed {
+		v.failureShare += failureWeight
+	}
+}
+
+// Failed counts a request that the upstream did not answer. The upstream is passed over for a while.
+func (t *Table) Failed(key catalog.UpstreamKey, cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	v := t.view(key, now)
+	v.count(true)
+	wait := min(minSuspect<<min(v.failures, 8), maxSuspect)
+	v.failures++
+	v.suspectUntil = now.Add(wait)
+	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", key.ID).Str("peer", key.Address).Int("failures", v.failures).
+		Float64("failure_share", v.failureShare).Dur("for_ms", wait).Err(cause).Send()
+}
+
+// Full says that the upstream refused a request for want of room.
+func (t *Table) Full(key catalog.UpstreamKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.view(key, now).fullUntil = now.Add(fullFor)
+}
+
+// UpstreamState is an upstream's line in the state dump.
+type UpstreamState struct {
+	ID           string  `json:"id"`
+	Address      string  `json:"address"`
+	InFlight     int     `json:"in_flight"`
+	Load         float64 `json:"load"`
+	Failures     int     `json:"failures"`
+	FailureShare float64 `json:"failure_share"`
+	Suspect      bool    `json:"suspect"`
+}
+
+// State returns a copy of the views.
+func (t *Table) State() []UpstreamState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	states := make([]UpstreamState, 0, len(t.views))
+	for key, v := range t.views {
+		states = append(states, UpstreamState{
+			ID: key.ID, Address: key.Address, InFlight: v.inFlight, Load: v.load(now), Failures: v.failures,
+			FailureShare: v.failureShare, Suspect: now.Before(v.suspectUntil),
+		})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/direct/admit.go
@@ -0,0 +1,165 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+// Names of the steps.
+const (
+	stepAdmit    = "admit"
+	stepReceive  = "receive"
+	stepDispatch = "dispatch"
+)
+
+// shortRetry is when a caller should come again after a refusal whose cause passes soon.
+const shortRetry = 250 * time.Millisecond
+
+// admit finds the request's route and team in the configuration in force and sets its deadline.
+type admit struct {
+	store *catalog.Store
+}
+
+// Name implements Filter.
+func (*admit) Name() string { return stepAdmit }
+
+// Handle implements Filter.
+func (f *admit) Handle(ctx context.Context, x *Request, next Next) error {
+	snap := f.store.Current()
+	if snap.Config == nil {
+		return outcome.Unavailable(stepAdmit, "no-configuration", "no configuration is known yet").WithRetryAfter(shortRetry)
+	}
+	if err := allow(x, snap.Config); err != nil {
+		return err
+	}
+	if limit := snap.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.HTTP) > limit {
+		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "the headers are too large")
+	}
+	wait := x.Route.Timeout
+	if x.Wait > 0 && (wait <= 0 || x.Wait < wait) {
+		wait = x.Wait
+	}
+	x.Deadline = x.Start.Add(wait)
+	return next(ctx, x)
+}
+
+// allow sets the request's route, team and service as the configuration has them, or refuses. It is asked again before
+// each send, since keys are withdrawn and routes dropped while requests wait.
+func allow(x *Request, c *catalog.Config) error {
+	route := c.Match(hostName(x.HTTP.Host), x.HTTP.URL.Path)
+	if route == nil {
+		return outcome.Refuse(stepAdmit, http.StatusNotFound, "no-route", "no route matches")
+	}
+	if c.Teams != nil && !route.Open {
+		x.Team = c.Teams[x.Key]
+		if x.Team == nil {
+			return outcome.Refuse(stepAdmit, http.StatusUnauthorized, "unknown-key", "the key is not known")
+		}
+	}
+	x.Route = route
+	x.Service = share(route, x.ID)
+	return nil
+}
+
+// share returns the service that the request's ID falls to, by weight.
+func share(r *catalog.Route, id string) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	var sum float64
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	const span = 1 << 20 // finer than any weight
+	at := float64(loadbalancer.HashKey(id)%span) / span * sum
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// hostName returns the host without its port, in lower case.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// receive reads the request's body.
+type receive struct {
+	store *catalog.Store
+	clock clockwork.Clock
+	// room is how many bytes of bodies may still be held.
+	room atomic.Int64
+}
+
+// defaultBodyBytes bounds a body when the configuration says nothing.
+const defaultBodyBytes = 4 << 20
+
+// Name implements Filter.
+func (*receive) Name() string { return stepReceive }
+
+// Handle implements Filter.
+func (f *receive) Handle(ctx context.Context, x *Request, next Next) error {
+	limit := f.store.Current().Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.HTTP.ContentLength > limit {
+		return outcome.Refuse(stepReceive, http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
+	}
+	if err := f.read(x, limit); err != nil {
+		return err
+	}
+	held := int64(len(x.Body))
+	defer f.room.Add(held)
+	if f.room.Add(-held) < 0 {
+		return outcome.Unavailable(stepReceive, "no-memory", "too many bodies are held").WithRetryAfter(shortRetry)
+	}
+	return next(ctx, x)
+}
+
+func (f *receive) read(x *Request, limit int64) error {
+	if x.HTTP.Body == nil || x.HTTP.Body == http.NoBody {
+		return nil
+	}
+	control := http.NewResponseController(x.out.w)
+	// A connection that takes no deadline is bounded by the caller's patience.
+	_ = control.SetReadDeadline(x.Deadline)
+	body, err := io.ReadAll(io.LimitReader(x.HTTP.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return &outcome.Refusal{
+			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
+			Step: stepReceive, Outcome: outcome.NotRun, Cause: errors.Wrap(err, "read body"),
+		}
+	}
+	if int64(len(body)) > limit {
+		return outcome.Refuse(stepReceive, http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
+	}
+	x.Body = body
+	return nil
+}
--- /dev/null
+++ b/internal/direct/attempt.go
@@ -0,0 +1,233 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/upconn"
+)
+
+// Times of one send.
+const (
+	// firstEventLimit and silenceLimit are how long a stream that may go on elsewhere is waited for: until its first
+	// event and between events. Callers leave after about twice that.
+	firstEventLimit = 1500 * time.Millisecond
+	silenceLimit    = 1200 * time.Millisecond
+)
+
+// maxWholeBytes bounds an answer that is read whole before it is sent on.
+const maxWholeBytes = 4 << 20
+
+// result is what came of one send.
+type result struct {
+	// done is set if the caller has its answer.
+	done bool
+	// sent is set if a byte may have reached the upstream.
+	sent bool
+	// notRun is set if it is certain that the upstream did not run the request.
+	notRun bool
+	err    error
+}
+
+// errSilent ends a send whose upstream was silent for too long.
+var errSilent = errors.New("upstream stayed silent")
+
+// attempt sends the request to the upstream once.
+func (d *dispatch) attempt(ctx context.Context, x *Request, u *catalog.Upstream) result {
+	key := u.Key()
+	conn, err := d.pool.Get(ctx, u.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.table.Failed(key, err)
+			d.pool.Forget(u.Address)
+		}
+		x.tried = append(x.tried, key)
+		return notRun(false, "connect-failed", "the upstream could not be reached", key, err)
+	}
+	// The connection took time; what was true before may no longer be.
+	snap := d.store.Current()
+	if err := allow(x, snap.Config); err != nil || !stillUsable(snap, u) {
+		d.pool.Put(conn)
+		return notRun(false, "upstream-left", "the upstream was taken out", key, err)
+	}
+	d.table.Begin(key)
+	defer d.table.End(key)
+	x.tried = append(x.tried, key)
+	x.sends++
+	d.metrics.sends.Inc(1)
+	return d.send(ctx, x, u, conn)
+}
+
+// stillUsable reports whether this incarnation of the upstream may still get new work.
+func stillUsable(snap *catalog.Snapshot, u *catalog.Upstream) bool {
+	for _, now := range snap.Upstreams[u.Service] {
+		if now.ID == u.ID {
+			return now.Key() == u.Key() && snap.Usable(now)
+		}
+	}
+	return false
+}
+
+func notRun(sent bool, code, message string, key catalog.UpstreamKey, cause error) result {
+	return result{sent: sent, notRun: true, err: outcome.Unavailable(stepDispatch, code, message).WithPeer(key.ID, cause).
+		WithRetryAfter(shortRetry)}
+}
+
+// unknown returns the result of a send of which it is not known whether it ran.
+func (d *dispatch) unknown(x *Request, code, message string, key catalog.UpstreamKey, cause error) result {
+	x.runs++
+	x.unknown = true
+	d.metrics.unknown.Inc(1)
+	return result{sent: true, err: &outcome.Refusal{
+		Status: http.StatusBadGateway, Code: code, Message: message, Step: stepDispatch, Peer: key.ID,
+		Outcome: outcome.Unknown, Cause: cause,
+	}}
+}
+
+// send carries the request on the connection and deals with the answer.
+func (d *dispatch) send(ctx context.Context, x *Request, u *catalog.Upstream, conn *upconn.Conn) result {
+	key := u.Key()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(ctx, conn.Abort)
+	defer stop()
+	watch := d.newWatch(x, cancel)
+	defer watch.stop()
+	resp, err := conn.RoundTrip(d.request(x, u), x.Body, func(_ int, h http.Header) bool {
+		id := d.codec.Reply(0, h).ID
+		return id == x.ID || id == "" && !conn.Reused
+	})
+	if err != nil {
+		conn.Close()
+		return d.broken(ctx, x, key, err)
+	}
+	reply := d.codec.Reply(resp.StatusCode, resp.Header)
+	if reply.Load != nil {
+		d.table.Told(key, reply.Load.Running+reply.Load.Waiting)
+	}
+	release := func(whole bool) {
+		if whole && stop() {
+			d.pool.Put(conn)
+			return
+		}
+		conn.Close()
+	}
+	switch {
+	case reply.NotRun:
+		return d.shed(key, resp, reply, release)
+	case resp.StatusCode < http.StatusMultipleChoices && !reply.Signed:
+		release(false)
+		d.table.Failed(key, errors.New("answer is not signed"))
+		return d.unknown(x, "not-signed", "the upstream's answer is not its own", key, nil)
+	case x.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK:
+		return d.relayStream(ctx, x, key, resp, watch, release)
+	default:
+		return d.relayWhole(ctx, x, key, resp, release)
+	}
+}
+
+// request builds the upstream's request.
+func (d *dispatch) request(x *Request, u *catalog.Upstream) *http.Request {
+	in := x.HTTP
+	header := d.codec.Forward(in.Header, Send{
+		Upstream: u.Key(), Team: x.team(), Left: x.Deadline.Sub(d.clock.Now()), Priority: x.priority(),
+		LastEvent: x.lastEvent(), Engine: d.store.Current().Config.Services[u.Service].Engine,
+	})
+	dropHopHeaders(header, in.Header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // net/http adds its own to a request that has none
+	}
+	out := &http.Request{
+		Method: in.Method, Host: in.Host, Header: header, ContentLength: int64(len(x.Body)), ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{Scheme: "http", Host: in.Host, Opaque: in.RequestURI},
+	}
+	if len(x.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(x.Body))
+	}
+	return out
+}
+
+// hopHeaders are meant for one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// dropHopHeaders removes the headers that concern one connection, those that the sender's Connection header names too.
+func dropHopHeaders(header, sender http.Header) {
+	for _, line := range sender["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// broken deals with a send whose connection broke before an answer.
+func (d *dispatch) broken(ctx context.Context, x *Request, key catalog.UpstreamKey, err error) result {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		d.table.Failed(key, cause)
+		return d.unknown(x, "silent", "the upstream stayed silent", key, cause)
+	case cause != nil:
+		return d.unknown(x, "over", "the time is over", key, cause)
+	default:
+		d.table.Failed(key, err)
+		d.pool.Forget(key.Address)
+		return d.unknown(x, "no-answer", "the upstream did not answer", key, err)
+	}
+}
+
+// shed deals with an answer that says that the request did not run.
+func (d *dispatch) shed(key catalog.UpstreamKey, resp *http.Response, reply Reply, release func(bool)) result {
+	d.metrics.notRun.Inc(1)
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWholeBytes))
+	release(err == nil)
+	if reply.WrongInstance {
+		d.table.Failed(key, errors.New("another instance has the address"))
+		return notRun(true, "wrong-instance", "another upstream has the address", key, nil)
+	}
+	d.table.Full(key)
+	return notRun(true, "upstream-full", "the upstream did not take the request", key, nil)
+}
+
+// watch ends a send whose upstream is silent for too long, where the request may go on elsewhere.
+type watch struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+func (d *dispatch) newWatch(x *Request, cancel context.CancelCauseFunc) *watch {
+	if !x.Route.Repeatable() || x.runs+1 >= x.Route.MaxAttempts {
+		return &watch{}
+	}
+	first, between := firstEventLimit, silenceLimit
+	if x.Route.Kind == catalog.Safe {
+		first = x.Deadline.Sub(d.clock.Now()) / 2
+	}
+	return &watch{timer: time.AfterFunc(first, func() { cancel(errSilent) }), limit: between}
+}
+
+func (w *watch) heard() {
+	if w.timer != nil {
+		w.timer.Reset(w.limit)
+	}
+}
+
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/direct/chain.go
@@ -0,0 +1,40 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// filters is what a caller's request passes, in this order.
+func (s *Server) filters() []Filter {
+	body := &receive{store: s.Store, clock: s.Clock}
+	body.room.Store(s.BodyBytes)
+	return []Filter{
+		&admit{store: s.Store},
+		&deadline{clock: s.Clock},
+		body,
+		&dispatch{
+			store: s.Store, table: s.Table, retries: s.Retries, cold: s.Cold, pool: s.Pool, codec: s.Codec, clock: s.Clock,
+			log: s.Log, metrics: newMetrics(s.Scope),
+		},
+	}
+}
+
+// deadline ends the rest of the chain when the request's time is over.
+type deadline struct {
+	clock clockwork.Clock
+}
+
+// Name implements Filter.
+func (*deadline) Name() string { return "deadline" }
+
+// Handle implements Filter.
+func (f *deadline) Handle(ctx context.Context, x *Request, next Next) error {
+	ctx, cancel := clockwork.WithDeadline(ctx, f.clock, x.Deadline)
+	defer cancel()
+	// A connection that takes no deadline is bounded by the caller's patience.
+	_ = http.NewResponseController(x.out.w).SetWriteDeadline(x.Deadline.Add(writeSlack))
+	return next(ctx, x)
+}
--- /dev/null
+++ b/internal/direct/request.go
@@ -0,0 +1,97 @@
+// Package direct serves callers by sending each request from the host that accepted it straight to an upstream.
+//
+// A request flows through the filters that chain.go lists. A filter looks at the request, may change it, and either
+// calls next or returns an error, by convention an *outcome.Refusal.
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/events"
+)
+
+// Request is one attempt of a caller with everything that the filters learn about it.
+type Request struct {
+	Call
+	// HTTP is the caller's request; its body has been read into Body.
+	HTTP *http.Request
+	Body []byte
+	// Start is when the request's headers were read.
+	Start time.Time
+	// Deadline is when the final answer is due.
+	Deadline time.Time
+
+	Route   *catalog.Route
+	Team    *catalog.Team
+	Service string
+
+	// tried are the upstreams to which the request was sent.
+	tried []catalog.UpstreamKey
+	// sends counts the requests that reached, or may have reached, an upstream; runs those that ran or may have run.
+	sends, runs int
+	// unknown is set when it is not known whether an earlier send ran.
+	unknown bool
+
+	out answer
+}
+
+// answer is what the caller has got so far.
+type answer struct {
+	w http.ResponseWriter
+	// begun is set once the status was sent.
+	begun bool
+	// stream follows the events of a stream that may go on at another upstream.
+	stream events.Scanner
+	// kept is a whole answer of an upstream that failed, sent if nothing better comes.
+	kept *whole
+}
+
+// whole is a complete answer.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Next runs the rest of the chain.
+type Next func(ctx context.Context, x *Request) error
+
+// Filter is one step of the chain. Implementations are safe for concurrent use.
+type Filter interface {
+	// Name is the step that errors and metrics carry.
+	Name() string
+	// Handle processes the request and calls next to go on.
+	Handle(ctx context.Context, x *Request, next Next) error
+}
+
+// Chain returns a function that runs the filters in order.
+func Chain(filters ...Filter) Next {
+	next := Next(func(context.Context, *Request) error { return nil })
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, rest := filters[i], next
+		next = func(ctx context.Context, x *Request) error { return f.Handle(ctx, x, rest) }
+	}
+	return next
+}
+
+// team returns the team's name, empty on open routes.
+func (x *Request) team() string {
+	if x.Team == nil {
+		return ""
+	}
+	return x.Team.Name
+}
+
+// priority returns the rank of the request: its team's if that has one.
+func (x *Request) priority() int {
+	if x.Team != nil && x.Team.HasPriority {
+		return x.Team.Priority
+	}
+	return x.Route.Priority
+}
+
+// lastEvent returns the last event of a stream that the caller has.
+func (x *Request) lastEvent() int64 { return max(x.LastEvent, x.out.stream.Last) }
--- /dev/null
+++ b/internal/direct/server.go
@@ -0,0 +1,200 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/allowance"
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/upconn"
+)
+
+// Options configures New.
+type Options struct {
+	Store   *catalog.Store
+	Table   *balance.Table
+	Retries *allowance.Retries
+	Cold    *allowance.Cold
+	Pool    *upconn.Pool
+	Codec   Codec
+	// BodyBytes bounds the bodies of all requests in flight together.
+	BodyBytes int64
+	Clock     clockwork.Clock
+	Log       zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Server answers callers.
+type Server struct {
+	Options
+	chain    Next
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	latency  map[catalog.Kind]tally.Histogram
+	answers  *counters
+
+	mu   sync.Mutex
+	idle map[net.Conn]*time.Timer
+}
+
+// Bounds of the callers' connections where the configuration does not set them.
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
+	// defaultIdle is how long an unused connection stays open if the configuration says nothing.
+	defaultIdle = 15 * time.Second
+	// writeSlack is how much longer than its deadline a request may take to be written to its caller.
+	writeSlack = 300 * time.Millisecond
+)
+
+// latencyBuckets are the bounds of the latency histograms, doubled from one millisecond.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// New returns a server; HTTP returns its listener's side.
+func New(o Options) *Server {
+	s := &Server{Options: o, idle: map[net.Conn]*time.Timer{}, answers: newCounters(o.Scope)}
+	s.latency = map[catalog.Kind]tally.Histogram{}
+	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
+		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
+	}
+	s.chain = Chain(s.filters()...)
+	return s
+}
+
+// HTTP returns the server of the callers' address.
+func (s *Server) HTTP() *http.Server {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.PathPrefix("/").Handler(s)
+	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ConnState: s.connState}
+}
+
+// Stop makes all further answers ask for the end of their connections.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// InFlight returns the requests in flight.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &Request{Call: s.Codec.Call(r), HTTP: r, Start: s.Clock.Now(), out: answer{w: w}}
+	err := s.serve(r.Context(), x)
+	s.finish(r.Context(), x, err)
+}
+
+// serve runs the chain within the request's deadline, which the first filter sets.
+func (s *Server) serve(ctx context.Context, x *Request) error {
+	return s.chain(ctx, x)
+}
+
+// finish gives the caller its final answer, if it has none, and logs what happened.
+func (s *Server) finish(ctx context.Context, x *Request, err error) {
+	took := s.Clock.Since(x.Start)
+	if x.Route != nil {
+		s.latency[x.Route.Kind].RecordDuration(took)
+	}
+	if err == nil {
+		s.answers.relayed.Inc(1)
+		s.logServed(x, took)
+		return
+	}
+	var refusal *outcome.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &outcome.Refusal{
+			Status: http.StatusBadGateway, Code: "broken-off", Message: "the answer broke off", Step: stepDispatch,
+			Outcome: outcome.Unknown, Cause: err,
+		}
+	}
+	s.logRefused(ctx, x, refusal, took)
+	switch {
+	case x.out.begun:
+		s.answers.broken.Inc(1)
+		panic(http.ErrAbortHandler)
+	case ctx.Err() != nil:
+		s.answers.cancelled.Inc(1)
+		panic(http.ErrAbortHandler)
+	default:
+		s.answers.refused(refusal.Code).Inc(1)
+		x.out.refuse(refusal)
+	}
+}
+
+func (s *Server) logServed(x *Request, took time.Duration) {
+	s.Log.Debug().Str("event", "served").Str("request", x.ID).Str("route", x.Route.Name).Str("upstream", x.lastTried()).
+		Int("sends", x.sends).Dur("took_ms", took).Send()
+}
+
+func (s *Server) logRefused(ctx context.Context, x *Request, r *outcome.Refusal, took time.Duration) {
+	snap := s.Store.Current()
+	event := s.Log.Warn().Str("event", "not-served").Str("request", x.ID)
+	if ctx.Err() != nil {
+		event = s.Log.Info().Str("event", "cancelled").Str("request", x.ID)
+	}
+	if x.Route != nil {
+		event.Str("route", x.Route.Name).Str("kind", string(x.Route.Kind)).Str("service", x.Service)
+	}
+	if snap.Config != nil {
+		event.Uint64("version", snap.Config.Version)
+	}
+	event.Int("status", r.Status).Str("code", r.Code).Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).
+		Bool("begun", x.out.begun).Int("sends", x.sends).Int("runs", x.runs).Dur("took_ms", took).
+		Dur("left_ms", x.Deadline.Sub(s.Clock.Now())).Err(r.Cause).Send()
+}
+
+func (x *Request) lastTried() string {
+	if len(x.tried) == 0 {
+		return ""
+	}
+	return x.tried[len(x.tried)-1].ID
+}
+
+// connState closes connections that stay unused for longer than the configuration in force says.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if timer := s.idle[c]; timer != nil {
+		timer.Stop()
+		delete(s.idle, c)
+	}
+	if state != http.StateIdle {
+		return
+	}
+	limit := defaultIdle
+	if config := s.Store.Current().Config; config != nil && config.Limits.IdleTime > 0 {
+		limit = config.Limits.IdleTime
+	}
+	s.idle[c] = time.AfterFunc(limit, func() { _ = c.Close() })
+}
+
+// counters count the answers by what became of them.
+type counters struct {
+	scope                      tally.Scope
+	relayed, broken, cancelled tally.Counter
+}
+
+func newCounters(scope tally.Scope) *counters {
+	return &counters{
+		scope: scope, relayed: scope.Counter("answers_relayed"), broken: scope.Counter("answers_broken_off"),
+		cancelled: scope.Counter("requests_cancelled"),
+	}
+}
+
+func (c *counters) refused(code string) tally.Counter {
+	return c.scope.Tagged(map[string]string{"code": code}).Counter("requests_refused")
+}
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,81 @@
+// Package events cuts a text/event-stream into whole events and reads their ids.
+package events
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Scanner collects the bytes of a stream and gives out whole events. The zero value is ready.
+type Scanner struct {
+	pending []byte
+	// Last is the id of the last event that was given out, 0 before the first one that has an id.
+	Last int64
+	// After is the id up to which events are dropped, because the caller has them.
+	After int64
+	// Events counts the events that were given out.
+	Events int
+}
+
+// Feed takes the next bytes and returns the whole events that they complete, without those up to After.
+func (s *Scanner) Feed(p []byte) []byte {
+	s.pending = append(s.pending, p...)
+	var out []byte
+	end := 0
+	for {
+		length := eventLength(s.pending[end:])
+		if length == 0 {
+			break
+		}
+		event := s.pending[end : end+length]
+		end += length
+		id, ok := eventID(event)
+		if ok && id <= s.After {
+			continue
+		}
+		out = append(out, event...)
+		s.Events++
+		if ok {
+			s.Last = id
+		}
+	}
+	s.pending = append(s.pending[:0], s.pending[end:]...)
+	return out
+}
+
+// Rest returns the bytes of an event that is not whole.
+func (s *Scanner) Rest() []byte { return s.pending }
+
+// Cut drops the bytes of an event that is not whole, before another stream goes on after Last.
+func (s *Scanner) Cut() {
+	s.pending = s.pending[:0]
+	s.After = max(s.After, s.Last)
+}
+
+// eventLength returns the length of the first event in b with its empty line, 0 if it is not whole.
+func eventLength(b []byte) int {
+	for at := 0; ; {
+		end := bytes.IndexByte(b[at:], '\n')
+		if end < 0 {
+			return 0
+		}
+		line := b[at : at+end]
+		at += end + 1
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return at
+		}
+	}
+}
+
+// eventID returns the number in the event's id field.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,314 @@
+// Package fleet finds the other hosts of a directly sending fleet and passes published items on between them, so that a
+// host that the store turns away still learns of changes.
+//
+// Membership decides only how a bound is split and whom to ask; no promise rests on it.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+// Times of the exchange.
+const (
+	// exchangeTimeout bounds one call; hosts of one region are milliseconds apart.
+	exchangeTimeout = 600 * time.Millisecond
+	// lostInterval is the time between two rounds while the store does not answer this host: a change reaches it within
+	// a few rounds, well inside the bound of five seconds.
+	lostInterval = 250 * time.Millisecond
+	// forgetAfter is how long a silent host still counts for the split of bounds, much longer than hosts disagree.
+	forgetAfter = time.Minute
+	// liveFor is the silence after which a host is asked only when no other is known.
+	liveFor = 4 * time.Second
+	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
+	// meet again.
+	seedEvery = 8
+)
+
+// Options configures New.
+type Options struct {
+	// Self is this host's peer address.
+	Self        string
+	Incarnation uint64
+	Seeds       []string
+	// Floor is the least number of hosts that share a bound, before others are heard of.
+	Floor    int
+	Interval time.Duration
+	Mirrors  []*published.Mirror
+	// StoreLost reports whether the store does not answer this host.
+	StoreLost func() bool
+	Transport http.RoundTripper
+	Clock     clockwork.Clock
+	Rand      *rand.Rand
+	Log       zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Fleet is this host's view of the others. It is safe for concurrent use.
+type Fleet struct {
+	Options
+	client   *http.Client
+	rounds   tally.Counter
+	failures tally.Counter
+
+	mu      sync.Mutex
+	seeds   []string
+	members map[string]*member
+	leaving bool
+}
+
+type member struct {
+	incarnation uint64
+	heard       time.Time
+	leaving     bool
+	lost        bool
+}
+
+var _ fleetpb.Fleet = (*Fleet)(nil)
+
+// New returns a fleet that knows only this host and the seeds.
+func New(o Options) *Fleet {
+	return &Fleet{
+		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout}, seeds: o.Seeds,
+		members: map[string]*member{}, rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
+	}
+}
+
+// Run exchanges with one other host a round until the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.Round(ctx)
+		wait := f.Interval
+		if f.StoreLost() {
+			wait = lostInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.Clock.After(wait):
+		}
+	}
+}
+
+// Round exchanges with one other host.
+func (f *Fleet) Round(ctx context.Context) {
+	address := f.pick()
+	if address == "" {
+		return
+	}
+	f.rounds.Inc(1)
+	answer, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, f.digest())
+	if err != nil {
+		f.failures.Inc(1)
+		f.noteLost(address, errors.Wrapf(err, "exchange with %s", address))
+		return
+	}
+	f.merge(answer)
+}
+
+// Exchange implements fleetpb.Fleet: it answers with what this host knows beyond the sender.
+func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
+	f.merge(d)
+	answer := f.digest()
+	for _, theirs := range d.GetMirrors() {
+		for i, m := range f.Mirrors {
+			if m.Prefix() == theirs.GetPrefix() && m.Complete() > theirs.GetComplete() {
+				answer.Mirrors[i] = encodeMirror(m.Prefix(), theirs.GetComplete(), m.Since(theirs.GetComplete()))
+			}
+		}
+	}
+	return answer, nil
+}
+
+func encodeMirror(prefix string, after uint64, b published.Batch) *fleetpb.Mirror {
+	m := &fleetpb.Mirror{Prefix: prefix, Complete: b.At, After: after}
+	for _, item := range b.Items {
+		m.Items = append(m.Items, &fleetpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+	}
+	return m
+}
+
+// digest returns what this host tells in a round: hosts, and how far it knows the published items.
+func (f *Fleet) digest() *fleetpb.Digest {
+	d := &fleetpb.Digest{}
+	for _, m := range f.Mirrors {
+		complete := m.Complete()
+		d.Mirrors = append(d.Mirrors, &fleetpb.Mirror{Prefix: m.Prefix(), Complete: complete, After: complete})
+	}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving}
+	for address, m := range f.members {
+		d.Hosts = append(d.Hosts, &fleetpb.Host{
+			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
+		})
+	}
+	return d
+}
+
+// merge takes a digest: its sender was heard of now, its hosts as long ago as it says.
+func (f *Fleet) merge(d *fleetpb.Digest) {
+	for _, theirs := range d.GetMirrors() {
+		f.mergeMirror(d.GetSender().GetAddress(), theirs)
+	}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hear(d.GetSender(), now)
+	for _, host := range d.GetHosts() {
+		if ago := time.Duration(host.GetHeardAgoMs()) * time.Millisecond; ago < forgetAfter {
+			f.hear(host, now.Add(-ago))
+		}
+	}
+	for address, m := range f.members {
+		if now.Sub(m.heard) > forgetAfter {
+			delete(f.members, address)
+		}
+	}
+}
+
+func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
+	if len(theirs.GetItems()) == 0 {
+		return
+	}
+	for _, m := range f.Mirrors {
+		if m.Prefix() != theirs.GetPrefix() {
+			continue
+		}
+		b := published.Batch{At: theirs.GetComplete()}
+		for _, item := range theirs.GetItems() {
+			b.Items = append(b.Items, published.Item{
+				Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
+			})
+		}
+		if changed := m.Merge(theirs.GetAfter(), b); changed > 0 {
+			f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Str("prefix", m.Prefix()).Int("changed", changed).
+				Uint64("complete", m.Complete()).Send()
+		}
+	}
+}
+
+// hear notes that a host was heard of; the caller holds mu.
+func (f *Fleet) hear(h *fleetpb.Host, at time.Time) {
+	address := h.GetAddress()
+	if address == "" || address == f.Self {
+		return
+	}
+	m := f.members[address]
+	if m == nil {
+		m = &member{}
+		f.members[address] = m
+		f.Log.Info().Str("event", "peer-found").Str("peer", address).Int("hosts", len(f.members)+1).Send()
+	}
+	if at.Before(m.heard) {
+		return
+	}
+	if m.lost {
+		m.lost = false
+		f.Log.Info().Str("event", "peer-regained").Str("peer", address).Send()
+	}
+	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
+}
+
+func (f *Fleet) noteLost(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[address]
+	if m == nil || m.lost {
+		return
+	}
+	m.lost = true
+	f.Log.Warn().Str("event", "peer-lost").Str("peer", address).Dur("heard_ago_ms", f.Clock.Since(m.heard)).Err(err).Send()
+}
+
+// pick returns a random live host, or a seed if none is known, and now and then anyway.
+func (f *Fleet) pick() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	var live []string
+	for address, m := range f.members {
+		if now.Sub(m.heard) < liveFor && !m.lost {
+			live = append(live, address)
+		}
+	}
+	if len(live) == 0 || f.Rand.IntN(seedEvery) == 0 {
+		for _, seed := range f.seeds {
+			if seed != f.Self {
+				live = append(live, seed)
+			}
+		}
+	}
+	if len(live) == 0 {
+		return ""
+	}
+	slices.Sort(live) // the order of a map is not that of a seed
+	return live[f.Rand.IntN(len(live))]
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
+// Leave marks this host as leaving.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+}
+
+// Split implements allowance.Hosts.
+func (f *Fleet) Split() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.Floor, len(f.members)+1)
+}
+
+// Chosen implements allowance.Hosts.
+func (f *Fleet) Chosen(key uint64, n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := loadbalancer.Score(key, f.Self)
+	before := 0
+	for address := range f.members {
+		if loadbalancer.Score(key, address) > own {
+			before++
+		}
+	}
+	return before < n
+}
+
+// HostState is a host's line in the state dump.
+type HostState struct {
+	Address  string        `json:"address"`
+	HeardAgo time.Duration `json:"heard_ago_ns"`
+	Leaving  bool          `json:"leaving,omitempty"`
+	Lost     bool          `json:"lost,omitempty"`
+}
+
+// State returns a copy of the members.
+func (f *Fleet) State() []HostState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	states := make([]HostState, 0, len(f.members))
+	for address, m := range f.members {
+		states = append(states, HostState{Address: address, HeardAgo: f.Clock.Since(m.heard), Leaving: m.leaving, Lost: m.lost})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/gateway/admin.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/admin"
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/fleet"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+// adminTimeout bounds the reading of a question's headers on all addresses but the callers'.
+const adminTimeout = 2 * time.Second
+
+// ready returns "" when the process takes new requests.
+func (g *Gateway) ready() string {
+	switch {
+	case g.stopping.Load():
+		return "stopping"
+	case g.store.Current().Config == nil:
+		return "no configuration is known"
+	case g.mirrors[1].Complete() == 0:
+		return "no upstreams are known"
+	default:
+		return ""
+	}
+}
+
+// readyHandler answers the balancer: 200 when the process takes new requests.
+func (g *Gateway) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if reason := g.ready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		// A balancer that has gone cannot be told.
+		_, _ = io.WriteString(w, "ready\n")
+	})
+}
+
+func (g *Gateway) peerHandler() http.Handler { return fleetpb.NewFleetServer(g.fleet) }
+
+func (g *Gateway) adminHandler() http.Handler {
+	return admin.Handler(admin.Source{Ready: g.ready, State: func() any { return g.State() }, Metrics: g.metrics.Handler})
+}
+
+// State is the process's state dump.
+type State struct {
+	Name           string                  `json:"name"`
+	DataCentre     string                  `json:"data_centre"`
+	Incarnation    uint64                  `json:"incarnation"`
+	Time           time.Time               `json:"time"`
+	NotReady       string                  `json:"not_ready,omitempty"`
+	Version        uint64                  `json:"config_version"`
+	ConfigRevision uint64                  `json:"config_revision"`
+	Out            map[string]bool         `json:"data_centres_out"`
+	Complete       map[string]uint64       `json:"complete_revisions"`
+	InFlight       int64                   `json:"requests_in_flight"`
+	Hosts          []fleet.HostState       `json:"hosts"`
+	Upstreams      []balance.UpstreamState `json:"upstreams"`
+}
+
+// State returns a copy of the state of every part.
+func (g *Gateway) State() State {
+	snap := g.store.Current()
+	s := State{
+		Name: g.settings.Name, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Time: g.clock.Now(),
+		NotReady: g.ready(), ConfigRevision: snap.ConfigRevision, Out: snap.Out, Complete: map[string]uint64{},
+		InFlight: g.server.InFlight(), Hosts: g.fleet.State(), Upstreams: g.table.State(),
+	}
+	if snap.Config != nil {
+		s.Version = snap.Config.Version
+	}
+	for _, m := range g.mirrors {
+		s.Complete[m.Prefix()] = m.Complete()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,224 @@
+// Package gateway assembles the oriole-router that sends directly: the callers' server, the readers of published items,
+// the exchange between hosts, and the admin address.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/allowance"
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/direct"
+	"github.com/orioleusher/orioleusher/internal/fleet"
+	"github.com/orioleusher/orioleusher/internal/metrics"
+	"github.com/orioleusher/orioleusher/internal/process"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/internal/upconn"
+)
+
+// Adapter is what an outside platform brings: its store, its items and its headers.
+type Adapter struct {
+	Source published.Source
+	Decode catalog.Decode
+	Codec  direct.Codec
+	// OperatorPrefix and UpstreamPrefix begin the keys of the items of operators and upstreams.
+	OperatorPrefix, UpstreamPrefix string
+}
+
+// Sizes and times of the process.
+const (
+	// minHosts times the data centres is the least number of hosts that share a bound, before others are heard of.
+	minHosts = 2
+	// memoryPart is the part of the process's memory from which the garbage collector works harder.
+	memoryPart = 0.6
+	// bodyPart is the part of the memory that callers' bodies may fill.
+	bodyPart = 0.2
+	// sweepInterval is how often unused connections are looked at.
+	sweepInterval = time.Second
+	// operatorWait and upstreamWait are how long the store may hold a call for changes open. Upstreams change all the
+	// time, operators rarely.
+	operatorWait = 8 * time.Second
+	upstreamWait = 5 * time.Second
+	// operatorPause and upstreamPause are the times between two such calls. A leaving upstream must get nothing more
+	// after two seconds.
+	operatorPause = 100 * time.Millisecond
+	upstreamPause = 600 * time.Millisecond
+	// killMargin is the time before the end of a planned stop at which what is left is cut off.
+	killMargin = 400 * time.Millisecond
+	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
+	maxIdlePeerConns = 2
+)
+
+// Gateway is one process.
+type Gateway struct {
+	settings    *settings.Direct
+	clock       clockwork.Clock
+	log         zerolog.Logger
+	metrics     *metrics.Registry
+	incarnation uint64
+
+	store    *catalog.Store
+	mirrors  []*published.Mirror
+	readers  []*published.Reader
+	fleet    *fleet.Fleet
+	table    *balance.Table
+	pool     *upconn.Pool
+	server   *direct.Server
+	stopping atomic.Bool
+}
+
+// Transport returns the HTTP transport for calls to the store and to other hosts. Its connections are given up when
+// sent bytes stay unacknowledged.
+func Transport(pool *upconn.Pool) *http.Transport {
+	return &http.Transport{DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true}
+}
+
+// Pool returns the pool of connections of a process with these settings.
+func Pool(s *settings.Direct, clock clockwork.Clock) *upconn.Pool {
+	host, _, _ := net.SplitHostPort(s.PeerAddress) // checked with the settings
+	return upconn.NewPool(&net.TCPAddr{IP: net.ParseIP(host)}, clock)
+}
+
+// New assembles a process; Run starts it.
+func New(s *settings.Direct, a Adapter, pool *upconn.Pool, clock clockwork.Clock, log zerolog.Logger) *Gateway {
+	g := &Gateway{
+		settings: s, clock: clock, log: log, metrics: metrics.New("oriole_router"), incarnation: newIncarnation(), pool: pool,
+	}
+	g.store = catalog.NewStore(a.Decode, clock, log)
+	g.table = balance.NewTable(s.DataCentre, clock, log)
+	g.mirrors = []*published.Mirror{
+		published.NewMirror(a.OperatorPrefix, g.store.Apply), published.NewMirror(a.UpstreamPrefix, g.store.Apply),
+	}
+	g.readers = []*published.Reader{
+		g.reader(a, 0, operatorWait, operatorPause), g.reader(a, 1, upstreamWait, upstreamPause),
+	}
+	g.fleet = g.newFleet()
+	g.server = g.newServer(a)
+	return g
+}
+
+func (g *Gateway) reader(a Adapter, mirror int, wait, pause time.Duration) *published.Reader {
+	return published.NewReader(published.ReaderOptions{
+		Source: a.Source, Mirror: g.mirrors[mirror], Wait: wait, Pause: pause, Lost: g.store.Outage,
+		Regained: g.store.Regained, Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+	})
+}
+
+func (g *Gateway) newFleet() *fleet.Fleet {
+	return fleet.New(fleet.Options{
+		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
+		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirrors: g.mirrors,
+		StoreLost: func() bool { return g.readers[0].Failing() || g.readers[1].Failing() }, Transport: Transport(g.pool),
+		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
+	})
+}
+
+func (g *Gateway) newServer(a Adapter) *direct.Server {
+	r, c := g.settings.Retry, g.settings.Cold
+	return direct.New(direct.Options{
+		Store: g.store, Table: g.table, Pool: g.pool, Codec: a.Codec,
+		Retries:   allowance.NewRetries(allowance.RetryBounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
+		Cold:      allowance.NewCold(allowance.ColdBounds{Overage: c.Overage, Slack: c.Slack}, g.fleet, g.clock),
+		BodyBytes: int64(bodyPart * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+	})
+}
+
+func newIncarnation() uint64 {
+	var raw [8]byte
+	// crypto/rand.Read never fails; it ends the process if the system has no randomness.
+	_, _ = rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:])
+}
+
+// Run serves until the context ends and then stops gracefully. It returns the first server's error, if any.
+func (g *Gateway) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(g.settings.MemoryMB<<20)))
+	loops, stopLoops := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, r := range g.readers {
+		wg.Go(func() { r.Run(loops) })
+	}
+	wg.Go(func() { g.fleet.Run(loops) })
+	wg.Go(func() { g.sweep(loops) })
+	failed := make(chan error, 4)
+	callers := g.server.HTTP()
+	for _, s := range []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"caller", g.settings.CallerAddress, callers},
+		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: adminTimeout}},
+		{"peer", g.settings.PeerAddress, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: adminTimeout}},
+		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminTimeout}},
+	} {
+		go serve(s.server, s.name, s.address, failed)
+	}
+	g.log.Info().Str("event", "started").Uint64("incarnation", g.incarnation).Str("version", process.Version).
+		Str("data_centre", g.settings.DataCentre).Send()
+	var err error
+	select {
+	case <-ctx.Done():
+		g.stop(callers)
+	case err = <-failed:
+	}
+	stopLoops()
+	g.log.Info().Str("event", "stopped").AnErr("error", err).Send()
+	return errors.Wrap(err, "run router")
+}
+
+func serve(s *http.Server, name, address string, failed chan<- error) {
+	listener, err := net.Listen("tcp", address)
+	if err == nil {
+		err = process.IgnoreClosed(s.Serve(listener))
+	}
+	if err != nil {
+		failed <- errors.Wrapf(err, "serve %s address %s", name, address)
+	}
+}
+
+// stop ends the process in the time of a planned stop: readiness fails at once, requests are still taken until the
+// balancer has seen that, and those in flight end.
+func (g *Gateway) stop(callers *http.Server) {
+	begun := g.clock.Now()
+	g.stopping.Store(true)
+	g.server.Stop()
+	g.fleet.Leave()
+	g.log.Info().Str("event", "stopping").Int64("in_flight", g.server.InFlight()).Send()
+	g.clock.Sleep(g.settings.Timeouts.Drain.Std())
+	left := g.settings.Timeouts.Stop.Std() - killMargin - g.clock.Since(begun)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Warn().Str("event", "stop-limit").Int64("in_flight", g.server.InFlight()).Err(err).Send()
+	}
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(sweepInterval):
+			g.pool.Sweep()
+		}
+	}
+}
+
+// Reload takes over what may change while the process runs: the seeds.
+func (g *Gateway) Reload(s *settings.Direct) {
+	g.fleet.SetSeeds(s.SeedPeers)
+	g.log.Info().Str("event", "reloaded").Strs("seed_peers", s.SeedPeers).Send()
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -39,43 +39,64 @@
 	return len(p), nil
 }
 
+// formatLine rewrites one flat JSON object, as zerolog writes it, in one pass. Only text that needs quoting is decoded.
 func formatLine(event []byte) ([]byte, error) {
-	dec := json.NewDecoder(bytes.NewReader(event))
-	dec.UseNumber()
-	if _, err := dec.Token(); err != nil {
-		return nil, errors.Wrap(err, "open event")
+	rest := bytes.TrimSpace(event)
+	if len(rest) < 2 || rest[0] != '{' || rest[len(rest)-1] != '}' {
+		return nil, errors.Errorf("event %q is not an object", event)
 	}
-	var line bytes.Buffer
-	for dec.More() {
-		key, err := dec.Token()
-		if err != nil {
-			return nil, errors.Wrap(err, "read key")
+	rest = rest[1 : len(rest)-1]
+	line := make([]byte, 0, len(event))
+	for len(rest) > 0 {
+		key := rest[:valueLength(rest)]
+		rest = rest[len(key):]
+		if key[0] != '"' || len(rest) < 2 || rest[0] != ':' {
+			return nil, errors.Errorf("event %q has a key that is not text", event)
 		}
-		var value json.RawMessage
-		if err := dec.Decode(&value); err != nil {
-			return nil, errors.Wrap(err, "read value")
+		value := rest[1 : 1+valueLength(rest[1:])]
+		rest = bytes.TrimPrefix(rest[1+len(value):], []byte(","))
+		if len(line) > 0 {
+			line = append(line, ' ')
 		}
-		name, ok := key.(string)
-		if !ok {
-			return nil, errors.Errorf("key %v is not text", key)
+		line = append(appendValue(line, key), '=')
+		line = appendValue(line, value)
+	}
+	return append(line, '\n'), nil
+}
+
+// valueLength returns the length of the JSON value at the start of b, up to the next comma or colon outside of it.
+func valueLength(b []byte) int {
+	depth, text := 0, false
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case text && c == '\\':
+			i++
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		case depth == 0 && (c == ',' || c == ':'):
+			return i
 		}
-		appendPair(&line, name, value)
 	}
-	line.WriteByte('\n')
-	return line.Bytes(), nil
+	return len(b)
 }
 
-func appendPair(line *bytes.Buffer, key string, value json.RawMessage) {
-	if line.Len() > 0 {
-		line.WriteByte(' ')
+// appendValue appends a JSON value: text without its quotes where that cannot be mistaken, all else as it is.
+func appendValue(line, value []byte) []byte {
+	if len(value) > 2 && value[0] == '"' {
+		if inner := value[1 : len(value)-1]; !bytes.ContainsFunc(inner, needsQuote) {
+			return append(line, inner...)
+		}
 	}
-	line.WriteString(quote(key))
-	line.WriteByte('=')
 	var text string
 	if json.Unmarshal(value, &text) != nil {
 		text = string(value)
 	}
-	line.WriteString(quote(text))
+	return append(line, quote(text)...)
 }
 
 // quote returns text as it is if it cannot be mistaken for anything else, and as a quoted Go string otherwise.
--- /dev/null
+++ b/internal/published/published.go
@@ -0,0 +1,134 @@
+// Package published mirrors the items that operators and upstreams publish in a store that this process can only read.
+//
+// Each item carries the store's revision. A mirror never takes an older revision of an item for a newer one and keeps
+// tombstones of removed items, so that what it knows never goes back, whichever way an item came: from the store or
+// from another host.
+package published
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrHistoryLost says that a source no longer has the changes since the revision that was asked for.
+var ErrHistoryLost = errors.New("history is no longer available")
+
+// Item is one published value. Removed items keep their key and the revision of the removal.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Batch is the answer of one call of a source.
+type Batch struct {
+	Items []Item
+	// At is the store's revision up to which the batch is complete.
+	At uint64
+}
+
+// Source reads a store. Implementations are safe for concurrent use; their errors carry the step and the peer.
+type Source interface {
+	// List returns all items whose keys begin with prefix, as the store has them now.
+	List(ctx context.Context, prefix string) (Batch, error)
+	// Changes returns the changes after the revision, waiting up to wait for the first one. The error is
+	// ErrHistoryLost if the source has forgotten them.
+	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Mirror holds the items below one prefix. It is safe for concurrent use.
+type Mirror struct {
+	prefix string
+	// changed is called with each item that a merge changed, in no lock of the mirror's, one call at a time.
+	changed func(Item)
+
+	// applying serialises merges, so that changed sees them in order.
+	applying sync.Mutex
+	mu       sync.Mutex
+	items    map[string]Item
+	// complete is the revision up to which no change is missing; 0 before the first list.
+	complete uint64
+}
+
+// NewMirror returns an empty mirror that reports each changed item.
+func NewMirror(prefix string, changed func(Item)) *Mirror {
+	return &Mirror{prefix: prefix, changed: changed, items: map[string]Item{}}
+}
+
+// Prefix returns the prefix of the keys.
+func (m *Mirror) Prefix() string { return m.prefix }
+
+// Complete returns the revision up to which no change is missing, 0 if nothing was read yet.
+func (m *Mirror) Complete() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.complete
+}
+
+// Merge takes the changes of the batch, which follow the revision after. If the mirror is complete up to there, it is
+// complete up to the batch's revision afterwards. It returns how many items changed.
+func (m *Mirror) Merge(after uint64, b Batch) int {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	return m.merge(b.Items, func() {
+		if m.complete != 0 && m.complete >= after || after == 0 {
+			m.complete = max(m.complete, b.At)
+		}
+	})
+}
+
+// Replace takes a full list: items that the list lacks, and that are not newer than it, were removed.
+func (m *Mirror) Replace(b Batch) int {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	listed := make(map[string]bool, len(b.Items))
+	for _, item := range b.Items {
+		listed[item.Key] = true
+	}
+	items := b.Items
+	m.mu.Lock()
+	for key, item := range m.items {
+		if !listed[key] && !item.Removed && item.Revision <= b.At {
+			items = append(items, Item{Key: key, Revision: b.At, Removed: true})
+		}
+	}
+	m.mu.Unlock()
+	return m.merge(items, func() { m.complete = max(m.complete, b.At) })
+}
+
+func (m *Mirror) merge(items []Item, finish func()) int {
+	var news []Item
+	m.mu.Lock()
+	for _, item := range items {
+		known, ok := m.items[item.Key]
+		if ok && known.Revision >= item.Revision {
+			continue
+		}
+		m.items[item.Key] = item
+		news = append(news, item)
+	}
+	finish()
+	m.mu.Unlock()
+	for _, item := range news {
+		m.changed(item)
+	}
+	return len(news)
+}
+
+// Since returns the items, removed ones too, that changed after the revision, and the revision up to which the mirror
+// is complete.
+func (m *Mirror) Since(after uint64) Batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := Batch{At: m.complete}
+	for _, item := range m.items {
+		if item.Revision > after {
+			b.Items = append(b.Items, item)
+		}
+	}
+	return b
+}
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -115,6 +115,12 @@
 	}
 }
 
+func (c *checks) number(field string, value, high float64) {
+	if value < 0 || value > high {
+		c.add(field, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("0 to %g", high))
+	}
+}
+
 func (c *checks) log(l Log) {
 	if l.Level == "" {
 		return
