One watch for all published items, given up after a second of silence

Upstreams' heartbeats had told the other watch long before.

Change: one mirror and one watch for all items. Heartbeats keep it busy, so a silence of 1 s is a lost call; calls are 0.5 s apart.

Also: splits of bounds leave a quarter for hosts that do not know each other; property tests of the mirror, the splits and the event scanner.

--- a/cmd/oriole-router/main.go
+++ b/cmd/oriole-router/main.go
@@ -68,7 +68,7 @@
 	pool := gateway.Pool(&s, clock)
 	g := gateway.New(&s, gateway.Adapter{
 		Source: platform.NewStore(s.StoreAddress, gateway.Transport(pool)), Decode: platform.Decode, Codec: platform.Codec{},
-		OperatorPrefix: platform.OperatorPrefix, UpstreamPrefix: platform.UpstreamPrefix,
+		Prefix: platform.Prefix,
 	}, pool, clock, log)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -20,6 +20,10 @@
 	Chosen(key uint64, n int) bool
 }
 
+// agreement is the part of a bound that is split: a host that misses a quarter of the others takes a third more than its
+// part, and the sum still holds.
+const agreement = 0.75
+
 // RetryBounds is the bound on requests sent once more, over all hosts together.
 type RetryBounds struct {
 	// Ratio is the retries for each request.
@@ -54,17 +58,23 @@
 // keeps their sum, the most that a window can see, at the slack.
 const slackInBucket = 0.5
 
+// part returns this host's part of the slack.
+func (r *Retries) part() float64 { return agreement * r.bounds.Slack / float64(r.hosts.Split()) }
+
 // refill returns the service's bucket as of now; the caller holds mu.
 func (r *Retries) refill(service string) *bucket {
 	now := r.clock.Now()
-	capacity := slackInBucket * r.bounds.Slack / float64(r.hosts.Split())
+	part := r.part()
+	capacity := slackInBucket * part
 	b := r.services[service]
 	if b == nil {
 		b = &bucket{tokens: capacity, last: now}
 		r.services[service] = b
 	}
-	rate := (1 - slackInBucket) * r.bounds.Slack / float64(r.hosts.Split()) / r.bounds.Window.Seconds()
-	b.tokens = min(capacity, b.tokens+rate*now.Sub(b.last).Seconds())
+	if b.tokens < capacity {
+		rate := (1 - slackInBucket) * part / r.bounds.Window.Seconds()
+		b.tokens = min(capacity, b.tokens+rate*now.Sub(b.last).Seconds())
+	}
 	b.last = now
 	return b
 }
@@ -74,8 +84,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.refill(service)
-	capacity := slackInBucket * r.bounds.Slack / float64(r.hosts.Split())
-	b.tokens = min(max(capacity, 1), b.tokens+r.bounds.Ratio)
+	b.tokens = min(max(slackInBucket*r.part(), 1), b.tokens+r.bounds.Ratio)
 }
 
 // Take uses one retry at the service. It returns false when none is left.
@@ -117,9 +126,9 @@
 }
 
 // part returns how many requests this host may send to the cold upstream in a window. If there are more hosts than
-// requests, half of the requests go to as many hosts, so that disagreement about who they are stays under the bound.
+// requests, some hosts get one each, so few that disagreement about who they are stays under the bound.
 func (c *Cold) part(upstream string, rate float64) int {
-	bound := math.Floor(rate*c.bounds.Overage + c.bounds.Slack)
+	bound := agreement * math.Floor(rate*c.bounds.Overage+c.bounds.Slack)
 	part := int(bound) / c.hosts.Split()
 	if part > 0 {
 		return part
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,67 @@
+package events
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func stream(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+func TestOnlyWholeEventsComeOut(t *testing.T) {
+	is := is.New(t)
+	var s Scanner
+	is.Equal(len(s.Feed([]byte("id: 1\ndata: a"))), 0)
+	is.Equal(string(s.Feed([]byte("\n\nid: 2\n"))), "id: 1\ndata: a\n\n")
+	is.Equal(string(s.Rest()), "id: 2\n")
+	is.Equal(s.Last, int64(1))
+	s.Cut()
+	is.Equal(string(s.Feed([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))), "id: 2\ndata: b\n\n")
+}
+
+// However a stream is cut into reads, broken off and taken up again with overlap, each event comes out once, in order.
+func TestAStreamIsWholeHoweverItIsCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const last = 12
+		var s Scanner
+		var got strings.Builder
+		for s.Last < last {
+			from := max(1, int(s.Last)-rapid.IntRange(-1, 2).Draw(t, "overlap"))
+			from = min(from, int(s.Last)+1)
+			text := stream(from, last)
+			if rapid.Bool().Draw(t, "breaks") {
+				text = text[:rapid.IntRange(0, len(text)).Draw(t, "length")]
+			}
+			s.Cut()
+			for len(text) > 0 {
+				n := rapid.IntRange(1, len(text)).Draw(t, "read")
+				got.Write(s.Feed([]byte(text[:n])))
+				text = text[n:]
+			}
+		}
+		if got.String() != stream(1, last) {
+			t.Fatalf("got %q", got.String())
+		}
+	})
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add([]byte("id: 1\r\ndata: x\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, raw []byte, cut int) {
+		var s Scanner
+		cut = min(max(cut, 0), len(raw))
+		out := append(append([]byte(nil), s.Feed(raw[:cut])...), s.Feed(raw[cut:])...)
+		if string(out)+string(s.Rest()) != string(raw) {
+			t.Fatalf("bytes were lost: %q became %q and %q", raw, out, s.Rest())
+		}
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,7 +47,7 @@
 	// Floor is the least number of hosts that share a bound, before others are heard of.
 	Floor    int
 	Interval time.Duration
-	Mirrors  []*published.Mirror
+	Mirror   *published.Mirror
 	// StoreLost reports whether the store does not answer this host.
 	StoreLost func() bool
 	Transport http.RoundTripper
@@ -122,18 +122,14 @@
 func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
 	f.merge(d)
 	answer := f.digest()
-	for _, theirs := range d.GetMirrors() {
-		for i, m := range f.Mirrors {
-			if m.Prefix() == theirs.GetPrefix() && m.Complete() > theirs.GetComplete() {
-				answer.Mirrors[i] = encodeMirror(m.Prefix(), theirs.GetComplete(), m.Since(theirs.GetComplete()))
-			}
-		}
+	if theirs := d.GetMirror().GetComplete(); f.Mirror.Complete() > theirs {
+		answer.Mirror = encodeMirror(theirs, f.Mirror.Since(theirs))
 	}
 	return answer, nil
 }
 
-func encodeMirror(prefix string, after uint64, b published.Batch) *fleetpb.Mirror {
-	m := &fleetpb.Mirror{Prefix: prefix, Complete: b.At, After: after}
+func encodeMirror(after uint64, b published.Batch) *fleetpb.Mirror {
+	m := &fleetpb.Mirror{Complete: b.At, After: after}
 	for _, item := range b.Items {
 		m.Items = append(m.Items, &fleetpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
 	}
@@ -142,11 +138,8 @@
 
 // digest returns what this host tells in a round: hosts, and how far it knows the published items.
 func (f *Fleet) digest() *fleetpb.Digest {
-	d := &fleetpb.Digest{}
-	for _, m := range f.Mirrors {
-		complete := m.Complete()
-		d.Mirrors = append(d.Mirrors, &fleetpb.Mirror{Prefix: m.Prefix(), Complete: complete, After: complete})
-	}
+	complete := f.Mirror.Complete()
+	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}}
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,9 +154,7 @@
 
 // merge takes a digest: its sender was heard of now, its hosts as long ago as it says.
 func (f *Fleet) merge(d *fleetpb.Digest) {
-	for _, theirs := range d.GetMirrors() {
-		f.mergeMirror(d.GetSender().GetAddress(), theirs)
-	}
+	f.mergeMirror(d.GetSender().GetAddress(), d.GetMirror())
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -184,20 +175,15 @@
 	if len(theirs.GetItems()) == 0 {
 		return
 	}
-	for _, m := range f.Mirrors {
-		if m.Prefix() != theirs.GetPrefix() {
-			continue
-		}
-		b := published.Batch{At: theirs.GetComplete()}
-		for _, item := range theirs.GetItems() {
-			b.Items = append(b.Items, published.Item{
-				Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
-			})
-		}
-		if changed := m.Merge(theirs.GetAfter(), b); changed > 0 {
-			f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Str("prefix", m.Prefix()).Int("changed", changed).
-				Uint64("complete", m.Complete()).Send()
-		}
+	b := published.Batch{At: theirs.GetComplete()}
+	for _, item := range theirs.GetItems() {
+		b.Items = append(b.Items, published.Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
+		})
+	}
+	if changed := f.Mirror.Merge(theirs.GetAfter(), b); changed > 0 {
+		f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Int("changed", changed).
+			Uint64("complete", f.Mirror.Complete()).Send()
 	}
 }
 
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -21,7 +21,7 @@
 		return "stopping"
 	case g.store.Current().Config == nil:
 		return "no configuration is known"
-	case g.mirrors[1].Complete() == 0:
+	case g.mirror.Complete() == 0:
 		return "no upstreams are known"
 	default:
 		return ""
@@ -56,7 +56,7 @@
 	Version        uint64                  `json:"config_version"`
 	ConfigRevision uint64                  `json:"config_revision"`
 	Out            map[string]bool         `json:"data_centres_out"`
-	Complete       map[string]uint64       `json:"complete_revisions"`
+	Complete       uint64                  `json:"complete_revision"`
 	InFlight       int64                   `json:"requests_in_flight"`
 	Hosts          []fleet.HostState       `json:"hosts"`
 	Upstreams      []balance.UpstreamState `json:"upstreams"`
@@ -67,14 +67,11 @@
 	snap := g.store.Current()
 	s := State{
 		Name: g.settings.Name, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Time: g.clock.Now(),
-		NotReady: g.ready(), ConfigRevision: snap.ConfigRevision, Out: snap.Out, Complete: map[string]uint64{},
+		NotReady: g.ready(), ConfigRevision: snap.ConfigRevision, Out: snap.Out, Complete: g.mirror.Complete(),
 		InFlight: g.server.InFlight(), Hosts: g.fleet.State(), Upstreams: g.table.State(),
 	}
 	if snap.Config != nil {
 		s.Version = snap.Config.Version
 	}
-	for _, m := range g.mirrors {
-		s.Complete[m.Prefix()] = m.Complete()
-	}
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,8 @@
 	Source published.Source
 	Decode catalog.Decode
 	Codec  direct.Codec
-	// OperatorPrefix and UpstreamPrefix begin the keys of the items of operators and upstreams.
-	OperatorPrefix, UpstreamPrefix string
+	// Prefix begins the keys of all items that Decode knows.
+	Prefix string
 }
 
 // Sizes and times of the process.
@@ -49,14 +49,12 @@
 	bodyPart = 0.2
 	// sweepInterval is how often unused connections are looked at.
 	sweepInterval = time.Second
-	// operatorWait and upstreamWait are how long the store may hold a call for changes open. Upstreams change all the
-	// time, operators rarely.
-	operatorWait = 8 * time.Second
-	upstreamWait = 5 * time.Second
-	// operatorPause and upstreamPause are the times between two such calls. A leaving upstream must get nothing more
-	// after two seconds.
-	operatorPause = 100 * time.Millisecond
-	upstreamPause = 600 * time.Millisecond
+	// changesWait is how long the store may hold a call for changes open. Upstreams change about once a second each, so
+	// a longer silence is a call that the store has lost.
+	changesWait = time.Second
+	// changesPause is the time between two such calls, so that many heartbeats share one. A configuration must be in
+	// force, and a leaving upstream get nothing more, after two seconds.
+	changesPause = 500 * time.Millisecond
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 400 * time.Millisecond
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
@@ -72,8 +70,8 @@
 	incarnation uint64
 
 	store    *catalog.Store
-	mirrors  []*published.Mirror
-	readers  []*published.Reader
+	mirror   *published.Mirror
+	reader   *published.Reader
 	fleet    *fleet.Fleet
 	table    *balance.Table
 	pool     *upconn.Pool
@@ -100,29 +98,21 @@
 	}
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
-	g.mirrors = []*published.Mirror{
-		published.NewMirror(a.OperatorPrefix, g.store.Apply), published.NewMirror(a.UpstreamPrefix, g.store.Apply),
-	}
-	g.readers = []*published.Reader{
-		g.reader(a, 0, operatorWait, operatorPause), g.reader(a, 1, upstreamWait, upstreamPause),
-	}
+	g.mirror = published.NewMirror(a.Prefix, g.store.Apply)
+	g.reader = published.NewReader(published.ReaderOptions{
+		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Lost: g.store.Outage,
+		Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
+	})
 	g.fleet = g.newFleet()
 	g.server = g.newServer(a)
 	return g
 }
 
-func (g *Gateway) reader(a Adapter, mirror int, wait, pause time.Duration) *published.Reader {
-	return published.NewReader(published.ReaderOptions{
-		Source: a.Source, Mirror: g.mirrors[mirror], Wait: wait, Pause: pause, Lost: g.store.Outage,
-		Regained: g.store.Regained, Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
-	})
-}
-
 func (g *Gateway) newFleet() *fleet.Fleet {
 	return fleet.New(fleet.Options{
 		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
-		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirrors: g.mirrors,
-		StoreLost: func() bool { return g.readers[0].Failing() || g.readers[1].Failing() }, Transport: Transport(g.pool),
+		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror,
+		StoreLost: g.reader.Failing, Transport: Transport(g.pool),
 		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
 	})
 }
@@ -149,9 +139,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(g.settings.MemoryMB<<20)))
 	loops, stopLoops := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, r := range g.readers {
-		wg.Go(func() { r.Run(loops) })
-	}
+	wg.Go(func() { g.reader.Run(loops) })
 	wg.Go(func() { g.fleet.Run(loops) })
 	wg.Go(func() { g.sweep(loops) })
 	failed := make(chan error, 4)
--- /dev/null
+++ b/internal/published/published_test.go
@@ -0,0 +1,127 @@
+package published
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+)
+
+func item(key string, revision uint64) Item { return Item{Key: key, Revision: revision} }
+
+func TestAMirrorNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var seen []Item
+	m := NewMirror("a/", func(i Item) { seen = append(seen, i) })
+	m.Replace(Batch{Items: []Item{item("a/x", 5), item("a/y", 6)}, At: 9})
+	is.Equal(m.Complete(), uint64(9))
+	is.Equal(m.Merge(9, Batch{Items: []Item{item("a/x", 4)}, At: 9}), 0) // older revision
+	is.Equal(m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 7}), 1)  // y was removed before 7
+	is.Equal(m.Complete(), uint64(9))                                    // an older list takes nothing back
+	is.Equal(m.Merge(9, Batch{Items: []Item{item("a/y", 6)}, At: 9}), 0) // the tombstone is newer
+	is.Equal(len(seen), 3)
+}
+
+func TestAListOlderThanAnItemDoesNotRemoveIt(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror("a/", func(Item) {})
+	m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 5})
+	m.Merge(5, Batch{Items: []Item{item("a/new", 12)}, At: 12})
+	is.Equal(m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 10}), 0)
+	is.Equal(len(m.Since(0).Items), 2)
+}
+
+func TestAGapDoesNotCountAsComplete(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror("a/", func(Item) {})
+	m.Replace(Batch{At: 5})
+	m.Merge(8, Batch{Items: []Item{item("a/z", 9)}, At: 9}) // changes 6 to 8 are missing
+	is.Equal(m.Complete(), uint64(5))
+	is.Equal(len(m.Since(5).Items), 1) // the change itself is known
+}
+
+// Whatever way changes take between mirrors, and however often, each ends with the newest revision of every key that
+// it was told, and mirrors that were told all agree.
+func TestMirrorsAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := make([]Item, rapid.IntRange(1, 20).Draw(t, "changes"))
+		newest := map[string]Item{}
+		for i := range history {
+			key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+			history[i] = Item{Key: key, Revision: uint64(i + 1), Removed: rapid.Bool().Draw(t, "removed")}
+			newest[key] = history[i]
+		}
+		m := NewMirror("k", func(Item) {})
+		for range rapid.IntRange(0, 30).Draw(t, "messages") {
+			from := rapid.IntRange(0, len(history)).Draw(t, "from")
+			to := rapid.IntRange(from, len(history)).Draw(t, "to")
+			before := m.Complete()
+			m.Merge(uint64(from), Batch{Items: history[from:to], At: uint64(to)})
+			if m.Complete() < before {
+				t.Fatalf("complete went back from %d to %d", before, m.Complete())
+			}
+		}
+		m.Merge(0, Batch{Items: history, At: uint64(len(history))})
+		for _, got := range m.Since(0).Items {
+			if want := newest[got.Key]; got.Revision != want.Revision || got.Removed != want.Removed {
+				t.Fatalf("key %s: got %+v, want %+v", got.Key, got, want)
+			}
+		}
+	})
+}
+
+// scripted answers each call with the next step.
+type scripted struct {
+	steps []func(list bool, after uint64) (Batch, error)
+	calls []string
+}
+
+func (s *scripted) next(list bool, after uint64) (Batch, error) {
+	if len(s.steps) == 0 {
+		return Batch{}, context.Canceled
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step(list, after)
+}
+
+func (s *scripted) List(context.Context, string) (Batch, error) {
+	s.calls = append(s.calls, "list")
+	return s.next(true, 0)
+}
+
+func (s *scripted) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (Batch, error) {
+	s.calls = append(s.calls, "changes")
+	return s.next(false, after)
+}
+
+func TestAReaderListsAgainAfterLostHistoryAndReportsOutages(t *testing.T) {
+	is := is.New(t)
+	lost, regained := 0, 0
+	source := &scripted{}
+	m := NewMirror("a/", func(Item) {})
+	r := NewReader(ReaderOptions{
+		Source: source, Mirror: m, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Lost: func() { lost++ }, Regained: func() { regained++ },
+	})
+	source.steps = []func(bool, uint64) (Batch, error){
+		func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down") },
+		func(bool, uint64) (Batch, error) { return Batch{Items: []Item{item("a/x", 3)}, At: 4}, nil },
+		func(_ bool, after uint64) (Batch, error) { is.Equal(after, uint64(4)); return Batch{}, ErrHistoryLost },
+		func(bool, uint64) (Batch, error) { return Batch{At: 9}, nil },
+	}
+	for range 4 {
+		r.step(context.Background())
+	}
+	is.Equal(source.calls, []string{"list", "list", "changes", "list"})
+	is.Equal(m.Complete(), uint64(9))
+	is.True(m.Since(0).Items[0].Removed)
+	is.Equal(lost, 1)
+	is.Equal(regained, 1)
+}
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -32,9 +32,9 @@
 	Pause time.Duration
 	// Lost is called when the source fails, Regained when it answers again.
 	Lost, Regained func()
-	Clock    clockwork.Clock
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	Clock          clockwork.Clock
+	Log            zerolog.Logger
+	Scope          tally.Scope
 }
 
 // Reader keeps a mirror up to date from a source.
@@ -43,7 +43,9 @@
 	calls, failures tally.Counter
 	// failedSince is when the present outage began, in Unix nanoseconds of the clock; 0 while the source answers.
 	failedSince atomic.Int64
-	relist      bool
+	// relist is set until a full list has been read, at the start and after a loss of history.
+	relist bool
+	retry  time.Duration
 }
 
 // NewReader returns a reader; Run starts it.
@@ -57,30 +59,35 @@
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	retry := minRetry
 	for ctx.Err() == nil {
-		err := r.read(ctx)
-		wait := r.Pause
-		switch {
-		case err == nil:
-			retry = minRetry
-			r.answered()
-		case errors.Is(err, ErrHistoryLost):
-			r.Log.Info().Str("event", "store-history-lost").Str("prefix", r.Mirror.Prefix()).
-				Uint64("complete", r.Mirror.Complete()).Send()
-			r.relist = true
-			wait = 0
-		case ctx.Err() == nil:
-			r.failed(err)
-			wait, retry = retry, min(2*retry, maxRetry)
-		}
 		select {
 		case <-ctx.Done():
-		case <-r.Clock.After(wait):
+		case <-r.Clock.After(r.step(ctx)):
 		}
 	}
 }
 
+// step makes one call and returns how long to wait before the next one.
+func (r *Reader) step(ctx context.Context) time.Duration {
+	err := r.read(ctx)
+	switch {
+	case err == nil:
+		r.retry = minRetry
+		r.answered()
+		return r.Pause
+	case errors.Is(err, ErrHistoryLost):
+		r.Log.Info().Str("event", "store-history-lost").Str("prefix", r.Mirror.Prefix()).
+			Uint64("complete", r.Mirror.Complete()).Send()
+		r.relist = true
+		return 0
+	case ctx.Err() == nil:
+		r.failed(err)
+	}
+	wait := max(r.retry, minRetry)
+	r.retry = min(2*wait, maxRetry)
+	return wait
+}
+
 // read makes one call: a full list at first and after a loss of history, the changes otherwise.
 func (r *Reader) read(ctx context.Context) error {
 	r.calls.Inc(1)
