--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -123,6 +123,7 @@
 	}
 	switch {
 	case reply.NotRun:
+		x.shedBy = append(x.shedBy, key)
 		return d.shed(key, resp, reply, release)
 	case resp.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		release(false)
--- /dev/null
+++ b/internal/direct/direct_test.go
@@ -0,0 +1,202 @@
+package direct
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+func wholeStream() string {
+	var b strings.Builder
+	for id := 1; id <= streamEvents; id++ {
+		b.WriteString(event(id))
+	}
+	return b.String()
+}
+
+// TestEveryFailureOfEveryKind is the table of what an upstream may do against the kinds of requests: what the caller
+// gets, and how often the request runs.
+func TestEveryFailureOfEveryKind(t *testing.T) {
+	const (
+		safe = iota
+		unsafe
+		resumable
+		stream
+	)
+	kinds := []struct {
+		kind      catalog.Kind
+		resumable bool
+	}{{catalog.Safe, false}, {catalog.Unsafe, false}, {catalog.Stream, true}, {catalog.Stream, false}}
+	tests := []struct {
+		kind   int
+		script []behaviour
+		status int
+		body   string
+		ran    int
+	}{
+		{safe, []behaviour{ok}, 200, "whole", 1},
+		{safe, []behaviour{shed, ok}, 200, "whole", 1},
+		{safe, []behaviour{otherInstance, ok}, 200, "whole", 1},
+		{safe, []behaviour{resets, ok}, 200, "whole", 2},
+		{safe, []behaviour{closes, ok}, 200, "whole", 2},
+		{safe, []behaviour{notHTTP, ok}, 200, "whole", 2},
+		{safe, []behaviour{truncated, ok}, 200, "whole", 2},
+		{safe, []behaviour{unsigned, ok}, 200, "whole", 2},
+		{safe, []behaviour{fails, ok}, 200, "whole", 2},
+		{safe, []behaviour{fails, fails}, 500, "fail", 2},
+		{safe, []behaviour{fails, resets}, 500, "fail", 2},
+		{safe, []behaviour{resets, resets}, 502, "", 2},
+		{safe, []behaviour{strayFirst}, 200, "whole", 1},
+		{safe, []behaviour{extraAfter}, 200, "whole", 1},
+		{safe, []behaviour{noLength}, 200, "whole", 1},
+		{safe, []behaviour{noLengthReset, ok}, 200, "whole", 2},
+		{unsafe, []behaviour{ok}, 200, "whole", 1},
+		{unsafe, []behaviour{shed, ok}, 200, "whole", 1},
+		{unsafe, []behaviour{shed, otherInstance, ok}, 200, "whole", 1},
+		{unsafe, []behaviour{resets}, 502, "", 1},
+		{unsafe, []behaviour{closes}, 502, "", 1},
+		{unsafe, []behaviour{notHTTP}, 502, "", 1},
+		{unsafe, []behaviour{truncated}, 502, "", 1},
+		{unsafe, []behaviour{unsigned}, 502, "", 1},
+		{unsafe, []behaviour{noLengthReset}, 502, "", 1},
+		{unsafe, []behaviour{shed, resets}, 502, "", 1},
+		{unsafe, []behaviour{fails}, 500, "fail", 1},
+		{unsafe, []behaviour{strayFirst}, 200, "whole", 1},
+		{resumable, []behaviour{streams}, 200, wholeStream(), 1},
+		{resumable, []behaviour{cutStream, streams}, 200, wholeStream(), 2},
+		{resumable, []behaviour{cutBefore, streams}, 200, wholeStream(), 2},
+		{resumable, []behaviour{resets, streams}, 200, wholeStream(), 2},
+		{resumable, []behaviour{cutStream, shed, streams}, 200, wholeStream(), 2},
+		{resumable, []behaviour{fails, streams}, 200, wholeStream(), 2},
+		{stream, []behaviour{streams}, 200, wholeStream(), 1},
+		{stream, []behaviour{resets}, 502, "", 1},
+		{stream, []behaviour{cutBefore}, 502, "", 1},
+		{stream, []behaviour{shed, streams}, 200, wholeStream(), 1},
+	}
+	for _, tt := range tests {
+		var name []string
+		for _, b := range tt.script {
+			name = append(name, b.name)
+		}
+		k := kinds[tt.kind]
+		t.Run(string(k.kind)+": "+strings.Join(name, ", "), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, k.kind, k.resumable, tt.script...)
+			got := h.call(http.MethodPost, "/r/x%2fy?q=1", "hello")
+			is.NoErr(got.err)
+			is.Equal(got.status, tt.status)
+			if tt.body != "" {
+				is.Equal(got.body, tt.body)
+				is.Equal(got.header.Get("X-Signed"), "1")
+			}
+			seen, bodies, ran, left := h.record()
+			is.Equal(ran, tt.ran)
+			is.Equal(left, 0) // every send was needed
+			for i, r := range seen {
+				is.Equal(r.RequestURI, "/r/x%2fy?q=1")
+				is.Equal(bodies[i], "hello")
+				is.Equal(r.Header.Get("X-Team"), "team")
+				is.Equal(r.Header.Get("X-Key"), "")
+			}
+		})
+	}
+}
+
+func TestABrokenStreamLooksBroken(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		resumable bool
+		script    []behaviour
+	}{
+		{"may not go on", false, []behaviour{cutStream}},
+		{"goes on at a failing upstream", true, []behaviour{cutStream, fails}},
+		{"breaks off twice", true, []behaviour{cutStream, cutBefore}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Stream, tt.resumable, tt.script...)
+			got := h.call(http.MethodPost, "/r/", "")
+			is.Equal(got.status, 200)
+			is.Equal(got.body, event(1)+event(2)) // whole events only
+			is.True(got.err != nil)
+		})
+	}
+}
+
+func TestRefusalsOfOurOwn(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		headers []string
+		status  int
+	}{
+		{"no route", "/other/", nil, 404},
+		{"unknown key", "/r/", []string{"X-Key", "wrong"}, 401},
+		{"no key", "/r/", []string{"X-Key", ""}, 401},
+		{"headers too large", "/r/", []string{"X-Big", strings.Repeat("x", 5000)}, 431},
+		{"body too large", "/r/", nil, 413},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Safe, false)
+			h.config.Limits = catalog.Limits{HeaderBytes: 4000, BodyBytes: 10}
+			is.Equal(h.call(http.MethodPost, tt.path, "more than ten bytes", tt.headers...).status, tt.status)
+			_, _, ran, _ := h.record()
+			is.Equal(ran, 0)
+		})
+	}
+}
+
+func TestAWithdrawnKeyAndADroppedRouteStopAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok)
+	is.Equal(h.call(http.MethodGet, "/r/", "").status, 200)
+	next := *h.config
+	next.Version, next.Teams = 2, map[string]*catalog.Team{}
+	h.config = &next
+	h.publish("config")
+	is.Equal(h.call(http.MethodGet, "/r/", "").status, 401)
+	last := next
+	last.Version, last.Routes = 3, nil
+	h.config = &last
+	h.publish("config")
+	is.Equal(h.call(http.MethodGet, "/r/", "").status, 404)
+}
+
+func TestALeavingUpstreamGetsNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok, ok, ok)
+	h.publish("up/u1/" + h.listeners[0].Addr().String() + "/leaving")
+	for range 3 {
+		is.Equal(h.call(http.MethodGet, "/r/", "").status, 200)
+	}
+	seen, _, _, _ := h.record()
+	for _, r := range seen {
+		is.True(r.Header.Get("X-Instance") != "u1")
+	}
+}
+
+func TestWhenNoUpstreamIsThereTheRefusalSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	for i, id := range []string{"u1", "u2", "u3"} {
+		h.publish("up/" + id + "/" + h.listeners[i].Addr().String() + "/leaving")
+	}
+	got := h.call(http.MethodPost, "/r/", "")
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+}
+
+func TestAnUpstreamThatCannotBeReachedIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false, ok, ok, ok)
+	h.listeners[0].Close()
+	for range 3 {
+		is.Equal(h.call(http.MethodPost, "/r/", "").status, 200)
+	}
+}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -174,7 +175,7 @@
 	want := balance.Want{Engine: service.Engine, Affinity: affinity(x.Parts), Tried: x.tried}
 	now := d.clock.Now()
 	for _, u := range d.table.Order(snap, x.Service, want) {
-		if x.wasTried(u.Key()) && x.unknown {
+		if slices.Contains(x.shedBy, u.Key()) {
 			continue
 		}
 		if service.ColdRate > 0 && now.Before(u.ColdUntil) && !d.cold.Take(u.ID, service.ColdRate) {
@@ -185,15 +186,6 @@
 	return nil
 }
 
-func (x *Request) wasTried(key catalog.UpstreamKey) bool {
-	for _, tried := range x.tried {
-		if tried == key {
-			return true
-		}
-	}
-	return false
-}
-
 // affinity returns the hash of the prompt's parts that other requests share: all but the last one.
 func affinity(parts []Part) uint64 {
 	if len(parts) == 0 {
--- /dev/null
+++ b/internal/direct/harness_test.go
@@ -0,0 +1,310 @@
+package direct
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/allowance"
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/upconn"
+)
+
+// testCodec is a plain wire format of the tests' own.
+type testCodec struct{}
+
+func (testCodec) Call(r *http.Request) Call {
+	ms, _ := strconv.Atoi(r.Header.Get("X-Wait-Ms"))
+	last, _ := strconv.ParseInt(r.Header.Get("X-Last"), 10, 64)
+	return Call{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), Wait: time.Duration(ms) * time.Millisecond, LastEvent: last}
+}
+
+func (testCodec) Forward(caller http.Header, s Send) http.Header {
+	h := caller.Clone()
+	h.Del("X-Key")
+	h.Set("X-Team", s.Team)
+	h.Set("X-Instance", s.Upstream.ID)
+	h.Del("X-Last")
+	if s.LastEvent > 0 {
+		h.Set("X-Last", strconv.FormatInt(s.LastEvent, 10))
+	}
+	return h
+}
+
+func (testCodec) Reply(status int, h http.Header) Reply {
+	return Reply{
+		ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		WrongInstance: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// behaviour answers one request on the connection. It returns false if the connection must be closed, and sets *ran if
+// the upstream worked on the request.
+type behaviour struct {
+	name  string
+	serve func(c net.Conn, r *http.Request) (keep bool)
+	ran   bool
+}
+
+func answer200(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func text(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
+
+// reset closes the connection so that the other end sees a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", id, id) }
+
+// streamEvents is how many events a whole stream has.
+const streamEvents = 5
+
+func streamFrom(c net.Conn, r *http.Request, until int) {
+	last, _ := strconv.Atoi(r.Header.Get("X-Last"))
+	text(c, fmt.Sprintf(streamHead, r.Header.Get("X-Id")))
+	for id := last + 1; id <= until; id++ {
+		text(c, chunk(event(id)))
+	}
+}
+
+var (
+	ok = behaviour{"ok", func(c net.Conn, r *http.Request) bool {
+		text(c, answer200(r.Header.Get("X-Id"), "whole"))
+		return true
+	}, true}
+	shed = behaviour{"shed", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 503 Busy\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}, false}
+	otherInstance = behaviour{"another instance", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 421 Misdirected\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}, false}
+	resets    = behaviour{"reset", func(c net.Conn, _ *http.Request) bool { reset(c); return false }, true}
+	closes    = behaviour{"closed", func(net.Conn, *http.Request) bool { return false }, true}
+	notHTTP   = behaviour{"not an answer", func(c net.Conn, _ *http.Request) bool { text(c, "garbage\r\n\r\n"); return false }, true}
+	truncated = behaviour{"truncated", func(c net.Conn, r *http.Request) bool {
+		text(c, strings.TrimSuffix(answer200(r.Header.Get("X-Id"), "whole"), "ole"))
+		return false
+	}, true}
+	unsigned = behaviour{"unsigned", func(c net.Conn, r *http.Request) bool {
+		text(c, strings.Replace(answer200(r.Header.Get("X-Id"), "whole"), "X-Signed: 1\r\n", "", 1))
+		return true
+	}, true}
+	strayFirst = behaviour{"another's answer first", func(c net.Conn, r *http.Request) bool {
+		text(c, answer200("somebody-else", "stray")+answer200(r.Header.Get("X-Id"), "whole"))
+		return true
+	}, true}
+	extraAfter = behaviour{"an extra answer after", func(c net.Conn, r *http.Request) bool {
+		text(c, answer200(r.Header.Get("X-Id"), "whole")+answer200("somebody-else", "stray"))
+		return true
+	}, true}
+	noLength = behaviour{"no length", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signed: 1\r\n\r\nwhole")
+		return false
+	}, true}
+	noLengthReset = behaviour{"no length, reset", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signed: 1\r\n\r\nwho")
+		reset(c)
+		return false
+	}, true}
+	fails = behaviour{"500", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 500 Failed\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signed: 1\r\nContent-Length: 4\r\n\r\nfail")
+		return true
+	}, true}
+	streams = behaviour{"stream", func(c net.Conn, r *http.Request) bool {
+		streamFrom(c, r, streamEvents)
+		text(c, "0\r\n\r\n")
+		return true
+	}, true}
+	cutStream = behaviour{"stream cut in an event", func(c net.Conn, r *http.Request) bool {
+		streamFrom(c, r, 2)
+		text(c, chunk("id: 3\nda"))
+		return false
+	}, true}
+	cutBefore = behaviour{"stream cut before an event", func(c net.Conn, r *http.Request) bool {
+		streamFrom(c, r, 0)
+		return false
+	}, true}
+)
+
+// upstreams are three upstreams that take their behaviour, request by request, from one list.
+type upstreams struct {
+	t         *testing.T
+	mu        sync.Mutex
+	script    []behaviour
+	seen      []*http.Request
+	bodies    []string
+	ran       int
+	listeners []net.Listener
+}
+
+func (u *upstreams) listen() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	u.listeners = append(u.listeners, l)
+	u.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (u *upstreams) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		if len(u.script) == 0 {
+			u.mu.Unlock()
+			u.t.Errorf("request %s is one more than expected", r.Header.Get("X-Id"))
+			return
+		}
+		next := u.script[0]
+		u.script = u.script[1:]
+		u.seen, u.bodies = append(u.seen, r), append(u.bodies, string(body))
+		if next.ran {
+			u.ran++
+		}
+		u.mu.Unlock()
+		if !next.serve(c, r) {
+			return
+		}
+	}
+}
+
+// record returns what the upstreams saw: the requests, their bodies, how many ran, and how many were expected beside.
+func (u *upstreams) record() (seen []*http.Request, bodies []string, ran, left int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seen, u.bodies, u.ran, len(u.script)
+}
+
+// harness is a server with three upstreams and one caller.
+type harness struct {
+	*upstreams
+	store    *catalog.Store
+	revision uint64
+	config   *catalog.Config
+	server   *Server
+	front    *httptest.Server
+}
+
+type oneHost struct{}
+
+func (oneHost) Split() int              { return 1 }
+func (oneHost) Chosen(uint64, int) bool { return true }
+
+// newHarness serves one route "/r/" of the kind, that resumes streams if resumable is set.
+func newHarness(t *testing.T, kind catalog.Kind, resumable bool, script ...behaviour) *harness {
+	t.Helper()
+	h := &harness{upstreams: &upstreams{t: t, script: script}}
+	clock, log := clockwork.NewRealClock(), zerolog.Nop()
+	h.store = catalog.NewStore(h.decode, clock, log)
+	h.config = &catalog.Config{
+		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
+		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
+		Routes: []catalog.Route{{
+			Name: "r", Host: "h.example", Prefix: "/r/", Kind: kind, Resumable: resumable, Timeout: 10 * time.Second,
+			Objective: 800 * time.Millisecond, MaxAttempts: 2, Shares: []catalog.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	for _, id := range []string{"u1", "u2", "u3"} {
+		h.publish("up/" + id + "/" + h.listen())
+	}
+	h.publish("config")
+	bounds := allowance.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	h.server = New(Options{
+		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{},
+		Retries: allowance.NewRetries(bounds, oneHost{}, clock), Cold: allowance.NewCold(allowance.ColdBounds{}, oneHost{}, clock),
+		BodyBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
+	})
+	h.front = httptest.NewUnstartedServer(nil)
+	h.front.Config = h.server.HTTP()
+	h.front.Start()
+	t.Cleanup(h.front.Close)
+	return h
+}
+
+func (h *harness) publish(key string) {
+	h.revision++
+	h.store.Apply(published.Item{Key: key, Revision: h.revision})
+}
+
+func (h *harness) decode(item published.Item, _ time.Time) (catalog.Entry, error) {
+	if item.Key == "config" {
+		return catalog.Entry{Kind: catalog.ItemConfig, Config: h.config}, nil
+	}
+	fields := strings.Split(item.Key, "/")
+	return catalog.Entry{Kind: catalog.ItemUpstream, Name: fields[1], Upstream: &catalog.Upstream{
+		ID: fields[1], Service: "s", Address: fields[2], DataCentre: "dc", Leaving: len(fields) > 3,
+	}}, nil
+}
+
+// reply is what the caller got; err is set if the answer was not whole.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (h *harness) call(method, path, body string, headers ...string) reply {
+	h.t.Helper()
+	req, err := http.NewRequest(method, h.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Id", "id-1")
+	req.Header.Set("X-Key", "key")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(raw), header: resp.Header, err: err}
+}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -30,6 +30,8 @@
 
 	// tried are the upstreams to which the request was sent.
 	tried []catalog.UpstreamKey
+	// shedBy are those of them that refused it; they are not asked again.
+	shedBy []catalog.UpstreamKey
 	// sends counts the requests that reached, or may have reached, an upstream; runs those that ran or may have run.
 	sends, runs int
 	// unknown is set when it is not known whether an earlier send ran.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -11,7 +11,7 @@
 	pending []byte
 	// Last is the id of the last event that was given out, 0 before the first one that has an id.
 	Last int64
-	// After is the id up to which events are dropped, because the caller has them.
+	// After is the id up to which events are dropped, because the caller has them; 0 drops none.
 	After int64
 	// Events counts the events that were given out.
 	Events int
@@ -30,7 +30,7 @@
 		event := s.pending[end : end+length]
 		end += length
 		id, ok := eventID(event)
-		if ok && id <= s.After {
+		if ok && s.After > 0 && id <= s.After {
 			continue
 		}
 		out = append(out, event...)
