Engines fetch what another one keeps of the prompt; load known and unknown apart

Two sources: (1) a host compared the loads that engines had told lately with its own few requests at the others; the mean came out at half and requests spilled off their engine; (2) each engine that joins or leaves moves a part of the keys.

Change: the mean is taken over engines whose load is known, and each send names the engine that most likely keeps the prompt's shared part: the first in the rendezvous order beside the target, leaving engines too, so that it is the former place of a key that has just moved.

Ruled out: a directory of keys over the peers (bytes for each key and host).

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,7 +12,7 @@
 // Bounds of the load that affinity may put on one engine: loadFactor times the mean of its service, and loadRoom more.
 // Deployments ask for at most twice the mean and 3.
 const (
-	loadFactor = 1.4
+	loadFactor = 1.6
 	loadRoom   = 2
 )
 
@@ -33,8 +33,10 @@
 type candidate struct {
 	upstream *catalog.Upstream
 	// tier is how far the upstream is passed over: 0 sound, 1 grey or full, 2 suspected, 3 tried before.
-	tier  int
-	load  float64
+	tier int
+	load float64
+	// known is set if the upstream told its load lately.
+	known bool
 	local bool
 	rank  uint64
 }
@@ -70,7 +72,7 @@
 		key := u.Key()
 		v := t.view(key, now)
 		list = append(list, candidate{
-			upstream: u, tier: v.tier(now, slices.Contains(w.Tried, key)), load: v.load(now), local: u.DataCentre == t.local,
+			upstream: u, tier: v.tier(now, slices.Contains(w.Tried, key)), load: v.load(now), known: v.fresh(now), local: u.DataCentre == t.local,
 			rank: loadbalancer.Score(w.Affinity, u.ID),
 		})
 	}
@@ -107,11 +109,7 @@
 // orderByAffinity puts the engines in the rendezvous order of the prompt's shared part, on which all hosts agree.
 // Engines over the load bound come after those under it, by load.
 func orderByAffinity(list []candidate) {
-	var sum float64
-	for _, c := range list {
-		sum += c.load
-	}
-	bound := loadFactor*sum/float64(len(list)) + loadRoom
+	bound := loadFactor*meanLoad(list) + loadRoom
 	over := func(c candidate) int {
 		if c.load+1 > bound {
 			return 1
@@ -128,3 +126,39 @@
 		return cmp.Compare(b.rank, a.rank)
 	})
 }
+
+// meanLoad is taken over the upstreams whose load is known: what this host has in flight at the others is a part of
+// their load and would draw the mean down.
+func meanLoad(list []candidate) float64 {
+	var known, all float64
+	n := 0
+	for _, c := range list {
+		all += c.load
+		if c.known {
+			known += c.load
+			n++
+		}
+	}
+	if n == 0 {
+		return all / float64(len(list))
+	}
+	return known / float64(n)
+}
+
+// Holder returns the engine that most likely keeps what other requests share of the prompt, beside the target: the
+// first in the rendezvous order of all that run, leaving ones too. It returns nil if none does.
+func (t *Table) Holder(snap *catalog.Snapshot, service string, affinity uint64, target *catalog.Upstream) *catalog.Upstream {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *catalog.Upstream
+	for _, u := range snap.Upstreams[service] {
+		if u.ID == target.ID || now.Before(t.view(u.Key(), now).suspectUntil) {
+			continue
+		}
+		if best == nil || loadbalancer.Score(affinity, u.ID) > loadbalancer.Score(affinity, best.ID) {
+			best = u
+		}
+	}
+	return best
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -14,8 +14,8 @@
 
 // Times and weights of the view of an upstream.
 const (
-	// loadAge is how long a told load counts; the upstreams of a data centre answer a host about once a second.
-	loadAge = 1500 * time.Millisecond
+	// loadAge is how long a told load counts; an upstream answers a host about once a second, and streams last as long.
+	loadAge = 2500 * time.Millisecond
 	// minSuspect and maxSuspect bound how long an upstream is passed over after a failure, doubled with each one.
 	minSuspect = 200 * time.Millisecond
 	maxSuspect = 2 * time.Second
@@ -46,12 +46,15 @@
 
 // load estimates the upstream's requests, running and waiting.
 func (v *view) load(now time.Time) float64 {
-	if now.Sub(v.toldAt) > loadAge {
+	if !v.fresh(now) {
 		return float64(v.inFlight)
 	}
 	return float64(max(v.told+v.sent, v.inFlight))
 }
 
+// fresh reports whether the upstream told its load lately.
+func (v *view) fresh(now time.Time) bool { return now.Sub(v.toldAt) <= loadAge }
+
 // Table holds the views. It is safe for concurrent use.
 type Table struct {
 	clock clockwork.Clock
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -139,9 +139,16 @@
 // request builds the upstream's request.
 func (d *dispatch) request(x *Request, u *catalog.Upstream) *http.Request {
 	in := x.HTTP
+	snap := d.store.Current()
+	engine, holder := snap.Config.Services[u.Service].Engine, ""
+	if shared := affinity(x.Parts); engine && shared != 0 {
+		if h := d.table.Holder(snap, u.Service, shared, u); h != nil {
+			holder = h.Address
+		}
+	}
 	header := d.codec.Forward(in.Header, Send{
 		Upstream: u.Key(), Team: x.team(), Left: x.Deadline.Sub(d.clock.Now()), Priority: x.priority(),
-		LastEvent: x.lastEvent(), Engine: d.store.Current().Config.Services[u.Service].Engine,
+		LastEvent: x.lastEvent(), Engine: engine, Holder: holder,
 	})
 	dropHopHeaders(header, in.Header)
 	if _, ok := header["User-Agent"]; !ok {
--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -41,6 +41,8 @@
 	LastEvent int64
 	// Engine is set if the upstream is a model engine.
 	Engine bool
+	// Holder is the address of another engine that most likely keeps what is shared of the prompt; empty if none.
+	Holder string
 }
 
 // Reply is what an upstream's answer says of itself.
