Paths to data centres: two silent upstreams count as a cut path

Its log shows one engine after the other fall silent, 400 ms for each connection that did not open and 1.5 s for each request on a kept one: a cut-off data centre learned of the same cut 9 times.

Ruled out: servers at fault (those of the own data centre answered all the while); the store (lost 1 s earlier, but that alone says nothing of a path).

Change: silence is kept apart from resets and refusals; two silent upstreams of a data centre without an answer in between put all of it behind the others for a second, two such data centres all but the own one. Connections open within 200 ms, sent bytes are acknowledged within 1 s. A peer counts as regained when it answers, not when others heard of it.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,173 @@
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// fleetOf returns a snapshot with engines spread over the data centres in turn.
+func fleetOf(n int, dataCentres ...string) *catalog.Snapshot {
+	snap := &catalog.Snapshot{Out: map[string]bool{}, Upstreams: map[string][]*catalog.Upstream{}}
+	for i := range n {
+		u := &catalog.Upstream{ID: fmt.Sprintf("e%02d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: 8,
+			DataCentre: dataCentres[i%len(dataCentres)]}
+		snap.Upstreams["s"] = append(snap.Upstreams["s"], u)
+	}
+	return snap
+}
+
+func newTable() (*Table, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return NewTable("a", clock, zerolog.Nop()), clock
+}
+
+var engineWant = Want{Engine: true, Affinity: 42}
+
+func TestHostsAgreeOnTheEngineOfAPrompt(t *testing.T) {
+	is := is.New(t)
+	snap := fleetOf(9, "a", "b", "c")
+	one, _ := newTable()
+	other := NewTable("c", clockwork.NewFakeClock(), zerolog.Nop())
+	is.Equal(one.Order(snap, "s", engineWant)[0].ID, other.Order(snap, "s", engineWant)[0].ID)
+}
+
+func TestAnEngineOverTheBoundIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	snap := fleetOf(9, "a")
+	for _, u := range snap.Upstreams["s"] {
+		table.Told(u.Key(), 4)
+	}
+	order := table.Order(snap, "s", engineWant)
+	table.Told(order[0].Key(), 30)
+	is.Equal(table.Order(snap, "s", engineWant)[0].ID, order[1].ID)
+}
+
+// A host has a few requests of its own at engines that did not tell their load; these do not draw the mean down.
+func TestUnknownLoadsDoNotCountInTheMean(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := fleetOf(9, "a")
+	first := table.Order(snap, "s", engineWant)[0]
+	table.Told(first.Key(), 9)
+	clock.Advance(loadAge / 2)
+	is.Equal(table.Order(snap, "s", engineWant)[0].ID, first.ID)
+}
+
+func TestAFailedUpstreamIsPassedOverForAWhile(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := fleetOf(3, "a")
+	first := table.Order(snap, "s", engineWant)[0]
+	table.Failed(first, errors.New("reset"))
+	is.True(table.Order(snap, "s", engineWant)[0].ID != first.ID)
+	clock.Advance(minSuspect)
+	is.Equal(table.Order(snap, "s", engineWant)[0].ID, first.ID)
+}
+
+func TestThePathToADataCentreIsCut(t *testing.T) {
+	local := func(order []*catalog.Upstream, n int) bool {
+		for _, u := range order[:n] {
+			if u.DataCentre != "a" {
+				return false
+			}
+		}
+		return true
+	}
+	fail := func(t *Table, snap *catalog.Snapshot, cause error, ids ...int) {
+		for _, i := range ids {
+			t.Failed(snap.Upstreams["s"][i], cause)
+		}
+	}
+	tests := []struct {
+		name  string
+		fault func(*Table, *catalog.Snapshot, *clockwork.FakeClock)
+		cut   func(*Table, time.Time) bool
+		want  bool
+	}{
+		{"one silent upstream is its own fault", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, ErrSilent, 1)
+		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
+		{"two silent upstreams", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, ErrSilent, 1, 5)
+		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, true},
+		{"resets show that the path works", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, errors.New("connection reset"), 1, 5)
+		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
+		{"an answer ends it", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, ErrSilent, 1, 5)
+			t.Answered(s.Upstreams["s"][1], false)
+		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
+		{"it is tried again", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, ErrSilent, 1, 5)
+			c.Advance(cutFor)
+		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
+		{"two cut paths cut off the own data centre", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
+			fail(t, s, ErrSilent, 1, 5, 2, 6)
+		}, func(t *Table, now time.Time) bool { return local(t.Order(fleetOf(9, "a", "b", "c", "d"), "s", engineWant), 3) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := newTable()
+			tt.fault(table, fleetOf(9, "a", "b", "c", "d"), clock)
+			is.Equal(tt.cut(table, clock.Now()), tt.want)
+		})
+	}
+}
+
+// Whatever is known of the upstreams, each usable one stands in the order once, and none that is not usable.
+func TestEveryUsableUpstreamStandsInTheOrderOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, clock := newTable()
+		snap := fleetOf(rapid.IntRange(1, 20).Draw(t, "upstreams"), "a", "b", "c")
+		snap.Out["b"] = rapid.Bool().Draw(t, "b is out")
+		usable := 0
+		for _, u := range snap.Upstreams["s"] {
+			u.Leaving = rapid.Bool().Draw(t, "leaving")
+			switch rapid.IntRange(0, 3).Draw(t, "state") {
+			case 0:
+				table.Failed(u, ErrSilent)
+			case 1:
+				table.Told(u.Key(), rapid.IntRange(0, 99).Draw(t, "load"))
+			case 2:
+				table.Full(u.Key())
+			}
+			clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			if snap.Usable(u) {
+				usable++
+			}
+		}
+		want := Want{Engine: rapid.Bool().Draw(t, "engine"), Affinity: rapid.Uint64().Draw(t, "affinity")}
+		seen := map[string]bool{}
+		for _, u := range table.Order(snap, "s", want) {
+			if seen[u.ID] || !snap.Usable(u) {
+				t.Fatalf("upstream %s stands twice or is not usable", u.ID)
+			}
+			seen[u.ID] = true
+		}
+		if len(seen) != usable {
+			t.Fatalf("%d of %d usable upstreams", len(seen), usable)
+		}
+	})
+}
+
+func TestTheHolderIsTheFormerPlaceOfAKeyThatMoved(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	before := fleetOf(8, "a")
+	was := table.Order(before, "s", engineWant)[0]
+	was.Leaving = true
+	now := table.Order(before, "s", engineWant)[0]
+	is.True(now.ID != was.ID)
+	is.Equal(table.Holder(before, "s", engineWant.Affinity, now).ID, was.ID)
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -29,12 +29,22 @@
 	Tried []catalog.UpstreamKey
 }
 
+// Tiers say how far an upstream is passed over.
+const (
+	tierSound = iota
+	// tierGrey upstreams are full or fail often.
+	tierGrey
+	// tierSuspect upstreams did not answer lately, or the path to them is cut.
+	tierSuspect
+	// tierTried upstreams had the request already.
+	tierTried
+)
+
 // candidate is an upstream with the figures that decide.
 type candidate struct {
 	upstream *catalog.Upstream
-	// tier is how far the upstream is passed over: 0 sound, 1 grey or full, 2 suspected, 3 tried before.
-	tier int
-	load float64
+	tier     int
+	load     float64
 	// known is set if the upstream told its load lately.
 	known bool
 	local bool
@@ -64,6 +74,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
+	cutOff := t.cutOff(now)
 	var list []candidate
 	for _, u := range snap.Upstreams[service] {
 		if !snap.Usable(u) {
@@ -71,8 +82,12 @@
 		}
 		key := u.Key()
 		v := t.view(key, now)
+		tier := v.tier(now, slices.Contains(w.Tried, key))
+		if cutOff(u.DataCentre) {
+			tier = max(tier, tierSuspect)
+		}
 		list = append(list, candidate{
-			upstream: u, tier: v.tier(now, slices.Contains(w.Tried, key)), load: v.load(now), known: v.fresh(now), local: u.DataCentre == t.local,
+			upstream: u, tier: tier, load: v.load(now), known: v.fresh(now), local: u.DataCentre == t.local,
 			rank: loadbalancer.Score(w.Affinity, u.ID),
 		})
 	}
@@ -82,13 +97,13 @@
 func (v *view) tier(now time.Time, tried bool) int {
 	switch {
 	case tried:
-		return 3
+		return tierTried
 	case now.Before(v.suspectUntil):
-		return 2
+		return tierSuspect
 	case now.Before(v.fullUntil) || v.failureShare > greyShare:
-		return 1
+		return tierGrey
 	default:
-		return 0
+		return tierSound
 	}
 }
 
@@ -151,9 +166,10 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	cutOff := t.cutOff(now)
 	var best *catalog.Upstream
 	for _, u := range snap.Upstreams[service] {
-		if u.ID == target.ID || now.Before(t.view(u.Key(), now).suspectUntil) {
+		if u.ID == target.ID || now.Before(t.view(u.Key(), now).suspectUntil) || cutOff(u.DataCentre) {
 			continue
 		}
 		if best == nil || loadbalancer.Score(affinity, u.ID) > loadbalancer.Score(affinity, best.ID) {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -64,12 +64,13 @@
 
 	mu    sync.Mutex
 	views map[catalog.UpstreamKey]*view
+	paths map[string]*path
 	swept time.Time
 }
 
 // NewTable returns an empty table of a host in the data centre.
 func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, local: local, views: map[catalog.UpstreamKey]*view{}}
+	return &Table{clock: clock, log: log, local: local, views: map[catalog.UpstreamKey]*view{}, paths: map[string]*path{}}
 }
 
 // view returns the view of the upstream; the caller holds mu.
@@ -122,15 +123,17 @@
 }
 
 // Answered counts an answer of the upstream. Failed answers are those by which it says that it failed.
-func (t *Table) Answered(key catalog.UpstreamKey, failed bool) {
+func (t *Table) Answered(u *catalog.Upstream, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.view(key, t.clock.Now())
+	now := t.clock.Now()
+	v := t.view(u.Key(), now)
 	if v.failures > 0 {
-		t.log.Info().Str("event", "upstream-back").Str("upstream", key.ID).Str("peer", key.Address).Int("failures", v.failures).Send()
+		t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", v.failures).Send()
 	}
 	v.failures, v.suspectUntil = 0, time.Time{}
 	v.count(failed)
+	t.path(u.DataCentre).answered(now)
 }
 
 func (v *view) count(failed bool) {
@@ -141,17 +144,22 @@
 }
 
 // Failed counts a request that the upstream did not answer. The upstream is passed over for a while.
-func (t *Table) Failed(key catalog.UpstreamKey, cause error) {
+func (t *Table) Failed(u *catalog.Upstream, cause error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	v := t.view(key, now)
+	v := t.view(u.Key(), now)
 	v.count(true)
 	wait := min(minSuspect<<min(v.failures, 8), maxSuspect)
 	v.failures++
 	v.suspectUntil = now.Add(wait)
-	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", key.ID).Str("peer", key.Address).Int("failures", v.failures).
-		Float64("failure_share", v.failureShare).Dur("for_ms", wait).Err(cause).Send()
+	silent := isSilence(cause)
+	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", u.ID).Str("peer", u.Address).
+		Str("data_centre", u.DataCentre).Int("failures", v.failures).Float64("failure_share", v.failureShare).
+		Bool("silent", silent).Dur("for_ms", wait).Err(cause).Send()
+	if silent && t.path(u.DataCentre).silent(u.ID, now) {
+		t.log.Warn().Str("event", "data-centre-unreached").Str("data_centre", u.DataCentre).Str("upstream", u.ID).Send()
+	}
 }
 
 // Full says that the upstream refused a request for want of room.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -38,16 +39,13 @@
 	err    error
 }
 
-// errSilent ends a send whose upstream was silent for too long.
-var errSilent = errors.New("upstream stayed silent")
-
 // attempt sends the request to the upstream once.
 func (d *dispatch) attempt(ctx context.Context, x *Request, u *catalog.Upstream) result {
 	key := u.Key()
 	conn, err := d.pool.Get(ctx, u.Address)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.table.Failed(key, err)
+			d.table.Failed(u, err)
 			d.pool.Forget(u.Address)
 		}
 		x.tried = append(x.tried, key)
@@ -108,7 +106,7 @@
 	})
 	if err != nil {
 		conn.Close()
-		return d.broken(ctx, x, key, err)
+		return d.broken(ctx, x, u, err)
 	}
 	reply := d.codec.Reply(resp.StatusCode, resp.Header)
 	if reply.Load != nil {
@@ -124,15 +122,15 @@
 	switch {
 	case reply.NotRun:
 		x.shedBy = append(x.shedBy, key)
-		return d.shed(key, resp, reply, release)
+		return d.shed(u, resp, reply, release)
 	case resp.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		release(false)
-		d.table.Failed(key, errors.New("answer is not signed"))
+		d.table.Failed(u, errors.New("answer is not signed"))
 		return d.unknown(x, "not-signed", "the upstream's answer is not its own", key, nil)
 	case x.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK:
-		return d.relayStream(ctx, x, key, resp, watch, release)
+		return d.relayStream(ctx, x, u, resp, watch, release)
 	default:
-		return d.relayWhole(ctx, x, key, resp, release)
+		return d.relayWhole(ctx, x, u, resp, release)
 	}
 }
 
@@ -183,28 +181,30 @@
 }
 
 // broken deals with a send whose connection broke before an answer.
-func (d *dispatch) broken(ctx context.Context, x *Request, key catalog.UpstreamKey, err error) result {
+func (d *dispatch) broken(ctx context.Context, x *Request, u *catalog.Upstream, err error) result {
+	key := u.Key()
 	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(cause, errSilent):
-		d.table.Failed(key, cause)
+	case errors.Is(cause, balance.ErrSilent):
+		d.table.Failed(u, cause)
 		return d.unknown(x, "silent", "the upstream stayed silent", key, cause)
 	case cause != nil:
 		return d.unknown(x, "over", "the time is over", key, cause)
 	default:
-		d.table.Failed(key, err)
+		d.table.Failed(u, err)
 		d.pool.Forget(key.Address)
 		return d.unknown(x, "no-answer", "the upstream did not answer", key, err)
 	}
 }
 
 // shed deals with an answer that says that the request did not run.
-func (d *dispatch) shed(key catalog.UpstreamKey, resp *http.Response, reply Reply, release func(bool)) result {
+func (d *dispatch) shed(u *catalog.Upstream, resp *http.Response, reply Reply, release func(bool)) result {
+	key := u.Key()
 	d.metrics.notRun.Inc(1)
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWholeBytes))
 	release(err == nil)
 	if reply.WrongInstance {
-		d.table.Failed(key, errors.New("another instance has the address"))
+		d.table.Failed(u, errors.New("another instance has the address"))
 		return notRun(true, "wrong-instance", "another upstream has the address", key, nil)
 	}
 	d.table.Full(key)
@@ -225,7 +225,7 @@
 	if x.Route.Kind == catalog.Safe {
 		first = x.Deadline.Sub(d.clock.Now()) / 2
 	}
-	return &watch{timer: time.AfterFunc(first, func() { cancel(errSilent) }), limit: between}
+	return &watch{timer: time.AfterFunc(first, func() { cancel(balance.ErrSilent) }), limit: between}
 }
 
 func (w *watch) heard() {
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -20,27 +20,27 @@
 var errBrokenOff = errors.New("answer broke off")
 
 // relayWhole reads the whole answer and sends it on. An answer that is not whole is not sent.
-func (d *dispatch) relayWhole(ctx context.Context, x *Request, key catalog.UpstreamKey, resp *http.Response, release func(bool)) result {
+func (d *dispatch) relayWhole(ctx context.Context, x *Request, u *catalog.Upstream, resp *http.Response, release func(bool)) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeBytes+1))
 	if err == nil && len(body) > maxWholeBytes {
 		err = errors.Errorf("answer is longer than %d bytes", maxWholeBytes)
 	}
 	if err != nil {
 		release(false)
-		return d.broken(ctx, x, key, err)
+		return d.broken(ctx, x, u, err)
 	}
 	release(true)
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	d.table.Answered(key, failed)
+	d.table.Answered(u, failed)
 	w := &whole{status: resp.StatusCode, header: resp.Header, body: body}
 	x.runs++
 	if failed && x.Route.Repeatable() && x.runs < x.Route.MaxAttempts {
 		x.out.kept, x.unknown = w, true
-		return result{sent: true, err: outcome.Refuse(stepDispatch, resp.StatusCode, "upstream-failed", "the upstream failed").WithPeer(key.ID, nil)}
+		return result{sent: true, err: outcome.Refuse(stepDispatch, resp.StatusCode, "upstream-failed", "the upstream failed").WithPeer(u.ID, nil)}
 	}
 	if x.out.begun {
 		// A stream was to go on here, and this upstream answered with something else.
-		return result{sent: true, err: errors.Wrapf(errBrokenOff, "upstream %s answered %d", key.ID, resp.StatusCode)}
+		return result{sent: true, err: errors.Wrapf(errBrokenOff, "upstream %s answered %d", u.ID, resp.StatusCode)}
 	}
 	x.out.sendWhole(w)
 	return result{done: true}
@@ -48,7 +48,7 @@
 
 // relayStream sends the stream on as it comes, in whole events. If it breaks off, the result says so and the stream
 // may go on at another upstream.
-func (d *dispatch) relayStream(ctx context.Context, x *Request, key catalog.UpstreamKey, resp *http.Response, w *watch, release func(bool)) result {
+func (d *dispatch) relayStream(ctx context.Context, x *Request, u *catalog.Upstream, resp *http.Response, w *watch, release func(bool)) result {
 	x.out.stream.Cut()
 	buf := make([]byte, streamBuffer)
 	for {
@@ -63,14 +63,14 @@
 		}
 		if errors.Is(err, io.EOF) && len(x.out.stream.Rest()) == 0 {
 			release(true)
-			d.table.Answered(key, false)
+			d.table.Answered(u, false)
 			x.out.begin(resp.StatusCode, resp.Header)
 			x.runs++
 			return result{done: true}
 		}
 		if err != nil {
 			release(false)
-			return d.broken(ctx, x, key, errors.Wrap(err, "read stream"))
+			return d.broken(ctx, x, u, errors.Wrap(err, "read stream"))
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
 	// meet again.
 	seedEvery = 8
+	// lostEvery is the share of rounds in which a host that did not answer is asked again.
+	lostEvery = 4
 )
 
 // Options configures New.
@@ -116,6 +118,7 @@
 		return
 	}
 	f.merge(answer)
+	f.noteReached(address)
 }
 
 // Exchange implements fleetpb.Fleet: it answers with what this host knows beyond the sender.
@@ -202,11 +205,17 @@
 	if at.Before(m.heard) {
 		return
 	}
-	if m.lost {
+	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
+}
+
+// noteReached ends the suspicion of a host that answered; what others heard of it does not.
+func (f *Fleet) noteReached(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[address]; m != nil && m.lost {
 		m.lost = false
 		f.Log.Info().Str("event", "peer-regained").Str("peer", address).Send()
 	}
-	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
 }
 
 func (f *Fleet) noteLost(address string, err error) {
@@ -227,7 +236,7 @@
 	now := f.Clock.Now()
 	var live []string
 	for address, m := range f.members {
-		if now.Sub(m.heard) < liveFor && !m.lost {
+		if now.Sub(m.heard) < liveFor && (!m.lost || f.Rand.IntN(lostEvery) == 0) {
 			live = append(live, address)
 		}
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -21,10 +21,11 @@
 // Times of a connection.
 const (
 	// connectTimeout bounds the opening of a connection; hosts of one region are milliseconds apart, and a lost opening
-	// packet is sent again after a second.
-	connectTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection counts as dead.
-	unackedTimeout = 1500 * time.Millisecond
+	// packet is sent again after a second only.
+	connectTimeout = 200 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection counts as dead: two losses in
+	// a row are made good after 600 ms.
+	unackedTimeout = time.Second
 	// probeIdle and probeInterval are the pace of keep-alive probes, which find connections that went silent.
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
