One log line tells a request's life; settings of direct sending documented

Cause: an incident's lines named the failure of a request but not what had decided on its upstreams, and nothing told of a late one.

Change: lines of requests carry the trail of their sends: upstream, load that decided and whether it was told lately, tier, times, result.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -40,19 +40,25 @@
 	tierTried
 )
 
-// candidate is an upstream with the figures that decide.
+// candidate is a choice with the figures that only the order needs.
 type candidate struct {
-	upstream *catalog.Upstream
-	tier     int
-	load     float64
-	// known is set if the upstream told its load lately.
-	known bool
+	Choice
 	local bool
 	rank  uint64
 }
 
+// Choice is an upstream with what decided its place in the order.
+type Choice struct {
+	*catalog.Upstream
+	// Load is the estimate of its requests, running and waiting; Known is set if it told it lately.
+	Load  float64
+	Known bool
+	// Tier is how far it is passed over, 0 not at all.
+	Tier int
+}
+
 // Order returns the usable upstreams of the service in the order in which the request should try them.
-func (t *Table) Order(snap *catalog.Snapshot, service string, w Want) []*catalog.Upstream {
+func (t *Table) Order(snap *catalog.Snapshot, service string, w Want) []Choice {
 	candidates := t.candidates(snap, service, w)
 	if len(candidates) == 0 {
 		return nil
@@ -62,9 +68,9 @@
 	} else {
 		orderByLoad(candidates)
 	}
-	order := make([]*catalog.Upstream, len(candidates))
+	order := make([]Choice, len(candidates))
 	for i, c := range candidates {
-		order[i] = c.upstream
+		order[i] = c.Choice
 	}
 	return order
 }
@@ -87,7 +93,7 @@
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			upstream: u, tier: tier, load: v.load(now), known: v.fresh(now), local: u.DataCentre == t.local,
+			Choice: Choice{Upstream: u, Load: v.load(now), Known: v.fresh(now), Tier: tier}, local: u.DataCentre == t.local,
 			rank: loadbalancer.Score(w.Affinity, u.ID),
 		})
 	}
@@ -110,13 +116,13 @@
 // orderByLoad puts the least loaded first, those of the own data centre before the others while they have room.
 func orderByLoad(list []candidate) {
 	far := func(c candidate) int {
-		if c.local && (c.upstream.Slots == 0 || c.load < localRoom*float64(c.upstream.Slots)) {
+		if c.local && (c.Slots == 0 || c.Load < localRoom*float64(c.Slots)) {
 			return 0
 		}
 		return 1
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(far(a), far(b)), cmp.Compare(a.load, b.load),
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(far(a), far(b)), cmp.Compare(a.Load, b.Load),
 			cmp.Compare(b.rank, a.rank))
 	})
 }
@@ -126,17 +132,17 @@
 func orderByAffinity(list []candidate) {
 	bound := loadFactor*meanLoad(list) + loadRoom
 	over := func(c candidate) int {
-		if c.load+1 > bound {
+		if c.Load+1 > bound {
 			return 1
 		}
 		return 0
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if order := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(over(a), over(b))); order != 0 {
+		if order := cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(over(a), over(b))); order != 0 {
 			return order
 		}
 		if over(a) == 1 {
-			return cmp.Compare(a.load, b.load)
+			return cmp.Compare(a.Load, b.Load)
 		}
 		return cmp.Compare(b.rank, a.rank)
 	})
@@ -148,9 +154,9 @@
 	var known, all float64
 	n := 0
 	for _, c := range list {
-		all += c.load
-		if c.known {
-			known += c.load
+		all += c.Load
+		if c.Known {
+			known += c.Load
 			n++
 		}
 	}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -62,11 +62,13 @@
 func (d *dispatch) Handle(ctx context.Context, x *Request, _ Next) error {
 	d.retries.Request(x.Service)
 	for {
-		upstream, err := d.place(ctx, x)
+		choice, err := d.place(ctx, x)
 		if err != nil {
 			return d.settle(ctx, x, err)
 		}
-		res := d.attempt(ctx, x, upstream)
+		begun := d.clock.Now()
+		res := d.attempt(ctx, x, choice.Upstream)
+		x.trail = append(x.trail, newStep(x, choice, begun, d.clock.Now(), res))
 		if res.done {
 			return nil
 		}
@@ -87,7 +89,11 @@
 		d.metrics.refused.Inc(1)
 	}
 	event := d.log.Info().Str("event", "retry").Str("request", x.ID).Str("route", x.Route.Name).Str("kind", string(x.Route.Kind)).
-		Bool("not_run", res.notRun).Bool("sent", res.sent).Int("runs", x.runs).Int("sends", x.sends).Err(res.err)
+		Bool("not_run", res.notRun).Bool("sent", res.sent).Int("runs", x.runs).Int("sends", x.sends).Str("peer", x.lastTried())
+	var refusal *outcome.Refusal
+	if errors.As(res.err, &refusal) {
+		event.Str("code", refusal.Code).AnErr("error", refusal.Cause)
+	}
 	if reason != "" {
 		event.Str("outcome", "no").Str("reason", reason).Send()
 		return false
@@ -140,7 +146,7 @@
 
 // place returns the upstream that takes the request next. It checks the request against the configuration in force
 // and waits a little for an upstream that may take it.
-func (d *dispatch) place(ctx context.Context, x *Request) (*catalog.Upstream, error) {
+func (d *dispatch) place(ctx context.Context, x *Request) (*balance.Choice, error) {
 	var until time.Time
 	for {
 		snap := d.store.Current()
@@ -170,11 +176,13 @@
 }
 
 // choose returns the first upstream in the request's order that may take it now.
-func (d *dispatch) choose(snap *catalog.Snapshot, x *Request) *catalog.Upstream {
+func (d *dispatch) choose(snap *catalog.Snapshot, x *Request) *balance.Choice {
 	service := snap.Config.Services[x.Service]
 	want := balance.Want{Engine: service.Engine, Affinity: affinity(x.Parts), Tried: x.tried}
 	now := d.clock.Now()
-	for _, u := range d.table.Order(snap, x.Service, want) {
+	order := d.table.Order(snap, x.Service, want)
+	for i := range order {
+		u := &order[i]
 		if slices.Contains(x.shedBy, u.Key()) {
 			continue
 		}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -80,7 +80,7 @@
 	if a.begun {
 		return
 	}
-	a.begun = true
+	a.begun, a.status, a.first = true, status, a.clock.Since(a.start)
 	to := a.w.Header()
 	from := header.Clone()
 	dropHopHeaders(from, header)
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/events"
 )
@@ -34,6 +36,8 @@
 	shedBy []catalog.UpstreamKey
 	// sends counts the requests that reached, or may have reached, an upstream; runs those that ran or may have run.
 	sends, runs int
+	// trail is what was decided and what came of it, for the log.
+	trail []step
 	// unknown is set when it is not known whether an earlier send ran.
 	unknown bool
 
@@ -42,9 +46,13 @@
 
 // answer is what the caller has got so far.
 type answer struct {
-	w http.ResponseWriter
-	// begun is set once the status was sent.
-	begun bool
+	w     http.ResponseWriter
+	clock clockwork.Clock
+	start time.Time
+	// begun is set once the status was sent, first after how long.
+	begun  bool
+	first  time.Duration
+	status int
 	// stream follows the events of a stream that may go on at another upstream.
 	stream events.Scanner
 	// kept is a whole answer of an upstream that failed, sent if nothing better comes.
@@ -97,3 +105,11 @@
 
 // lastEvent returns the last event of a stream that the caller has.
 func (x *Request) lastEvent() int64 { return max(x.LastEvent, x.out.stream.Last) }
+
+// lastTried returns the ID of the upstream that got the request last, empty if none did.
+func (x *Request) lastTried() string {
+	if len(x.tried) == 0 {
+		return ""
+	}
+	return x.tried[len(x.tried)-1].ID
+}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -93,16 +93,12 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &Request{Call: s.Codec.Call(r), HTTP: r, Start: s.Clock.Now(), out: answer{w: w}}
-	err := s.serve(r.Context(), x)
+	x := &Request{Call: s.Codec.Call(r), HTTP: r, Start: s.Clock.Now(), out: answer{w: w, clock: s.Clock}}
+	x.out.start = x.Start
+	err := s.chain(r.Context(), x)
 	s.finish(r.Context(), x, err)
 }
 
-// serve runs the chain within the request's deadline, which the first filter sets.
-func (s *Server) serve(ctx context.Context, x *Request) error {
-	return s.chain(ctx, x)
-}
-
 // finish gives the caller its final answer, if it has none, and logs what happened.
 func (s *Server) finish(ctx context.Context, x *Request, err error) {
 	took := s.Clock.Since(x.Start)
@@ -135,33 +131,13 @@
 	}
 }
 
-func (s *Server) logServed(x *Request, took time.Duration) {
-	s.Log.Debug().Str("event", "served").Str("request", x.ID).Str("route", x.Route.Name).Str("upstream", x.lastTried()).
-		Int("sends", x.sends).Dur("took_ms", took).Send()
-}
-
 func (s *Server) logRefused(ctx context.Context, x *Request, r *outcome.Refusal, took time.Duration) {
-	snap := s.Store.Current()
-	event := s.Log.Warn().Str("event", "not-served").Str("request", x.ID)
+	event := s.Log.Warn().Str("event", "not-served")
 	if ctx.Err() != nil {
-		event = s.Log.Info().Str("event", "cancelled").Str("request", x.ID)
-	}
-	if x.Route != nil {
-		event.Str("route", x.Route.Name).Str("kind", string(x.Route.Kind)).Str("service", x.Service)
-	}
-	if snap.Config != nil {
-		event.Uint64("version", snap.Config.Version)
-	}
-	event.Int("status", r.Status).Str("code", r.Code).Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).
-		Bool("begun", x.out.begun).Int("sends", x.sends).Int("runs", x.runs).Dur("took_ms", took).
-		Dur("left_ms", x.Deadline.Sub(s.Clock.Now())).Err(r.Cause).Send()
-}
-
-func (x *Request) lastTried() string {
-	if len(x.tried) == 0 {
-		return ""
+		event = s.Log.Info().Str("event", "cancelled")
 	}
-	return x.tried[len(x.tried)-1].ID
+	s.describe(event, x, took).Int("status", r.Status).Str("code", r.Code).Str("step", r.Step).Str("peer", r.Peer).
+		Str("outcome", string(r.Outcome)).Bool("begun", x.out.begun).Err(r.Cause).Send()
 }
 
 // connState closes connections that stay unused for longer than the configuration in force says.
--- a/internal/settings/doc_test.go
+++ b/internal/settings/doc_test.go
@@ -202,6 +202,7 @@
 		of    checker
 	}{
 		{"## The document", documentSample(t)}, {"## Settings of oriole-router", router},
+		{"## Settings of oriole-router --direct", loadSample[Direct](t, "testdata/direct.json")},
 		{"## Settings of oriole-console", console}, {"## Settings of the stand-ins", standIns},
 	}
 	for _, s := range sections {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -148,6 +148,10 @@
 		t.Fatalf("no deployments: %v", err)
 	}
 	for _, folder := range folders {
+		switch filepath.Base(folder) {
+		case "system.toml", "router.json.tmpl", "days":
+			continue // the users' platform; TestTheTemplateGivesValidSettings checks the template
+		}
 		t.Run(filepath.Base(folder), func(t *testing.T) { checkDeployment(t, folder) })
 	}
 }
