A caller's connection is never closed under a request that was read from it

The timer of unused connections closed a connection whose request had just been read on a slow machine, and took its limit from the time when the wait began.

Change: the timer sets a read deadline in the past, under a lock with the hook that marks a connection as used and lifts it; net/http lifts it too once a request has come. The limit is read again when the time is over.

--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,9 +42,7 @@
 	inFlight atomic.Int64
 	latency  map[catalog.Kind]tally.Histogram
 	answers  *counters
-
-	mu   sync.Mutex
-	idle map[net.Conn]*time.Timer
+	idle     *idleConns
 }
 
 // Bounds of the callers' connections where the configuration does not set them.
@@ -64,11 +60,12 @@
 
 // New returns a server; HTTP returns its listener's side.
 func New(o Options) *Server {
-	s := &Server{Options: o, idle: map[net.Conn]*time.Timer{}, answers: newCounters(o.Scope)}
+	s := &Server{Options: o, answers: newCounters(o.Scope)}
 	s.latency = map[catalog.Kind]tally.Histogram{}
 	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
+	s.idle = newIdleConns(o.Clock, s.idleLimit)
 	s.chain = Chain(s.filters()...)
 	return s
 }
@@ -77,7 +74,7 @@
 func (s *Server) HTTP() *http.Server {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").Handler(s)
-	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ConnState: s.connState}
+	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ConnState: s.idle.state}
 }
 
 // Stop makes all further answers ask for the end of their connections.
@@ -140,22 +137,12 @@
 		Str("outcome", string(r.Outcome)).Bool("begun", x.out.begun).Err(r.Cause).Send()
 }
 
-// connState closes connections that stay unused for longer than the configuration in force says.
-func (s *Server) connState(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if timer := s.idle[c]; timer != nil {
-		timer.Stop()
-		delete(s.idle, c)
-	}
-	if state != http.StateIdle {
-		return
-	}
-	limit := defaultIdle
+// idleLimit returns how long a caller's connection may stay unused.
+func (s *Server) idleLimit() time.Duration {
 	if config := s.Store.Current().Config; config != nil && config.Limits.IdleTime > 0 {
-		limit = config.Limits.IdleTime
+		return config.Limits.IdleTime
 	}
-	s.idle[c] = time.AfterFunc(limit, func() { _ = c.Close() })
+	return defaultIdle
 }
 
 // counters count the answers by what became of them.
