--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	go run ./scripts/prove -- -race -short ./...
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform scripts)" || { gofmt -l cmd internal platform scripts; echo "gofmt: files above need formatting"; exit 1; }
 	go vet ./...
 	go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION) run ./...
 
@@ -66,9 +66,12 @@
 			--twirp_out=. --twirp_opt=paths=source_relative $$file || exit 1; \
 	done
 
-# Fuzzes the parsers of idempotency keys, documents and envelopes of peers for a short time each; go test runs the kept
+# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items and headers for a short time each; go test runs the kept
 # corpus in testdata/fuzz.
 fuzz:
 	go test ./internal/idempotency -run NONE -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/document -run NONE -fuzz FuzzParse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/hop -run NONE -fuzz FuzzEnvelope -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./internal/events -run NONE -fuzz FuzzFeed -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./platform -run NONE -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./platform -run NONE -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -17,7 +17,7 @@
 // upstreams that live publish themselves again within two seconds.
 const returnGrace = 2 * time.Second
 
-// Kind of a published item.
+// ItemKind is what a published item describes.
 type ItemKind int
 
 // The kinds of published items.
@@ -189,16 +189,17 @@
 }
 
 // Regained says that the store answers again. Entries that lapsed meanwhile count as gone if they are not back soon.
-func (s *Store) Regained() {
-	s.clock.AfterFunc(returnGrace, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.outage = false
-		for id := range s.lapsed {
-			s.forget(id, 0)
-		}
-		s.publish()
-	})
+func (s *Store) Regained() { s.clock.AfterFunc(returnGrace, s.dropLapsed) }
+
+// dropLapsed ends the grace after an outage.
+func (s *Store) dropLapsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = false
+	for id := range s.lapsed {
+		s.forget(id, 0)
+	}
+	s.publish()
 }
 
 // publish makes the next snapshot; the caller holds mu.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -100,6 +100,7 @@
 	defer stop()
 	watch := d.newWatch(x, cancel)
 	defer watch.stop()
+	//nolint:bodyclose // release closes the connection under the body, or gives it back after the body's end
 	resp, err := conn.RoundTrip(d.request(x, u), x.Body, func(_ int, h http.Header) bool {
 		id := d.codec.Reply(0, h).ID
 		return id == x.ID || id == "" && !conn.Reused
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -129,12 +129,12 @@
 }
 
 func (s *Server) logRefused(ctx context.Context, x *Request, r *outcome.Refusal, took time.Duration) {
-	event := s.Log.Warn().Str("event", "not-served")
+	level, event := zerolog.WarnLevel, "not-served"
 	if ctx.Err() != nil {
-		event = s.Log.Info().Str("event", "cancelled")
+		level, event = zerolog.InfoLevel, "cancelled"
 	}
-	s.describe(event, x, took).Int("status", r.Status).Str("code", r.Code).Str("step", r.Step).Str("peer", r.Peer).
-		Str("outcome", string(r.Outcome)).Bool("begun", x.out.begun).Err(r.Cause).Send()
+	s.Log.WithLevel(level).Str("event", event).Func(s.describe(x, took)).Int("status", r.Status).Str("code", r.Code).
+		Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).Bool("begun", x.out.begun).Err(r.Cause).Send()
 }
 
 // idleLimit returns how long a caller's connection may stay unused.
--- a/internal/direct/trail.go
+++ b/internal/direct/trail.go
@@ -67,21 +67,23 @@
 	if !late && len(x.trail) == 1 && loadbalancer.HashKey(x.ID)%servedSample != 0 {
 		return
 	}
-	s.describe(s.Log.Info().Str("event", "served"), x, took).Bool("late", late).Int("status", x.out.status).Send()
+	s.Log.Info().Str("event", "served").Func(s.describe(x, took)).Bool("late", late).Int("status", x.out.status).Send()
 }
 
 // describe adds what a line about a request always has.
-func (s *Server) describe(event *zerolog.Event, x *Request, took time.Duration) *zerolog.Event {
-	event.Str("request", x.ID)
-	if x.Route != nil {
-		event.Str("route", x.Route.Name).Str("kind", string(x.Route.Kind)).Str("service", x.Service).Str("team", x.team()).
-			Dur("left_ms", x.Deadline.Sub(s.Clock.Now()))
-	}
-	if snap := s.Store.Current(); snap.Config != nil {
-		event.Uint64("version", snap.Config.Version)
-	}
-	if x.out.first > 0 {
-		event.Dur("first_ms", x.out.first)
+func (s *Server) describe(x *Request, took time.Duration) func(*zerolog.Event) {
+	return func(event *zerolog.Event) {
+		event.Str("request", x.ID)
+		if x.Route != nil {
+			event.Str("route", x.Route.Name).Str("kind", string(x.Route.Kind)).Str("service", x.Service).Str("team", x.team()).
+				Dur("left_ms", x.Deadline.Sub(s.Clock.Now()))
+		}
+		if snap := s.Store.Current(); snap.Config != nil {
+			event.Uint64("version", snap.Config.Version)
+		}
+		if x.out.first > 0 {
+			event.Dur("first_ms", x.out.first)
+		}
+		event.Str("trail", x.trailText()).Int("runs", x.runs).Dur("took_ms", took)
 	}
-	return event.Str("trail", x.trailText()).Int("runs", x.runs).Dur("took_ms", took)
 }
--- a/internal/logging/queue.go
+++ b/internal/logging/queue.go
@@ -48,20 +48,27 @@
 		if n := q.dropped.Swap(0); n > 0 {
 			line = append(fmt.Appendf(nil, "level=warn event=log-dropped count=%d\n", n), line...)
 		}
-		for more := true; more && len(line) < queueBatch; {
-			select {
-			case next, ok := <-q.lines:
-				if line, more = append(line, next...), ok; !ok {
-					break
-				}
-			default:
-				more = false
-			}
-		}
+		line = q.more(line)
 		// A log that cannot be written cannot be reported either.
 		_, _ = q.out.Write(line)
 	}
 }
 
+// more adds the lines that wait already, up to one batch.
+func (q *Queue) more(batch []byte) []byte {
+	for len(batch) < queueBatch {
+		select {
+		case line, ok := <-q.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
 // queueBatch is about how many bytes go out in one write.
 const queueBatch = 16 << 10
--- /dev/null
+++ b/internal/logging/queue_test.go
@@ -0,0 +1,54 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// stuck is a reader of the log that takes nothing until it is let go.
+type stuck struct {
+	free    chan struct{}
+	entered chan struct{}
+	once    sync.Once
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.entered) })
+	<-s.free
+	return s.Buffer.Write(p)
+}
+
+func TestAStuckReaderOfTheLogBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{free: make(chan struct{}), entered: make(chan struct{})}
+	q := NewQueue(out)
+	fmt.Fprintln(q, "first")
+	<-out.entered
+	const extra = 10
+	for range queueLines + extra {
+		fmt.Fprintln(q, "event=x")
+	}
+	close(out.free)
+	q.Close()
+	text := out.String()
+	is.Equal(strings.Count(text, "event=x\n"), queueLines)
+	is.True(strings.Contains(text, fmt.Sprintf("event=log-dropped count=%d\n", extra)))
+}
+
+func BenchmarkLine(b *testing.B) {
+	log := New(discard{}, "info", "front-1")
+	for b.Loop() {
+		log.Info().Str("event", "served").Str("request", "9c41d07be2a35f68").Str("route", "r-1").Int("status", 200).
+			Str("trail", "i-1@a,load:3,tier:0,at:0ms,took:24ms,answered").Float64("took_ms", 24.2).Send()
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
