--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,19 +7,26 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 	"unicode"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
+// timeFormat has milliseconds: what a host believed and what it did about a request are often closer than a second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w. Level is debug, info, warn or error; anything else means info.
 func New(w io.Writer, level, process string) zerolog.Logger {
 	lvl, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		lvl = zerolog.InfoLevel
 	}
-	return zerolog.New(&lineWriter{out: w}).Level(lvl).With().Timestamp().Str("process", process).Logger()
+	stamp := zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
+	})
+	return zerolog.New(&lineWriter{out: w}).Level(lvl).Hook(stamp).With().Str("process", process).Logger()
 }
 
 // lineWriter turns the JSON object of each event into one line of key=value pairs.
