Shares of failures fade and are heard from other hosts; digests are bounded

The path to an upstream counts as working when its answer begins, not at its end. Routes match the path as it was sent.

Tests: TestAFailingUpstreamIsTriedAgain (fails on the code before), TestHostsHearOfLoadsAndFailures.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -74,6 +74,43 @@
 	is.Equal(table.Order(snap, "s", engineWant)[0].ID, first.ID)
 }
 
+// An upstream that fails often gets no requests; it must get some again, to show that it no longer fails.
+func TestAFailingUpstreamIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := fleetOf(3, "a")
+	first := table.Order(snap, "s", engineWant)[0]
+	for range 10 {
+		table.Ended(first.Upstream, true)
+	}
+	is.True(table.Order(snap, "s", engineWant)[0].ID != first.ID)
+	clock.Advance(3 * failureHalfLife)
+	is.Equal(table.Order(snap, "s", engineWant)[0].ID, first.ID)
+}
+
+func TestHostsHearOfLoadsAndFailures(t *testing.T) {
+	is := is.New(t)
+	snap := fleetOf(9, "a")
+	knows, _ := newTable()
+	hears, _ := newTable()
+	first := hears.Order(snap, "s", engineWant)[0]
+	for _, u := range snap.Upstreams["s"] {
+		knows.Told(u.Key(), 2)
+	}
+	knows.Told(first.Key(), 60)
+	hears.Hear(knows.Reports())
+	is.True(hears.Order(snap, "s", engineWant)[0].ID != first.ID)
+	other := hears.Order(snap, "s", engineWant)[0]
+	for range 10 {
+		knows.Ended(other.Upstream, true)
+	}
+	knows.clock.(*clockwork.FakeClock).Advance(time.Millisecond)
+	knows.Told(other.Key(), 2)
+	hears.clock.(*clockwork.FakeClock).Advance(time.Second)
+	hears.Hear(knows.Reports())
+	is.True(hears.Order(snap, "s", engineWant)[0].ID != other.ID)
+}
+
 func TestThePathToADataCentreIsCut(t *testing.T) {
 	local := func(order []Choice, n int) bool {
 		for _, u := range order[:n] {
@@ -105,7 +142,7 @@
 		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
 		{"an answer ends it", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
 			fail(t, s, ErrSilent, 1, 5)
-			t.Answered(s.Upstreams["s"][1], false)
+			t.Reached(s.Upstreams["s"][1])
 		}, func(t *Table, now time.Time) bool { return t.cutOff(now)("b") }, false},
 		{"it is tried again", func(t *Table, s *catalog.Snapshot, c *clockwork.FakeClock) {
 			fail(t, s, ErrSilent, 1, 5)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -106,7 +106,7 @@
 		return tierTried
 	case now.Before(v.suspectUntil):
 		return tierSuspect
-	case now.Before(v.fullUntil) || v.failureShare > greyShare:
+	case now.Before(v.fullUntil) || v.failureShare(now) > greyShare:
 		return tierGrey
 	default:
 		return tierSound
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -14,9 +14,15 @@
 	// Upstream identifies the incarnation, see ReportID.
 	Upstream uint32
 	Load     float64
-	Age      time.Duration
+	// Failures is the moving share of requests that failed there, 0 to 1.
+	Failures float64
+	// Age is how long ago the upstream told its load.
+	Age time.Duration
 }
 
+// maxReports bounds the reports in one message; of more, each message has others.
+const maxReports = 128
+
 // ReportID returns the short name of an incarnation. Two of one name would share their loads, which only costs balance.
 func ReportID(key catalog.UpstreamKey) uint32 {
 	return uint32(xxhash.Sum64String(key.ID + "/" + strconv.FormatInt(key.Born, 10)))
@@ -30,7 +36,12 @@
 	var list []Report
 	for key, v := range t.views {
 		if v.fresh(now) {
-			list = append(list, Report{Upstream: ReportID(key), Load: v.told, Age: now.Sub(v.toldAt)})
+			list = append(list, Report{
+				Upstream: ReportID(key), Load: v.told, Failures: v.failureShare(now), Age: now.Sub(v.toldAt),
+			})
+		}
+		if len(list) == maxReports {
+			break // the order of a map differs each time
 		}
 	}
 	return list
@@ -49,6 +60,9 @@
 		v := byID[r.Upstream]
 		if at := now.Add(-r.Age); v != nil && at.After(v.toldAt) {
 			v.told, v.toldAt, v.sent = r.Load, at, 0
+			if at.After(v.failedAt) {
+				v.failed, v.failedAt = r.Failures, at
+			}
 		}
 	}
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	fullFor = 150 * time.Millisecond
 	// failureWeight is the weight of one outcome in the moving share of failures.
 	failureWeight = 0.1
+	// failureHalfLife is the time in which the share of failures halves if nothing is heard.
+	failureHalfLife = 2 * time.Second
 	// greyShare is the share of failures from which an upstream is taken only after the others.
 	greyShare = 0.3
 	// forgetAfter is how long an upstream that is no longer published is remembered.
@@ -44,8 +47,10 @@
 	toldAt time.Time
 	sent   int
 
-	failures     int
-	failureShare float64
+	failures int
+	// failed is the moving share of failures as of failedAt.
+	failed       float64
+	failedAt     time.Time
 	suspectUntil time.Time
 	fullUntil    time.Time
 	seen         time.Time
@@ -134,8 +139,8 @@
 	v.toldAt, v.sent = now, 0
 }
 
-// Answered counts an answer of the upstream. Failed answers are those by which it says that it failed.
-func (t *Table) Answered(u *catalog.Upstream, failed bool) {
+// Reached says that an answer of the upstream has begun: it lives, and the path to it works.
+func (t *Table) Reached(u *catalog.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -144,15 +149,30 @@
 		t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", v.failures).Send()
 	}
 	v.failures, v.suspectUntil = 0, time.Time{}
-	v.count(failed)
 	t.path(u.DataCentre).answered(now)
 }
 
-func (v *view) count(failed bool) {
-	v.failureShare *= 1 - failureWeight
+// Ended counts an answer that came to its end. Failed answers are those by which the upstream says that it failed.
+func (t *Table) Ended(u *catalog.Upstream, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.view(u.Key(), now).count(failed, now)
+}
+
+// count takes one outcome into the moving share of failures.
+func (v *view) count(failed bool, now time.Time) {
+	v.failed = (1 - failureWeight) * v.failureShare(now)
 	if failed {
-		v.failureShare += failureWeight
+		v.failed += failureWeight
 	}
+	v.failedAt = now
+}
+
+// failureShare returns the moving share of failures. It fades, since an upstream that fails often gets few requests by
+// which it could show that it no longer does.
+func (v *view) failureShare(now time.Time) float64 {
+	return v.failed * math.Exp2(-now.Sub(v.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
 // Failed counts a request that the upstream did not answer. The upstream is passed over for a while.
@@ -161,7 +181,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	v := t.view(u.Key(), now)
-	v.count(true)
+	v.count(true, now)
 	wait := min(minSuspect<<min(v.failures, 8), maxSuspect)
 	v.failures++
 	silent := isSilence(cause)
@@ -170,7 +190,7 @@
 	}
 	v.suspectUntil = now.Add(wait)
 	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", u.ID).Str("peer", u.Address).
-		Str("data_centre", u.DataCentre).Int("failures", v.failures).Float64("failure_share", v.failureShare).
+		Str("data_centre", u.DataCentre).Int("failures", v.failures).Float64("failure_share", v.failed).
 		Bool("silent", silent).Dur("for_ms", wait).Err(cause).Send()
 	if silent && t.path(u.DataCentre).silent(u.ID, now) {
 		t.log.Warn().Str("event", "data-centre-unreached").Str("data_centre", u.DataCentre).Str("upstream", u.ID).Send()
@@ -205,7 +225,7 @@
 	for key, v := range t.views {
 		states = append(states, UpstreamState{
 			ID: key.ID, Address: key.Address, InFlight: v.inFlight, Load: v.load(now), Failures: v.failures,
-			FailureShare: v.failureShare, Suspect: now.Before(v.suspectUntil),
+			FailureShare: v.failureShare(now), Suspect: now.Before(v.suspectUntil),
 		})
 	}
 	return states
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -58,8 +58,7 @@
 	// lapsed holds upstreams whose entries were removed in an outage of the store.
 	lapsed map[string]bool
 	// outage is set while the store does not answer, and until returnGrace after its return.
-	outage   bool
-	watchers []func(*Snapshot)
+	outage bool
 }
 
 // NewStore returns a store without a configuration.
@@ -75,21 +74,25 @@
 // Current returns what is in force.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
-// OnChange registers a function that is called with each new snapshot, under the store's lock.
-func (s *Store) OnChange(f func(*Snapshot)) {
+// Apply takes changed items and publishes one snapshot with all of them.
+func (s *Store) Apply(items []published.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers = append(s.watchers, f)
+	known := false
+	for _, item := range items {
+		known = s.apply(item) || known
+	}
+	if known {
+		s.publish()
+	}
 }
 
-// Apply takes one changed item.
-func (s *Store) Apply(item published.Item) {
+// apply takes one item and reports whether it is of a known kind. The caller holds mu.
+func (s *Store) apply(item published.Item) bool {
 	entry, err := s.decode(item, s.clock.Now())
 	if err != nil {
 		s.log.Warn().Str("event", "item-unreadable").Str("key", item.Key).Uint64("revision", item.Revision).Err(err).Send()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch entry.Kind {
 	case ItemConfig:
 		s.applyConfig(item, entry.Config)
@@ -98,9 +101,9 @@
 	case ItemUpstream:
 		s.applyUpstream(item, entry)
 	case ItemIgnored:
-		return
+		return false
 	}
-	s.publish()
+	return true
 }
 
 func (s *Store) applyConfig(item published.Item, c *Config) {
@@ -212,7 +215,4 @@
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
 	s.current.Store(next)
-	for _, f := range s.watchers {
-		f(next)
-	}
 }
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -51,12 +51,12 @@
 
 func (s *storeTest) put(key, value string) {
 	s.revision++
-	s.Apply(published.Item{Key: key, Value: []byte(value), Revision: s.revision})
+	s.Apply([]published.Item{{Key: key, Value: []byte(value), Revision: s.revision}})
 }
 
 func (s *storeTest) remove(key string) {
 	s.revision++
-	s.Apply(published.Item{Key: key, Revision: s.revision, Removed: true})
+	s.Apply([]published.Item{{Key: key, Revision: s.revision, Removed: true}})
 }
 
 // usable returns the IDs of the upstreams that may get new work.
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -57,7 +57,7 @@
 // allow sets the request's route, team and service as the configuration has them, or refuses. It is asked again before
 // each send, since keys are withdrawn and routes dropped while requests wait.
 func allow(x *Request, c *catalog.Config) error {
-	route := c.Match(hostName(x.HTTP.Host), x.HTTP.URL.Path)
+	route := c.Match(hostName(x.HTTP.Host), x.HTTP.URL.EscapedPath())
 	if route == nil {
 		return outcome.Refuse(stepAdmit, http.StatusNotFound, "no-route", "no route matches")
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -125,6 +125,7 @@
 		return d.broken(ctx, x, u, err)
 	}
 	reply := d.codec.Reply(resp.StatusCode, resp.Header)
+	d.table.Reached(u)
 	if reply.Load != nil {
 		d.table.Told(key, reply.Load.Running+reply.Load.Waiting)
 	}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -266,7 +266,7 @@
 
 func (h *harness) publish(key string) {
 	h.revision++
-	h.store.Apply(published.Item{Key: key, Revision: h.revision})
+	h.store.Apply([]published.Item{{Key: key, Revision: h.revision}})
 }
 
 func (h *harness) decode(item published.Item, _ time.Time) (catalog.Entry, error) {
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -31,7 +31,7 @@
 	}
 	release(true)
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	d.table.Answered(u, failed)
+	d.table.Ended(u, failed)
 	w := &whole{status: resp.StatusCode, header: resp.Header, body: body}
 	x.runs++
 	if failed && x.Route.Repeatable() && x.runs < x.Route.MaxAttempts {
@@ -63,7 +63,7 @@
 		}
 		if errors.Is(err, io.EOF) && len(x.out.stream.Rest()) == 0 {
 			release(true)
-			d.table.Answered(u, false)
+			d.table.Ended(u, false)
 			x.out.begin(resp.StatusCode, resp.Header)
 			x.runs++
 			return result{done: true}
@@ -87,8 +87,10 @@
 	for name, values := range from {
 		to[name] = values
 	}
-	if _, ok := to["Date"]; !ok {
-		to["Date"] = nil // net/http adds its own to an answer that has none
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := to[name]; !ok {
+			to[name] = nil // net/http adds its own to an answer that has none
+		}
 	}
 	a.w.WriteHeader(status)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,8 +32,6 @@
 	lostInterval = 250 * time.Millisecond
 	// forgetAfter is how long a silent host still counts for the split of bounds, much longer than hosts disagree.
 	forgetAfter = time.Minute
-	// liveFor is the silence after which a host is asked only when no other is known.
-	liveFor = 4 * time.Second
 	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
 	// meet again.
 	seedEvery = 8
@@ -47,6 +45,9 @@
 	Hear([]balance.Report)
 }
 
+// maxHosts bounds the hosts in one message; of more, each message has others.
+const maxHosts = 32
+
 // Options configures New.
 type Options struct {
 	// Self is this host's peer address.
@@ -150,23 +151,27 @@
 // tenths is the unit of loads between hosts.
 const tenths = 10
 
+// hundredths is the unit of shares of failures between hosts.
+const hundredths = 100
+
 func encodeLoads(reports []balance.Report) *fleetpb.Loads {
 	l := &fleetpb.Loads{}
 	for _, r := range reports {
 		l.Upstream = append(l.Upstream, r.Upstream)
 		l.LoadTenths = append(l.LoadTenths, uint32(max(0, r.Load*tenths)))
 		l.AgeMs = append(l.AgeMs, uint32(r.Age.Milliseconds()))
+		l.FailedHundredths = append(l.FailedHundredths, uint32(max(0, r.Failures*hundredths)))
 	}
 	return l
 }
 
 func decodeLoads(l *fleetpb.Loads) []balance.Report {
-	n := min(len(l.GetUpstream()), len(l.GetLoadTenths()), len(l.GetAgeMs()))
+	n := min(len(l.GetUpstream()), len(l.GetLoadTenths()), len(l.GetAgeMs()), len(l.GetFailedHundredths()))
 	reports := make([]balance.Report, n)
 	for i := range reports {
 		reports[i] = balance.Report{
 			Upstream: l.GetUpstream()[i], Load: float64(l.GetLoadTenths()[i]) / tenths,
-			Age: time.Duration(l.GetAgeMs()[i]) * time.Millisecond,
+			Failures: float64(l.GetFailedHundredths()[i]) / hundredths, Age: time.Duration(l.GetAgeMs()[i]) * time.Millisecond,
 		}
 	}
 	return reports
@@ -181,6 +186,9 @@
 	defer f.mu.Unlock()
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving}
 	for address, m := range f.members {
+		if len(d.Hosts) == maxHosts {
+			break // the order of a map differs each time
+		}
 		d.Hosts = append(d.Hosts, &fleetpb.Host{
 			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
 		})
@@ -263,14 +271,13 @@
 	f.Log.Warn().Str("event", "peer-lost").Str("peer", address).Dur("heard_ago_ms", f.Clock.Since(m.heard)).Err(err).Send()
 }
 
-// pick returns a random live host, or a seed if none is known, and now and then anyway.
+// pick returns a random host that answered last time, or a seed if none is known, and now and then anyway.
 func (f *Fleet) pick() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Clock.Now()
 	var live []string
 	for address, m := range f.members {
-		if now.Sub(m.heard) < liveFor && (!m.lost || f.Rand.IntN(lostEvery) == 0) {
+		if !m.lost || f.Rand.IntN(lostEvery) == 0 {
 			live = append(live, address)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &testHost{mirror: published.NewMirror("", func(published.Item) {}), loads: &fakeLoads{}}
+	h := &testHost{mirror: published.NewMirror("", func([]published.Item) {}), loads: &fakeLoads{}}
 	h.Fleet = New(Options{
 		Self: l.Addr().String(), Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads,
 		StoreLost: func() bool { return false }, Transport: &http.Transport{}, Clock: clock,
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -43,8 +43,8 @@
 // Mirror holds the items below one prefix. It is safe for concurrent use.
 type Mirror struct {
 	prefix string
-	// changed is called with each item that a merge changed, in no lock of the mirror's, one call at a time.
-	changed func(Item)
+	// changed is called with the items that a merge changed, in no lock of the mirror's, one call at a time.
+	changed func([]Item)
 
 	// applying serialises merges, so that changed sees them in order.
 	applying sync.Mutex
@@ -54,8 +54,8 @@
 	complete uint64
 }
 
-// NewMirror returns an empty mirror that reports each changed item.
-func NewMirror(prefix string, changed func(Item)) *Mirror {
+// NewMirror returns an empty mirror that reports changed items.
+func NewMirror(prefix string, changed func([]Item)) *Mirror {
 	return &Mirror{prefix: prefix, changed: changed, items: map[string]Item{}}
 }
 
@@ -113,8 +113,8 @@
 	}
 	finish()
 	m.mu.Unlock()
-	for _, item := range news {
-		m.changed(item)
+	if len(news) > 0 {
+		m.changed(news)
 	}
 	return len(news)
 }
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -18,7 +18,7 @@
 func TestAMirrorNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	var seen []Item
-	m := NewMirror("a/", func(i Item) { seen = append(seen, i) })
+	m := NewMirror("a/", func(items []Item) { seen = append(seen, items...) })
 	m.Replace(Batch{Items: []Item{item("a/x", 5), item("a/y", 6)}, At: 9})
 	is.Equal(m.Complete(), uint64(9))
 	is.Equal(m.Merge(9, Batch{Items: []Item{item("a/x", 4)}, At: 9}), 0) // older revision
@@ -30,7 +30,7 @@
 
 func TestAListOlderThanAnItemDoesNotRemoveIt(t *testing.T) {
 	is := is.New(t)
-	m := NewMirror("a/", func(Item) {})
+	m := NewMirror("a/", func([]Item) {})
 	m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 5})
 	m.Merge(5, Batch{Items: []Item{item("a/new", 12)}, At: 12})
 	is.Equal(m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 10}), 0)
@@ -39,7 +39,7 @@
 
 func TestAGapDoesNotCountAsComplete(t *testing.T) {
 	is := is.New(t)
-	m := NewMirror("a/", func(Item) {})
+	m := NewMirror("a/", func([]Item) {})
 	m.Replace(Batch{At: 5})
 	m.Merge(8, Batch{Items: []Item{item("a/z", 9)}, At: 9}) // changes 6 to 8 are missing
 	is.Equal(m.Complete(), uint64(5))
@@ -57,7 +57,7 @@
 			history[i] = Item{Key: key, Revision: uint64(i + 1), Removed: rapid.Bool().Draw(t, "removed")}
 			newest[key] = history[i]
 		}
-		m := NewMirror("k", func(Item) {})
+		m := NewMirror("k", func([]Item) {})
 		for range rapid.IntRange(0, 30).Draw(t, "messages") {
 			from := rapid.IntRange(0, len(history)).Draw(t, "from")
 			to := rapid.IntRange(from, len(history)).Draw(t, "to")
@@ -105,7 +105,7 @@
 	is := is.New(t)
 	lost, regained := 0, 0
 	source := &scripted{}
-	m := NewMirror("a/", func(Item) {})
+	m := NewMirror("a/", func([]Item) {})
 	r := NewReader(ReaderOptions{
 		Source: source, Mirror: m, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Lost: func() { lost++ }, Regained: func() { regained++ },
