--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,8 +12,8 @@
 // Bounds of the load that affinity may put on one engine: loadFactor times the mean of its service, and loadRoom more.
 // Deployments ask for at most twice the mean and 3.
 const (
-	loadFactor = 1.5
-	loadRoom   = 1
+	loadFactor = 1.7
+	loadRoom   = 2
 )
 
 // localRoom is the part of its slots up to which an upstream of the own data centre goes before those of others.
