Load of an engine: high for the engine, fading for the mean

Traffic falls by half within a second there: engines that got less told their load less often, the old figures held the mean up, and requests that came together all followed one moving mean.

Ruled out: the bound alone (it broke with 1.5 and 1, and with 1.7 and 2).

Change: an engine's own load is the highest of the moving mean, the last answer within a second, and what this host has there; the mean over engines is of moving means that halve every 4 s without news.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -52,6 +52,33 @@
 	is.Equal(table.Order(snap, "s", engineWant)[0].ID, order[1].ID)
 }
 
+// A single answer that tells a high load counts at once, and a load of which nothing more is heard fades: requests that
+// come together follow one estimate, and engines that get less tell their load less often.
+func TestLoadsRiseAtOnceAndFade(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	key := catalog.UpstreamKey{ID: "e"}
+	load := func() (float64, float64) {
+		v, now := table.views[key], clock.Now()
+		return v.load(now), v.meanLoad(now)
+	}
+	table.Told(key, 2)
+	table.Told(key, 20)
+	high, mean := load()
+	is.Equal(high, 20.0)
+	is.Equal(mean, 2+toldWeight*18)
+	clock.Advance(loadHalfLife)
+	high, faded := load()
+	is.Equal(faded, mean/2)
+	is.Equal(high, faded)
+	clock.Advance(loadAge)
+	_, faded = load()
+	is.Equal(faded, 0.0)
+	table.Begin(key)
+	high, _ = load()
+	is.Equal(high, 1.0) // what this host has there itself
+}
+
 // A host has a few requests of its own at engines that did not tell their load; these do not draw the mean down.
 func TestUnknownLoadsDoNotCountInTheMean(t *testing.T) {
 	is := is.New(t)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -43,6 +43,8 @@
 // candidate is a choice with the figures that only the order needs.
 type candidate struct {
 	Choice
+	// mean is the moving mean of the load.
+	mean  float64
 	local bool
 	rank  uint64
 }
@@ -93,7 +95,7 @@
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			Choice: Choice{Upstream: u, Load: v.load(now), Known: v.fresh(now), Tier: tier}, local: u.DataCentre == t.local,
+			Choice: Choice{Upstream: u, Load: v.load(now), Known: v.fresh(now), Tier: tier}, mean: v.meanLoad(now), local: u.DataCentre == t.local,
 			rank: loadbalancer.Score(w.Affinity, u.ID),
 		})
 	}
@@ -156,7 +158,7 @@
 	for _, c := range list {
 		all += c.Load
 		if c.Known {
-			known += c.Load
+			known += c.mean
 			n++
 		}
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -17,6 +17,10 @@
 const (
 	// loadAge is how long a told load counts. It reaches all hosts of a fleet of a hundred in about four seconds.
 	loadAge = 5 * time.Second
+	// loadHalfLife is the time in which a load halves of which nothing more is heard.
+	loadHalfLife = 4 * time.Second
+	// lastAge is how long the load of a single answer counts if it is above the mean.
+	lastAge = time.Second
 	// toldWeight is the weight of a load that an upstream tells against what was known of it: streams last a second, and
 	// what all hosts hear in a few seconds should not follow each of them.
 	toldWeight = 0.4
@@ -46,6 +50,9 @@
 	told   float64
 	toldAt time.Time
 	sent   int
+	// last is the load of the last answer that told it this host itself, at lastAt.
+	last   int
+	lastAt time.Time
 
 	failures int
 	// failed is the moving share of failures as of failedAt.
@@ -56,12 +63,22 @@
 	seen         time.Time
 }
 
-// load estimates the upstream's requests, running and waiting.
+// load estimates the upstream's requests, running and waiting: high rather than low, since requests that come at once
+// all follow the same estimate.
 func (v *view) load(now time.Time) float64 {
+	load := v.meanLoad(now) + float64(v.sent)
+	if now.Sub(v.lastAt) < lastAge {
+		load = max(load, float64(v.last+v.sent))
+	}
+	return max(load, float64(v.inFlight))
+}
+
+// meanLoad is the moving mean of the load. It fades, since an upstream that gets less tells its load less often.
+func (v *view) meanLoad(now time.Time) float64 {
 	if !v.fresh(now) {
-		return float64(v.inFlight)
+		return 0
 	}
-	return max(v.told+float64(v.sent), float64(v.inFlight))
+	return v.told * math.Exp2(-now.Sub(v.toldAt).Seconds()/loadHalfLife.Seconds())
 }
 
 // fresh reports whether the upstream told its load lately.
@@ -137,6 +154,7 @@
 		v.told = float64(load)
 	}
 	v.toldAt, v.sent = now, 0
+	v.last, v.lastAt = load, now
 }
 
 // Reached says that an answer of the upstream has begun: it lives, and the path to it works.
