--- /dev/null
+++ b/internal/filters/dispatch/dispatch_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/filters/quarantine"
+	"github.com/orioleusher/orioleusher/internal/outcome"
+)
+
+func TestWhetherAnotherUpstreamMayBeTried(t *testing.T) {
+	refusal := func(code string, o outcome.Outcome) *outcome.Refusal {
+		r := outcome.Unavailable("owner", code, "")
+		r.Outcome = o
+		return r
+	}
+	tests := []struct {
+		name       string
+		repeatable bool
+		over       bool
+		err        *outcome.Refusal
+		want       bool
+	}{
+		{"not run", false, false, refusal("upstream-full", outcome.NotRun), true},
+		{"unknown", false, false, refusal("no-answer", outcome.Unknown), false},
+		{"unknown, repeatable", true, false, refusal("no-answer", outcome.Unknown), true},
+		{"the upstream died", true, false, refusal(quarantine.CodeDied, outcome.Unknown), false},
+		{"held back", true, false, refusal(quarantine.CodeHeld, outcome.NotRun), false},
+		{"the time is over", true, true, refusal("upstream-full", outcome.NotRun), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if tt.over {
+				cancel()
+			}
+			x := &exchange.Exchange{Route: &document.Route{Repeatable: tt.repeatable}}
+			is.New(t).Equal(mayGoOn(ctx, x, tt.err), tt.want)
+		})
+	}
+}
--- a/internal/idempotency/registry_test.go
+++ b/internal/idempotency/registry_test.go
@@ -257,3 +257,21 @@
 		}
 	})
 }
+
+// setBack is a clock that was set back by an hour.
+type setBack struct{ clockwork.Clock }
+
+func (s setBack) Now() time.Time { return s.Clock.Now().Add(-time.Hour) }
+
+func TestAClockThatIsSetBackRevivesNoTime(t *testing.T) {
+	is := is.New(t)
+	signer, err := NewSigner("host", 1)
+	is.NoErr(err)
+	clock := clockwork.NewFakeClock()
+	r := NewRegistry(signer, clock)
+	before := r.now()
+	r.clock = setBack{clock}
+	is.Equal(r.now(), before)
+	clock.Advance(2 * time.Hour)
+	is.True(r.now().After(before))
+}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -118,3 +118,15 @@
 	table.Fill(&d)
 	is.Equal(len(d.Strikes), digestStrikes)
 }
+
+func TestAnOldStrikeOfAPeerIsNotTakenIn(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(clockwork.NewFakeClock(), func() { t.Error("an old strike was passed on") })
+	table.Merge(&gossippb.Digest{Strikes: []*gossippb.Strike{
+		{Fingerprint: fingerprint, Upstream: 1, AgeMs: uint32(strikeLifetime.Milliseconds())},
+		{Fingerprint: fingerprint, Upstream: 2, AgeMs: uint32(2 * strikeLifetime.Milliseconds())},
+	}})
+	got, _ := table.Check(fingerprint)
+	is.Equal(got, Clear)
+	is.Equal(len(table.State()), 0)
+}
