Direct sending: tests for what its mutants survived

28 mutants of the direct chain, the connections, the mirror and the catalog: 10 survived, 8 of them are killed by new tests (budget, memory for bodies, the deadline, a caller that leaves, headers of one connection, a check after each wait, a check before the send, a stream without a length that ends in an event); two showed conditions that decided nothing, which are gone.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -157,7 +157,7 @@
 func (s *Store) applyUpstream(item published.Item, entry Entry) {
 	known := s.upstreams[entry.Name]
 	if item.Removed || entry.Upstream == nil {
-		if known != nil && s.outage && !known.Leaving {
+		if known != nil && s.outage {
 			s.lapsed[entry.Name] = true
 			s.log.Info().Str("event", "upstream-lapsed").Str("upstream", entry.Name).Uint64("revision", item.Revision).Send()
 			return
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -1,12 +1,20 @@
 package direct
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
@@ -50,6 +58,7 @@
 		{safe, []behaviour{fails, fails}, 500, "fail", 2},
 		{safe, []behaviour{fails, resets}, 500, "fail", 2},
 		{safe, []behaviour{resets, resets}, 502, "", 2},
+		{safe, []behaviour{resets, shed, shed, shed}, 502, "", 1}, // the first send may have run
 		{safe, []behaviour{strayFirst}, 200, "whole", 1},
 		{safe, []behaviour{extraAfter}, 200, "whole", 1},
 		{safe, []behaviour{noLength}, 200, "whole", 1},
@@ -68,6 +77,7 @@
 		{unsafe, []behaviour{strayFirst}, 200, "whole", 1},
 		{resumable, []behaviour{streams}, 200, wholeStream(), 1},
 		{resumable, []behaviour{cutStream, streams}, 200, wholeStream(), 2},
+		{resumable, []behaviour{cutUnframed, streams}, 200, wholeStream(), 2},
 		{resumable, []behaviour{cutBefore, streams}, 200, wholeStream(), 2},
 		{resumable, []behaviour{resets, streams}, 200, wholeStream(), 2},
 		{resumable, []behaviour{cutStream, shed, streams}, 200, wholeStream(), 2},
@@ -106,6 +116,107 @@
 	}
 }
 
+func TestWithoutBudgetNothingIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, resets, shed)
+	h.serve(allowance.RetryBounds{Window: time.Second}, 1<<20)
+	is.Equal(h.call(http.MethodGet, "/r/", "").status, 502)
+	is.Equal(h.call(http.MethodGet, "/r/", "").status, 503) // nothing ran
+}
+
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false, ok)
+	h.serve(allowance.RetryBounds{Window: time.Second}, 10)
+	is.Equal(h.call(http.MethodPost, "/r/", "more than ten bytes").status, 503)
+	is.Equal(h.call(http.MethodPost, "/r/", "ten bytes").status, 200) // the room is given back
+}
+
+func TestTheFinalAnswerComesAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	hang, ended := hangs()
+	h := newHarness(t, catalog.Unsafe, false, hang)
+	is.Equal(h.call(http.MethodPost, "/r/", "", "X-Wait-Ms", "100").status, 504)
+	<-ended // the upstream is let go
+}
+
+func TestACallerThatLeavesEndsTheWorkAtTheUpstream(t *testing.T) {
+	is := is.New(t)
+	hang, ended := hangs()
+	h := newHarness(t, catalog.Unsafe, false, hang)
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
+	is.NoErr(err)
+	_, err = io.WriteString(c, "POST /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: key\r\nContent-Length: 2\r\n\r\nab")
+	is.NoErr(err)
+	h.waitRuns(1)
+	c.Close()
+	<-ended
+}
+
+func TestHeadersOfOneConnectionAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok)
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: key\r\nConnection: keep-alive, X-Hop\r\n"+
+		"X-Hop: 1\r\nKeep-Alive: 5\r\nTe: trailers\r\nX-End: 1\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	resp.Body.Close()
+	seen, _, _, _ := h.record()
+	for _, name := range []string{"X-Hop", "Connection", "Keep-Alive", "Te"} {
+		is.Equal(seen[0].Header.Get(name), "")
+	}
+	is.Equal(seen[0].Header.Get("X-End"), "1")
+}
+
+// A key that is withdrawn while a request waits for an upstream stops the request.
+func TestAWaitingRequestIsCheckedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	for i, id := range []string{"u1", "u2", "u3"} {
+		h.publish("up/" + id + "/" + h.listeners[i].Addr().String() + "/leaving")
+	}
+	next := *h.config
+	next.Routes = slices.Clone(next.Routes)
+	next.Routes[0].Objective = placeWait * 5 * time.Second
+	next.Version = 2
+	h.config = &next
+	h.publish("config")
+	got := make(chan reply)
+	go func() { got <- h.call(http.MethodPost, "/r/", "") }()
+	for h.server.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	last := next
+	last.Version, last.Teams = 3, map[string]*catalog.Team{}
+	h.config = &last
+	h.publish("config")
+	for i, id := range []string{"u1", "u2", "u3"} {
+		h.publish("up/" + id + "/" + h.listeners[i].Addr().String())
+	}
+	is.Equal((<-got).status, 401)
+}
+
+// An upstream that leaves while a connection to it opens gets nothing.
+func TestAnUpstreamIsCheckedAgainBeforeTheSend(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	chosen := *h.store.Current().Upstreams["s"][0]
+	h.publish("up/" + chosen.ID + "/" + chosen.Address + "/leaving")
+	filters := h.server.filters()
+	x := &Request{
+		Call: Call{ID: "1", Key: "key"}, HTTP: httptest.NewRequest(http.MethodPost, "/r/", http.NoBody),
+		Deadline: time.Now().Add(time.Second), Route: &h.config.Routes[0],
+	}
+	x.HTTP.Host = "h.example"
+	res := filters[len(filters)-1].(*dispatch).attempt(context.Background(), x, &chosen)
+	is.True(res.notRun)
+	is.True(!res.sent)
+}
+
 func TestABrokenStreamLooksBroken(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -144,6 +144,11 @@
 		text(c, chunk("id: 3\nda"))
 		return false
 	}, true}
+	// cutUnframed ends like a whole answer without a length, in the middle of an event.
+	cutUnframed = behaviour{"stream without a length that ends in an event", func(c net.Conn, r *http.Request) bool {
+		text(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signed: 1\r\n\r\n"+event(1)+event(2)+"id: 3\nda")
+		return false
+	}, true}
 	cutBefore = behaviour{"stream cut before an event", func(c net.Conn, r *http.Request) bool {
 		streamFrom(c, r, 0)
 		return false
@@ -218,6 +223,16 @@
 	return u.seen, u.bodies, u.ran, len(u.script)
 }
 
+// waitRuns waits until the upstreams have begun so many requests.
+func (u *upstreams) waitRuns(n int) {
+	for {
+		if _, _, ran, _ := u.record(); ran >= n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // harness is a server with three upstreams and one caller.
 type harness struct {
 	*upstreams
@@ -233,6 +248,16 @@
 func (oneHost) Split() int              { return 1 }
 func (oneHost) Chosen(uint64, int) bool { return true }
 
+// hangs returns a behaviour that answers nothing, and a channel that is closed when its connection has ended.
+func hangs() (behaviour, <-chan struct{}) {
+	ended := make(chan struct{})
+	return behaviour{"hangs", func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.Copy(io.Discard, c)
+		close(ended)
+		return false
+	}, true}, ended
+}
+
 // newHarness serves one route "/r/" of the kind, that resumes streams if resumable is set.
 func newHarness(t *testing.T, kind catalog.Kind, resumable bool, script ...behaviour) *harness {
 	t.Helper()
@@ -252,16 +277,22 @@
 	}
 	h.publish("config")
 	bounds := allowance.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	h.serve(bounds, 1<<20)
+	return h
+}
+
+// serve starts the server with the retry budget and with room for bodies.
+func (h *harness) serve(bounds allowance.RetryBounds, bodyBytes int64) {
+	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	h.server = New(Options{
 		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{},
 		Retries: allowance.NewRetries(bounds, oneHost{}, clock), Cold: allowance.NewCold(allowance.ColdBounds{}, oneHost{}, clock),
-		BodyBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
+		BodyBytes: bodyBytes, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
 	h.front.Config = h.server.HTTP()
 	h.front.Start()
-	t.Cleanup(h.front.Close)
-	return h
+	h.t.Cleanup(h.front.Close)
 }
 
 func (h *harness) publish(key string) {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -81,7 +81,7 @@
 	})
 }
 
-// Replace takes a full list: items that the list lacks, and that are not newer than it, were removed.
+// Replace takes a full list: items that it lacks were removed by its revision; newer items stay.
 func (m *Mirror) Replace(b Batch) int {
 	m.applying.Lock()
 	defer m.applying.Unlock()
@@ -92,7 +92,7 @@
 	items := b.Items
 	m.mu.Lock()
 	for key, item := range m.items {
-		if !listed[key] && !item.Removed && item.Revision <= b.At {
+		if !listed[key] && !item.Removed {
 			items = append(items, Item{Key: key, Revision: b.At, Removed: true})
 		}
 	}
