--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -292,6 +293,20 @@
 	}
 }
 
+func TestAColdUpstreamGetsItsPartOnly(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false, ok, ok, ok)
+	h.config.Services["s"] = catalog.Service{Name: "s", ColdRate: 4} // three quarters of four a second are split
+	for i, state := range []string{"cold", "leaving", "leaving"} {
+		h.publish(fmt.Sprintf("up/u%d/%s/%s", i+1, h.listeners[i].Addr(), state))
+	}
+	for i := range 5 {
+		got := h.call(http.MethodPost, "/r/", "")
+		is.Equal(got.status == 200, i < 3)
+		is.Equal(got.status == 503, i >= 3)
+	}
+}
+
 func TestWhenNoUpstreamIsThereTheRefusalSaysWhenToComeBack(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Unsafe, false)
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -286,7 +286,7 @@
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	h.server = New(Options{
 		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{},
-		Retries: allowance.NewRetries(bounds, oneHost{}, clock), Cold: allowance.NewCold(allowance.ColdBounds{}, oneHost{}, clock),
+		Retries: allowance.NewRetries(bounds, oneHost{}, clock), Cold: allowance.NewCold(allowance.ColdBounds{Overage: 1}, oneHost{}, clockwork.NewFakeClock()),
 		BodyBytes: bodyBytes, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
@@ -304,10 +304,12 @@
 	if item.Key == "config" {
 		return catalog.Entry{Kind: catalog.ItemConfig, Config: h.config}, nil
 	}
-	fields := strings.Split(item.Key, "/")
-	return catalog.Entry{Kind: catalog.ItemUpstream, Name: fields[1], Upstream: &catalog.Upstream{
-		ID: fields[1], Service: "s", Address: fields[2], DataCentre: "dc", Leaving: len(fields) > 3,
-	}}, nil
+	fields := append(strings.Split(item.Key, "/"), "")
+	u := &catalog.Upstream{ID: fields[1], Service: "s", Address: fields[2], DataCentre: "dc", Leaving: fields[3] == "leaving"}
+	if fields[3] == "cold" {
+		u.ColdUntil = time.Now().Add(time.Hour)
+	}
+	return catalog.Entry{Kind: catalog.ItemUpstream, Name: fields[1], Upstream: u}, nil
 }
 
 // reply is what the caller got; err is set if the answer was not whole.
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -34,7 +34,7 @@
 	d.table.Ended(u, failed)
 	w := &whole{status: resp.StatusCode, header: resp.Header, body: body}
 	x.runs++
-	if failed && x.Route.Repeatable() && x.runs < x.Route.MaxAttempts {
+	if failed && x.runs < x.Route.MaxAttempts {
 		x.out.kept, x.unknown = w, true
 		return result{sent: true, err: outcome.Refuse(stepDispatch, resp.StatusCode, "upstream-failed", "the upstream failed").WithPeer(u.ID, nil)}
 	}
