--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -40,15 +40,6 @@
 	tierTried
 )
 
-// candidate is a choice with the figures that only the order needs.
-type candidate struct {
-	Choice
-	// mean is the moving mean of the load.
-	mean  float64
-	local bool
-	rank  uint64
-}
-
 // Choice is an upstream with what decided its place in the order.
 type Choice struct {
 	*catalog.Upstream
@@ -59,53 +50,71 @@
 	Tier int
 }
 
-// Order returns the usable upstreams of the service in the order in which the request should try them.
+// maxOrder bounds the upstreams that an order names: more than a request is ever sent to, with room for cold ones.
+const maxOrder = 16
+
+// candidate is an upstream with the figures of one decision.
+type candidate struct {
+	seat *seat
+	tier int
+	// later is 1 for upstreams that come after all others of their tier: over the load bound, or far away.
+	later int
+	load  float64
+	mean  float64
+	known bool
+	rank  uint64
+}
+
+// Order returns usable upstreams of the service in the order in which the request should try them, the first maxOrder.
 func (t *Table) Order(snap *catalog.Snapshot, service string, w Want) []Choice {
-	candidates := t.candidates(snap, service, w)
-	if len(candidates) == 0 {
-		return nil
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.candidates(snap, service, w)
+	less := byLoad
 	if w.Engine && w.Affinity != 0 {
-		orderByAffinity(candidates)
+		less = byAffinity
+		markOverBound(list)
 	} else {
-		orderByLoad(candidates)
+		t.markFar(list)
 	}
-	order := make([]Choice, len(candidates))
-	for i, c := range candidates {
-		order[i] = c.Choice
+	var buffer [maxOrder]*candidate
+	first := firstOf(buffer[:0], list, less)
+	order := make([]Choice, len(first))
+	for i, c := range first {
+		order[i] = Choice{Upstream: c.seat.upstream, Load: c.load, Known: c.known, Tier: c.tier}
 	}
 	return order
 }
 
+// candidates returns the usable upstreams, in memory that the next call uses again. The caller holds mu.
 func (t *Table) candidates(snap *catalog.Snapshot, service string, w Want) []candidate {
 	now := t.clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sweep(now)
 	cutOff := t.cutOff(now)
-	var list []candidate
-	for _, u := range snap.Upstreams[service] {
-		if !snap.Usable(u) {
+	list := t.scratch[:0]
+	seats := t.pool(snap, service, now)
+	for i := range seats {
+		s := &seats[i]
+		if !snap.Usable(s.upstream) {
 			continue
 		}
-		key := u.Key()
-		v := t.view(key, now)
-		tier := v.tier(now, slices.Contains(w.Tried, key))
-		if cutOff(u.DataCentre) {
+		v := s.view
+		tier := v.tier(now)
+		if slices.Contains(w.Tried, s.key) {
+			tier = tierTried
+		} else if cutOff(s.upstream.DataCentre) {
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			Choice: Choice{Upstream: u, Load: v.load(now), Known: v.fresh(now), Tier: tier}, mean: v.meanLoad(now), local: u.DataCentre == t.local,
-			rank: loadbalancer.Score(w.Affinity, u.ID),
+			seat: s, tier: tier, load: v.load(now), mean: v.meanLoad(now), known: v.fresh(now),
+			rank: loadbalancer.ScoreHash(w.Affinity, s.hash),
 		})
 	}
+	t.scratch = list
 	return list
 }
 
-func (v *view) tier(now time.Time, tried bool) int {
+func (v *view) tier(now time.Time) int {
 	switch {
-	case tried:
-		return tierTried
 	case now.Before(v.suspectUntil):
 		return tierSuspect
 	case now.Before(v.fullUntil) || v.failureShare(now) > greyShare:
@@ -115,39 +124,62 @@
 	}
 }
 
-// orderByLoad puts the least loaded first, those of the own data centre before the others while they have room.
-func orderByLoad(list []candidate) {
-	far := func(c candidate) int {
-		if c.local && (c.Slots == 0 || c.Load < localRoom*float64(c.Slots)) {
-			return 0
+// firstOf returns the first candidates of the list in the order of less, as many as the buffer holds.
+func firstOf(buffer []*candidate, list []candidate, less func(a, b *candidate) bool) []*candidate {
+	for i := range list {
+		c := &list[i]
+		if len(buffer) == cap(buffer) {
+			if !less(c, buffer[len(buffer)-1]) {
+				continue
+			}
+			buffer = buffer[:len(buffer)-1]
+		}
+		at := len(buffer)
+		for at > 0 && less(c, buffer[at-1]) {
+			at--
 		}
-		return 1
+		buffer = slices.Insert(buffer, at, c)
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(far(a), far(b)), cmp.Compare(a.Load, b.Load),
-			cmp.Compare(b.rank, a.rank))
-	})
+	return buffer
 }
 
-// orderByAffinity puts the engines in the rendezvous order of the prompt's shared part, on which all hosts agree.
-// Engines over the load bound come after those under it, by load.
-func orderByAffinity(list []candidate) {
-	bound := loadFactor*meanLoad(list) + loadRoom
-	over := func(c candidate) int {
-		if c.Load+1 > bound {
-			return 1
-		}
-		return 0
+// byLoad puts the least loaded first, those of the own data centre before the others while they have room.
+func byLoad(a, b *candidate) bool {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.later, b.later), cmp.Compare(a.load, b.load),
+		cmp.Compare(b.rank, a.rank)) < 0
+}
+
+// byAffinity puts the engines in the rendezvous order of the prompt's shared part, on which all hosts agree. Engines
+// over the load bound come after those under it, by load.
+func byAffinity(a, b *candidate) bool {
+	if order := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.later, b.later)); order != 0 {
+		return order < 0
+	}
+	if a.later == 1 {
+		return a.load < b.load
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if order := cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(over(a), over(b))); order != 0 {
-			return order
+	return a.rank > b.rank
+}
+
+// markFar marks the upstreams that come after those of the own data centre that have room.
+func (t *Table) markFar(list []candidate) {
+	for i := range list {
+		c := &list[i]
+		u := c.seat.upstream
+		if u.DataCentre != t.local || u.Slots > 0 && c.load >= localRoom*float64(u.Slots) {
+			c.later = 1
 		}
-		if over(a) == 1 {
-			return cmp.Compare(a.Load, b.Load)
+	}
+}
+
+// markOverBound marks the engines that one more request would put over the load bound.
+func markOverBound(list []candidate) {
+	bound := loadFactor*meanLoad(list) + loadRoom
+	for i := range list {
+		if list[i].load+1 > bound {
+			list[i].later = 1
 		}
-		return cmp.Compare(b.rank, a.rank)
-	})
+	}
 }
 
 // meanLoad is taken over the upstreams whose load is known: what this host has in flight at the others is a part of
@@ -155,15 +187,15 @@
 func meanLoad(list []candidate) float64 {
 	var known, all float64
 	n := 0
-	for _, c := range list {
-		all += c.Load
-		if c.Known {
-			known += c.mean
+	for i := range list {
+		all += list[i].load
+		if list[i].known {
+			known += list[i].mean
 			n++
 		}
 	}
 	if n == 0 {
-		return all / float64(len(list))
+		return all / float64(max(1, len(list)))
 	}
 	return known / float64(n)
 }
@@ -176,12 +208,13 @@
 	defer t.mu.Unlock()
 	cutOff := t.cutOff(now)
 	var best *catalog.Upstream
-	for _, u := range snap.Upstreams[service] {
-		if u.ID == target.ID || now.Before(t.view(u.Key(), now).suspectUntil) || cutOff(u.DataCentre) {
+	var bestRank uint64
+	for _, s := range t.pool(snap, service, now) {
+		if s.upstream.ID == target.ID || now.Before(s.view.suspectUntil) || cutOff(s.upstream.DataCentre) {
 			continue
 		}
-		if best == nil || loadbalancer.Score(affinity, u.ID) > loadbalancer.Score(affinity, best.ID) {
-			best = u
+		if rank := loadbalancer.ScoreHash(affinity, s.hash); best == nil || rank > bestRank {
+			best, bestRank = s.upstream, rank
 		}
 	}
 	return best
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -3,7 +3,6 @@
 package balance
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -11,14 +10,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 )
 
 // Times and weights of the view of an upstream.
 const (
-	// loadAge is how long a told load counts. It reaches all hosts of a fleet of a hundred in about four seconds.
+	// loadAge is the time in which a told load fades if nothing more is heard. It reaches all hosts of a fleet of a hundred in about four seconds.
 	loadAge = 5 * time.Second
-	// loadHalfLife is the time in which a load halves of which nothing more is heard.
-	loadHalfLife = 4 * time.Second
 	// lastAge is how long the load of a single answer counts if it is above the mean.
 	lastAge = time.Second
 	// toldWeight is the weight of a load that an upstream tells against what was known of it: streams last a second, and
@@ -34,8 +32,8 @@
 	fullFor = 150 * time.Millisecond
 	// failureWeight is the weight of one outcome in the moving share of failures.
 	failureWeight = 0.1
-	// failureHalfLife is the time in which the share of failures halves if nothing is heard.
-	failureHalfLife = 2 * time.Second
+	// failureAge is the time in which a share of failures fades if nothing more is heard.
+	failureAge = 5 * time.Second
 	// greyShare is the share of failures from which an upstream is taken only after the others.
 	greyShare = 0.3
 	// forgetAfter is how long an upstream that is no longer published is remembered.
@@ -78,7 +76,7 @@
 	if !v.fresh(now) {
 		return 0
 	}
-	return v.told * math.Exp2(-now.Sub(v.toldAt).Seconds()/loadHalfLife.Seconds())
+	return v.told * faded(now.Sub(v.toldAt), loadAge)
 }
 
 // fresh reports whether the upstream told its load lately.
@@ -95,6 +93,20 @@
 	views map[catalog.UpstreamKey]*view
 	paths map[string]*path
 	swept time.Time
+	// pools are the seats of each service in the snapshot of; they are made once a snapshot.
+	pools map[string][]seat
+	of    *catalog.Snapshot
+	// scratch is memory for the candidates of one decision.
+	scratch []candidate
+}
+
+// seat is an upstream of a snapshot with what a decision needs of it.
+type seat struct {
+	upstream *catalog.Upstream
+	key      catalog.UpstreamKey
+	// hash is that of the ID, for the rendezvous order.
+	hash uint64
+	view *view
 }
 
 // NewTable returns an empty table of a host in the data centre.
@@ -113,6 +125,24 @@
 	return v
 }
 
+// pool returns the seats of the service; the caller holds mu.
+func (t *Table) pool(snap *catalog.Snapshot, service string, now time.Time) []seat {
+	if t.of != snap {
+		t.of, t.pools = snap, map[string][]seat{}
+		t.sweep(now)
+	}
+	seats, ok := t.pools[service]
+	if !ok {
+		seats = make([]seat, 0, len(snap.Upstreams[service]))
+		for _, u := range snap.Upstreams[service] {
+			key := u.Key()
+			seats = append(seats, seat{upstream: u, key: key, hash: loadbalancer.HashKey(u.ID), view: t.view(key, now)})
+		}
+		t.pools[service] = seats
+	}
+	return seats
+}
+
 // sweep forgets upstreams that were not asked about for long; the caller holds mu.
 func (t *Table) sweep(now time.Time) {
 	if now.Sub(t.swept) < forgetAfter {
@@ -190,9 +220,12 @@
 // failureShare returns the moving share of failures. It fades, since an upstream that fails often gets few requests by
 // which it could show that it no longer does.
 func (v *view) failureShare(now time.Time) float64 {
-	return v.failed * math.Exp2(-now.Sub(v.failedAt).Seconds()/failureHalfLife.Seconds())
+	return v.failed * faded(now.Sub(v.failedAt), failureAge)
 }
 
+// faded returns what is left of a figure of that age if it fades to nothing in the time.
+func faded(age, in time.Duration) float64 { return max(0, 1-float64(age)/float64(in)) }
+
 // Failed counts a request that the upstream did not answer. The upstream is passed over for a while.
 func (t *Table) Failed(u *catalog.Upstream, cause error) {
 	t.mu.Lock()
--- a/internal/loadbalancer/rendezvous.go
+++ b/internal/loadbalancer/rendezvous.go
@@ -10,9 +10,12 @@
 
 // Score returns the rendezvous weight of member for key; the highest score comes first.
 func Score(key uint64, member string) uint64 {
-	return mix(key ^ xxhash.Sum64String(member))
+	return ScoreHash(key, HashKey(member))
 }
 
+// ScoreHash is Score for a member whose hash is known.
+func ScoreHash(key, member uint64) uint64 { return mix(key ^ member) }
+
 // mix is the finaliser of SplitMix64; it spreads the xor of two hashes over all bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -22,7 +25,7 @@
 	return x ^ x>>31
 }
 
-// HashKey returns the hash of a key, such as a chat id, for Score and Order.
+// HashKey returns the hash of a key, such as a chat id, for Score and Order, and of a member for ScoreHash.
 func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
 
 // Order sorts members in place by descending score for key.
