Replaced instances are not asked again; the whole part of the slack for retries at once

A host of 80 had one retry in its bucket: half of its part of the slack, the other half came over ten seconds.

Change: another instance's answer takes the entry out until it is published anew. The bucket begins with the whole part and is refilled by requests alone, which keeps the same bound for every window (property test, 3,000 cases), so that the length of the window is no longer a setting.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -28,54 +28,36 @@
 type RetryBounds struct {
 	// Ratio is the retries for each request.
 	Ratio float64
-	// Slack is how many more are allowed in a window.
+	// Slack is how many more are allowed in any span of the stated length, whatever that is.
 	Slack float64
-	// Window is the length of any span in which the bound holds.
-	Window time.Duration
 }
 
 // Retries is this host's part of the retry budget of each service. It is safe for concurrent use.
 type Retries struct {
 	bounds RetryBounds
 	hosts  Hosts
-	clock  clockwork.Clock
 
 	mu       sync.Mutex
-	services map[string]*bucket
-}
-
-type bucket struct {
-	tokens float64
-	last   time.Time
+	services map[string]*float64
 }
 
 // NewRetries returns a full budget.
-func NewRetries(b RetryBounds, hosts Hosts, clock clockwork.Clock) *Retries {
-	return &Retries{bounds: b, hosts: hosts, clock: clock, services: map[string]*bucket{}}
+func NewRetries(b RetryBounds, hosts Hosts) *Retries {
+	return &Retries{bounds: b, hosts: hosts, services: map[string]*float64{}}
 }
 
-// slackInBucket is the part of the slack that the bucket holds; the rest refills it within a window. Half and half
-// keeps their sum, the most that a window can see, at the slack.
-const slackInBucket = 0.5
-
-// part returns this host's part of the slack.
+// part is this host's part of the slack, with which a bucket begins. What a window sees is at most a full bucket and
+// what its own requests add, so that the sum over the hosts stays under the bound.
 func (r *Retries) part() float64 { return agreement * r.bounds.Slack / float64(r.hosts.Split()) }
 
-// refill returns the service's bucket as of now; the caller holds mu.
-func (r *Retries) refill(service string) *bucket {
-	now := r.clock.Now()
-	part := r.part()
-	capacity := slackInBucket * part
+// bucket returns the service's bucket; the caller holds mu.
+func (r *Retries) bucket(service string) *float64 {
 	b := r.services[service]
 	if b == nil {
-		b = &bucket{tokens: capacity, last: now}
+		part := r.part()
+		b = &part
 		r.services[service] = b
 	}
-	if b.tokens < capacity {
-		rate := (1 - slackInBucket) * part / r.bounds.Window.Seconds()
-		b.tokens = min(capacity, b.tokens+rate*now.Sub(b.last).Seconds())
-	}
-	b.last = now
 	return b
 }
 
@@ -83,19 +65,19 @@
 func (r *Retries) Request(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.refill(service)
-	b.tokens = min(max(slackInBucket*r.part(), 1), b.tokens+r.bounds.Ratio)
+	b := r.bucket(service)
+	*b = min(max(1, r.part()), *b+r.bounds.Ratio) // at least one retry, or small parts would never add up to one
 }
 
 // Take uses one retry at the service. It returns false when none is left.
 func (r *Retries) Take(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.refill(service)
-	if b.tokens < 1 {
+	b := r.bucket(service)
+	if *b < 1 {
 		return false
 	}
-	b.tokens--
+	*b--
 	return true
 }
 
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -61,13 +61,14 @@
 		clock := clockwork.NewFakeClock()
 		list := views(t)
 		// The slack of the small and of the grown deployment.
-		bounds := RetryBounds{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+		bounds := RetryBounds{Ratio: 0.2, Slack: 54}
+		const window = 10 * time.Second
 		if len(list) > 8 {
 			bounds.Slack = 216
 		}
 		hosts := make([]*Retries, len(list))
 		for i, v := range list {
-			hosts[i] = NewRetries(bounds, v, clock)
+			hosts[i] = NewRetries(bounds, v)
 		}
 		type moment struct {
 			at                time.Time
@@ -92,7 +93,7 @@
 		for i := range moments {
 			requests, retries := 0, 0
 			for _, m := range moments[i:] {
-				if m.at.Sub(moments[i].at) > bounds.Window {
+				if m.at.Sub(moments[i].at) > window {
 					break
 				}
 				requests, retries = requests+m.requests, retries+m.retries
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -94,10 +94,10 @@
 	seats := t.pool(snap, service, now)
 	for i := range seats {
 		s := &seats[i]
-		if !snap.Usable(s.upstream) {
+		v := s.view
+		if v.replaced || !snap.Usable(s.upstream) {
 			continue
 		}
-		v := s.view
 		tier := v.tier(now)
 		if slices.Contains(w.Tried, s.key) {
 			tier = tierTried
@@ -210,7 +210,7 @@
 	var best *catalog.Upstream
 	var bestRank uint64
 	for _, s := range t.pool(snap, service, now) {
-		if s.upstream.ID == target.ID || now.Before(s.view.suspectUntil) || cutOff(s.upstream.DataCentre) {
+		if s.upstream.ID == target.ID || s.view.replaced || now.Before(s.view.suspectUntil) || cutOff(s.upstream.DataCentre) {
 			continue
 		}
 		if rank := loadbalancer.ScoreHash(affinity, s.hash); best == nil || rank > bestRank {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -58,7 +58,9 @@
 	failedAt     time.Time
 	suspectUntil time.Time
 	fullUntil    time.Time
-	seen         time.Time
+	// replaced is set once another instance answered at the address.
+	replaced bool
+	seen     time.Time
 }
 
 // load estimates the upstream's requests, running and waiting: high rather than low, since requests that come at once
@@ -248,6 +250,18 @@
 	}
 }
 
+// Replaced says that another instance answered at the upstream's address: this incarnation is gone for good, although
+// its entry may stay for some heartbeats.
+func (t *Table) Replaced(u *catalog.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view(u.Key(), t.clock.Now())
+	if !v.replaced {
+		t.log.Info().Str("event", "upstream-replaced").Str("upstream", u.ID).Str("peer", u.Address).Send()
+	}
+	v.replaced = true
+}
+
 // Full says that the upstream refused a request for want of room.
 func (t *Table) Full(key catalog.UpstreamKey) {
 	t.mu.Lock()
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -221,7 +221,7 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWholeBytes))
 	release(err == nil)
 	if reply.WrongInstance {
-		d.table.Failed(u, errors.New("another instance has the address"))
+		d.table.Replaced(u)
 		return notRun(true, "wrong-instance", "another upstream has the address", key, nil)
 	}
 	d.table.Full(key)
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -120,7 +120,7 @@
 func TestWithoutBudgetNothingIsSentAgain(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, resets, shed)
-	h.serve(allowance.RetryBounds{Window: time.Second}, 1<<20)
+	h.serve(allowance.RetryBounds{}, 1<<20)
 	is.Equal(h.call(http.MethodGet, "/r/", "").status, 502)
 	is.Equal(h.call(http.MethodGet, "/r/", "").status, 503) // nothing ran
 }
@@ -128,7 +128,7 @@
 func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Unsafe, false, ok)
-	h.serve(allowance.RetryBounds{Window: time.Second}, 10)
+	h.serve(allowance.RetryBounds{}, 10)
 	is.Equal(h.call(http.MethodPost, "/r/", "more than ten bytes").status, 503)
 	is.Equal(h.call(http.MethodPost, "/r/", "ten bytes").status, 200) // the room is given back
 }
@@ -318,6 +318,18 @@
 	is.True(got.header.Get("Retry-After") != "")
 }
 
+func TestAReplacedUpstreamIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false, otherInstance, ok, ok, ok, ok)
+	for range 4 {
+		is.Equal(h.call(http.MethodPost, "/r/", "").status, 200)
+	}
+	seen, _, _, _ := h.record()
+	for _, r := range seen[1:] {
+		is.True(r.Header.Get("X-Instance") != seen[0].Header.Get("X-Instance"))
+	}
+}
+
 func TestAnUpstreamThatCannotBeReachedIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Unsafe, false, ok, ok, ok)
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -276,7 +276,7 @@
 		h.publish("up/" + id + "/" + h.listen())
 	}
 	h.publish("config")
-	bounds := allowance.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	bounds := allowance.RetryBounds{Ratio: 0.2, Slack: 100}
 	h.serve(bounds, 1<<20)
 	return h
 }
@@ -286,7 +286,7 @@
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	h.server = New(Options{
 		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{},
-		Retries: allowance.NewRetries(bounds, oneHost{}, clock), Cold: allowance.NewCold(allowance.ColdBounds{Overage: 1}, oneHost{}, clockwork.NewFakeClock()),
+		Retries: allowance.NewRetries(bounds, oneHost{}), Cold: allowance.NewCold(allowance.ColdBounds{Overage: 1}, oneHost{}, clockwork.NewFakeClock()),
 		BodyBytes: bodyBytes, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
 		Store: g.store, Table: g.table, Pool: g.pool, Codec: a.Codec,
-		Retries:   allowance.NewRetries(allowance.RetryBounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
+		Retries:   allowance.NewRetries(allowance.RetryBounds{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Cold:      allowance.NewCold(allowance.ColdBounds{Overage: c.Overage, Slack: c.Slack}, g.fleet, g.clock),
 		BodyBytes: int64(bodyPart * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -186,7 +186,7 @@
 			"name": fmt.Sprintf("r%d", n), "data_centre": "z", "data_centres": []string{"z"}, "caller_address": ip + ":8080",
 			"ready_address": ip + ":8081", "peer_address": ip + ":7080", "admin_address": ip + ":9080",
 			"store_address": storeIP() + ":9000", "seed_peers": []string{routerIP(0) + ":7080", routerIP(1) + ":7080"},
-			"memory_mb": 200, "retry": map[string]any{"ratio": 0.2, "slack": 60, "window": "10s"},
+			"memory_mb": 200, "retry": map[string]any{"ratio": 0.2, "slack": 60},
 			"cold": map[string]any{"overage": 1.5, "slack": 5}, "timeouts": map[string]any{"drain": "1s", "stop": "6s"},
 		})
 		if err != nil {
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -29,10 +29,9 @@
 
 // RetryBudget bounds the requests that all hosts together send once more.
 type RetryBudget struct {
-	// Ratio is the retries for each request of a service, Slack how many more are allowed in a Window.
-	Ratio  float64  `json:"ratio"`
-	Slack  float64  `json:"slack"`
-	Window Duration `json:"window"`
+	// Ratio is the retries for each request of a service, Slack how many more are allowed in any window.
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
 }
 
 // ColdBounds bounds what a cold upstream gets from all hosts together in a second: Overage times its service's rate and
@@ -59,8 +58,6 @@
 	defaultDirectGossip = time.Second
 	minMemoryMB         = 32
 	maxMemoryMB         = 1 << 20
-	minRetryWindow      = time.Second
-	maxRetryWindow      = 10 * time.Minute
 	maxShare            = 1000
 )
 
@@ -86,7 +83,6 @@
 	c.betweenInt("memory_mb", int64(d.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.number("retry.ratio", d.Retry.Ratio, maxShare)
 	c.number("retry.slack", d.Retry.Slack, maxMemoryMB)
-	c.between("retry.window", d.Retry.Window, minRetryWindow, maxRetryWindow)
 	c.number("cold.overage", d.Cold.Overage, maxShare)
 	c.number("cold.slack", d.Cold.Slack, maxMemoryMB)
 	c.between("timeouts.drain", d.Timeouts.Drain, minTimeout, d.Timeouts.Stop.Std())
