One broken answer does not pass an upstream over

Change: connections that do not open and silence pass an upstream over at once, broken answers from the second in a row.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -28,6 +28,8 @@
 	// silenceFactor is how much longer a silent upstream is passed over than one that refuses: each try there costs the
 	// time-out of a request.
 	silenceFactor = 3
+	// brokenInARow is how many broken answers in a row show that an upstream is down.
+	brokenInARow = 2
 	// fullFor is how long an upstream that refused for want of room is passed over.
 	fullFor = 150 * time.Millisecond
 	// failureWeight is the weight of one outcome in the moving share of failures.
@@ -228,15 +230,31 @@
 // faded returns what is left of a figure of that age if it fades to nothing in the time.
 func faded(age, in time.Duration) float64 { return max(0, 1-float64(age)/float64(in)) }
 
-// Failed counts a request that the upstream did not answer. The upstream is passed over for a while.
-func (t *Table) Failed(u *catalog.Upstream, cause error) {
+// Unreached says that no connection to the upstream could be made. It is passed over for a while.
+func (t *Table) Unreached(u *catalog.Upstream, cause error) { t.failed(u, 1, cause) }
+
+// Broke says that a request was sent and its answer did not come, or not whole. An upstream that stays silent is passed
+// over for a while; else one broken answer says little of the next request, and a second one in a row does.
+func (t *Table) Broke(u *catalog.Upstream, cause error) {
+	if isSilence(cause) {
+		t.failed(u, 1, cause)
+		return
+	}
+	t.failed(u, brokenInARow, cause)
+}
+
+// failed counts a failure and passes the upstream over for a while if it is the limit-th in a row or a later one.
+func (t *Table) failed(u *catalog.Upstream, limit int, cause error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	v := t.view(u.Key(), now)
 	v.count(true, now)
-	wait := min(minSuspect<<min(v.failures, 8), maxSuspect)
 	v.failures++
+	if v.failures < limit {
+		return
+	}
+	wait := min(minSuspect<<min(v.failures-limit, 8), maxSuspect)
 	silent := isSilence(cause)
 	if silent {
 		wait = min(silenceFactor*wait, maxSuspect)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -52,7 +52,7 @@
 	conn, err := d.connect(ctx, x, u)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.table.Failed(u, err)
+			d.table.Unreached(u, err)
 			d.pool.Forget(u.Address)
 		}
 		x.tried = append(x.tried, key)
@@ -142,7 +142,7 @@
 		return d.shed(u, resp, reply, release)
 	case resp.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		release(false)
-		d.table.Failed(u, errors.New("answer is not signed"))
+		d.table.Broke(u, errors.New("answer is not signed"))
 		return d.unknown(x, "not-signed", "the upstream's answer is not its own", key, nil)
 	case x.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK:
 		return d.relayStream(ctx, x, u, resp, watch, release)
@@ -203,12 +203,12 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, balance.ErrSilent):
-		d.table.Failed(u, cause)
+		d.table.Broke(u, cause)
 		return d.unknown(x, "silent", "the upstream stayed silent", key, cause)
 	case cause != nil:
 		return d.unknown(x, "over", "the time is over", key, cause)
 	default:
-		d.table.Failed(u, err)
+		d.table.Broke(u, err)
 		d.pool.Forget(key.Address)
 		return d.unknown(x, "no-answer", "the upstream did not answer", key, err)
 	}
