A request waits a little for a starting router's first configuration

Change: such a request waits for the configuration, at most a second and a quarter of its caller's patience.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -49,8 +49,10 @@
 	log    zerolog.Logger
 
 	current atomic.Pointer[Snapshot]
-	mu      sync.Mutex
-	config  *Config
+	// first is closed when a configuration is known.
+	first  chan struct{}
+	mu     sync.Mutex
+	config *Config
 	// revision is that of config.
 	revision  uint64
 	out       map[string]bool
@@ -65,7 +67,7 @@
 func NewStore(decode Decode, clock clockwork.Clock, log zerolog.Logger) *Store {
 	s := &Store{
 		decode: decode, clock: clock, log: log, out: map[string]bool{}, upstreams: map[string]*Upstream{},
-		lapsed: map[string]bool{},
+		lapsed: map[string]bool{}, first: make(chan struct{}),
 	}
 	s.current.Store(&Snapshot{Out: s.out, Upstreams: map[string][]*Upstream{}})
 	return s
@@ -74,6 +76,9 @@
 // Current returns what is in force.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
+// First is closed when a configuration is known.
+func (s *Store) First() <-chan struct{} { return s.first }
+
 // Apply takes changed items and publishes one snapshot with all of them.
 func (s *Store) Apply(items []published.Item) {
 	s.mu.Lock()
@@ -214,5 +219,8 @@
 	for _, list := range next.Upstreams {
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	s.current.Store(next)
+	before := s.current.Swap(next)
+	if before.Config == nil && next.Config != nil {
+		close(s.first)
+	}
 }
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -29,6 +29,34 @@
 // admit finds the request's route and team in the configuration in force and sets its deadline.
 type admit struct {
 	store *catalog.Store
+	clock clockwork.Clock
+}
+
+// A starting router has its first configuration within a second, so that a request does better to wait for it than to
+// come again. It waits for that part of its caller's patience, and no longer than the limit.
+const (
+	configPatience = 4
+	maxConfigWait  = time.Second
+)
+
+// configured returns the configuration in force, waiting a little for the first one.
+func (f *admit) configured(ctx context.Context, x *Request) (*catalog.Config, error) {
+	wait := maxConfigWait
+	if x.Wait > 0 {
+		wait = min(wait, x.Wait/configPatience)
+	}
+	select {
+	case <-f.store.First():
+		return f.store.Current().Config, nil
+	default:
+	}
+	select {
+	case <-f.store.First():
+		return f.store.Current().Config, nil
+	case <-ctx.Done():
+	case <-f.clock.After(wait):
+	}
+	return nil, outcome.Unavailable(stepAdmit, "no-configuration", "no configuration is known yet").WithRetryAfter(shortRetry)
 }
 
 // Name implements Filter.
@@ -36,14 +64,14 @@
 
 // Handle implements Filter.
 func (f *admit) Handle(ctx context.Context, x *Request, next Next) error {
-	snap := f.store.Current()
-	if snap.Config == nil {
-		return outcome.Unavailable(stepAdmit, "no-configuration", "no configuration is known yet").WithRetryAfter(shortRetry)
+	config, err := f.configured(ctx, x)
+	if err != nil {
+		return err
 	}
-	if err := allow(x, snap.Config); err != nil {
+	if err := allow(x, config); err != nil {
 		return err
 	}
-	if limit := snap.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.HTTP) > limit {
+	if limit := config.Limits.HeaderBytes; limit > 0 && headerBytes(x.HTTP) > limit {
 		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "the headers are too large")
 	}
 	wait := x.Route.Timeout
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -12,7 +12,7 @@
 	body := &receive{store: s.Store, clock: s.Clock}
 	body.room.Store(s.BodyBytes)
 	return []Filter{
-		&admit{store: s.Store},
+		&admit{store: s.Store, clock: s.Clock},
 		&deadline{clock: s.Clock},
 		body,
 		&dispatch{
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -264,6 +266,27 @@
 	}
 }
 
+func TestARequestWaitsALittleForTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok)
+	published := h.store
+	h.store = catalog.NewStore(h.decode, clockwork.NewRealClock(), zerolog.Nop())
+	h.serve(allowance.RetryBounds{}, 1<<20)
+	got := h.call(http.MethodGet, "/r/", "", "X-Wait-Ms", "20")
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+	waiting := make(chan reply)
+	go func() { waiting <- h.call(http.MethodGet, "/r/", "") }()
+	for h.server.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, u := range published.Current().Upstreams["s"] {
+		h.publish("up/" + u.ID + "/" + u.Address)
+	}
+	h.publish("config")
+	is.Equal((<-waiting).status, 200)
+}
+
 func TestAWithdrawnKeyAndADroppedRouteStopAtOnce(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, ok)
