--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 FUZZ_TIME ?= 10s
 
-.PHONY: fuzz build test lint demo up down console bench measures prove proofs-page capacity generate
+.PHONY: fuzz build test lint demo up down console soak bench measures prove proofs-page capacity generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -38,6 +38,13 @@
 measures:
 	@scripts/measures.sh
 
+SOAK_SEED ?= 1
+SOAK_SEEDS ?= 10
+
+# Runs real routers with direct sending under faults from outside; CI runs one seed.
+soak:
+	go test ./internal/proofs/soak -v -count=1 -timeout 60m -soak.seed $(SOAK_SEED) -soak.seeds $(SOAK_SEEDS)
+
 # Runs every proof, those with real processes too, and prints which promise is shown under which fault.
 prove:
 	go run ./scripts/prove
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -56,7 +56,9 @@
 
 // fleet is everything of one run.
 type fleet struct {
-	t       *testing.T
+	t *testing.T
+	// mu guards rand, facts and store troubles: two things may be done at once.
+	mu      sync.Mutex
 	rand    *rand.Rand
 	network *testfleet.Network
 	store   *store
@@ -215,31 +217,50 @@
 	})
 }
 
+func (f *fleet) intn(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(n)
+}
+
 // trouble notes that the router, or all of them for "", is troubled from now until the returned function is called.
 func (f *fleet) trouble(ip string) (end func()) {
 	from := time.Now()
-	return func() { f.facts.troubled = append(f.facts.troubled, span{router: ip, from: from, to: time.Now()}) }
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.facts.troubled = append(f.facts.troubled, span{router: ip, from: from, to: time.Now()})
+	}
 }
 
 func (f *fleet) sleep(minMS, maxMS int) {
-	time.Sleep(time.Duration(minMS+f.rand.IntN(maxMS-minMS+1)) * time.Millisecond)
+	time.Sleep(time.Duration(minMS+f.intn(maxMS-minMS+1)) * time.Millisecond)
 }
 
-// play does one thing after the other, by the seed, until the end; each is over before the next begins, but for what
-// the routers still believe.
+// play does one thing after the other, by the seed, until the end, and each third time one to a router and one to the
+// servers or the store at once.
 func (f *fleet) play(end time.Time) {
-	steps := []func(){
-		f.freeze, f.kill, f.term, f.hup, f.cutStore, f.cutServer, f.failStore, f.forgetHistory, f.crashServer, f.drainServer,
-		f.withdrawKey, f.calm,
-	}
+	routers := []func(){f.freeze, f.kill, f.term, f.hup, f.cutStore, f.cutServer}
+	others := []func(){f.failStore, f.forgetHistory, f.crashServer, f.drainServer, f.withdrawKey, f.calm}
 	for time.Now().Before(end) {
-		steps[f.rand.IntN(len(steps))]()
+		router, other := routers[f.intn(len(routers))], others[f.intn(len(others))]
+		var wg sync.WaitGroup
+		switch f.intn(3) {
+		case 0:
+			router()
+		case 1:
+			other()
+		case 2:
+			wg.Go(router)
+			other()
+		}
+		wg.Wait()
 		f.sleep(50, 400)
 	}
 }
 
 func (f *fleet) router() (int, *testfleet.Process) {
-	n := f.rand.IntN(routerCount)
+	n := f.intn(routerCount)
 	return n, f.routers[n]
 }
 
@@ -286,13 +307,13 @@
 func (f *fleet) cutServer() {
 	n, _ := f.router()
 	defer f.trouble(routerIP(n))()
-	f.network.Cut(routerIP(n), serverIP(f.rand.IntN(serverCount)), f.how())
+	f.network.Cut(routerIP(n), serverIP(f.intn(serverCount)), f.how())
 	f.sleep(300, 2000)
 	f.network.Heal()
 }
 
 func (f *fleet) how() testfleet.Cut {
-	if f.rand.IntN(2) == 0 {
+	if f.intn(2) == 0 {
 		return testfleet.CutSilent
 	}
 	return testfleet.CutRefuse
@@ -310,7 +331,7 @@
 }
 
 func (f *fleet) crashServer() {
-	s := f.servers.list[f.rand.IntN(serverCount)]
+	s := f.servers.list[f.intn(serverCount)]
 	s.crash()
 	f.sleep(100, 1000)
 	if err := s.start(); err != nil {
@@ -319,8 +340,11 @@
 }
 
 func (f *fleet) drainServer() {
-	s := f.servers.list[f.rand.IntN(serverCount)]
-	f.facts.left[s.instance] = s.drain()
+	s := f.servers.list[f.intn(serverCount)]
+	at := s.drain()
+	f.mu.Lock()
+	f.facts.left[s.instance] = at
+	f.mu.Unlock()
 	time.Sleep(drainBound + 700*time.Millisecond)
 	s.crash()
 	if err := s.start(); err != nil {
@@ -330,7 +354,7 @@
 
 // withdrawKey gives a team a second key, has its callers use that one, and then takes the first away.
 func (f *fleet) withdrawKey() {
-	team := fmt.Sprintf("t%d", f.rand.IntN(teams))
+	team := fmt.Sprintf("t%d", f.intn(teams))
 	old := f.keys[team][0]
 	next := fmt.Sprintf("key-%d-%s", f.version, team)
 	f.keys[team] = []string{old, next}
