--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	if limit := config.Limits.HeaderBytes; limit > 0 && headerBytes(x.HTTP) > limit {
-		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "the headers are too large")
+		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
 	}
 	wait := x.Route.Timeout
 	if x.Wait > 0 && (wait <= 0 || x.Wait < wait) {
@@ -92,7 +92,7 @@
 	if c.Teams != nil && !route.Open {
 		x.Team = c.Teams[x.Key]
 		if x.Team == nil {
-			return outcome.Refuse(stepAdmit, http.StatusUnauthorized, "unknown-key", "the key is not known")
+			return outcome.Refuse(stepAdmit, http.StatusUnauthorized, "bad-key", "the key is not known")
 		}
 	}
 	x.Route = route
@@ -165,7 +165,7 @@
 	held := int64(len(x.Body))
 	defer f.room.Add(held)
 	if f.room.Add(-held) < 0 {
-		return outcome.Unavailable(stepReceive, "no-memory", "too many bodies are held").WithRetryAfter(shortRetry)
+		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(shortRetry)
 	}
 	return next(ctx, x)
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -6,13 +6,13 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
@@ -165,7 +165,8 @@
 		Upstream: u.Key(), Team: x.team(), Left: x.Deadline.Sub(d.clock.Now()), Priority: x.priority(),
 		LastEvent: x.lastEvent(), Engine: engine, Holder: holder,
 	})
-	dropHopHeaders(header, in.Header)
+	hopheader.Drop(header)
+	header.Del("Content-Length") // the body's own length is sent
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // net/http adds its own to a request that has none
 	}
@@ -179,24 +180,6 @@
 	return out
 }
 
-// hopHeaders are meant for one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// dropHopHeaders removes the headers that concern one connection, those that the sender's Connection header names too.
-func dropHopHeaders(header, sender http.Header) {
-	for _, line := range sender["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 // broken deals with a send whose connection broke before an answer.
 func (d *dispatch) broken(ctx context.Context, x *Request, u *catalog.Upstream, err error) result {
 	key := u.Key()
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
@@ -83,7 +84,8 @@
 	a.begun, a.status, a.first = true, status, a.clock.Since(a.start)
 	to := a.w.Header()
 	from := header.Clone()
-	dropHopHeaders(from, header)
+	hopheader.Drop(from)
+	from.Del("Content-Length")
 	for name, values := range from {
 		to[name] = values
 	}
--- /dev/null
+++ b/internal/hopheader/hopheader_test.go
@@ -0,0 +1,18 @@
+package hopheader
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestOnlyHeadersOfOneConnectionAreDropped(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{
+		"Connection": {"keep-alive, X-Hop", "x-other"}, "X-Hop": {"1"}, "X-Other": {"1"}, "Keep-Alive": {"timeout=5"},
+		"Te": {"trailers"}, "Transfer-Encoding": {"chunked"}, "Content-Length": {"3"}, "X-End": {"1"},
+	}
+	Drop(h)
+	is.Equal(h, http.Header{"Content-Length": {"3"}, "X-End": {"1"}})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
@@ -18,9 +19,6 @@
 // ownPrefix begins the names of all headers that only routers may set.
 const ownPrefix = "Oriole-"
 
-// skipped headers describe the upstream's connection, not its answer.
-var skipped = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Authenticate"}
-
 // Copy writes the exchange's answer to w and closes it. After an error the answer is incomplete, and the handler must
 // abort the connection so that the receiver does not take it for whole.
 func Copy(w http.ResponseWriter, x *exchange.Exchange) error {
@@ -33,9 +31,7 @@
 			header[name] = values
 		}
 	}
-	for _, name := range skipped {
-		header.Del(name)
-	}
+	hopheader.Drop(header)
 	header.Set(outcome.HeaderOutcome, string(outcome.Run))
 	header.Set(outcome.HeaderUpstream, answer.Upstream)
 	header.Set(outcome.HeaderTrace, x.Trace)
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/hopheader"
 )
 
 // rawIdempotencyKey is the header's name in a form that net/http does not recognise. In its canonical form net/http
@@ -34,19 +35,14 @@
 	return req, &sent, nil
 }
 
-// hopHeaders are meant for one connection only and never forwarded.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Host",
-}
-
 // UpstreamHeader returns the caller's headers as the upstream may see them.
 func UpstreamHeader(x *exchange.Exchange) http.Header {
 	h := x.Header.Clone()
 	if h == nil {
 		h = http.Header{}
 	}
-	for _, name := range hopHeaders {
+	hopheader.Drop(h)
+	for _, name := range []string{"Content-Length", "Host"} {
 		h.Del(name)
 	}
 	h.Del("Idempotency-Key")
