--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
@@ -28,12 +29,11 @@
 			logs = append(logs, os.Stdin)
 			continue
 		}
-		file, err := os.Open(name)
+		raw, err := os.ReadFile(name)
 		if err != nil {
-			return errors.Wrap(err, "open log")
+			return errors.Wrap(err, "read log")
 		}
-		defer file.Close()
-		logs = append(logs, file)
+		logs = append(logs, bytes.NewReader(raw))
 	}
 	lines, err := logread.Read(logs...)
 	if err != nil {
--- a/internal/proofs/soak/check_test.go
+++ b/internal/proofs/soak/check_test.go
@@ -73,30 +73,49 @@
 }
 
 func checkCall(c *call, ran int, f *facts, add func(string, ...any)) {
-	if c.path == "/unsafe/" && ran > 1 {
+	checkOnce(c, ran, add)
+	checkWhole(c, add)
+	checkKey(c, ran, f, add)
+	ip, _, _ := strings.Cut(c.router, ":")
+	if took := c.ended.Sub(c.begun); took > requestTimeout+answerSlack && f.inTouch(ip, c.begun) && f.inTouch(ip, c.ended) {
+		add("request %s had its final answer after %v", c.id, took)
+	}
+}
+
+// checkOnce checks that what may not be repeated ran once at most, and that "not run" was true.
+func checkOnce(c *call, ran int, add func(string, ...any)) {
+	if c.path != "/unsafe/" {
+		return
+	}
+	if ran > 1 {
 		add("unsafe request %s ran %d times", c.id, ran)
 	}
-	refused := c.status == 503 || c.status == 429 || c.status == 408 || c.status == 421
-	if c.path == "/unsafe/" && refused && ran > 0 {
+	if refused := c.status == 503 || c.status == 429 || c.status == 408 || c.status == 421; refused && ran > 0 {
 		add("unsafe request %s was answered %d and ran", c.id, c.status)
 	}
-	if c.status == 200 && c.whole {
-		switch {
-		case c.stamp == "":
-			add("request %s got a success without a stamp", c.id)
-		case c.path == "/stream/" && c.body != wholeStream(c.id):
-			add("stream %s is not whole: %q", c.id, c.body)
-		case c.path != "/stream/" && c.body != bodyOf(c.id, c.stamp):
-			add("request %s got %q", c.id, c.body)
-		}
+}
+
+// checkWhole checks that a success is the whole answer to this request, and that a stream's events came in order.
+func checkWhole(c *call, add func(string, ...any)) {
+	if c.status != 200 {
+		return
 	}
-	if c.status == 200 && c.path == "/stream/" && !strings.HasPrefix(wholeStream(c.id), c.body) {
+	stream := c.path == "/stream/"
+	switch {
+	case c.stamp == "":
+		add("request %s got a success without a stamp", c.id)
+	case stream && c.whole && c.body != wholeStream(c.id):
+		add("stream %s is not whole: %q", c.id, c.body)
+	case stream && !strings.HasPrefix(wholeStream(c.id), c.body):
 		add("stream %s has events out of order: %q", c.id, c.body)
+	case !stream && c.whole && c.body != bodyOf(c.id, c.stamp):
+		add("request %s got %q", c.id, c.body)
 	}
+}
+
+// checkKey checks that withdrawn keys do not work and that others are not refused.
+func checkKey(c *call, ran int, f *facts, add func(string, ...any)) {
 	ip, _, _ := strings.Cut(c.router, ":")
-	if took := c.ended.Sub(c.begun); took > requestTimeout+answerSlack && f.inTouch(ip, c.begun) && f.inTouch(ip, c.ended) {
-		add("request %s had its final answer after %v", c.id, took)
-	}
 	if c.withdrawn && ran > 0 && f.inTouch(ip, c.begun) {
 		add("request %s ran with a key that was withdrawn", c.id)
 	}
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -153,7 +153,7 @@
 	}
 }
 
-func (f *fleet) publishConfig() time.Time {
+func (f *fleet) publishConfig() {
 	f.version++
 	route := func(path, kind string, attempts int, resume bool) map[string]any {
 		return map[string]any{
@@ -171,7 +171,7 @@
 		}
 		tenants = append(tenants, map[string]any{"name": team, "api_keys": f.keys[team]})
 	}
-	return f.store.put("op/config", map[string]any{
+	f.store.put("op/config", map[string]any{
 		"version": f.version, "tenants": tenants, "services": []map[string]any{{"name": "s", "max_connections": 100}},
 		"routes": []map[string]any{
 			route("/safe/", "safe", 2, false), route("/unsafe/", "unsafe", 2, false), route("/stream/", "streaming", 3, true),
