Three hosts of each data centre read the store, the others hear of changes from them

Change: the first three hosts of a data centre in rendezvous order read the store; the others exchange with one of them every 0.6 s. What a heartbeat leaves unchanged is not passed on. A host that has heard of nothing new for 2.2 s reads the store itself, whatever it believes of the others. Readers call every 0.7 s.

Ruled out: fewer calls by all (a configuration must be in force in 2 s).

Small sites: all hosts are readers.

--- a/cmd/oriole-router/main.go
+++ b/cmd/oriole-router/main.go
@@ -67,7 +67,7 @@
 	log := logging.New(queue, s.Log.Level, s.Name)
 	pool := gateway.Pool(&s, clock)
 	g := gateway.New(&s, gateway.Adapter{
-		Source: platform.NewStore(s.StoreAddress, gateway.Transport(pool)), Decode: platform.Decode, Codec: platform.Codec{},
+		Source: platform.NewStore(s.StoreAddress, gateway.Transport(pool)), Decode: platform.Decode, Same: platform.Same, Codec: platform.Codec{},
 		Prefix: platform.Prefix,
 	}, pool, clock, log)
 	hangups := make(chan os.Signal, 1)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,17 @@
 	lostInterval = 250 * time.Millisecond
 	// forgetAfter is how long a silent host still counts for the split of bounds, much longer than hosts disagree.
 	forgetAfter = time.Minute
+	// readersPerDataCentre hosts of each data centre read the store; the others hear of changes from them.
+	readersPerDataCentre = 3
+	// readerSilence is the silence after which a host does not count as one of them. In a large fleet a host hears of
+	// each other one every few seconds.
+	readerSilence = 15 * time.Second
+	// staleAfter is how long a host goes without news before it reads the store itself.
+	staleAfter = 2200 * time.Millisecond
+	// elsewhereEvery is the share of rounds of such a host that go to any other host than a reader.
+	elsewhereEvery = 6
+	// hearInterval is the time between two rounds of a host that hears of changes from a reader.
+	hearInterval = 600 * time.Millisecond
 	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
 	// meet again.
 	seedEvery = 8
@@ -52,6 +63,7 @@
 type Options struct {
 	// Self is this host's peer address.
 	Self        string
+	DataCentre  string
 	Incarnation uint64
 	Seeds       []string
 	// Floor is the least number of hosts that share a bound, before others are heard of.
@@ -83,6 +95,7 @@
 
 type member struct {
 	incarnation uint64
+	dataCentre  string
 	heard       time.Time
 	leaving     bool
 	lost        bool
@@ -103,8 +116,11 @@
 	for ctx.Err() == nil {
 		f.Round(ctx)
 		wait := f.Interval
-		if f.StoreLost() {
+		switch {
+		case f.StoreLost():
 			wait = lostInterval
+		case !f.Watching():
+			wait = min(wait, hearInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -184,13 +200,13 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving}
+	d.Sender = &fleetpb.Host{Address: f.Self, DataCentre: f.DataCentre, Incarnation: f.Incarnation, Leaving: f.leaving}
 	for address, m := range f.members {
 		if len(d.Hosts) == maxHosts {
 			break // the order of a map differs each time
 		}
 		d.Hosts = append(d.Hosts, &fleetpb.Host{
-			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
+			Address: address, DataCentre: m.dataCentre, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
 		})
 	}
 	return d
@@ -247,7 +263,7 @@
 	if at.Before(m.heard) {
 		return
 	}
-	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
+	m.heard, m.incarnation, m.leaving, m.dataCentre = at, h.GetIncarnation(), h.GetLeaving(), h.GetDataCentre()
 }
 
 // noteReached ends the suspicion of a host that answered; what others heard of it does not.
@@ -271,28 +287,62 @@
 	f.Log.Warn().Str("event", "peer-lost").Str("peer", address).Dur("heard_ago_ms", f.Clock.Since(m.heard)).Err(err).Send()
 }
 
-// pick returns a random host that answered last time, or a seed if none is known, and now and then anyway.
+// pick returns the host to ask next: mostly one of those that read the store for this data centre, if this host does
+// not, and else a random one that answered last time; a seed if none is known, and now and then anyway.
 func (f *Fleet) pick() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var live []string
+	if f.Rand.IntN(elsewhereEvery) != 0 {
+		if readers := f.readers(); len(readers) > 0 && !slices.Contains(readers, f.Self) {
+			return readers[f.Rand.IntN(len(readers))]
+		}
+	}
+	var known []string
 	for address, m := range f.members {
 		if !m.lost || f.Rand.IntN(lostEvery) == 0 {
-			live = append(live, address)
+			known = append(known, address)
 		}
 	}
-	if len(live) == 0 || f.Rand.IntN(seedEvery) == 0 {
+	if len(known) == 0 || f.Rand.IntN(seedEvery) == 0 {
 		for _, seed := range f.seeds {
 			if seed != f.Self {
-				live = append(live, seed)
+				known = append(known, seed)
 			}
 		}
 	}
-	if len(live) == 0 {
+	if len(known) == 0 {
 		return ""
 	}
-	slices.Sort(live) // the order of a map is not that of a seed
-	return live[f.Rand.IntN(len(live))]
+	slices.Sort(known) // the order of a map is not that of a seed
+	return known[f.Rand.IntN(len(known))]
+}
+
+// readers returns the hosts that read the store for this data centre, as this host sees it: the first few that live, in
+// a rendezvous order on which those that know each other agree. The caller holds mu.
+func (f *Fleet) readers() []string {
+	list := []string{}
+	if !f.leaving {
+		list = append(list, f.Self)
+	}
+	now := f.Clock.Now()
+	for address, m := range f.members {
+		if m.dataCentre == f.DataCentre && !m.lost && !m.leaving && now.Sub(m.heard) < readerSilence {
+			list = append(list, address)
+		}
+	}
+	loadbalancer.Order(loadbalancer.HashKey("store-readers"), list)
+	return list[:min(len(list), readersPerDataCentre)]
+}
+
+// Watching reports whether this host reads the store itself: if it is one of the readers of its data centre, or if it
+// has heard of nothing new for a while, whatever the others do. Upstreams publish themselves all the time.
+func (f *Fleet) Watching() bool {
+	if f.Clock.Since(f.Mirror.Advanced()) > staleAfter {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.readers(), f.Self)
 }
 
 // SetSeeds replaces the seeds after a change of the settings.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 type Adapter struct {
 	Source published.Source
 	Decode catalog.Decode
+	Same   published.Same
 	Codec  direct.Codec
 	// Prefix begins the keys of all items that Decode knows.
 	Prefix string
@@ -53,8 +54,8 @@
 	// a longer silence is a call that the store has lost.
 	changesWait = time.Second
 	// changesPause is the time between two such calls, so that many heartbeats share one. A configuration must be in
-	// force, and a leaving upstream get nothing more, after two seconds.
-	changesPause = 1200 * time.Millisecond
+	// force, and a leaving upstream get nothing more, after two seconds, also at hosts that hear of it from another one.
+	changesPause = 700 * time.Millisecond
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 800 * time.Millisecond
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
@@ -98,21 +99,21 @@
 	}
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
-	g.mirror = published.NewMirror(a.Prefix, g.store.Apply)
+	g.mirror = published.NewMirror(a.Prefix, a.Same, clock, g.store.Apply)
+	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
-		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Lost: g.store.Outage,
-		Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
+		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Watching: g.fleet.Watching,
+		Lost: g.store.Outage, Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
-	g.fleet = g.newFleet()
 	g.server = g.newServer(a)
 	return g
 }
 
 func (g *Gateway) newFleet() *fleet.Fleet {
 	return fleet.New(fleet.Options{
-		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
+		Self: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
 		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror, Loads: g.table,
-		StoreLost: g.reader.Failing, Transport: Transport(g.pool),
+		StoreLost: func() bool { return g.reader.Failing() }, Transport: Transport(g.pool),
 		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
 	})
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
 
@@ -40,23 +41,35 @@
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error)
 }
 
+// Same reports whether two values of one key mean the same, so that the newer one need not be told to anybody.
+type Same func(before, now Item) bool
+
 // Mirror holds the items below one prefix. It is safe for concurrent use.
 type Mirror struct {
 	prefix string
+	same   Same
+	clock  clockwork.Clock
 	// changed is called with the items that a merge changed, in no lock of the mirror's, one call at a time.
 	changed func([]Item)
 
 	// applying serialises merges, so that changed sees them in order.
 	applying sync.Mutex
 	mu       sync.Mutex
-	items    map[string]Item
-	// complete is the revision up to which no change is missing; 0 before the first list.
+	items    map[string]entry
+	// complete is the revision up to which no change is missing; 0 before the first list. It was reached at advanced.
 	complete uint64
+	advanced time.Time
+}
+
+// entry is an item with the revision since which it has meant the same.
+type entry struct {
+	Item
+	meant uint64
 }
 
 // NewMirror returns an empty mirror that reports changed items.
-func NewMirror(prefix string, changed func([]Item)) *Mirror {
-	return &Mirror{prefix: prefix, changed: changed, items: map[string]Item{}}
+func NewMirror(prefix string, same Same, clock clockwork.Clock, changed func([]Item)) *Mirror {
+	return &Mirror{prefix: prefix, same: same, clock: clock, changed: changed, items: map[string]entry{}}
 }
 
 // Prefix returns the prefix of the keys.
@@ -69,6 +82,20 @@
 	return m.complete
 }
 
+// Advanced returns when the mirror last became complete up to a higher revision, the zero time if it never was.
+func (m *Mirror) Advanced() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.advanced
+}
+
+// reach notes that no change up to the revision is missing; the caller holds mu.
+func (m *Mirror) reach(revision uint64) {
+	if revision > m.complete {
+		m.complete, m.advanced = revision, m.clock.Now()
+	}
+}
+
 // Merge takes the changes of the batch, which follow the revision after. If the mirror is complete up to there, it is
 // complete up to the batch's revision afterwards. It returns how many items changed.
 func (m *Mirror) Merge(after uint64, b Batch) int {
@@ -76,7 +103,7 @@
 	defer m.applying.Unlock()
 	return m.merge(b.Items, func() {
 		if m.complete != 0 && m.complete >= after || after == 0 {
-			m.complete = max(m.complete, b.At)
+			m.reach(b.At)
 		}
 	})
 }
@@ -97,7 +124,7 @@
 		}
 	}
 	m.mu.Unlock()
-	return m.merge(items, func() { m.complete = max(m.complete, b.At) })
+	return m.merge(items, func() { m.reach(b.At) })
 }
 
 func (m *Mirror) merge(items []Item, finish func()) int {
@@ -108,7 +135,11 @@
 		if ok && known.Revision >= item.Revision {
 			continue
 		}
-		m.items[item.Key] = item
+		if ok && !known.Removed && !item.Removed && m.same(known.Item, item) {
+			m.items[item.Key] = entry{Item: item, meant: known.meant}
+			continue
+		}
+		m.items[item.Key] = entry{Item: item, meant: item.Revision}
 		news = append(news, item)
 	}
 	finish()
@@ -119,15 +150,15 @@
 	return len(news)
 }
 
-// Since returns the items, removed ones too, that changed after the revision, and the revision up to which the mirror
-// is complete.
+// Since returns the items, removed ones too, whose meaning changed after the revision, and the revision up to which the
+// mirror is complete.
 func (m *Mirror) Since(after uint64) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := Batch{At: m.complete}
 	for _, item := range m.items {
-		if item.Revision > after {
-			b.Items = append(b.Items, item)
+		if item.meant > after {
+			b.Items = append(b.Items, item.Item)
 		}
 	}
 	return b
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -15,10 +15,38 @@
 
 func item(key string, revision uint64) Item { return Item{Key: key, Revision: revision} }
 
+// newMirror returns a mirror in which values that begin with the same byte mean the same.
+func newMirror(prefix string, changed func([]Item)) *Mirror {
+	same := func(before, now Item) bool {
+		return len(before.Value) > 0 && len(now.Value) > 0 && before.Value[0] == now.Value[0]
+	}
+	return NewMirror(prefix, same, clockwork.NewFakeClock(), changed)
+}
+
+func TestWhatMeansTheSameIsNotTold(t *testing.T) {
+	is := is.New(t)
+	told := 0
+	m := newMirror("a/", func(items []Item) { told += len(items) })
+	beat := func(revision uint64, value string) {
+		m.Merge(revision-1, Batch{Items: []Item{{Key: "a/x", Value: []byte(value), Revision: revision}}, At: revision})
+	}
+	m.Replace(Batch{At: 1})
+	beat(2, "r1")
+	beat(3, "r2")
+	beat(4, "r3")
+	is.Equal(told, 1)
+	is.Equal(len(m.Since(2).Items), 0) // who knows revision 2 knows what 4 means
+	is.Equal(m.Since(2).At, uint64(4))
+	is.Equal(len(m.Since(1).Items), 1)
+	beat(5, "d1")
+	is.Equal(told, 2)
+	is.Equal(len(m.Since(4).Items), 1)
+}
+
 func TestAMirrorNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	var seen []Item
-	m := NewMirror("a/", func(items []Item) { seen = append(seen, items...) })
+	m := newMirror("a/", func(items []Item) { seen = append(seen, items...) })
 	m.Replace(Batch{Items: []Item{item("a/x", 5), item("a/y", 6)}, At: 9})
 	is.Equal(m.Complete(), uint64(9))
 	is.Equal(m.Merge(9, Batch{Items: []Item{item("a/x", 4)}, At: 9}), 0) // older revision
@@ -30,7 +58,7 @@
 
 func TestAListOlderThanAnItemDoesNotRemoveIt(t *testing.T) {
 	is := is.New(t)
-	m := NewMirror("a/", func([]Item) {})
+	m := newMirror("a/", func([]Item) {})
 	m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 5})
 	m.Merge(5, Batch{Items: []Item{item("a/new", 12)}, At: 12})
 	is.Equal(m.Replace(Batch{Items: []Item{item("a/x", 5)}, At: 10}), 0)
@@ -39,7 +67,7 @@
 
 func TestAGapDoesNotCountAsComplete(t *testing.T) {
 	is := is.New(t)
-	m := NewMirror("a/", func([]Item) {})
+	m := newMirror("a/", func([]Item) {})
 	m.Replace(Batch{At: 5})
 	m.Merge(8, Batch{Items: []Item{item("a/z", 9)}, At: 9}) // changes 6 to 8 are missing
 	is.Equal(m.Complete(), uint64(5))
@@ -57,7 +85,7 @@
 			history[i] = Item{Key: key, Revision: uint64(i + 1), Removed: rapid.Bool().Draw(t, "removed")}
 			newest[key] = history[i]
 		}
-		m := NewMirror("k", func([]Item) {})
+		m := newMirror("k", func([]Item) {})
 		for range rapid.IntRange(0, 30).Draw(t, "messages") {
 			from := rapid.IntRange(0, len(history)).Draw(t, "from")
 			to := rapid.IntRange(from, len(history)).Draw(t, "to")
@@ -103,12 +131,12 @@
 
 func TestAReaderListsAgainAfterLostHistoryAndReportsOutages(t *testing.T) {
 	is := is.New(t)
-	lost, regained := 0, 0
+	lost, regained, watching := 0, 0, true
 	source := &scripted{}
-	m := NewMirror("a/", func([]Item) {})
+	m := newMirror("a/", func([]Item) {})
 	r := NewReader(ReaderOptions{
 		Source: source, Mirror: m, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Lost: func() { lost++ }, Regained: func() { regained++ },
+		Watching: func() bool { return watching }, Lost: func() { lost++ }, Regained: func() { regained++ },
 	})
 	source.steps = []func(bool, uint64) (Batch, error){
 		func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down") },
@@ -124,4 +152,11 @@
 	is.True(m.Since(0).Items[0].Removed)
 	is.Equal(lost, 1)
 	is.Equal(regained, 1)
+	source.steps = append(source.steps, func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down again") })
+	r.step(context.Background())
+	is.Equal(lost, 2)
+	watching = false
+	is.Equal(r.step(context.Background()), idlePause)
+	is.Equal(len(source.calls), 5) // no call while others read
+	is.Equal(regained, 2)          // others have news, so the outage is over
 }
