--- a/cmd/oriole-router/main.go
+++ b/cmd/oriole-router/main.go
@@ -2,12 +2,15 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/gateway"
 	"github.com/orioleusher/orioleusher/internal/logging"
@@ -70,17 +73,37 @@
 		Source: platform.NewStore(s.StoreAddress, gateway.Transport(pool)), Decode: platform.Decode, Same: platform.Same, Codec: platform.Codec{},
 		Prefix: platform.Prefix,
 	}, pool, clock, log)
+	go followSettings(opts.Settings, g, log)
+	return g.Run(process.SignalContext())
+}
+
+// settingsInterval is how often the settings file is read again: it may change without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings takes over changes of the settings file, at a SIGHUP and without one.
+func followSettings(file string, g *gateway.Gateway, log zerolog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			var next settings.Direct
-			if err := settings.Load(opts.Settings, &next); err != nil {
-				log.Error().Str("event", "reload-failed").Err(err).Send()
-				continue
-			}
+	before, err := os.ReadFile(file)
+	for {
+		if err != nil {
+			log.Error().Str("event", "reload-failed").Err(err).Send()
+		}
+		asked := false
+		select {
+		case <-hangups:
+			asked = true
+		case <-time.After(settingsInterval):
+		}
+		var now []byte
+		now, err = os.ReadFile(file)
+		if err != nil || !asked && bytes.Equal(now, before) {
+			continue
+		}
+		before = now
+		var next settings.Direct
+		if err = settings.Load(file, &next); err == nil {
 			g.Reload(&next)
 		}
-	}()
-	return g.Run(process.SignalContext())
+	}
 }
--- /dev/null
+++ b/cmd/oriole-router/main_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/orioleusher/orioleusher/internal/gateway"
+	"github.com/orioleusher/orioleusher/internal/logging"
+	"github.com/orioleusher/orioleusher/internal/settings"
+	"github.com/orioleusher/orioleusher/platform"
+)
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
+func TestAHangupReadsTheSettingsAgain(t *testing.T) {
+	raw, err := os.ReadFile("../../internal/settings/testdata/direct.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "router.json")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(raw))
+	var s settings.Direct
+	if err := settings.Load(file, &s); err != nil {
+		t.Fatal(err)
+	}
+	out := &lockedBuffer{}
+	log := logging.New(out, "info", "test")
+	clock := clockwork.NewRealClock()
+	// The test must not end by a hangup that comes before followSettings listens.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	g := gateway.New(&s, gateway.Adapter{Decode: platform.Decode, Same: platform.Same, Codec: platform.Codec{}},
+		gateway.Pool(&s, clock), clock, log)
+	go followSettings(file, g, log)
+	wait := func(text string) {
+		for !strings.Contains(out.String(), text) {
+			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	wait("event=reloaded")
+	write("{")
+	wait("event=reload-failed")
+	write(strings.Replace(string(raw), "10.2.0.29:8229", "10.9.9.9:8229", 1))
+	wait("10.9.9.9:8229")
+}
