--- /dev/null
+++ b/internal/fleet/digest.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+func encodeMirror(after uint64, b published.Batch) *fleetpb.Mirror {
+	m := &fleetpb.Mirror{Complete: b.At, After: after}
+	for _, item := range b.Items {
+		m.Items = append(m.Items, &fleetpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+	}
+	return m
+}
+
+// tenths is the unit of loads between hosts.
+const tenths = 10
+
+// hundredths is the unit of shares of failures between hosts.
+const hundredths = 100
+
+func encodeLoads(reports []balance.Report) *fleetpb.Loads {
+	l := &fleetpb.Loads{}
+	for _, r := range reports {
+		l.Upstream = append(l.Upstream, r.Upstream)
+		l.LoadTenths = append(l.LoadTenths, uint32(max(0, r.Load*tenths)))
+		l.AgeMs = append(l.AgeMs, uint32(r.Age.Milliseconds()))
+		l.FailedHundredths = append(l.FailedHundredths, uint32(max(0, r.Failures*hundredths)))
+	}
+	return l
+}
+
+func decodeLoads(l *fleetpb.Loads) []balance.Report {
+	n := min(len(l.GetUpstream()), len(l.GetLoadTenths()), len(l.GetAgeMs()), len(l.GetFailedHundredths()))
+	reports := make([]balance.Report, n)
+	for i := range reports {
+		reports[i] = balance.Report{
+			Upstream: l.GetUpstream()[i], Load: float64(l.GetLoadTenths()[i]) / tenths,
+			Failures: float64(l.GetFailedHundredths()[i]) / hundredths, Age: time.Duration(l.GetAgeMs()[i]) * time.Millisecond,
+		}
+	}
+	return reports
+}
+
+// digest returns what this host tells in a round: hosts, and how far it knows the published items.
+func (f *Fleet) digest() *fleetpb.Digest {
+	complete := f.Mirror.Complete()
+	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}, Loads: encodeLoads(f.Loads.Reports())}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.Sender = &fleetpb.Host{Address: f.Self, DataCentre: f.DataCentre, Incarnation: f.Incarnation, Leaving: f.leaving}
+	for address, m := range f.members {
+		if len(d.Hosts) == maxHosts {
+			break // the order of a map differs each time
+		}
+		d.Hosts = append(d.Hosts, &fleetpb.Host{
+			Address: address, DataCentre: m.dataCentre, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
+		})
+	}
+	return d
+}
+
+func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
+	if len(theirs.GetItems()) == 0 {
+		return
+	}
+	b := published.Batch{At: theirs.GetComplete()}
+	for _, item := range theirs.GetItems() {
+		b.Items = append(b.Items, published.Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
+		})
+	}
+	if changed := f.Mirror.Merge(theirs.GetAfter(), b); changed > 0 {
+		f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Int("changed", changed).
+			Uint64("complete", f.Mirror.Complete()).Send()
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
-	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/published"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
@@ -156,62 +154,6 @@
 	return answer, nil
 }
 
-func encodeMirror(after uint64, b published.Batch) *fleetpb.Mirror {
-	m := &fleetpb.Mirror{Complete: b.At, After: after}
-	for _, item := range b.Items {
-		m.Items = append(m.Items, &fleetpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
-	}
-	return m
-}
-
-// tenths is the unit of loads between hosts.
-const tenths = 10
-
-// hundredths is the unit of shares of failures between hosts.
-const hundredths = 100
-
-func encodeLoads(reports []balance.Report) *fleetpb.Loads {
-	l := &fleetpb.Loads{}
-	for _, r := range reports {
-		l.Upstream = append(l.Upstream, r.Upstream)
-		l.LoadTenths = append(l.LoadTenths, uint32(max(0, r.Load*tenths)))
-		l.AgeMs = append(l.AgeMs, uint32(r.Age.Milliseconds()))
-		l.FailedHundredths = append(l.FailedHundredths, uint32(max(0, r.Failures*hundredths)))
-	}
-	return l
-}
-
-func decodeLoads(l *fleetpb.Loads) []balance.Report {
-	n := min(len(l.GetUpstream()), len(l.GetLoadTenths()), len(l.GetAgeMs()), len(l.GetFailedHundredths()))
-	reports := make([]balance.Report, n)
-	for i := range reports {
-		reports[i] = balance.Report{
-			Upstream: l.GetUpstream()[i], Load: float64(l.GetLoadTenths()[i]) / tenths,
-			Failures: float64(l.GetFailedHundredths()[i]) / hundredths, Age: time.Duration(l.GetAgeMs()[i]) * time.Millisecond,
-		}
-	}
-	return reports
-}
-
-// digest returns what this host tells in a round: hosts, and how far it knows the published items.
-func (f *Fleet) digest() *fleetpb.Digest {
-	complete := f.Mirror.Complete()
-	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}, Loads: encodeLoads(f.Loads.Reports())}
-	now := f.Clock.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	d.Sender = &fleetpb.Host{Address: f.Self, DataCentre: f.DataCentre, Incarnation: f.Incarnation, Leaving: f.leaving}
-	for address, m := range f.members {
-		if len(d.Hosts) == maxHosts {
-			break // the order of a map differs each time
-		}
-		d.Hosts = append(d.Hosts, &fleetpb.Host{
-			Address: address, DataCentre: m.dataCentre, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
-		})
-	}
-	return d
-}
-
 // merge takes a digest: its sender was heard of now, its hosts as long ago as it says.
 func (f *Fleet) merge(d *fleetpb.Digest) {
 	f.mergeMirror(d.GetSender().GetAddress(), d.GetMirror())
@@ -232,22 +174,6 @@
 	}
 }
 
-func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
-	if len(theirs.GetItems()) == 0 {
-		return
-	}
-	b := published.Batch{At: theirs.GetComplete()}
-	for _, item := range theirs.GetItems() {
-		b.Items = append(b.Items, published.Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
-		})
-	}
-	if changed := f.Mirror.Merge(theirs.GetAfter(), b); changed > 0 {
-		f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Int("changed", changed).
-			Uint64("complete", f.Mirror.Complete()).Send()
-	}
-}
-
 // hear notes that a host was heard of; the caller holds mu.
 func (f *Fleet) hear(h *fleetpb.Host, at time.Time) {
 	address := h.GetAddress()
@@ -287,64 +213,6 @@
 	f.Log.Warn().Str("event", "peer-lost").Str("peer", address).Dur("heard_ago_ms", f.Clock.Since(m.heard)).Err(err).Send()
 }
 
-// pick returns the host to ask next: mostly one of those that read the store for this data centre, if this host does
-// not, and else a random one that answered last time; a seed if none is known, and now and then anyway.
-func (f *Fleet) pick() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.Rand.IntN(elsewhereEvery) != 0 {
-		if readers := f.readers(); len(readers) > 0 && !slices.Contains(readers, f.Self) {
-			return readers[f.Rand.IntN(len(readers))]
-		}
-	}
-	var known []string
-	for address, m := range f.members {
-		if !m.lost || f.Rand.IntN(lostEvery) == 0 {
-			known = append(known, address)
-		}
-	}
-	if len(known) == 0 || f.Rand.IntN(seedEvery) == 0 {
-		for _, seed := range f.seeds {
-			if seed != f.Self {
-				known = append(known, seed)
-			}
-		}
-	}
-	if len(known) == 0 {
-		return ""
-	}
-	slices.Sort(known) // the order of a map is not that of a seed
-	return known[f.Rand.IntN(len(known))]
-}
-
-// readers returns the hosts that read the store for this data centre, as this host sees it: the first few that live, in
-// a rendezvous order on which those that know each other agree. The caller holds mu.
-func (f *Fleet) readers() []string {
-	list := []string{}
-	if !f.leaving {
-		list = append(list, f.Self)
-	}
-	now := f.Clock.Now()
-	for address, m := range f.members {
-		if m.dataCentre == f.DataCentre && !m.lost && !m.leaving && now.Sub(m.heard) < readerSilence {
-			list = append(list, address)
-		}
-	}
-	loadbalancer.Order(loadbalancer.HashKey("store-readers"), list)
-	return list[:min(len(list), readersPerDataCentre)]
-}
-
-// Watching reports whether this host reads the store itself: if it is one of the readers of its data centre, or if it
-// has heard of nothing new for a while, whatever the others do. Upstreams publish themselves all the time.
-func (f *Fleet) Watching() bool {
-	if f.Clock.Since(f.Mirror.Advanced()) > staleAfter {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Contains(f.readers(), f.Self)
-}
-
 // SetSeeds replaces the seeds after a change of the settings.
 func (f *Fleet) SetSeeds(seeds []string) {
 	f.mu.Lock()
@@ -359,27 +227,6 @@
 	f.leaving = true
 }
 
-// Split implements allowance.Hosts.
-func (f *Fleet) Split() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return max(f.Floor, len(f.members)+1)
-}
-
-// Chosen implements allowance.Hosts.
-func (f *Fleet) Chosen(key uint64, n int) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	own := loadbalancer.Score(key, f.Self)
-	before := 0
-	for address := range f.members {
-		if loadbalancer.Score(key, address) > own {
-			before++
-		}
-	}
-	return before < n
-}
-
 // HostState is a host's line in the state dump.
 type HostState struct {
 	Address  string        `json:"address"`
