Requests that upstreams died of are held back, over all hosts

Change: an answer that breaks, and a refused connection to that upstream 30 ms later, is a strike of the request's content (team, path, body); strikes travel between hosts; three within a minute hold the request back (503, not run), any success of the same content clears it. internal/quarantine serves both ways of sending, with limits of their own.

Ruled out: two strikes, as with owners: a broken answer and a refused connection are less certain than an owner's own sight.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -20,6 +20,7 @@
 const (
 	stepAdmit    = "admit"
 	stepReceive  = "receive"
+	stepHold     = "hold"
 	stepDispatch = "dispatch"
 )
 
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -192,6 +192,7 @@
 		return d.unknown(x, "over", "the time is over", key, cause)
 	default:
 		d.table.Broke(u, err)
+		d.deaths.broke(u, x.fingerprint)
 		d.pool.Forget(key.Address)
 		return d.unknown(x, "no-answer", "the upstream did not answer", key, err)
 	}
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
 // filters is what a caller's request passes, in this order.
@@ -15,9 +17,12 @@
 		&admit{store: s.Store, clock: s.Clock},
 		&deadline{clock: s.Clock},
 		body,
+		&hold{table: s.Quarantine},
 		&dispatch{
 			store: s.Store, table: s.Table, retries: s.Retries, cold: s.Cold, pool: s.Pool, codec: s.Codec, clock: s.Clock,
-			log: s.Log, metrics: newMetrics(s.Scope),
+			log: s.Log, metrics: newMetrics(s.Scope), deaths: &deaths{
+				table: s.Quarantine, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, running: map[catalog.UpstreamKey][]uint64{},
+			},
 		},
 	}
 }
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -42,6 +42,7 @@
 	clock   clockwork.Clock
 	log     zerolog.Logger
 	metrics metrics
+	deaths  *deaths
 }
 
 type metrics struct {
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -240,7 +241,9 @@
 	revision uint64
 	config   *catalog.Config
 	server   *Server
-	front    *httptest.Server
+	// quarantine is the server's table of strikes.
+	quarantine *quarantine.Table
+	front      *httptest.Server
 }
 
 type oneHost struct{}
@@ -264,6 +267,7 @@
 	h := &harness{upstreams: &upstreams{t: t, script: script}}
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	h.store = catalog.NewStore(h.decode, clock, log)
+	h.quarantine = quarantine.NewTable(StrikeLimits, clock, nil)
 	h.config = &catalog.Config{
 		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
 		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
@@ -285,7 +289,7 @@
 func (h *harness) serve(bounds allowance.RetryBounds, bodyBytes int64) {
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	h.server = New(Options{
-		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{},
+		Store: h.store, Table: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{}, Quarantine: h.quarantine,
 		Retries: allowance.NewRetries(bounds, oneHost{}), Cold: allowance.NewCold(allowance.ColdBounds{Overage: 1}, oneHost{}, clockwork.NewFakeClock()),
 		BodyBytes: bodyBytes, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -31,7 +31,7 @@
 		return d.broken(ctx, x, u, err)
 	}
 	release(true)
-	failed := resp.StatusCode >= http.StatusInternalServerError
+	failed := resp.StatusCode >= failedStatus
 	d.table.Ended(u, failed)
 	w := &whole{status: resp.StatusCode, header: resp.Header, body: body}
 	x.runs++
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -29,6 +29,8 @@
 	Route   *catalog.Route
 	Team    *catalog.Team
 	Service string
+	// fingerprint identifies the request's content.
+	fingerprint uint64
 
 	// tried are the upstreams to which the request was sent.
 	tried []catalog.UpstreamKey
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -16,6 +16,7 @@
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -27,6 +28,8 @@
 	Cold    *allowance.Cold
 	Pool    *upconn.Pool
 	Codec   Codec
+	// Quarantine counts the upstreams that died of a request.
+	Quarantine *quarantine.Table
 	// BodyBytes bounds the bodies of all requests in flight together.
 	BodyBytes int64
 	Clock     clockwork.Clock
--- a/internal/direct/trail.go
+++ b/internal/direct/trail.go
@@ -18,6 +18,9 @@
 // the request's ID. All others are logged.
 const servedSample = 64
 
+// failedStatus is the first status by which an upstream says that it failed.
+const failedStatus = http.StatusInternalServerError
+
 // step is one send of a request: what decided on the upstream, and what came of it.
 type step struct {
 	upstream   string
@@ -66,7 +69,7 @@
 // failure of its upstream, a sample otherwise.
 func (s *Server) logServed(x *Request, took time.Duration) {
 	late := x.Route.Kind != catalog.Stream && took > x.Route.Objective || x.out.first > x.Route.Objective
-	if !late && len(x.trail) == 1 && x.out.status < http.StatusInternalServerError && loadbalancer.HashKey(x.ID)%servedSample != 0 {
+	if !late && len(x.trail) == 1 && x.out.status < failedStatus && loadbalancer.HashKey(x.ID)%servedSample != 0 {
 		return
 	}
 	s.Log.Info().Str("event", "served").Func(s.describe(x, took)).Bool("late", late).Int("status", x.out.status).Send()
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
@@ -45,11 +46,29 @@
 	return reports
 }
 
+func encodeStrikes(strikes []quarantine.Strike, now time.Time) []*fleetpb.Strike {
+	list := make([]*fleetpb.Strike, len(strikes))
+	for i, s := range strikes {
+		list[i] = &fleetpb.Strike{Fingerprint: s.Fingerprint, Upstream: s.Upstream, AgeMs: uint32(max(0, now.Sub(s.At).Milliseconds()))}
+	}
+	return list
+}
+
+func decodeStrikes(list []*fleetpb.Strike, now time.Time) []quarantine.Strike {
+	strikes := make([]quarantine.Strike, len(list))
+	for i, s := range list {
+		age := time.Duration(s.GetAgeMs()) * time.Millisecond
+		strikes[i] = quarantine.Strike{Fingerprint: s.GetFingerprint(), Upstream: s.GetUpstream(), At: now.Add(-age)}
+	}
+	return strikes
+}
+
 // digest returns what this host tells in a round: hosts, and how far it knows the published items.
 func (f *Fleet) digest() *fleetpb.Digest {
 	complete := f.Mirror.Complete()
 	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}, Loads: encodeLoads(f.Loads.Reports())}
 	now := f.Clock.Now()
+	d.Strikes = encodeStrikes(f.Strikes.Recent(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d.Sender = &fleetpb.Host{Address: f.Self, DataCentre: f.DataCentre, Incarnation: f.Incarnation, Leaving: f.leaving}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
@@ -54,6 +55,12 @@
 	Hear([]balance.Report)
 }
 
+// Strikes holds the deaths of upstreams that hosts pass on to each other.
+type Strikes interface {
+	Recent() []quarantine.Strike
+	Take([]quarantine.Strike)
+}
+
 // maxHosts bounds the hosts in one message; of more, each message has others.
 const maxHosts = 32
 
@@ -69,6 +76,7 @@
 	Interval time.Duration
 	Mirror   *published.Mirror
 	Loads    Loads
+	Strikes  Strikes
 	// StoreLost reports whether the store does not answer this host.
 	StoreLost func() bool
 	Transport http.RoundTripper
@@ -159,6 +167,7 @@
 	f.mergeMirror(d.GetSender().GetAddress(), d.GetMirror())
 	f.Loads.Hear(decodeLoads(d.GetLoads()))
 	now := f.Clock.Now()
+	f.Strikes.Take(decodeStrikes(d.GetStrikes(), now))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hear(d.GetSender(), now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
@@ -30,9 +31,10 @@
 
 type testHost struct {
 	*Fleet
-	mirror *published.Mirror
-	loads  *fakeLoads
-	server *http.Server
+	mirror  *published.Mirror
+	loads   *fakeLoads
+	strikes *quarantine.Table
+	server  *http.Server
 }
 
 // startHost serves a host on a free port.
@@ -42,9 +44,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, clock, func([]published.Item) {}), loads: &fakeLoads{}}
+	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, clock, func([]published.Item) {}), loads: &fakeLoads{},
+		strikes: quarantine.NewTable(quarantine.Limits{Strikes: 2, Lifetime: time.Minute}, clock, nil)}
 	h.Fleet = New(Options{
-		Self: l.Addr().String(), DataCentre: "a", Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads,
+		Self: l.Addr().String(), DataCentre: "a", Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
 		StoreLost: func() bool { return false }, Transport: &http.Transport{}, Clock: clock,
 		Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
@@ -89,10 +92,14 @@
 	knows.mirror.Replace(list)
 	knows.mirror.Merge(5, published.Batch{Items: []published.Item{{Key: "k", Revision: 8, Removed: true}}, At: 9})
 	knows.loads.own = []balance.Report{{Upstream: 7, Load: 2.5, Age: 300 * time.Millisecond}}
+	knows.strikes.Strike(11, "u1")
+	knows.strikes.Strike(11, "u2")
 	away.Round(context.Background())
 	is.Equal(away.mirror.Complete(), uint64(9))
 	is.True(away.mirror.Since(5).Items[0].Removed)
 	is.Equal(away.loads.heard, knows.loads.own)
+	verdict, _ := away.strikes.Check(11)
+	is.Equal(verdict, quarantine.Held)
 }
 
 func TestAnAnswerHoldsOnlyWhatTheOtherLacks(t *testing.T) {
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -8,6 +8,7 @@
 	"github.com/orioleusher/orioleusher/internal/admin"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/fleet"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
@@ -43,23 +44,26 @@
 func (g *Gateway) peerHandler() http.Handler { return fleetpb.NewFleetServer(g.fleet) }
 
 func (g *Gateway) adminHandler() http.Handler {
-	return admin.Handler(admin.Source{Ready: g.ready, State: func() any { return g.State() }, Metrics: g.metrics.Handler})
+	return admin.Handler(admin.Source{
+		Ready: g.ready, State: func() any { return g.State() }, Metrics: g.metrics.Handler, Lift: g.strikes.Lift,
+	})
 }
 
 // State is the process's state dump.
 type State struct {
-	Name           string                  `json:"name"`
-	DataCentre     string                  `json:"data_centre"`
-	Incarnation    uint64                  `json:"incarnation"`
-	Time           time.Time               `json:"time"`
-	NotReady       string                  `json:"not_ready,omitempty"`
-	Version        uint64                  `json:"config_version"`
-	ConfigRevision uint64                  `json:"config_revision"`
-	Out            map[string]bool         `json:"data_centres_out"`
-	Complete       uint64                  `json:"complete_revision"`
-	InFlight       int64                   `json:"requests_in_flight"`
-	Hosts          []fleet.HostState       `json:"hosts"`
-	Upstreams      []balance.UpstreamState `json:"upstreams"`
+	Name           string                        `json:"name"`
+	DataCentre     string                        `json:"data_centre"`
+	Incarnation    uint64                        `json:"incarnation"`
+	Time           time.Time                     `json:"time"`
+	NotReady       string                        `json:"not_ready,omitempty"`
+	Version        uint64                        `json:"config_version"`
+	ConfigRevision uint64                        `json:"config_revision"`
+	Out            map[string]bool               `json:"data_centres_out"`
+	Complete       uint64                        `json:"complete_revision"`
+	InFlight       int64                         `json:"requests_in_flight"`
+	Hosts          []fleet.HostState             `json:"hosts"`
+	Upstreams      []balance.UpstreamState       `json:"upstreams"`
+	Quarantine     []quarantine.FingerprintState `json:"quarantine"`
 }
 
 // State returns a copy of the state of every part.
@@ -69,6 +73,7 @@
 		Name: g.settings.Name, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Time: g.clock.Now(),
 		NotReady: g.ready(), ConfigRevision: snap.ConfigRevision, Out: snap.Out, Complete: g.mirror.Complete(),
 		InFlight: g.server.InFlight(), Hosts: g.fleet.State(), Upstreams: g.table.State(),
+		Quarantine: g.strikes.State(),
 	}
 	if snap.Config != nil {
 		s.Version = snap.Config.Version
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/orioleusher/orioleusher/internal/metrics"
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
@@ -77,6 +78,7 @@
 	table    *balance.Table
 	pool     *upconn.Pool
 	server   *direct.Server
+	strikes  *quarantine.Table
 	stopping atomic.Bool
 }
 
@@ -99,6 +101,7 @@
 	}
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
+	g.strikes = quarantine.NewTable(direct.StrikeLimits, clock, nil)
 	g.mirror = published.NewMirror(a.Prefix, a.Same, clock, g.store.Apply)
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
@@ -112,7 +115,7 @@
 func (g *Gateway) newFleet() *fleet.Fleet {
 	return fleet.New(fleet.Options{
 		Self: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
-		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror, Loads: g.table,
+		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror, Loads: g.table, Strikes: g.strikes,
 		StoreLost: func() bool { return g.reader.Failing() }, Transport: Transport(g.pool),
 		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
 	})
@@ -121,7 +124,7 @@
 func (g *Gateway) newServer(a Adapter) *direct.Server {
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
-		Store: g.store, Table: g.table, Pool: g.pool, Codec: a.Codec,
+		Store: g.store, Table: g.table, Pool: g.pool, Codec: a.Codec, Quarantine: g.strikes,
 		Retries:   allowance.NewRetries(allowance.RetryBounds{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Cold:      allowance.NewCold(allowance.ColdBounds{Overage: c.Overage, Slack: c.Slack}, g.fleet, g.clock),
 		BodyBytes: int64(bodyPart * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,11 +16,18 @@
 	"github.com/orioleusher/orioleusher/internal/rpc/gossippb"
 )
 
+// Limits say when strikes hold a fingerprint back.
+type Limits struct {
+	// Strikes is the number of strikes that hold a fingerprint back.
+	Strikes int
+	// Lifetime is how long a strike counts.
+	Lifetime time.Duration
+}
+
+// DefaultLimits are those of a fleet with owners, which knows each death for certain.
+var DefaultLimits = Limits{Strikes: 2, Lifetime: 10 * time.Minute}
+
 const (
-	// holdStrikes is the number of strikes that hold a fingerprint back.
-	holdStrikes = 2
-	// strikeLifetime is how long a strike counts.
-	strikeLifetime = 10 * time.Minute
 	// maxStrikes bounds the table; the oldest strikes go first.
 	maxStrikes = 10000
 	// sameDeath is the time within which strikes of one fingerprint on one upstream are the same death, seen twice.
@@ -51,6 +59,7 @@
 
 // Table holds the strikes that this host knows of. It is safe for concurrent use.
 type Table struct {
+	limits Limits
 	clock  clockwork.Clock
 	notify func()
 
@@ -62,12 +71,12 @@
 }
 
 // NewTable returns an empty table. Notify is called after each strike that is new to this host; it may be nil.
-func NewTable(clock clockwork.Clock, notify func()) *Table {
+func NewTable(limits Limits, clock clockwork.Clock, notify func()) *Table {
 	if notify == nil {
 		notify = func() {}
 	}
 	return &Table{
-		clock: clock, notify: notify, counts: map[uint64]int{}, lifted: map[uint64]time.Time{},
+		limits: limits, clock: clock, notify: notify, counts: map[uint64]int{}, lifted: map[uint64]time.Time{},
 	}
 }
 
@@ -89,14 +98,14 @@
 	switch n := t.counts[fingerprint]; {
 	case n == 0:
 		return Clear, 0
-	case n < holdStrikes:
+	case n < t.limits.Strikes:
 		return Suspect, 0
 	default:
 		return Held, t.heldFor(fingerprint, now)
 	}
 }
 
-// heldFor returns the time until fewer than holdStrikes strikes are left. The caller holds mu.
+// heldFor returns the time until fewer strikes are left than hold it. The caller holds mu.
 func (t *Table) heldFor(fingerprint uint64, now time.Time) time.Duration {
 	left := t.counts[fingerprint]
 	for _, s := range t.strikes {
@@ -104,8 +113,8 @@
 			continue
 		}
 		left--
-		if left < holdStrikes {
-			return s.At.Add(strikeLifetime).Sub(now)
+		if left < t.limits.Strikes {
+			return s.At.Add(t.limits.Lifetime).Sub(now)
 		}
 	}
 	return 0
@@ -128,7 +137,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.expire(now)
-	if now.Sub(s.At) >= strikeLifetime || t.isLifted(s) || t.known(s) {
+	if now.Sub(s.At) >= t.limits.Lifetime || t.isLifted(s) || t.known(s) {
 		return false
 	}
 	i := len(t.strikes)
@@ -164,11 +173,11 @@
 }
 
 func (t *Table) expire(now time.Time) {
-	for len(t.strikes) > 0 && now.Sub(t.strikes[0].At) >= strikeLifetime {
+	for len(t.strikes) > 0 && now.Sub(t.strikes[0].At) >= t.limits.Lifetime {
 		t.dropOldest()
 	}
 	for fingerprint, at := range t.lifted {
-		if now.Sub(at) >= strikeLifetime {
+		if now.Sub(at) >= t.limits.Lifetime {
 			delete(t.lifted, fingerprint)
 		}
 	}
@@ -203,20 +212,32 @@
 	t.strikes = kept
 }
 
-// Fill implements peers.Extension.
-func (t *Table) Fill(d *gossippb.Digest) {
+// Recent returns the newest strikes, a few, to be passed on.
+func (t *Table) Recent() []Strike {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(t.clock.Now())
+	return slices.Clone(t.strikes[max(0, len(t.strikes)-digestStrikes):])
+}
+
+// Take takes in strikes that others know of. One that is new is passed on at once.
+func (t *Table) Take(strikes []Strike) {
+	for _, s := range strikes {
+		t.merge(s)
+	}
+}
+
+// Fill implements peers.Extension.
+func (t *Table) Fill(d *gossippb.Digest) {
 	now := t.clock.Now()
-	t.expire(now)
-	for _, s := range t.strikes[max(0, len(t.strikes)-digestStrikes):] {
+	for _, s := range t.Recent() {
 		d.Strikes = append(d.Strikes, &gossippb.Strike{
 			Fingerprint: s.Fingerprint, Upstream: s.Upstream, AgeMs: uint32(max(0, now.Sub(s.At).Milliseconds())),
 		})
 	}
 }
 
-// Merge implements peers.Extension. A strike that is new is passed on at once.
+// Merge implements peers.Extension.
 func (t *Table) Merge(d *gossippb.Digest) {
 	now := t.clock.Now()
 	for _, s := range d.Strikes {
@@ -239,7 +260,7 @@
 	t.expire(t.clock.Now())
 	states := make([]FingerprintState, 0, len(t.counts))
 	for fingerprint, n := range t.counts {
-		states = append(states, FingerprintState{Fingerprint: fingerprint, Strikes: n, Held: n >= holdStrikes})
+		states = append(states, FingerprintState{Fingerprint: fingerprint, Strikes: n, Held: n >= t.limits.Strikes})
 	}
 	return states
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,14 +30,14 @@
 		{"one death seen twice", []strike{{0, "a"}, {time.Second, "a"}}, 0, Suspect},
 		{"two deaths of one upstream", []strike{{0, "a"}, {time.Minute, "a"}}, 0, Held},
 		{"deaths of two upstreams at once", []strike{{0, "a"}, {0, "b"}}, 0, Held},
-		{"one strike too old", []strike{{0, "a"}, {time.Minute, "b"}}, strikeLifetime - time.Minute, Suspect},
-		{"both strikes too old", []strike{{0, "a"}, {time.Minute, "b"}}, strikeLifetime, Clear},
+		{"one strike too old", []strike{{0, "a"}, {time.Minute, "b"}}, DefaultLimits.Lifetime - time.Minute, Suspect},
+		{"both strikes too old", []strike{{0, "a"}, {time.Minute, "b"}}, DefaultLimits.Lifetime, Clear},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			clock := clockwork.NewFakeClock()
-			table := NewTable(clock, nil)
+			table := NewTable(DefaultLimits, clock, nil)
 			for _, s := range tt.strikes {
 				clock.Advance(s.after)
 				table.Strike(fingerprint, s.upstream)
@@ -54,20 +54,20 @@
 func TestHeldUntilTheFirstStrikeIsTooOld(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	table := NewTable(clock, nil)
+	table := NewTable(DefaultLimits, clock, nil)
 	table.Strike(fingerprint, "a")
 	clock.Advance(time.Minute)
 	table.Strike(fingerprint, "b")
 	_, wait := table.Check(fingerprint)
-	is.Equal(wait, strikeLifetime-time.Minute)
+	is.Equal(wait, DefaultLimits.Lifetime-time.Minute)
 }
 
 func TestStrikesTravelOnceHoweverOftenTheyAreHeard(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	heard := 0
-	from := NewTable(clock, nil)
-	to := NewTable(clock, func() { heard++ })
+	from := NewTable(DefaultLimits, clock, nil)
+	to := NewTable(DefaultLimits, clock, func() { heard++ })
 	from.Strike(fingerprint, "a")
 	for range 5 {
 		clock.Advance(time.Second)
@@ -83,8 +83,8 @@
 func TestLiftedStrikesDoNotComeBackByGossip(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	other := NewTable(clock, nil)
-	table := NewTable(clock, nil)
+	other := NewTable(DefaultLimits, clock, nil)
+	table := NewTable(DefaultLimits, clock, nil)
 	other.Strike(fingerprint, "a")
 	other.Strike(fingerprint, "b")
 	var d gossippb.Digest
@@ -104,7 +104,7 @@
 func TestTheTableIsBounded(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	table := NewTable(clock, nil)
+	table := NewTable(DefaultLimits, clock, nil)
 	for i := range uint64(maxStrikes + 10) {
 		clock.Advance(time.Millisecond)
 		table.Strike(i, "a")
@@ -121,10 +121,10 @@
 
 func TestAnOldStrikeOfAPeerIsNotTakenIn(t *testing.T) {
 	is := is.New(t)
-	table := NewTable(clockwork.NewFakeClock(), func() { t.Error("an old strike was passed on") })
+	table := NewTable(DefaultLimits, clockwork.NewFakeClock(), func() { t.Error("an old strike was passed on") })
 	table.Merge(&gossippb.Digest{Strikes: []*gossippb.Strike{
-		{Fingerprint: fingerprint, Upstream: 1, AgeMs: uint32(strikeLifetime.Milliseconds())},
-		{Fingerprint: fingerprint, Upstream: 2, AgeMs: uint32(2 * strikeLifetime.Milliseconds())},
+		{Fingerprint: fingerprint, Upstream: 1, AgeMs: uint32(DefaultLimits.Lifetime.Milliseconds())},
+		{Fingerprint: fingerprint, Upstream: 2, AgeMs: uint32(2 * DefaultLimits.Lifetime.Milliseconds())},
 	}})
 	got, _ := table.Check(fingerprint)
 	is.Equal(got, Clear)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,7 +83,7 @@
 	r.registry = idempotency.NewRegistry(signer, clock)
 	r.planner = routing.NewPlanner(s.RoutingPolicy, s.DataCentre)
 	r.upstreams = r.newUpstreams()
-	r.quarantine = quarantine.NewTable(clock, r.passOn)
+	r.quarantine = quarantine.NewTable(quarantine.DefaultLimits, clock, r.passOn)
 	r.lanes = quarantine.NewLanes()
 	r.prober = transport.NewProber(r.dialer())
 	r.client = transport.NewClient(s.Timeouts, r.dialer(), r.prober, r.scope)
