A request is given up after eight upstreams, and a stream for nobody is not resumed

Cause, found by reading: a failed connection counted as no send, so that a request went round upstreams that all refuse connections until its deadline, without a pause; a write to a caller that failed looked like a broken stream and could be resumed at another upstream.

Tests: TestARequestIsGivenUpWhenNoUpstreamCanBeReached, TestAStreamForNobodyIsNotResumed (both fail on the code before).

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// A stream whose caller no longer takes it does not go on at another upstream.
+func TestAStreamForNobodyIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	x := &Request{Route: &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 3}}
+	is.Equal(x.mayRepeat(result{sent: true}), "")
+	x.out.lost = true
+	is.Equal(x.mayRepeat(result{sent: true}), "caller")
+}
+
 func TestWithoutBudgetNothingIsSentAgain(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, resets, shed)
@@ -341,6 +350,23 @@
 	is.True(got.header.Get("Retry-After") != "")
 }
 
+// A request does not go round and round upstreams that all refuse connections.
+func TestARequestIsGivenUpWhenNoUpstreamCanBeReached(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false)
+	for _, l := range h.listeners {
+		l.Close()
+	}
+	got := h.call(http.MethodGet, "/r/", "")
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+	tries := 0
+	for _, u := range h.server.Table.State() {
+		tries += u.Failures
+	}
+	is.Equal(tries, maxTries)
+}
+
 func TestAReplacedUpstreamIsNotAskedAgain(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Unsafe, false, otherInstance, ok, ok, ok, ok)
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -22,6 +22,8 @@
 const (
 	// maxSends bounds the sends of one request, those that did not run too.
 	maxSends = 5
+	// maxTries bounds the upstreams that are tried for one request, those to which no connection could be made too.
+	maxTries = 8
 	// placeWait is the part of the objective that a request waits for an upstream to take it. Waits up to an eighth of
 	// the objective count as none.
 	placeWait = 8
@@ -112,7 +114,9 @@
 // mayRepeat returns why the request may not be sent again, or "".
 func (x *Request) mayRepeat(res result) string {
 	switch {
-	case x.sends >= maxSends:
+	case x.out.lost:
+		return "caller"
+	case x.sends >= maxSends || len(x.tried) >= maxTries:
 		return "sends"
 	case res.notRun:
 		return ""
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -59,6 +59,7 @@
 			x.out.begin(resp.StatusCode, resp.Header)
 			if writeErr := x.out.write(out); writeErr != nil {
 				release(false)
+				x.out.lost = true
 				return result{sent: true, err: errors.Wrap(writeErr, "send to caller")}
 			}
 		}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -55,6 +55,8 @@
 	begun  bool
 	first  time.Duration
 	status int
+	// lost is set once the caller did not take what it was sent.
+	lost bool
 	// stream follows the events of a stream that may go on at another upstream.
 	stream events.Scanner
 	// kept is a whole answer of an upstream that failed, sent if nothing better comes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -142,10 +141,9 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(g.settings.MemoryMB<<20)))
 	loops, stopLoops := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { g.reader.Run(loops) })
-	wg.Go(func() { g.fleet.Run(loops) })
-	wg.Go(func() { g.sweep(loops) })
+	go g.reader.Run(loops)
+	go g.fleet.Run(loops)
+	go g.sweep(loops)
 	failed := make(chan error, 4)
 	callers := g.server.HTTP()
 	for _, s := range []struct {
