Taken back: a few readers of the store a data centre

While hosts are stopped in turn they disagree about who reads; news then takes two or three steps, and each step counts as fresh, so that no host reads the store itself.

Ruled out: the store (stable), the host (no trouble on it, it answered all the while), the reader's own pause (0.7 s).

Change: every host reads the store again, every 1.2 s. What a heartbeat leaves unchanged is still not told to other hosts.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -71,13 +71,13 @@
 	d.Strikes = encodeStrikes(f.Strikes.Recent(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.Sender = &fleetpb.Host{Address: f.Self, DataCentre: f.DataCentre, Incarnation: f.Incarnation, Leaving: f.leaving}
+	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving}
 	for address, m := range f.members {
 		if len(d.Hosts) == maxHosts {
 			break // the order of a map differs each time
 		}
 		d.Hosts = append(d.Hosts, &fleetpb.Host{
-			Address: address, DataCentre: m.dataCentre, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
+			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
 		})
 	}
 	return d
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,17 +31,6 @@
 	lostInterval = 250 * time.Millisecond
 	// forgetAfter is how long a silent host still counts for the split of bounds, much longer than hosts disagree.
 	forgetAfter = time.Minute
-	// readersPerDataCentre hosts of each data centre read the store; the others hear of changes from them.
-	readersPerDataCentre = 3
-	// readerSilence is the silence after which a host does not count as one of them. In a large fleet a host hears of
-	// each other one every few seconds.
-	readerSilence = 15 * time.Second
-	// staleAfter is how long a host goes without news before it reads the store itself.
-	staleAfter = 2200 * time.Millisecond
-	// elsewhereEvery is the share of rounds of such a host that go to any other host than a reader.
-	elsewhereEvery = 6
-	// hearInterval is the time between two rounds of a host that hears of changes from a reader.
-	hearInterval = 600 * time.Millisecond
 	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
 	// meet again.
 	seedEvery = 8
@@ -68,7 +57,6 @@
 type Options struct {
 	// Self is this host's peer address.
 	Self        string
-	DataCentre  string
 	Incarnation uint64
 	Seeds       []string
 	// Floor is the least number of hosts that share a bound, before others are heard of.
@@ -101,7 +89,6 @@
 
 type member struct {
 	incarnation uint64
-	dataCentre  string
 	heard       time.Time
 	leaving     bool
 	lost        bool
@@ -122,11 +109,8 @@
 	for ctx.Err() == nil {
 		f.Round(ctx)
 		wait := f.Interval
-		switch {
-		case f.StoreLost():
+		if f.StoreLost() {
 			wait = lostInterval
-		case !f.Watching():
-			wait = min(wait, hearInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -198,7 +182,7 @@
 	if at.Before(m.heard) {
 		return
 	}
-	m.heard, m.incarnation, m.leaving, m.dataCentre = at, h.GetIncarnation(), h.GetLeaving(), h.GetDataCentre()
+	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
 }
 
 // noteReached ends the suspicion of a host that answered; what others heard of it does not.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -44,10 +44,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, clock, func([]published.Item) {}), loads: &fakeLoads{},
+	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, func([]published.Item) {}), loads: &fakeLoads{},
 		strikes: quarantine.NewTable(quarantine.Limits{Strikes: 2, Lifetime: time.Minute}, clock, nil)}
 	h.Fleet = New(Options{
-		Self: l.Addr().String(), DataCentre: "a", Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
+		Self: l.Addr().String(), Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
 		StoreLost: func() bool { return false }, Transport: &http.Transport{}, Clock: clock,
 		Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
@@ -117,46 +117,6 @@
 	}
 }
 
-func TestAFewHostsReadTheStoreAndTheOthersHearOfIt(t *testing.T) {
-	is := is.New(t)
-	clock := clockwork.NewFakeClock()
-	seed := startHost(t, clock)
-	hosts := []*testHost{seed}
-	for range 6 {
-		hosts = append(hosts, startHost(t, clock, seed.Self))
-	}
-	for _, h := range hosts {
-		is.True(h.Watching()) // nothing is known yet
-		h.mirror.Replace(published.Batch{At: 1})
-	}
-	rounds := func(n int) {
-		for range n {
-			for _, h := range hosts {
-				h.Round(context.Background())
-			}
-		}
-	}
-	rounds(10)
-	var readers, others []*testHost
-	for _, h := range hosts {
-		if h.Watching() {
-			readers = append(readers, h)
-		} else {
-			others = append(others, h)
-		}
-	}
-	is.Equal(len(readers), readersPerDataCentre)
-	readers[0].mirror.Merge(1, published.Batch{Items: []published.Item{{Key: "k", Revision: 2}}, At: 2})
-	rounds(10)
-	for _, h := range others {
-		is.Equal(h.mirror.Complete(), uint64(2))
-	}
-	clock.Advance(staleAfter + 1)
-	for _, h := range others {
-		is.True(h.Watching()) // no news for a while, whatever the readers do
-	}
-}
-
 func TestASilentHostIsRememberedForTheSplitAndThenForgotten(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,8 @@
 	// a longer silence is a call that the store has lost.
 	changesWait = time.Second
 	// changesPause is the time between two such calls, so that many heartbeats share one. A configuration must be in
-	// force, and a leaving upstream get nothing more, after two seconds, also at hosts that hear of it from another one.
-	changesPause = 700 * time.Millisecond
+	// force, and a leaving upstream get nothing more, after two seconds.
+	changesPause = 1200 * time.Millisecond
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 800 * time.Millisecond
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
@@ -101,11 +101,10 @@
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
 	g.strikes = quarantine.NewTable(direct.StrikeLimits, clock, nil)
-	g.mirror = published.NewMirror(a.Prefix, a.Same, clock, g.store.Apply)
+	g.mirror = published.NewMirror(a.Prefix, a.Same, g.store.Apply)
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
-		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Watching: g.fleet.Watching,
-		Lost: g.store.Outage, Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
+		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Lost: g.store.Outage, Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
 	g.server = g.newServer(a)
 	return g
@@ -113,7 +112,7 @@
 
 func (g *Gateway) newFleet() *fleet.Fleet {
 	return fleet.New(fleet.Options{
-		Self: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
+		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
 		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror, Loads: g.table, Strikes: g.strikes,
 		StoreLost: func() bool { return g.reader.Failing() }, Transport: Transport(g.pool),
 		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
 
@@ -48,7 +47,6 @@
 type Mirror struct {
 	prefix string
 	same   Same
-	clock  clockwork.Clock
 	// changed is called with the items that a merge changed, in no lock of the mirror's, one call at a time.
 	changed func([]Item)
 
@@ -56,9 +54,8 @@
 	applying sync.Mutex
 	mu       sync.Mutex
 	items    map[string]entry
-	// complete is the revision up to which no change is missing; 0 before the first list. It was reached at advanced.
+	// complete is the revision up to which no change is missing; 0 before the first list.
 	complete uint64
-	advanced time.Time
 }
 
 // entry is an item with the revision since which it has meant the same.
@@ -68,8 +65,8 @@
 }
 
 // NewMirror returns an empty mirror that reports changed items.
-func NewMirror(prefix string, same Same, clock clockwork.Clock, changed func([]Item)) *Mirror {
-	return &Mirror{prefix: prefix, same: same, clock: clock, changed: changed, items: map[string]entry{}}
+func NewMirror(prefix string, same Same, changed func([]Item)) *Mirror {
+	return &Mirror{prefix: prefix, same: same, changed: changed, items: map[string]entry{}}
 }
 
 // Prefix returns the prefix of the keys.
@@ -82,20 +79,6 @@
 	return m.complete
 }
 
-// Advanced returns when the mirror last became complete up to a higher revision, the zero time if it never was.
-func (m *Mirror) Advanced() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.advanced
-}
-
-// reach notes that no change up to the revision is missing; the caller holds mu.
-func (m *Mirror) reach(revision uint64) {
-	if revision > m.complete {
-		m.complete, m.advanced = revision, m.clock.Now()
-	}
-}
-
 // Merge takes the changes of the batch, which follow the revision after. If the mirror is complete up to there, it is
 // complete up to the batch's revision afterwards. It returns how many items changed.
 func (m *Mirror) Merge(after uint64, b Batch) int {
@@ -103,7 +86,7 @@
 	defer m.applying.Unlock()
 	return m.merge(b.Items, func() {
 		if m.complete != 0 && m.complete >= after || after == 0 {
-			m.reach(b.At)
+			m.complete = max(m.complete, b.At)
 		}
 	})
 }
@@ -124,7 +107,7 @@
 		}
 	}
 	m.mu.Unlock()
-	return m.merge(items, func() { m.reach(b.At) })
+	return m.merge(items, func() { m.complete = max(m.complete, b.At) })
 }
 
 func (m *Mirror) merge(items []Item, finish func()) int {
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -20,7 +20,7 @@
 	same := func(before, now Item) bool {
 		return len(before.Value) > 0 && len(now.Value) > 0 && before.Value[0] == now.Value[0]
 	}
-	return NewMirror(prefix, same, clockwork.NewFakeClock(), changed)
+	return NewMirror(prefix, same, changed)
 }
 
 func TestWhatMeansTheSameIsNotTold(t *testing.T) {
@@ -131,12 +131,12 @@
 
 func TestAReaderListsAgainAfterLostHistoryAndReportsOutages(t *testing.T) {
 	is := is.New(t)
-	lost, regained, watching := 0, 0, true
+	lost, regained := 0, 0
 	source := &scripted{}
 	m := newMirror("a/", func([]Item) {})
 	r := NewReader(ReaderOptions{
 		Source: source, Mirror: m, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Watching: func() bool { return watching }, Lost: func() { lost++ }, Regained: func() { regained++ },
+		Lost: func() { lost++ }, Regained: func() { regained++ },
 	})
 	source.steps = []func(bool, uint64) (Batch, error){
 		func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down") },
@@ -152,11 +152,4 @@
 	is.True(m.Since(0).Items[0].Removed)
 	is.Equal(lost, 1)
 	is.Equal(regained, 1)
-	source.steps = append(source.steps, func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down again") })
-	r.step(context.Background())
-	is.Equal(lost, 2)
-	watching = false
-	is.Equal(r.step(context.Background()), idlePause)
-	is.Equal(len(source.calls), 5) // no call while others read
-	is.Equal(regained, 2)          // others have news, so the outage is over
 }
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -17,8 +17,6 @@
 	listTimeout = 1500 * time.Millisecond
 	// answerSlack is how much longer than its wait a call for changes may take before its connection counts as silent.
 	answerSlack = 800 * time.Millisecond
-	// idlePause is how often a process that does not read the source looks whether it has to.
-	idlePause = 200 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call; a configuration must be in force within 2 s.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
@@ -32,8 +30,6 @@
 	Wait time.Duration
 	// Pause is the time between two calls, so that many small changes share one call.
 	Pause time.Duration
-	// Watching says whether this process reads the source itself; else others tell it of changes.
-	Watching func() bool
 	// Lost is called when the source fails, Regained when it answers again.
 	Lost, Regained func()
 	Clock          clockwork.Clock
@@ -48,9 +44,8 @@
 	// failedSince is when the present outage began, in Unix nanoseconds of the clock; 0 while the source answers.
 	failedSince atomic.Int64
 	// relist is set until a full list has been read, at the start and after a loss of history.
-	relist   bool
-	retry    time.Duration
-	watching bool
+	relist bool
+	retry  time.Duration
 }
 
 // NewReader returns a reader; Run starts it.
@@ -72,17 +67,8 @@
 	}
 }
 
-// step makes one call, if this process reads the source itself, and returns how long to wait before the next step.
+// step makes one call and returns how long to wait before the next one.
 func (r *Reader) step(ctx context.Context) time.Duration {
-	if watching := r.Watching(); watching != r.watching {
-		r.watching = watching
-		r.Log.Info().Str("event", "watching").Bool("watching", watching).Uint64("complete", r.Mirror.Complete()).Send()
-	}
-	if !r.watching {
-		// Others have news again, so the outage is over, if there was one.
-		r.answered()
-		return idlePause
-	}
 	err := r.read(ctx)
 	switch {
 	case err == nil:
