Unused fields are gone; a test that let its peer race gets an order

Found by reading: a count of events and a clock that nothing read, and Abort beside an equal Close. Behaviour is the same.

The peer now waits until the connection was given back. All assertions stay.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -140,7 +140,6 @@
 // receive reads the request's body.
 type receive struct {
 	store *catalog.Store
-	clock clockwork.Clock
 	// room is how many bytes of bodies may still be held.
 	room atomic.Int64
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -111,7 +111,7 @@
 	key := u.Key()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := context.AfterFunc(ctx, conn.Abort)
+	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	watch := d.newWatch(x, cancel)
 	defer watch.stop()
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -11,7 +11,7 @@
 
 // filters is what a caller's request passes, in this order.
 func (s *Server) filters() []Filter {
-	body := &receive{store: s.Store, clock: s.Clock}
+	body := &receive{store: s.Store}
 	body.room.Store(s.BodyBytes)
 	return []Filter{
 		&admit{store: s.Store, clock: s.Clock},
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,8 +13,6 @@
 	Last int64
 	// After is the id up to which events are dropped, because the caller has them; 0 drops none.
 	After int64
-	// Events counts the events that were given out.
-	Events int
 }
 
 // Feed takes the next bytes and returns the whole events that they complete, without those up to After.
@@ -34,7 +32,6 @@
 			continue
 		}
 		out = append(out, event...)
-		s.Events++
 		if ok {
 			s.Last = id
 		}
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -40,12 +40,9 @@
 // maxStray bounds how many answers to other requests are read past.
 const maxStray = 4
 
-// Close closes the connection.
+// Close closes the connection; pending reads and writes fail.
 func (c *Conn) Close() { _ = c.raw.Close() }
 
-// Abort makes pending reads and writes fail.
-func (c *Conn) Abort() { _ = c.raw.Close() }
-
 // expired reports whether the connection was unused for too long.
 func (c *Conn) expired(now time.Time) bool { return now.Sub(c.since) > c.keep }
 
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -165,8 +165,8 @@
 // A peer that answers before it has read a long body, and reads on later, gets the rest of that body and nothing else.
 func TestAnEarlyAnswerDoesNotSpoilTheBody(t *testing.T) {
 	is := is.New(t)
-	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<18) // 4 MB: more than socket buffers take
-	got := make(chan string, 1)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<20) // 16 MB: more than socket buffers take
+	got, released := make(chan string, 1), make(chan struct{})
 	p := NewPool(nil, clockwork.NewRealClock())
 	address := peer(t, func(c net.Conn) {
 		defer c.Close()
@@ -175,6 +175,7 @@
 			return
 		}
 		_, _ = io.WriteString(c, answer(""))
+		<-released // the body cannot have been sent whole when the connection is given back
 		raw, _ := io.ReadAll(r.Body)
 		got <- string(raw)
 	})
@@ -185,6 +186,7 @@
 	_, err = io.ReadAll(resp.Body)
 	is.NoErr(err)
 	p.Put(c)
+	close(released)
 	raw := <-got
 	is.True(strings.HasPrefix(string(body), raw)) // the body or its beginning, never another request
 	is.Equal(p.unused(address), 0)
