A second outage of the store is not ended by the grace of the first

Cause: after an outage removals count as lapses for two seconds, by a timer. A second outage within these two seconds did not stop that timer, so that it ended while the store was away again; entries that lapsed then were taken for gone, and servers that live got nothing until they had published themselves anew. Change: the end of the grace is a time, and the timer looks whether it still holds. Two cases of TestWhoMayGetNewWork fail before (u1 gone) and pass after. Ruled out: stopping the timer, which cannot be done for one that has fired and waits for the lock.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -59,8 +60,9 @@
 	upstreams map[string]*Upstream
 	// lapsed holds upstreams whose entries were removed in an outage of the store.
 	lapsed map[string]bool
-	// outage is set while the store does not answer, and until returnGrace after its return.
-	outage bool
+	// lapseEnd is until when removals count as lapses: forever while the store does not answer, and until returnGrace
+	// after its return.
+	lapseEnd time.Time
 }
 
 // NewStore returns a store without a configuration.
@@ -162,7 +164,7 @@
 func (s *Store) applyUpstream(item published.Item, entry Entry) {
 	known := s.upstreams[entry.Name]
 	if item.Removed || entry.Upstream == nil {
-		if known != nil && s.outage {
+		if known != nil && s.clock.Now().Before(s.lapseEnd) {
 			s.lapsed[entry.Name] = true
 			s.log.Info().Str("event", "upstream-lapsed").Str("upstream", entry.Name).Uint64("revision", item.Revision).Send()
 			return
@@ -189,21 +191,58 @@
 	s.log.Info().Str("event", "upstream-gone").Str("upstream", id).Uint64("revision", revision).Send()
 }
 
+// WhileOut is the time for which removals count as lapses while the store does not answer.
+const WhileOut time.Duration = math.MaxInt64
+
 // Outage says that the store does not answer, so that entries may lapse whose upstreams live.
-func (s *Store) Outage() {
+func (s *Store) Outage() { s.KeepLapsed(WhileOut) }
+
+// Regained says that the store answers again. Entries that lapsed meanwhile count as gone if they are not back soon.
+func (s *Store) Regained() { s.KeepLapsed(returnGrace) }
+
+// KeepLapsed makes removals count as lapses for that long from now on, whatever was said before; 0 ends it at once.
+func (s *Store) KeepLapsed(left time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outage = true
+	now := s.clock.Now()
+	switch {
+	case left == WhileOut:
+		s.lapseEnd = now.AddDate(1, 0, 0) // no outage that matters lasts a year
+	case left > 0:
+		s.lapseEnd = now.Add(left)
+		s.clock.AfterFunc(left, s.dropLapsed)
+	case !s.lapseEnd.IsZero():
+		s.lapseEnd = now
+		s.forgetLapsed()
+	}
 }
 
-// Regained says that the store answers again. Entries that lapsed meanwhile count as gone if they are not back soon.
-func (s *Store) Regained() { s.clock.AfterFunc(returnGrace, s.dropLapsed) }
+// LapseLeft returns how much longer removals count as lapses: 0 if they do not, WhileOut while the store does not answer.
+func (s *Store) LapseLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := s.lapseEnd.Sub(s.clock.Now())
+	if left > returnGrace {
+		return WhileOut
+	}
+	return max(0, left)
+}
 
-// dropLapsed ends the grace after an outage.
+// dropLapsed ends the grace after an outage, unless another one began or ended meanwhile.
 func (s *Store) dropLapsed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outage = false
+	if s.clock.Now().Before(s.lapseEnd) {
+		return
+	}
+	s.forgetLapsed()
+}
+
+// forgetLapsed takes the lapsed upstreams out; the caller holds mu.
+func (s *Store) forgetLapsed() {
+	if len(s.lapsed) == 0 {
+		return
+	}
 	for id := range s.lapsed {
 		s.forget(id, 0)
 	}
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -112,6 +112,25 @@
 			s.Regained()
 			s.settle()
 		}, "u2"},
+		{"lapsed in an outage that began in the grace of another", func(s *storeTest) {
+			s.Outage()
+			s.Regained()
+			s.clock.Advance(returnGrace / 2)
+			s.Outage()
+			s.clock.Advance(returnGrace / 2)
+			s.dropLapsed()
+			s.remove("up/u1")
+		}, "u1 u2"},
+		{"lapsed in the grace of the second outage", func(s *storeTest) {
+			s.Outage()
+			s.Regained()
+			s.clock.Advance(returnGrace / 2)
+			s.Outage()
+			s.Regained()
+			s.clock.Advance(returnGrace / 2) // the grace of the first outage would end here
+			s.dropLapsed()
+			s.remove("up/u1")
+		}, "u1 u2"},
 		{"removed after the outage", func(s *storeTest) {
 			s.Outage()
 			s.Regained()
@@ -131,4 +150,7 @@
 }
 
 // settle ends the grace after an outage. The fake clock runs its functions in the background, so it is done by hand.
-func (s *storeTest) settle() { s.dropLapsed() }
+func (s *storeTest) settle() {
+	s.clock.Advance(returnGrace)
+	s.dropLapsed()
+}
