A few hosts of each data centre read the store; lists go on page by page

Cause: every host read every heartbeat. After all hosts were killed, 300 of them did not serve within 30 s: a full list has one time-out of 1.5 s, and 300 lists of 3,000 entries need 2.2 s of the store's link, so that each began anew without end. Change: the first two hosts of each data centre (by an order that all agree on) read the store, the others wait for news at one of them. News carry their age; a host whose news is a second old, or whose reading host is silent, reads the store itself. Data centres of one or two hosts are as before. A list keeps its pages over time-outs. Now ages never add up along a chain, since only hosts that read the store answer, and a property test bounds the time from a change to its knowledge by 1.7 s whatever becomes of the reading host.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -191,11 +190,8 @@
 	s.log.Info().Str("event", "upstream-gone").Str("upstream", id).Uint64("revision", revision).Send()
 }
 
-// WhileOut is the time for which removals count as lapses while the store does not answer.
-const WhileOut time.Duration = math.MaxInt64
-
 // Outage says that the store does not answer, so that entries may lapse whose upstreams live.
-func (s *Store) Outage() { s.KeepLapsed(WhileOut) }
+func (s *Store) Outage() { s.KeepLapsed(published.WhileOut) }
 
 // Regained says that the store answers again. Entries that lapsed meanwhile count as gone if they are not back soon.
 func (s *Store) Regained() { s.KeepLapsed(returnGrace) }
@@ -206,7 +202,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	switch {
-	case left == WhileOut:
+	case left == published.WhileOut:
 		s.lapseEnd = now.AddDate(1, 0, 0) // no outage that matters lasts a year
 	case left > 0:
 		s.lapseEnd = now.Add(left)
@@ -217,13 +213,13 @@
 	}
 }
 
-// LapseLeft returns how much longer removals count as lapses: 0 if they do not, WhileOut while the store does not answer.
+// LapseLeft returns how much longer removals count as lapses: 0 if they do not, published.WhileOut while the store does not answer.
 func (s *Store) LapseLeft() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := s.lapseEnd.Sub(s.clock.Now())
 	if left > returnGrace {
-		return WhileOut
+		return published.WhileOut
 	}
 	return max(0, left)
 }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -71,28 +71,34 @@
 	d.Strikes = encodeStrikes(f.Strikes.Recent(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving}
+	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.centre}
 	for address, m := range f.members {
 		if len(d.Hosts) == maxHosts {
 			break // the order of a map differs each time
 		}
 		d.Hosts = append(d.Hosts, &fleetpb.Host{
 			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
+			DataCentre: m.dataCentre,
 		})
 	}
 	return d
 }
 
-func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
-	if len(theirs.GetItems()) == 0 {
-		return
-	}
-	b := published.Batch{At: theirs.GetComplete()}
-	for _, item := range theirs.GetItems() {
+func decodeMirror(m *fleetpb.Mirror) published.Batch {
+	b := published.Batch{At: m.GetComplete()}
+	for _, item := range m.GetItems() {
 		b.Items = append(b.Items, published.Item{
 			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
 		})
 	}
+	return b
+}
+
+func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
+	if len(theirs.GetItems()) == 0 {
+		return
+	}
+	b := decodeMirror(theirs)
 	if changed := f.Mirror.Merge(theirs.GetAfter(), b); changed > 0 {
 		f.Log.Info().Str("event", "items-from-peer").Str("peer", sender).Int("changed", changed).
 			Uint64("complete", f.Mirror.Complete()).Send()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/published"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
@@ -50,6 +51,14 @@
 	Take([]quarantine.Strike)
 }
 
+// Store is this host's reading of the published items.
+type Store interface {
+	// Failing reports whether neither the store nor a host that reads it answers.
+	Failing() bool
+	// Serve returns what this host knows beyond the revision, and whether it reads the store.
+	Serve(ctx context.Context, after uint64, wait time.Duration) (published.News, bool)
+}
+
 // maxHosts bounds the hosts in one message; of more, each message has others.
 const maxHosts = 32
 
@@ -62,11 +71,13 @@
 	// Floor is the least number of hosts that share a bound, before others are heard of.
 	Floor    int
 	Interval time.Duration
-	Mirror   *published.Mirror
-	Loads    Loads
-	Strikes  Strikes
-	// StoreLost reports whether the store does not answer this host.
-	StoreLost func() bool
+	// DataCentre is the name of this host's data centre.
+	DataCentre string
+	Mirror     *published.Mirror
+	// Store reads the published items.
+	Store     Store
+	Loads     Loads
+	Strikes   Strikes
 	Transport http.RoundTripper
 	Clock     clockwork.Clock
 	Rand      *rand.Rand
@@ -77,7 +88,9 @@
 // Fleet is this host's view of the others. It is safe for concurrent use.
 type Fleet struct {
 	Options
-	client   *http.Client
+	client *http.Client
+	// news has no time-out of its own: its calls wait for changes.
+	news     *http.Client
 	rounds   tally.Counter
 	failures tally.Counter
 
@@ -85,13 +98,18 @@
 	seeds   []string
 	members map[string]*member
 	leaving bool
+	// centre is the hash of the name of this host's data centre.
+	centre uint32
 }
 
 type member struct {
 	incarnation uint64
+	dataCentre  uint32
 	heard       time.Time
 	leaving     bool
 	lost        bool
+	// silentUntil is until when this host does not ask the member for news, after a call that failed.
+	silentUntil time.Time
 }
 
 var _ fleetpb.Fleet = (*Fleet)(nil)
@@ -99,8 +117,9 @@
 // New returns a fleet that knows only this host and the seeds.
 func New(o Options) *Fleet {
 	return &Fleet{
-		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout}, seeds: o.Seeds,
-		members: map[string]*member{}, rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
+		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout},
+		news: &http.Client{Transport: o.Transport}, seeds: o.Seeds,
+		members: map[string]*member{}, centre: uint32(loadbalancer.HashKey(o.DataCentre)), rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
 	}
 }
 
@@ -109,7 +128,7 @@
 	for ctx.Err() == nil {
 		f.Round(ctx)
 		wait := f.Interval
-		if f.StoreLost() {
+		if f.Store.Failing() {
 			wait = lostInterval
 		}
 		select {
@@ -182,7 +201,10 @@
 	if at.Before(m.heard) {
 		return
 	}
-	m.heard, m.incarnation, m.leaving = at, h.GetIncarnation(), h.GetLeaving()
+	if m.incarnation != h.GetIncarnation() {
+		m.silentUntil = time.Time{}
+	}
+	m.heard, m.incarnation, m.leaving, m.dataCentre = at, h.GetIncarnation(), h.GetLeaving(), h.GetDataCentre()
 }
 
 // noteReached ends the suspicion of a host that answered; what others heard of it does not.
@@ -222,7 +244,9 @@
 
 // HostState is a host's line in the state dump.
 type HostState struct {
-	Address  string        `json:"address"`
+	Address string `json:"address"`
+	// Near says that the host is in the same data centre.
+	Near     bool          `json:"near"`
 	HeardAgo time.Duration `json:"heard_ago_ns"`
 	Leaving  bool          `json:"leaving,omitempty"`
 	Lost     bool          `json:"lost,omitempty"`
@@ -234,7 +258,9 @@
 	defer f.mu.Unlock()
 	states := make([]HostState, 0, len(f.members))
 	for address, m := range f.members {
-		states = append(states, HostState{Address: address, HeardAgo: f.Clock.Since(m.heard), Leaving: m.leaving, Lost: m.lost})
+		states = append(states, HostState{
+			Address: address, Near: m.dataCentre == f.centre, HeardAgo: f.Clock.Since(m.heard), Leaving: m.leaving, Lost: m.lost,
+		})
 	}
 	return states
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -34,21 +34,41 @@
 	mirror  *published.Mirror
 	loads   *fakeLoads
 	strikes *quarantine.Table
+	store   *fakeStore
 	server  *http.Server
 }
 
+// fakeStore answers calls for news with what it holds.
+type fakeStore struct {
+	news    published.News
+	reading bool
+	asked   []uint64
+}
+
+func (s *fakeStore) Failing() bool { return false }
+
+func (s *fakeStore) Serve(_ context.Context, after uint64, _ time.Duration) (published.News, bool) {
+	s.asked = append(s.asked, after)
+	return s.news, s.reading
+}
+
 // startHost serves a host on a free port.
 func startHost(t *testing.T, clock clockwork.Clock, seeds ...string) *testHost {
+	t.Helper()
+	return startHostIn(t, "dc-1", clock, seeds...)
+}
+
+func startHostIn(t *testing.T, dataCentre string, clock clockwork.Clock, seeds ...string) *testHost {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, func([]published.Item) {}), loads: &fakeLoads{},
+	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, func([]published.Item) {}), loads: &fakeLoads{}, store: &fakeStore{reading: true},
 		strikes: quarantine.NewTable(quarantine.Limits{Strikes: 2, Lifetime: time.Minute}, clock, nil)}
 	h.Fleet = New(Options{
 		Self: l.Addr().String(), Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
-		StoreLost: func() bool { return false }, Transport: &http.Transport{}, Clock: clock,
+		DataCentre: dataCentre, Store: h.store, Transport: &http.Transport{}, Clock: clock,
 		Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	h.server = &http.Server{Handler: fleetpb.NewFleetServer(h.Fleet)}
--- /dev/null
+++ b/internal/fleet/news.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+// Who reads the store.
+const (
+	// readersPerDataCentre hosts of each data centre read the store: one more than is needed, for the loss of one.
+	readersPerDataCentre = 2
+	// silentFor is how long a host is not asked for news again after a call that failed.
+	silentFor = 5 * time.Second
+	// unheardAfter is how long a host that nobody heard of still counts as a reader. In a large fleet word of a host
+	// that lives takes several seconds.
+	unheardAfter = 15 * time.Second
+)
+
+// whileOut stands for a store that does not answer.
+const whileOut = math.MaxUint32
+
+// News implements fleetpb.Fleet: it waits for changes of the published items on behalf of another host.
+func (f *Fleet) News(ctx context.Context, r *fleetpb.NewsRequest) (*fleetpb.NewsAnswer, error) {
+	f.mu.Lock()
+	leaving := f.leaving
+	f.mu.Unlock()
+	if leaving {
+		return &fleetpb.NewsAnswer{}, nil
+	}
+	begun := f.Clock.Now()
+	news, reading := f.Store.Serve(ctx, r.GetComplete(), time.Duration(r.GetWaitMs())*time.Millisecond)
+	if !reading {
+		return &fleetpb.NewsAnswer{}, nil
+	}
+	return &fleetpb.NewsAnswer{
+		Reading: true, AgeMs: milliseconds(news.Age), LapseMs: milliseconds(news.LapseLeft),
+		Mirror: encodeMirror(r.GetComplete(), news.Batch), WaitedMs: uint32(f.Clock.Since(begun).Milliseconds()),
+	}, nil
+}
+
+// milliseconds returns d rounded up, and whileOut for what is longer than any age or grace.
+func milliseconds(d time.Duration) uint32 {
+	const most = time.Hour
+	if d > most {
+		return whileOut
+	}
+	return uint32((max(0, d) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Reader implements published.Peers. Who reads is only a matter of cost: a host that asks one that does not read the
+// store reads it itself.
+func (f *Fleet) Reader() published.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	readers := f.readers()
+	if f.leaving || slices.Contains(readers, f.Self) {
+		return nil
+	}
+	now := f.Clock.Now()
+	readers = slices.DeleteFunc(readers, func(address string) bool { return now.Before(f.members[address].silentUntil) })
+	if len(readers) == 0 {
+		return nil
+	}
+	return &reader{fleet: f, address: readers[loadbalancer.HashKey(f.Self)%uint64(len(readers))]}
+}
+
+// readers returns the first hosts of the data centre in an order that all of them agree on. The caller holds mu.
+func (f *Fleet) readers() []string {
+	now := f.Clock.Now()
+	near := []string{f.Self}
+	for address, m := range f.members {
+		if m.dataCentre == f.centre && !m.leaving && now.Sub(m.heard) < unheardAfter {
+			near = append(near, address)
+		}
+	}
+	key := loadbalancer.HashKey("store-reader")
+	slices.SortFunc(near, func(a, b string) int {
+		return cmp.Compare(loadbalancer.Score(key, b), loadbalancer.Score(key, a))
+	})
+	return near[:min(readersPerDataCentre, len(near))]
+}
+
+// reader is a host that is asked for news.
+type reader struct {
+	fleet   *Fleet
+	address string
+}
+
+// Address implements published.Peer.
+func (r *reader) Address() string { return r.address }
+
+// News implements published.Peer.
+func (r *reader) News(ctx context.Context, after uint64, wait time.Duration) (published.News, error) {
+	client := fleetpb.NewFleetProtobufClient("http://"+r.address, r.fleet.news)
+	sent := r.fleet.Clock.Now()
+	answer, err := client.News(ctx, &fleetpb.NewsRequest{Complete: after, WaitMs: uint32(wait.Milliseconds())})
+	if err != nil {
+		r.fleet.noteSilent(r.address)
+		return published.News{}, errors.Wrapf(err, "hear from %s", r.address)
+	}
+	if !answer.GetReading() {
+		return published.News{}, errors.Errorf("hear from %s: it does not read the store", r.address)
+	}
+	onTheWay := r.fleet.Clock.Since(sent) - time.Duration(answer.GetWaitedMs())*time.Millisecond
+	news := published.News{
+		Batch: decodeMirror(answer.GetMirror()), LapseLeft: published.WhileOut,
+		Age: time.Duration(answer.GetAgeMs())*time.Millisecond + max(0, onTheWay),
+	}
+	if answer.GetLapseMs() != whileOut {
+		news.LapseLeft = time.Duration(answer.GetLapseMs()) * time.Millisecond
+	}
+	return news, nil
+}
+
+func (f *Fleet) noteSilent(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[address]; m != nil {
+		m.silentUntil = f.Clock.Now().Add(silentFor)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	// changesPause is the time between two such calls, so that many heartbeats share one. A configuration must be in
 	// force, and a leaving upstream get nothing more, after two seconds.
 	changesPause = 1200 * time.Millisecond
+	// sharedPause takes its place while other hosts hear of changes from this one, to whom it adds to the age.
+	sharedPause = 700 * time.Millisecond
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 800 * time.Millisecond
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
@@ -104,8 +106,10 @@
 	g.mirror = published.NewMirror(a.Prefix, a.Same, g.store.Apply)
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
-		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, Lost: g.store.Outage, Regained: g.store.Regained, Clock: clock, Log: log, Scope: g.metrics.Scope,
+		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, SharedPause: sharedPause,
+		Lapses: g.store, Peers: g.fleet, Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
+	g.fleet.Store = g.reader
 	g.server = g.newServer(a)
 	return g
 }
@@ -114,7 +118,7 @@
 	return fleet.New(fleet.Options{
 		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
 		Floor: minHosts * max(1, len(g.settings.DataCentres)), Interval: g.settings.Timeouts.Gossip.Std(), Mirror: g.mirror, Loads: g.table, Strikes: g.strikes,
-		StoreLost: func() bool { return g.reader.Failing() }, Transport: Transport(g.pool),
+		DataCentre: g.settings.DataCentre, Transport: Transport(g.pool),
 		Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 0)), Log: g.log, Scope: g.metrics.Scope,
 	})
 }
--- /dev/null
+++ b/internal/published/news_test.go
@@ -0,0 +1,228 @@
+package published
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+)
+
+// tick is the step of the test's time.
+const tick = 10 * time.Millisecond
+
+// world is a store with one item, a host that reads it, and another one that hears from that host. Nothing in it takes
+// time but what advances the clock.
+type world struct {
+	clock *clockwork.FakeClock
+	begun time.Time
+	// at is the store's revision, item that of its item.
+	at, item uint64
+	reading  *Reader
+	// next is when the reading host makes its next call.
+	next time.Time
+	// each is called after every tick.
+	each func()
+
+	storeDown, silent, refusing bool
+}
+
+func newWorld() *world {
+	clock := clockwork.NewFakeClock()
+	w := &world{clock: clock, begun: clock.Now(), at: 1, next: clock.Now(), each: func() {}}
+	w.reading = w.reader(nil, func() bool { return w.storeDown })
+	return w
+}
+
+func (w *world) reader(peers Peers, down func() bool) *Reader {
+	return NewReader(ReaderOptions{
+		Source: &view{world: w, down: down}, Mirror: newMirror("", func([]Item) {}), Pause: 1200 * time.Millisecond,
+		SharedPause: 700 * time.Millisecond, Lapses: &fakeLapses{}, Peers: peers, Clock: w.clock, Log: zerolog.Nop(),
+		Scope: tally.NoopScope,
+	})
+}
+
+// set changes the item.
+func (w *world) set() {
+	w.at++
+	w.item = w.at
+}
+
+// advance lets one tick pass for the reading host.
+func (w *world) advance() {
+	w.clock.Advance(tick)
+	w.each()
+	if !w.clock.Now().Before(w.next) {
+		w.next = w.clock.Now().Add(w.reading.step(context.Background()))
+	}
+}
+
+// run lets the reader step until the time has passed since the beginning.
+func (w *world) run(r *Reader, until time.Duration) {
+	next := w.clock.Now()
+	for w.clock.Since(w.begun) < until {
+		if w.clock.Now().Before(next) {
+			w.advance()
+			continue
+		}
+		next = w.clock.Now().Add(r.step(context.Background()))
+	}
+}
+
+// view is the store as one host reaches it. Calls for changes return at once, as they do while upstreams heartbeat.
+type view struct {
+	world *world
+	down  func() bool
+	calls int
+}
+
+func (v *view) Page(context.Context, string, string) (Batch, string, error) {
+	b, err := v.batch(0)
+	return b, "", err
+}
+
+func (v *view) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (Batch, error) {
+	return v.batch(after)
+}
+
+func (v *view) batch(after uint64) (Batch, error) {
+	v.calls++
+	if v.down() {
+		return Batch{}, errors.New("down")
+	}
+	v.world.at++ // a heartbeat
+	b := Batch{At: v.world.at}
+	if v.world.item > after {
+		b.Items = []Item{item("k", v.world.item)}
+	}
+	return b, nil
+}
+
+// Reader implements Peers: the reading host is the one to hear from.
+func (w *world) Reader() Peer { return w }
+
+// Address implements Peer.
+func (w *world) Address() string { return "reading" }
+
+// News implements Peer. The waiting is done here, on the test's time: with a context that has ended, Serve answers at
+// once.
+func (w *world) News(_ context.Context, after uint64, wait time.Duration) (News, error) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for begun := w.clock.Now(); ; w.advance() {
+		news, reading := w.reading.Serve(ended, after, wait)
+		waited := w.clock.Since(begun)
+		switch {
+		case w.refusing:
+			return News{}, errors.New("refused")
+		case w.silent:
+			if waited >= wait+newsSlack {
+				return News{}, context.DeadlineExceeded
+			}
+		case !reading:
+			return News{}, errors.New("does not read")
+		case len(news.Items) > 0 || waited >= wait || news.Age >= maxNewsAge:
+			return news, nil
+		}
+	}
+}
+
+func up() bool { return false }
+
+// Whatever becomes of the host from which another one hears, a change is known there within 1.7 s; two seconds are
+// allowed.
+func TestAChangeIsKnownInTimeWhateverBecomesOfTheReadingHost(t *testing.T) {
+	const bound = 1700 * time.Millisecond
+	troubles := map[string]func(*world){
+		"none":       func(*world) {},
+		"silent":     func(w *world) { w.silent = true },
+		"refusing":   func(w *world) { w.refusing = true },
+		"store lost": func(w *world) { w.storeDown = true },
+		"restarted":  func(w *world) { w.reading = w.reader(nil, func() bool { return w.storeDown }) },
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		r := w.reader(w, up)
+		trouble := rapid.SampledFrom([]string{"none", "silent", "refusing", "store lost", "restarted"}).Draw(t, "trouble")
+		troubleAt := time.Duration(rapid.IntRange(100, 6000).Draw(t, "trouble at ms")) * time.Millisecond
+		changeAt := time.Duration(rapid.IntRange(3000, 9000).Draw(t, "change at ms")) * time.Millisecond
+		troubled, changed := false, false
+		w.each = func() {
+			now := w.clock.Since(w.begun)
+			if !troubled && now >= troubleAt {
+				troubled = true
+				troubles[trouble](w)
+			}
+			if !changed && now >= changeAt {
+				changed = true
+				w.set()
+			}
+		}
+		w.run(r, changeAt+bound)
+		if len(r.Mirror.Since(0).Items) == 0 {
+			t.Fatalf("the change at %s is not known %s later, following %q", changeAt, bound, *r.following.Load())
+		}
+	})
+}
+
+func TestAHostThatHearsFromAnotherSparesTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	r := w.reader(w, up)
+	w.run(r, 2*time.Second)
+	calls := r.Source.(*view).calls
+	w.set()
+	w.run(r, 12*time.Second)
+	is.Equal(r.Source.(*view).calls, calls)
+	is.Equal(len(r.Mirror.Since(0).Items), 1)
+	shared := w.reading.Source.(*view).calls
+	is.True(shared > 12) // more often than every 1.2 s while others hear from it
+	w.run(w.reader(nil, up), 24*time.Second)
+	is.True(w.reading.Source.(*view).calls-shared <= 12+3) // and as before once nobody does
+}
+
+// A removal that the reading host takes for a lapse counts as one for the hosts that hear of it.
+func TestLapsesTravelWithTheNews(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	r := w.reader(w, up)
+	w.run(r, 2*time.Second)
+	for _, left := range []time.Duration{WhileOut, time.Second, 0} {
+		w.reading.Lapses.KeepLapsed(left)
+		w.run(r, w.clock.Since(w.begun)+time.Second)
+		is.Equal(r.Lapses.LapseLeft(), left)
+	}
+}
+
+// A host that was turned away by the store is not lost while another one passes changes on.
+func TestNewsOfAnotherHostEndTheLossOfTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.refusing = true
+	r := w.reader(w, func() bool { return true })
+	w.run(r, time.Second)
+	is.True(r.Failing())
+	w.refusing = false
+	w.run(r, 3*time.Second)
+	is.True(!r.Failing())
+	is.Equal(r.Mirror.Complete() > 1, true)
+}
+
+// Serve says no on a host that itself hears from another one, so that ages never add up along a chain.
+func TestOnlyHostsThatReadTheStoreServeNews(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	r := w.reader(w, up)
+	_, reading := r.Serve(context.Background(), 0, 0)
+	is.True(!reading) // nothing was read yet
+	w.run(r, 3*time.Second)
+	_, reading = r.Serve(context.Background(), 0, 0)
+	is.True(!reading)
+	_, reading = w.reading.Serve(context.Background(), 0, 0)
+	is.True(reading)
+}
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -33,8 +33,9 @@
 
 // Source reads a store. Implementations are safe for concurrent use; their errors carry the step and the peer.
 type Source interface {
-	// List returns all items whose keys begin with prefix, as the store has them now.
-	List(ctx context.Context, prefix string) (Batch, error)
+	// Page returns the first items after the key whose keys begin with prefix, as the store has them now, and the key
+	// after which the next page begins, empty after the last one.
+	Page(ctx context.Context, prefix, after string) (page Batch, next string, err error)
 	// Changes returns the changes after the revision, waiting up to wait for the first one. The error is
 	// ErrHistoryLost if the source has forgotten them.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error)
@@ -56,6 +57,8 @@
 	items    map[string]entry
 	// complete is the revision up to which no change is missing; 0 before the first list.
 	complete uint64
+	// news is closed at the next change of an item's meaning.
+	news chan struct{}
 }
 
 // entry is an item with the revision since which it has meant the same.
@@ -66,7 +69,7 @@
 
 // NewMirror returns an empty mirror that reports changed items.
 func NewMirror(prefix string, same Same, changed func([]Item)) *Mirror {
-	return &Mirror{prefix: prefix, same: same, changed: changed, items: map[string]entry{}}
+	return &Mirror{prefix: prefix, same: same, changed: changed, items: map[string]entry{}, news: make(chan struct{})}
 }
 
 // Prefix returns the prefix of the keys.
@@ -79,6 +82,13 @@
 	return m.complete
 }
 
+// Changed returns a channel that is closed at the next change of an item's meaning.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.news
+}
+
 // Merge takes the changes of the batch, which follow the revision after. If the mirror is complete up to there, it is
 // complete up to the batch's revision afterwards. It returns how many items changed.
 func (m *Mirror) Merge(after uint64, b Batch) int {
@@ -126,6 +136,10 @@
 		news = append(news, item)
 	}
 	finish()
+	if len(news) > 0 {
+		close(m.news)
+		m.news = make(chan struct{})
+	}
 	m.mu.Unlock()
 	if len(news) > 0 {
 		m.changed(news)
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -104,10 +104,23 @@
 	})
 }
 
+// fakeLapses counts what it is told.
+type fakeLapses struct {
+	outages, regained int
+	left              time.Duration
+}
+
+func (l *fakeLapses) Outage()                    { l.outages++ }
+func (l *fakeLapses) Regained()                  { l.regained++ }
+func (l *fakeLapses) LapseLeft() time.Duration   { return l.left }
+func (l *fakeLapses) KeepLapsed(d time.Duration) { l.left = d }
+
 // scripted answers each call with the next step.
 type scripted struct {
 	steps []func(list bool, after uint64) (Batch, error)
 	calls []string
+	// more is set by a step whose page is followed by another one.
+	more string
 }
 
 func (s *scripted) next(list bool, after uint64) (Batch, error) {
@@ -119,9 +132,11 @@
 	return step(list, after)
 }
 
-func (s *scripted) List(context.Context, string) (Batch, error) {
-	s.calls = append(s.calls, "list")
-	return s.next(true, 0)
+func (s *scripted) Page(_ context.Context, _, after string) (Batch, string, error) {
+	s.calls = append(s.calls, "list"+after)
+	s.more = ""
+	b, err := s.next(true, 0)
+	return b, s.more, err
 }
 
 func (s *scripted) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (Batch, error) {
@@ -131,12 +146,12 @@
 
 func TestAReaderListsAgainAfterLostHistoryAndReportsOutages(t *testing.T) {
 	is := is.New(t)
-	lost, regained := 0, 0
+	lapses := &fakeLapses{}
 	source := &scripted{}
 	m := newMirror("a/", func([]Item) {})
 	r := NewReader(ReaderOptions{
 		Source: source, Mirror: m, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Lost: func() { lost++ }, Regained: func() { regained++ },
+		Lapses: lapses,
 	})
 	source.steps = []func(bool, uint64) (Batch, error){
 		func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down") },
@@ -150,6 +165,41 @@
 	is.Equal(source.calls, []string{"list", "list", "changes", "list"})
 	is.Equal(m.Complete(), uint64(9))
 	is.True(m.Since(0).Items[0].Removed)
-	is.Equal(lost, 1)
-	is.Equal(regained, 1)
+	is.Equal(lapses.outages, 1)
+	is.Equal(lapses.regained, 1)
+}
+
+// Hosts that start together share the store's bandwidth, so that single pages time out. What was read counts.
+func TestAListGoesOnWhereItWasInterrupted(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	source := &scripted{}
+	m := newMirror("", func([]Item) {})
+	r := NewReader(ReaderOptions{Source: source, Mirror: m, Clock: clock, Log: zerolog.Nop(), Scope: tally.NoopScope, Lapses: &fakeLapses{}})
+	page := func(next string, at uint64, items ...Item) func(bool, uint64) (Batch, error) {
+		return func(bool, uint64) (Batch, error) { source.more = next; return Batch{Items: items, At: at}, nil }
+	}
+	fail := func(bool, uint64) (Batch, error) { return Batch{}, context.DeadlineExceeded }
+	source.steps = []func(bool, uint64) (Batch, error){
+		page("a", 7, item("a", 3)), fail,
+		page("b", 8, item("b", 8)), fail,
+		page("", 9, item("c", 5)),
+	}
+	r.step(context.Background())
+	is.Equal(len(m.Since(0).Items), 1) // the first page is in force
+	is.Equal(m.Complete(), uint64(0))
+	r.step(context.Background())
+	r.step(context.Background())
+	is.Equal(source.calls, []string{"list", "lista", "lista", "listb", "listb"})
+	is.Equal(m.Complete(), uint64(7)) // changes since the first page are still to come
+	is.Equal(len(m.Since(0).Items), 3)
+
+	r.relist = true
+	source.calls = nil
+	source.steps = []func(bool, uint64) (Batch, error){page("a", 10, item("a", 3)), fail, page("", 30)}
+	r.step(context.Background())
+	clock.Advance(maxListTime + 1)
+	r.step(context.Background())
+	is.Equal(source.calls, []string{"list", "lista", "list"}) // too old to go on
+	is.Equal(m.Complete(), uint64(30))
 }
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -13,8 +14,11 @@
 
 // Bounds of the calls to a source.
 const (
-	// listTimeout bounds a full read; stores answer in milliseconds, and in about 200 ms when they are slow.
-	listTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds one page of a full list; stores answer in milliseconds, and in about 200 ms when they are slow.
+	pageTimeout = 1500 * time.Millisecond
+	// maxListTime is how long a full list may take, with interruptions, before it begins anew: stores keep the history
+	// since its first page for 20 s.
+	maxListTime = 10 * time.Second
 	// answerSlack is how much longer than its wait a call for changes may take before its connection counts as silent.
 	answerSlack = 800 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call; a configuration must be in force within 2 s.
@@ -28,30 +32,57 @@
 	Mirror *Mirror
 	// Wait is how long the source may hold a call for changes open.
 	Wait time.Duration
-	// Pause is the time between two calls, so that many small changes share one call.
-	Pause time.Duration
-	// Lost is called when the source fails, Regained when it answers again.
-	Lost, Regained func()
-	Clock          clockwork.Clock
-	Log            zerolog.Logger
-	Scope          tally.Scope
+	// Pause is the time between two calls, so that many small changes share one call. SharedPause takes its place while
+	// other hosts hear of changes from this one.
+	Pause, SharedPause time.Duration
+	Lapses             Lapses
+	// Peers is nil if every host reads the source.
+	Peers Peers
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+	Scope tally.Scope
+}
+
+// WhileOut is the time for which removals count as lapses while the store does not answer.
+const WhileOut time.Duration = math.MaxInt64
+
+// Lapses knows whether removals are to be believed: a store that was away has dropped entries whose writers live.
+type Lapses interface {
+	// Outage says that the source fails, Regained that it answers again.
+	Outage()
+	Regained()
+	// LapseLeft returns how much longer removals count as lapses, and KeepLapsed takes over another host's answer.
+	LapseLeft() time.Duration
+	KeepLapsed(left time.Duration)
 }
 
 // Reader keeps a mirror up to date from a source.
 type Reader struct {
 	ReaderOptions
-	calls, failures tally.Counter
+	calls, failures, followed, unfollowed tally.Counter
 	// failedSince is when the present outage began, in Unix nanoseconds of the clock; 0 while the source answers.
 	failedSince atomic.Int64
 	// relist is set until a full list has been read, at the start and after a loss of history.
 	relist bool
-	retry  time.Duration
+	// listing is nil while no list is under way.
+	listing *listing
+	retry   time.Duration
+	// answeredAt is the time as of which the source is known and askedAt when another host last asked for changes, both in Unix
+	// nanoseconds of the clock.
+	answeredAt, askedAt atomic.Int64
+	// following is the host from which this one hears of changes, empty if it reads the source.
+	following atomic.Pointer[string]
 }
 
 // NewReader returns a reader; Run starts it.
 func NewReader(o ReaderOptions) *Reader {
 	scope := o.Scope.Tagged(map[string]string{"prefix": o.Mirror.Prefix()})
-	return &Reader{ReaderOptions: o, calls: scope.Counter("store_calls"), failures: scope.Counter("store_failures"), relist: true}
+	r := &Reader{
+		ReaderOptions: o, calls: scope.Counter("store_calls"), failures: scope.Counter("store_failures"),
+		followed: scope.Counter("news_calls"), unfollowed: scope.Counter("news_failures"), relist: true,
+	}
+	r.following.Store(new(string))
+	return r
 }
 
 // Failing reports whether the last call failed.
@@ -69,12 +100,17 @@
 
 // step makes one call and returns how long to wait before the next one.
 func (r *Reader) step(ctx context.Context) time.Duration {
+	if r.follow(ctx) {
+		return newsPause
+	}
 	err := r.read(ctx)
 	switch {
 	case err == nil:
 		r.retry = minRetry
-		r.answered()
-		return r.Pause
+		if r.regained() {
+			r.Lapses.Regained()
+		}
+		return r.pause()
 	case errors.Is(err, ErrHistoryLost):
 		r.Log.Info().Str("event", "store-history-lost").Str("prefix", r.Mirror.Prefix()).
 			Uint64("complete", r.Mirror.Complete()).Send()
@@ -88,47 +124,100 @@
 	return wait
 }
 
-// read makes one call: a full list at first and after a loss of history, the changes otherwise.
+// read brings the mirror up to date: by a full list at first and after a loss of history, by the changes otherwise.
 func (r *Reader) read(ctx context.Context) error {
-	r.calls.Inc(1)
-	after := r.Mirror.Complete()
 	if r.relist {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		b, err := r.Source.List(ctx, r.Mirror.Prefix())
-		if err != nil {
-			return errors.Wrapf(err, "list %q", r.Mirror.Prefix())
-		}
-		r.relist = false
-		r.Mirror.Replace(b)
-		return nil
+		return r.list(ctx)
 	}
+	r.calls.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+answerSlack)
 	defer cancel()
+	after, sent := r.Mirror.Complete(), r.Clock.Now()
 	b, err := r.Source.Changes(ctx, r.Mirror.Prefix(), after, r.Wait)
 	if err != nil {
 		return errors.Wrapf(err, "changes of %q after %d", r.Mirror.Prefix(), after)
 	}
 	r.Mirror.Merge(after, b)
+	if len(b.Items) == 0 {
+		sent = sent.Add(r.Wait) // the source held the call open that long
+	}
+	r.answered(sent)
 	return nil
 }
 
+// listing is a full list that is under way.
+type listing struct {
+	begun time.Time
+	// batch holds the items so far and the revision of the first page: what changes during the pages comes with the next
+	// call for changes.
+	batch Batch
+	// next is the key after which the next page begins.
+	next string
+}
+
+// noRevision is a revision up to which no mirror is complete.
+const noRevision = math.MaxUint64
+
+// list reads all items page by page. Each page has its own time and is in force at once, and a list that was
+// interrupted goes on where it was: hosts that start together share the store's bandwidth, and a list that began anew
+// after each time-out would never end.
+func (r *Reader) list(ctx context.Context) error {
+	now := r.Clock.Now()
+	if r.listing == nil || now.Sub(r.listing.begun) > maxListTime {
+		r.listing = &listing{begun: now}
+	}
+	l := r.listing
+	for {
+		page, next, err := r.page(ctx, l.next)
+		if err != nil {
+			return err
+		}
+		if l.batch.At == 0 {
+			l.batch.At = page.At
+		}
+		l.batch.Items = append(l.batch.Items, page.Items...)
+		l.next = next
+		r.Mirror.Merge(noRevision, page)
+		if next == "" {
+			break
+		}
+	}
+	r.Mirror.Replace(l.batch)
+	r.listing, r.relist = nil, false
+	r.answered(l.begun)
+	return nil
+}
+
+func (r *Reader) page(ctx context.Context, after string) (Batch, string, error) {
+	r.calls.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	page, next, err := r.Source.Page(ctx, r.Mirror.Prefix(), after)
+	return page, next, errors.Wrapf(err, "list %q after %q", r.Mirror.Prefix(), after)
+}
+
+// answered notes that this host knows what the source knew at the time.
+func (r *Reader) answered(at time.Time) {
+	r.answeredAt.Store(min(at.UnixNano(), r.Clock.Now().UnixNano()))
+}
+
 func (r *Reader) failed(err error) {
 	r.failures.Inc(1)
 	if r.failedSince.CompareAndSwap(0, r.Clock.Now().UnixNano()) {
 		r.Log.Warn().Str("event", "store-lost").Str("prefix", r.Mirror.Prefix()).
 			Uint64("complete", r.Mirror.Complete()).Err(err).Send()
-		r.Lost()
+		r.Lapses.Outage()
 	}
 }
 
-func (r *Reader) answered() {
+// regained reports whether an outage has ended.
+func (r *Reader) regained() bool {
 	since := r.failedSince.Swap(0)
 	if since == 0 {
-		return
+		return false
 	}
 	outage := time.Duration(r.Clock.Now().UnixNano() - since)
 	r.Log.Info().Str("event", "store-regained").Str("prefix", r.Mirror.Prefix()).Dur("outage_ms", outage).
 		Uint64("complete", r.Mirror.Complete()).Send()
-	r.Regained()
+	return true
 }
