Pace of reading from the allowed staleness; hosts of a large fleet know each other sooner

A trial without network (hosts that exchange by direct calls) shows why: messages hold 32 hosts at random, so that word of a host is up to 40 s old at 400 hosts and 28 hosts take themselves for one of the 10 that read; at 850, 105 do, and 40 s after the start hosts know 667 of 850 only, so that they split the bounds among too few. Change: half of each message are the hosts heard of last (mean age at 850 hosts 40 -> 20 s); a host that knows less than three quarters of what the other one knows is told of all (850 hosts: 203 known after 10 s -> 698); a silent host counts longer in a larger fleet. The times of the news follow from timeouts.staleness (drain_ms of the platform). Ruled out: larger messages at all times, which would grow with the fleet.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
@@ -63,19 +64,34 @@
 	return strikes
 }
 
-// digest returns what this host tells in a round: hosts, and how far it knows the published items.
-func (f *Fleet) digest() *fleetpb.Digest {
+// told returns the members for one message to a host that knows so many: all if it has just started, else those heard of
+// last, since that is news to most, and as many others, in random order, so that each one's turn comes. The caller holds mu.
+func (f *Fleet) told(known int) []string {
+	addresses := make([]string, 0, len(f.members))
+	for address := range f.members {
+		addresses = append(addresses, address)
+	}
+	if len(addresses) <= maxHosts || float64(known) < newcomerPart*float64(len(addresses)) {
+		return addresses
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return f.members[b].heard.Compare(f.members[a].heard) })
+	others := addresses[maxHosts/2:]
+	f.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return addresses[:maxHosts]
+}
+
+// digest returns what this host tells a host that knows so many others: hosts, and how far it knows the published items.
+func (f *Fleet) digest(known int) *fleetpb.Digest {
 	complete := f.Mirror.Complete()
 	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}, Loads: encodeLoads(f.Loads.Reports())}
 	now := f.Clock.Now()
 	d.Strikes = encodeStrikes(f.Strikes.Recent(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	d.Known = uint32(len(f.members))
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.centre}
-	for address, m := range f.members {
-		if len(d.Hosts) == maxHosts {
-			break // the order of a map differs each time
-		}
+	for _, address := range f.told(known) {
+		m := f.members[address]
 		d.Hosts = append(d.Hosts, &fleetpb.Host{
 			Address: address, Incarnation: m.incarnation, HeardAgoMs: uint32(now.Sub(m.heard).Milliseconds()), Leaving: m.leaving,
 			DataCentre: m.dataCentre,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -30,8 +31,10 @@
 	// lostInterval is the time between two rounds while the store does not answer this host: a change reaches it within
 	// a few rounds, well inside the bound of five seconds.
 	lostInterval = 250 * time.Millisecond
-	// forgetAfter is how long a silent host still counts for the split of bounds, much longer than hosts disagree.
-	forgetAfter = time.Minute
+	// forgetAfter is how long a silent host still counts for the split of bounds, and forgetPerHost how much longer for
+	// each host of the fleet: much longer than hosts disagree, and than word of a host that lives takes.
+	forgetAfter   = time.Minute
+	forgetPerHost = 250 * time.Millisecond
 	// seedEvery is the share of rounds that go to a seed: one in so many, so that parts of a fleet that lost each other
 	// meet again.
 	seedEvery = 8
@@ -59,8 +62,13 @@
 	Serve(ctx context.Context, after uint64, wait time.Duration) (published.News, bool)
 }
 
-// maxHosts bounds the hosts in one message; of more, each message has others.
-const maxHosts = 32
+const (
+	// maxHosts bounds the hosts in one message.
+	maxHosts = 32
+	// newcomerPart is the part of the hosts known here below which another host counts as one that has just started, and
+	// is told of all of them.
+	newcomerPart = 0.75
+)
 
 // Options configures New.
 type Options struct {
@@ -138,6 +146,9 @@
 	}
 }
 
+// unknown stands for how many hosts another host knows, before it has said so.
+const unknown = math.MaxInt
+
 // Round exchanges with one other host.
 func (f *Fleet) Round(ctx context.Context) {
 	address := f.pick()
@@ -145,7 +156,7 @@
 		return
 	}
 	f.rounds.Inc(1)
-	answer, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, f.digest())
+	answer, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, f.digest(unknown))
 	if err != nil {
 		f.failures.Inc(1)
 		f.noteLost(address, errors.Wrapf(err, "exchange with %s", address))
@@ -158,7 +169,7 @@
 // Exchange implements fleetpb.Fleet: it answers with what this host knows beyond the sender.
 func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
 	f.merge(d)
-	answer := f.digest()
+	answer := f.digest(int(d.GetKnown()))
 	if theirs := d.GetMirror().GetComplete(); f.Mirror.Complete() > theirs {
 		answer.Mirror = encodeMirror(theirs, f.Mirror.Since(theirs))
 	}
@@ -174,13 +185,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hear(d.GetSender(), now)
+	keep := forgetAfter + time.Duration(len(f.members))*forgetPerHost
 	for _, host := range d.GetHosts() {
-		if ago := time.Duration(host.GetHeardAgoMs()) * time.Millisecond; ago < forgetAfter {
+		if ago := time.Duration(host.GetHeardAgoMs()) * time.Millisecond; ago < keep {
 			f.hear(host, now.Add(-ago))
 		}
 	}
 	for address, m := range f.members {
-		if now.Sub(m.heard) > forgetAfter {
+		if now.Sub(m.heard) > keep {
 			delete(f.members, address)
 		}
 	}
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -22,7 +22,7 @@
 	silentFor = 5 * time.Second
 	// unheardAfter is how long a host that nobody heard of still counts as a reader. In a large fleet word of a host
 	// that lives takes several seconds.
-	unheardAfter = 15 * time.Second
+	unheardAfter = 20 * time.Second
 )
 
 // whileOut stands for a store that does not answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,11 +53,6 @@
 	// changesWait is how long the store may hold a call for changes open. Upstreams change about once a second each, so
 	// a longer silence is a call that the store has lost.
 	changesWait = time.Second
-	// changesPause is the time between two such calls, so that many heartbeats share one. A configuration must be in
-	// force, and a leaving upstream get nothing more, after two seconds.
-	changesPause = 1200 * time.Millisecond
-	// sharedPause takes its place while other hosts hear of changes from this one, to whom it adds to the age.
-	sharedPause = 700 * time.Millisecond
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 800 * time.Millisecond
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
@@ -106,7 +101,8 @@
 	g.mirror = published.NewMirror(a.Prefix, a.Same, g.store.Apply)
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
-		Source: a.Source, Mirror: g.mirror, Wait: changesWait, Pause: changesPause, SharedPause: sharedPause,
+		Source: a.Source, Mirror: g.mirror, Wait: changesWait,
+		Pace:   published.PaceFor(g.settings.Timeouts.Staleness.Std()),
 		Lapses: g.store, Peers: g.fleet, Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
 	g.fleet.Store = g.reader
--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -10,20 +10,53 @@
 // In a large data centre a few hosts read the store, and the others hear of changes from them: each call of the store is
 // paid for, and most of what it brings are heartbeats that mean nothing new.
 //
-// What a host knows is as old as the answer of the store behind it, whichever way it came. The times below bound that
-// age: sharedPause of the reading host, then either a change travels at once, or the reading host stays silent for
-// newsWait and newsSlack until the other one reads the store itself: 1.5 s, where two are allowed.
+// What a host knows is as old as the answer of the store behind it, whichever way it came. Pace bounds that age.
+
+// Pace is the rhythm in which published items are read.
+type Pace struct {
+	// Pause is the time between two calls of the store, so that many small changes share one call. SharedPause takes its
+	// place on a host from which others hear.
+	Pause, SharedPause time.Duration
+	// NewsWait is how long a call for news waits for a change, NewsSlack how much longer it may take before the other
+	// host counts as silent.
+	NewsWait, NewsSlack time.Duration
+	// MaxNewsAge is how old the reading host's last answer of the store may be.
+	MaxNewsAge time.Duration
+}
+
+// Parts of the staleness in a pace. A change is known after SharedPause, NewsWait and NewsSlack at the latest, when the
+// reading host falls silent just before it would have told it; what is left is for the store's answer and the way.
+const (
+	pausePart     = 0.6
+	sharedPart    = 0.35
+	newsWaitPart  = 0.35
+	newsSlackPart = 0.15
+	newsAgePart   = 0.5
+)
+
+// maxPause and maxSharedPause bound the pauses however much staleness is allowed: who learns late of a leaving upstream
+// sends it more in vain.
+const (
+	maxPause       = 1200 * time.Millisecond
+	maxSharedPause = 700 * time.Millisecond
+)
+
+// PaceFor returns the pace with which changes are known in less than the staleness.
+func PaceFor(staleness time.Duration) Pace {
+	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
+	return Pace{
+		Pause: min(maxPause, part(pausePart)), SharedPause: min(maxSharedPause, part(sharedPart)),
+		NewsWait: part(newsWaitPart), NewsSlack: part(newsSlackPart), MaxNewsAge: part(newsAgePart),
+	}
+}
+
 const (
-	// newsWait is how long a call for news waits for a change.
-	newsWait = 400 * time.Millisecond
-	// newsSlack is how much longer such a call may take before the other host counts as silent.
-	newsSlack = 300 * time.Millisecond
-	// maxNewsAge is how old the reading host's last answer of the store may be. Its pause is shorter.
-	maxNewsAge = time.Second
 	// newsPause is the least time between two calls for news, whatever they bring.
 	newsPause = 20 * time.Millisecond
 	// sharedFor is how long after the last call for news this host counts as one that others hear from.
-	sharedFor = 3 * time.Second
+	sharedFor = 5 * time.Second
+	// maxServeWait bounds how long a call for news may wait here.
+	maxServeWait = 5 * time.Second
 )
 
 // News is what another host knows beyond a revision.
@@ -61,11 +94,11 @@
 		return false
 	}
 	r.followed.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, newsWait+newsSlack)
+	ctx, cancel := context.WithTimeout(ctx, r.Pace.NewsWait+r.Pace.NewsSlack)
 	defer cancel()
 	after := r.Mirror.Complete()
-	news, err := peer.News(ctx, after, newsWait)
-	if err == nil && news.Age >= maxNewsAge {
+	news, err := peer.News(ctx, after, r.Pace.NewsWait)
+	if err == nil && news.Age >= r.Pace.MaxNewsAge {
 		err = errors.Errorf("hear from %s: its news is %s old", peer.Address(), news.Age)
 	}
 	if err != nil {
@@ -94,7 +127,7 @@
 func (r *Reader) Serve(ctx context.Context, after uint64, wait time.Duration) (News, bool) {
 	now := r.Clock.Now()
 	r.askedAt.Store(now.UnixNano())
-	until := now.Add(min(wait, newsWait))
+	until := now.Add(min(wait, maxServeWait))
 	for {
 		changed := r.Mirror.Changed()
 		now, answered := r.Clock.Now(), r.answeredAt.Load()
@@ -104,7 +137,7 @@
 		news := News{
 			Batch: r.Mirror.Since(after), Age: time.Duration(now.UnixNano() - answered), LapseLeft: r.Lapses.LapseLeft(),
 		}
-		left := min(until.Sub(now), maxNewsAge-news.Age)
+		left := min(until.Sub(now), r.Pace.MaxNewsAge-news.Age)
 		if len(news.Items) > 0 || left <= 0 || ctx.Err() != nil {
 			return news, true
 		}
@@ -119,7 +152,7 @@
 // pause returns the time until the next call of the store.
 func (r *Reader) pause() time.Duration {
 	if r.Clock.Now().UnixNano()-r.askedAt.Load() < int64(sharedFor) {
-		return min(r.Pause, r.SharedPause)
+		return r.Pace.SharedPause
 	}
-	return r.Pause
+	return r.Pace.Pause
 }
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -31,11 +31,9 @@
 	Source Source
 	Mirror *Mirror
 	// Wait is how long the source may hold a call for changes open.
-	Wait time.Duration
-	// Pause is the time between two calls, so that many small changes share one call. SharedPause takes its place while
-	// other hosts hear of changes from this one.
-	Pause, SharedPause time.Duration
-	Lapses             Lapses
+	Wait   time.Duration
+	Pace   Pace
+	Lapses Lapses
 	// Peers is nil if every host reads the source.
 	Peers Peers
 	Clock clockwork.Clock
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -49,6 +49,8 @@
 	Stop Duration `json:"stop"`
 	// Gossip is the time between two exchanges with other hosts.
 	Gossip Duration `json:"gossip"`
+	// Staleness is the time in which a change of the published items must be in force.
+	Staleness Duration `json:"staleness"`
 }
 
 // Default values and limits of the settings.
@@ -56,6 +58,9 @@
 	defaultDirectDrain  = 3 * time.Second
 	defaultDirectStop   = 8 * time.Second
 	defaultDirectGossip = time.Second
+	defaultStaleness    = 2 * time.Second
+	minStaleness        = 500 * time.Millisecond
+	maxStaleness        = time.Minute
 	minMemoryMB         = 32
 	maxMemoryMB         = 1 << 20
 	maxShare            = 1000
@@ -66,6 +71,7 @@
 	setInt(&d.Timeouts.Drain, Duration(defaultDirectDrain))
 	setInt(&d.Timeouts.Stop, Duration(defaultDirectStop))
 	setInt(&d.Timeouts.Gossip, Duration(defaultDirectGossip))
+	setInt(&d.Timeouts.Staleness, Duration(defaultStaleness))
 	c := newChecks()
 	c.text("name", d.Name)
 	c.text("data_centre", d.DataCentre)
@@ -88,6 +94,7 @@
 	c.between("timeouts.drain", d.Timeouts.Drain, minTimeout, d.Timeouts.Stop.Std())
 	c.between("timeouts.stop", d.Timeouts.Stop, minTimeout, maxTimeout)
 	c.between("timeouts.gossip", d.Timeouts.Gossip, minGossip, maxGossip)
+	c.between("timeouts.staleness", d.Timeouts.Staleness, minStaleness, maxStaleness)
 	c.log(d.Log)
 	return c.problems
 }
