Large changes are read from the store, not passed on

Change: news over 16 KB say only that there is something, and the asking host reads the store itself; exchanges leave such batches out unless the store does not answer the sender. Tests: TestLargeChangesAreReadFromTheStore, TestAHostThatReachesTheStoreIsNotToldOfLargeChanges, both fail before.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -88,7 +88,7 @@
 	d.Strikes = encodeStrikes(f.Strikes.Recent(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.Known = uint32(len(f.members))
+	d.Known, d.WantsItems = uint32(len(f.members)), complete == 0 || f.Store.Failing()
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.centre}
 	for _, address := range f.told(known) {
 		m := f.members[address]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -166,12 +166,16 @@
 	f.noteReached(address)
 }
 
-// Exchange implements fleetpb.Fleet: it answers with what this host knows beyond the sender.
+// Exchange implements fleetpb.Fleet: it answers with what this host knows beyond the sender. Large changes are passed on
+// only to a host that the store does not answer.
 func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
 	f.merge(d)
 	answer := f.digest(int(d.GetKnown()))
-	if theirs := d.GetMirror().GetComplete(); f.Mirror.Complete() > theirs {
-		answer.Mirror = encodeMirror(theirs, f.Mirror.Since(theirs))
+	theirs := d.GetMirror().GetComplete()
+	if f.Mirror.Complete() > theirs {
+		if b := f.Mirror.Since(theirs); d.GetWantsItems() || b.Small() {
+			answer.Mirror = encodeMirror(theirs, b)
+		}
 	}
 	return answer, nil
 }
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -45,6 +45,7 @@
 	return &fleetpb.NewsAnswer{
 		Reading: true, AgeMs: milliseconds(news.Age), LapseMs: milliseconds(news.LapseLeft),
 		Mirror: encodeMirror(r.GetComplete(), news.Batch), WaitedMs: uint32(f.Clock.Since(begun).Milliseconds()),
+		Withheld: news.Withheld,
 	}, nil
 }
 
@@ -114,7 +115,7 @@
 	}
 	onTheWay := r.fleet.Clock.Since(sent) - time.Duration(answer.GetWaitedMs())*time.Millisecond
 	news := published.News{
-		Batch: decodeMirror(answer.GetMirror()), LapseLeft: published.WhileOut,
+		Batch: decodeMirror(answer.GetMirror()), LapseLeft: published.WhileOut, Withheld: answer.GetWithheld(),
 		Age: time.Duration(answer.GetAgeMs())*time.Millisecond + max(0, onTheWay),
 	}
 	if answer.GetLapseMs() != whileOut {
--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -55,6 +55,9 @@
 	newsPause = 20 * time.Millisecond
 	// sharedFor is how long after the last call for news this host counts as one that others hear from.
 	sharedFor = 5 * time.Second
+	// maxNewsBytes bounds the values of a batch that is passed on to hosts that can read it from the store. A large configuration, passed on to ten hosts, would fill the link of
+	// the host that reads it for seconds; the store's link is faster.
+	maxNewsBytes = 16 << 10
 	// maxServeWait bounds how long a call for news may wait here.
 	maxServeWait = 5 * time.Second
 )
@@ -66,6 +69,8 @@
 	Age time.Duration
 	// LapseLeft is how much longer removals count as lapses there.
 	LapseLeft time.Duration
+	// Withheld says that there are changes, too large to be passed on: they are to be read from the store.
+	Withheld bool
 }
 
 // Peer is another host that reads the store.
@@ -98,7 +103,11 @@
 	defer cancel()
 	after := r.Mirror.Complete()
 	news, err := peer.News(ctx, after, r.Pace.NewsWait)
-	if err == nil && news.Age >= r.Pace.MaxNewsAge {
+	switch {
+	case err != nil:
+	case news.Withheld:
+		return false
+	case news.Age >= r.Pace.MaxNewsAge:
 		err = errors.Errorf("hear from %s: its news is %s old", peer.Address(), news.Age)
 	}
 	if err != nil {
@@ -137,6 +146,10 @@
 		news := News{
 			Batch: r.Mirror.Since(after), Age: time.Duration(now.UnixNano() - answered), LapseLeft: r.Lapses.LapseLeft(),
 		}
+		if !news.Small() {
+			news.Items, news.Withheld = nil, true
+			return news, true
+		}
 		left := min(until.Sub(now), r.Pace.MaxNewsAge-news.Age)
 		if len(news.Items) > 0 || left <= 0 || ctx.Err() != nil {
 			return news, true
@@ -149,6 +162,15 @@
 	}
 }
 
+// Small reports whether the batch may be passed on to hosts that can read it from the store.
+func (b *Batch) Small() bool {
+	total := 0
+	for i := range b.Items {
+		total += len(b.Items[i].Value)
+	}
+	return total <= maxNewsBytes
+}
+
 // pause returns the time until the next call of the store.
 func (r *Reader) pause() time.Duration {
 	if r.Clock.Now().UnixNano()-r.askedAt.Load() < int64(sharedFor) {
