One chain, one budget of bodies, one incarnation; bodies count while they arrive

Cause: direct sending had its own copies of the chain of filters, of the memory budget of bodies, of the size of headers and of the incarnation. Its own budget counted a body only once it was whole, so that slow callers could hold many times the bytes that are allowed; and a refusal in mid body waited for the rest of the body, as net/http does. Ruled out: refusing by Content-Length alone, since a body may come in chunks.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/config"
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/relay"
 	"github.com/orioleusher/orioleusher/internal/settings"
 )
@@ -27,7 +28,7 @@
 	timeouts settings.Timeouts
 	clock    clockwork.Clock
 	log      zerolog.Logger
-	bodies   *budget
+	bodies   *inbound.Budget
 	requests tally.Counter
 	refusals tally.Counter
 	cut      tally.Counter
@@ -37,7 +38,7 @@
 func New(store *config.Store, chain exchange.Next, s *settings.Router, clock clockwork.Clock, log zerolog.Logger, scope tally.Scope) *Handler {
 	return &Handler{
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
-		bodies:   &budget{total: s.Limits.TotalBodyBytes},
+		bodies:   inbound.NewBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), cut: scope.Counter("answers_cut"),
 	}
 }
@@ -81,7 +82,7 @@
 	h.requests.Inc(1)
 	w = newDeadlineWriter(w, h.timeouts.Write.Std())
 	body := h.limitBody(w, r)
-	defer body.release()
+	defer body.Release()
 	x, err := h.receive(r, body)
 	if err != nil {
 		h.refuse(w, x, err)
--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/routing"
 )
@@ -67,7 +68,7 @@
 // checkHead refuses a request line or header that no upstream should see.
 func checkHead(r *http.Request, maxHeader int) *outcome.Refusal {
 	switch {
-	case headerBytes(r) > maxHeader:
+	case inbound.HeaderBytes(r) > maxHeader:
 		return outcome.Refuse(step, http.StatusRequestHeaderFieldsTooLarge, "header-too-large",
 			fmt.Sprintf("the request line and header have more than %d bytes", maxHeader))
 	case !plainPath(r.URL.Path):
@@ -86,18 +87,6 @@
 	}
 }
 
-// headerBytes returns the size of the request line and the header fields as they came.
-func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
-	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			total += len(name) + len(value) + separators
-		}
-	}
-	return total
-}
-
 // plainPath reports whether every server reads the path in the same way. An upstream that resolves dot segments would
 // otherwise serve another path than the one whose route was authorised.
 func plainPath(p string) bool {
@@ -141,8 +130,8 @@
 }
 
 // limitBody returns a reader of the body that fails above the limits. The server's ReadTimeout bounds the time.
-func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) *bodyReader {
-	return &bodyReader{body: http.MaxBytesReader(w, r.Body, h.limits.BodyBytes), budget: h.bodies}
+func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) *inbound.Body {
+	return h.bodies.Body(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
 }
 
 func bodyRefusal(err error) *outcome.Refusal {
@@ -151,7 +140,7 @@
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(step, http.StatusRequestEntityTooLarge, "body-too-large",
 			fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
-	case errors.Is(err, errBudget):
+	case errors.Is(err, inbound.ErrFull):
 		return outcome.Unavailable(step, "bodies-full", "the router holds as many bytes of bodies as it may").
 			WithRetryAfter(bodiesFullWait)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- /dev/null
+++ b/internal/chain/chain.go
@@ -0,0 +1,28 @@
+// Package chain runs a request through a list of filters.
+//
+// A filter looks at the request, may change it, and either calls next or returns an error, by convention an
+// *outcome.Refusal. Code after the call of next sees the answer on its way back.
+package chain
+
+import "context"
+
+// Next runs the rest of the chain.
+type Next[R any] func(ctx context.Context, request R) error
+
+// Filter is one step of the chain. Implementations are safe for concurrent use.
+type Filter[R any] interface {
+	// Name is the step that errors and metrics carry.
+	Name() string
+	// Handle processes the request and calls next to go on.
+	Handle(ctx context.Context, request R, next Next[R]) error
+}
+
+// Of returns a function that runs the filters in order.
+func Of[R any](filters ...Filter[R]) Next[R] {
+	next := Next[R](func(context.Context, R) error { return nil })
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, rest := filters[i], next
+		next = func(ctx context.Context, request R) error { return f.Handle(ctx, request, rest) }
+	}
+	return next
+}
--- /dev/null
+++ b/internal/chain/chain_test.go
@@ -0,0 +1,43 @@
+package chain
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// named appends its name on the way in and on the way back, and fails if the name says so.
+type named string
+
+func (n named) Name() string { return string(n) }
+
+func (n named) Handle(ctx context.Context, trail *strings.Builder, next Next[*strings.Builder]) error {
+	trail.WriteString(string(n))
+	if n == "fail" {
+		return errors.New("refused")
+	}
+	err := next(ctx, trail)
+	trail.WriteString("/" + string(n))
+	return err
+}
+
+func TestFiltersRunInOrderAndSeeTheWayBack(t *testing.T) {
+	is := is.New(t)
+	var trail strings.Builder
+	is.NoErr(Of[*strings.Builder](named("a"), named("b"))(context.Background(), &trail))
+	is.Equal(trail.String(), "ab/b/a")
+}
+
+func TestAFilterThatDoesNotCallNextEndsTheChain(t *testing.T) {
+	is := is.New(t)
+	var trail strings.Builder
+	is.True(Of[*strings.Builder](named("a"), named("fail"), named("b"))(context.Background(), &trail) != nil)
+	is.Equal(trail.String(), "afail/a")
+}
+
+func TestAnEmptyChainServesEverything(t *testing.T) {
+	is.New(t).NoErr(Of[int]()(context.Background(), 1))
+}
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -5,13 +5,13 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
@@ -72,7 +72,7 @@
 	if err := allow(x, config); err != nil {
 		return err
 	}
-	if limit := config.Limits.HeaderBytes; limit > 0 && headerBytes(x.HTTP) > limit {
+	if limit := config.Limits.HeaderBytes; limit > 0 && inbound.HeaderBytes(x.HTTP) > limit {
 		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
 	}
 	wait := x.Route.Timeout
@@ -127,21 +127,10 @@
 	return strings.ToLower(name)
 }
 
-func headerBytes(r *http.Request) int {
-	n := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 // receive reads the request's body.
 type receive struct {
-	store *catalog.Store
-	// room is how many bytes of bodies may still be held.
-	room atomic.Int64
+	store  *catalog.Store
+	bodies *inbound.Budget
 }
 
 // defaultBodyBytes bounds a body when the configuration says nothing.
@@ -159,35 +148,39 @@
 	if x.HTTP.ContentLength > limit {
 		return outcome.Refuse(stepReceive, http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
 	}
-	if err := f.read(x, limit); err != nil {
-		return err
+	if x.HTTP.Body == nil || x.HTTP.Body == http.NoBody {
+		return next(ctx, x)
 	}
-	held := int64(len(x.Body))
-	defer f.room.Add(held)
-	if f.room.Add(-held) < 0 {
-		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(shortRetry)
+	body := f.bodies.Body(io.LimitReader(x.HTTP.Body, limit+1))
+	defer body.Release()
+	if err := read(x, body, limit); err != nil {
+		return err
 	}
 	return next(ctx, x)
 }
 
-func (f *receive) read(x *Request, limit int64) error {
-	if x.HTTP.Body == nil || x.HTTP.Body == http.NoBody {
-		return nil
-	}
+// read sets the request's body.
+func read(x *Request, body io.Reader, limit int64) error {
 	control := http.NewResponseController(x.out.w)
 	// A connection that takes no deadline is bounded by the caller's patience.
 	_ = control.SetReadDeadline(x.Deadline)
-	body, err := io.ReadAll(io.LimitReader(x.HTTP.Body, limit+1))
-	_ = control.SetReadDeadline(time.Time{})
+	raw, err := io.ReadAll(body)
+	lifted := time.Time{}
 	if err != nil {
+		lifted = time.Unix(1, 0) // net/http would else wait for the rest of the body before it sends the answer
+	}
+	_ = control.SetReadDeadline(lifted)
+	switch {
+	case errors.Is(err, inbound.ErrFull):
+		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(shortRetry)
+	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
 			Step: stepReceive, Outcome: outcome.NotRun, Cause: errors.Wrap(err, "read body"),
 		}
-	}
-	if int64(len(body)) > limit {
+	case int64(len(raw)) > limit:
 		return outcome.Refuse(stepReceive, http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
 	}
-	x.Body = body
+	x.Body = raw
 	return nil
 }
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -7,16 +7,15 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 )
 
 // filters is what a caller's request passes, in this order.
 func (s *Server) filters() []Filter {
-	body := &receive{store: s.Store}
-	body.room.Store(s.BodyBytes)
 	return []Filter{
 		&admit{store: s.Store, clock: s.Clock},
 		&deadline{clock: s.Clock},
-		body,
+		&receive{store: s.Store, bodies: inbound.NewBudget(s.BodyBytes)},
 		&hold{table: s.Quarantine},
 		&dispatch{
 			store: s.Store, table: s.Table, retries: s.Retries, cold: s.Cold, pool: s.Pool, codec: s.Codec, clock: s.Clock,
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -387,3 +387,31 @@
 		is.Equal(h.call(http.MethodPost, "/r/", "").status, 200)
 	}
 }
+
+// Callers that send long bodies slowly hold no more than may be held: a body counts while it arrives.
+func TestBodiesCountWhileTheyArrive(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false)
+	const room = 1000
+	h.serve(allowance.RetryBounds{}, room)
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		_, err = fmt.Fprintf(c, "POST /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: key\r\nX-Wait: 5000\r\nContent-Length: 900\r\n\r\n%s",
+			strings.Repeat("b", 600))
+		is.NoErr(err)
+		return c
+	}
+	first, second := open(), open()
+	answers := make(chan int, 2)
+	for _, c := range []net.Conn{first, second} {
+		go func() {
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				answers <- resp.StatusCode
+			}
+		}()
+	}
+	is.Equal(<-answers, http.StatusServiceUnavailable) // one of the two, before its body is whole
+}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -1,17 +1,16 @@
 // Package direct serves callers by sending each request from the host that accepted it straight to an upstream.
 //
-// A request flows through the filters that chain.go lists. A filter looks at the request, may change it, and either
-// calls next or returns an error, by convention an *outcome.Refusal.
+// A request flows through the filters that chain.go lists.
 package direct
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/events"
 )
 
@@ -71,25 +70,10 @@
 }
 
 // Next runs the rest of the chain.
-type Next func(ctx context.Context, x *Request) error
+type Next = chain.Next[*Request]
 
-// Filter is one step of the chain. Implementations are safe for concurrent use.
-type Filter interface {
-	// Name is the step that errors and metrics carry.
-	Name() string
-	// Handle processes the request and calls next to go on.
-	Handle(ctx context.Context, x *Request, next Next) error
-}
-
-// Chain returns a function that runs the filters in order.
-func Chain(filters ...Filter) Next {
-	next := Next(func(context.Context, *Request) error { return nil })
-	for i := len(filters) - 1; i >= 0; i-- {
-		f, rest := filters[i], next
-		next = func(ctx context.Context, x *Request) error { return f.Handle(ctx, x, rest) }
-	}
-	return next
-}
+// Filter is one step of it.
+type Filter = chain.Filter[*Request]
 
 // team returns the team's name, empty on open routes.
 func (x *Request) team() string {
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -15,6 +15,7 @@
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -69,7 +70,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.idle = newIdleConns(o.Clock, s.idleLimit)
-	s.chain = Chain(s.filters()...)
+	s.chain = chain.Of(s.filters()...)
 	return s
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,18 +1,15 @@
-// Package exchange defines the request that flows through the filters and the filter interface.
-//
-// A filter looks at the exchange, may change it, and either calls next or returns an error, by convention an
-// *outcome.Refusal. Code after the call of next sees the answer on its way back.
+// Package exchange defines the request that flows through the filters.
 package exchange
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
@@ -73,31 +70,11 @@
 	Earlier outcome.Earlier
 }
 
-// Next runs the rest of the chain.
-type Next func(ctx context.Context, x *Exchange) error
+// Next runs the rest of a chain of filters.
+type Next = chain.Next[*Exchange]
 
-// Filter is one step of the chain. Implementations are safe for concurrent use.
-type Filter interface {
-	// Name is the step that errors and metrics carry.
-	Name() string
-	// Handle processes the exchange and calls next to go on.
-	Handle(ctx context.Context, x *Exchange, next Next) error
-}
-
-// Chain returns a function that runs the filters in order.
-func Chain(filters ...Filter) Next {
-	next := Next(func(context.Context, *Exchange) error { return nil })
-	for i := len(filters) - 1; i >= 0; i-- {
-		next = link(filters[i], next)
-	}
-	return next
-}
-
-func link(f Filter, next Next) Next {
-	return func(ctx context.Context, x *Exchange) error {
-		return f.Handle(ctx, x, next)
-	}
-}
+// Filter is one step of it.
+type Filter = chain.Filter[*Exchange]
 
 // TeamName returns the team's name, or "open" on routes that are open to all.
 func (x *Exchange) TeamName() string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -93,7 +91,7 @@
 // New assembles a process; Run starts it.
 func New(s *settings.Direct, a Adapter, pool *upconn.Pool, clock clockwork.Clock, log zerolog.Logger) *Gateway {
 	g := &Gateway{
-		settings: s, clock: clock, log: log, metrics: metrics.New("oriole_router"), incarnation: newIncarnation(), pool: pool,
+		settings: s, clock: clock, log: log, metrics: metrics.New("oriole_router"), incarnation: process.Incarnation(), pool: pool,
 	}
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
@@ -129,13 +127,6 @@
 	})
 }
 
-func newIncarnation() uint64 {
-	var raw [8]byte
-	// crypto/rand.Read never fails; it ends the process if the system has no randomness.
-	_, _ = rand.Read(raw[:])
-	return binary.LittleEndian.Uint64(raw[:])
-}
-
 // Run serves until the context ends and then stops gracefully. It returns the first server's error, if any.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(g.settings.MemoryMB<<20)))
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -1,22 +1,28 @@
-package callers
+// Package inbound bounds what callers' requests take of this host: the size of their headers and the memory of their
+// bodies.
+package inbound
 
 import (
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
-// errBudget says that the bodies of all requests in flight together hold as many bytes as they may.
-var errBudget = errors.New("too many body bytes in flight")
+// ErrFull says that the bodies of all requests in flight together hold as many bytes as they may.
+var ErrFull = errors.New("too many body bytes in flight")
 
-// budget bounds the memory that callers' bodies take, over all requests in flight. It is safe for concurrent use.
-type budget struct {
+// Budget bounds the memory that callers' bodies take, over all requests in flight. It is safe for concurrent use.
+type Budget struct {
 	total int64
 	used  atomic.Int64
 }
 
-func (b *budget) take(n int64) bool {
+// NewBudget returns a budget of so many bytes.
+func NewBudget(total int64) *Budget { return &Budget{total: total} }
+
+func (b *Budget) take(n int64) bool {
 	if b.used.Add(n) <= b.total {
 		return true
 	}
@@ -24,25 +30,40 @@
 	return false
 }
 
-// bodyReader takes from the budget what arrives, so that a slow caller holds no more than it has sent.
-type bodyReader struct {
+// Body takes from the budget what arrives, so that a slow caller holds no more than it has sent.
+type Body struct {
 	body   io.Reader
-	budget *budget
+	budget *Budget
 	taken  int64
 }
 
-// Read implements io.Reader.
-func (r *bodyReader) Read(p []byte) (int, error) {
+// Body returns a reader of a request's body whose bytes count until Release.
+func (b *Budget) Body(body io.Reader) *Body { return &Body{body: body, budget: b} }
+
+// Read implements io.Reader. The error is ErrFull once the budget is used up.
+func (r *Body) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if !r.budget.take(int64(n)) {
-		return 0, errBudget
+		return 0, ErrFull
 	}
 	r.taken += int64(n)
 	return n, err
 }
 
-// release gives back what was taken. A run that outlives its caller keeps its body without being counted.
-func (r *bodyReader) release() {
+// Release gives back what was taken. A run that outlives its caller keeps its body without being counted.
+func (r *Body) Release() {
 	r.budget.used.Add(-r.taken)
 	r.taken = 0
 }
+
+// HeaderBytes returns the size of the request line and the header fields as they came.
+func HeaderBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + separators
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/inbound/body_test.go
@@ -0,0 +1,34 @@
+package inbound
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func TestBodiesCountFromTheirArrivalToTheirRelease(t *testing.T) {
+	is := is.New(t)
+	budget := NewBudget(10)
+	first := budget.Body(strings.NewReader("123456"))
+	_, err := io.ReadAll(first)
+	is.NoErr(err)
+	second := budget.Body(strings.NewReader("12345"))
+	_, err = io.ReadAll(second)
+	is.True(errors.Is(err, ErrFull))
+	second.Release()
+	first.Release()
+	first.Release() // counts once
+	_, err = io.ReadAll(budget.Body(strings.NewReader("1234567890")))
+	is.NoErr(err)
+	is.Equal(budget.used.Load(), int64(10))
+}
+
+func TestHeaderBytesCountTheRequestLineAndEachField(t *testing.T) {
+	is := is.New(t)
+	r := &http.Request{Method: "GET", RequestURI: "/a", Proto: "HTTP/1.1", Host: "h", Header: http.Header{"A": {"b", "cc"}}}
+	is.Equal(HeaderBytes(r), len("GET/aHTTP/1.1h")+len("A: b\r\n")+len("A: cc\r\n"))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net/http"
@@ -26,6 +28,14 @@
 	ExitFinding = 4
 )
 
+// Incarnation returns a random identity for one run of a process.
+func Incarnation() uint64 {
+	var raw [8]byte
+	// crypto/rand.Read never fails; it ends the process if the system has no randomness.
+	_, _ = rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:])
+}
+
 // VersionFlag is embedded in the options of each program.
 type VersionFlag struct {
 	Version func() `long:"version" description:"print the version and exit"`
--- a/internal/proofs/rights/admission/admission_test.go
+++ b/internal/proofs/rights/admission/admission_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/filters/identify"
@@ -86,7 +87,7 @@
 // path is the admission path of one host.
 func path(limiter *quota.Limiter, snap *document.Snapshot, clock clockwork.Clock) exchange.Next {
 	borrower := quota.NewBorrower(limiter, nil, nobody{}, clock, tally.NoopScope)
-	return exchange.Chain(
+	return chain.Of(
 		identify.New(clock, fixedDocument{snap}, tally.NoopScope),
 		limit.New(borrower, tally.NoopScope),
 	)
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/filters/admit"
 	"github.com/orioleusher/orioleusher/internal/filters/authorise"
@@ -23,12 +24,12 @@
 		authorise.New(r.scope),
 		limit.New(r.borrower, r.scope),
 	}
-	return exchange.Chain(append(filters, r.issuerFilters(true)...)...)
+	return chain.Of(append(filters, r.issuerFilters(true)...)...)
 }
 
 // issuerChain is what a request with an idempotency key passes on the host that issued the key.
 func (r *Router) issuerChain() exchange.Next {
-	return exchange.Chain(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters(false)...)...)
+	return chain.Of(append([]exchange.Filter{awake.New(r.guard, r.store)}, r.issuerFilters(false)...)...)
 }
 
 // issuerFilters are shared by both; entry is set on the host that accepted the request.
@@ -50,7 +51,7 @@
 
 // ownerChain is what a request passes on the host that owns the chosen upstream.
 func (r *Router) ownerChain() exchange.Next {
-	return exchange.Chain(
+	return chain.Of(
 		awake.New(r.guard, r.store),
 		quarantine.NewOwner(r.quarantine, r.lanes, r.prober, r.scope),
 		admit.New(r.upstreams, r.scope),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"sync"
@@ -71,7 +69,7 @@
 
 // New assembles a router; Run starts it.
 func New(s *settings.Router, clock clockwork.Clock, log zerolog.Logger) (*Router, error) {
-	r := &Router{settings: s, clock: clock, log: log, metrics: metrics.New("oriole_router"), incarnation: newIncarnation()}
+	r := &Router{settings: s, clock: clock, log: log, metrics: metrics.New("oriole_router"), incarnation: process.Incarnation()}
 	r.scope = r.metrics.Scope
 	signer, err := idempotency.NewSigner(s.Name, r.incarnation)
 	if err != nil {
@@ -115,14 +113,6 @@
 	go r.gossip.Push(context.Background())
 }
 
-// newIncarnation returns a random identity for one run of the process.
-func newIncarnation() uint64 {
-	var raw [8]byte
-	// crypto/rand.Read never fails; it ends the process if the system has no randomness.
-	_, _ = rand.Read(raw[:])
-	return binary.LittleEndian.Uint64(raw[:])
-}
-
 // Run serves until the context ends and then stops gracefully. It returns the first server's error, if any.
 func (r *Router) Run(ctx context.Context) error {
 	loops, stopLoops := context.WithCancel(context.Background())
