Removals before a full list reach hosts that are behind; tombstones are forgotten

Cause: a host that has just read a full list never knew of items that were removed before it. A host that was behind heard from it 'complete up to the list' and no removal, and kept the removed item for good: a server that is gone, a key's data centre. With a few reading hosts this needs only the restart of one of them within a second of a removal. TestAListTellsOthersOfRemovalsBeforeIt is its short form and fails before. Change: a mirror knows the revision up to which it may lack removals; who is behind that gets all items, marked as full. With this, tombstones can go: they are dropped after a minute, once the mirror is complete up to them, where they were kept for the life of the process before. Ruled out: passing on only tombstones, which the listing host does not have.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -11,7 +11,7 @@
 )
 
 func encodeMirror(after uint64, b published.Batch) *fleetpb.Mirror {
-	m := &fleetpb.Mirror{Complete: b.At, After: after}
+	m := &fleetpb.Mirror{Complete: b.At, After: after, Full: b.Full}
 	for _, item := range b.Items {
 		m.Items = append(m.Items, &fleetpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
 	}
@@ -101,7 +101,7 @@
 }
 
 func decodeMirror(m *fleetpb.Mirror) published.Batch {
-	b := published.Batch{At: m.GetComplete()}
+	b := published.Batch{At: m.GetComplete(), Full: m.GetFull()}
 	for _, item := range m.GetItems() {
 		b.Items = append(b.Items, published.Item{
 			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
@@ -111,7 +111,7 @@
 }
 
 func (f *Fleet) mergeMirror(sender string, theirs *fleetpb.Mirror) {
-	if len(theirs.GetItems()) == 0 {
+	if len(theirs.GetItems()) == 0 && !theirs.GetFull() {
 		return
 	}
 	b := decodeMirror(theirs)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.table = balance.NewTable(s.DataCentre, clock, log)
 	g.strikes = quarantine.NewTable(direct.StrikeLimits, clock, nil)
-	g.mirror = published.NewMirror(a.Prefix, a.Same, g.store.Apply)
+	g.mirror = published.NewMirror(a.Prefix, a.Same, clock, g.store.Apply)
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, Wait: changesWait,
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
 
@@ -29,6 +30,8 @@
 	Items []Item
 	// At is the store's revision up to which the batch is complete.
 	At uint64
+	// Full batches hold all items: what they lack was removed.
+	Full bool
 }
 
 // Source reads a store. Implementations are safe for concurrent use; their errors carry the step and the peer.
@@ -46,6 +49,7 @@
 
 // Mirror holds the items below one prefix. It is safe for concurrent use.
 type Mirror struct {
+	clock  clockwork.Clock
 	prefix string
 	same   Same
 	// changed is called with the items that a merge changed, in no lock of the mirror's, one call at a time.
@@ -59,8 +63,23 @@
 	complete uint64
 	// news is closed at the next change of an item's meaning.
 	news chan struct{}
+	// removed lists the tombstones in the order in which they came. Of removals up to the revision floor this mirror does
+	// not know all: they were forgotten, or came before a full list. An unknown item of a revision up to there was
+	// removed.
+	removed []tombstone
+	floor   uint64
 }
 
+// tombstone is a removed item with when this mirror learned of it.
+type tombstone struct {
+	key      string
+	revision uint64
+	at       time.Time
+}
+
+// tombstoneLife is how long a removed item is remembered by its key: much longer than hosts differ in what they know.
+const tombstoneLife = time.Minute
+
 // entry is an item with the revision since which it has meant the same.
 type entry struct {
 	Item
@@ -68,8 +87,8 @@
 }
 
 // NewMirror returns an empty mirror that reports changed items.
-func NewMirror(prefix string, same Same, changed func([]Item)) *Mirror {
-	return &Mirror{prefix: prefix, same: same, changed: changed, items: map[string]entry{}, news: make(chan struct{})}
+func NewMirror(prefix string, same Same, clock clockwork.Clock, changed func([]Item)) *Mirror {
+	return &Mirror{clock: clock, prefix: prefix, same: same, changed: changed, items: map[string]entry{}, news: make(chan struct{})}
 }
 
 // Prefix returns the prefix of the keys.
@@ -92,6 +111,9 @@
 // Merge takes the changes of the batch, which follow the revision after. If the mirror is complete up to there, it is
 // complete up to the batch's revision afterwards. It returns how many items changed.
 func (m *Mirror) Merge(after uint64, b Batch) int {
+	if b.Full {
+		return m.Replace(b)
+	}
 	m.applying.Lock()
 	defer m.applying.Unlock()
 	return m.merge(b.Items, func() {
@@ -117,7 +139,10 @@
 		}
 	}
 	m.mu.Unlock()
-	return m.merge(items, func() { m.complete = max(m.complete, b.At) })
+	return m.merge(items, func() {
+		m.complete = max(m.complete, b.At)
+		m.floor = max(m.floor, b.At) // what was removed before the list, this mirror may never have known
+	})
 }
 
 func (m *Mirror) merge(items []Item, finish func()) int {
@@ -125,7 +150,7 @@
 	m.mu.Lock()
 	for _, item := range items {
 		known, ok := m.items[item.Key]
-		if ok && known.Revision >= item.Revision {
+		if ok && known.Revision >= item.Revision || !ok && item.Revision <= m.floor {
 			continue
 		}
 		if ok && !known.Removed && !item.Removed && m.same(known.Item, item) {
@@ -133,9 +158,13 @@
 			continue
 		}
 		m.items[item.Key] = entry{Item: item, meant: item.Revision}
+		if item.Removed {
+			m.removed = append(m.removed, tombstone{key: item.Key, revision: item.Revision, at: m.clock.Now()})
+		}
 		news = append(news, item)
 	}
 	finish()
+	m.dropTombstones()
 	if len(news) > 0 {
 		close(m.news)
 		m.news = make(chan struct{})
@@ -147,14 +176,31 @@
 	return len(news)
 }
 
+// dropTombstones forgets removals that are old and up to which the mirror is complete; the caller holds mu.
+func (m *Mirror) dropTombstones() {
+	now := m.clock.Now()
+	n := 0
+	for _, t := range m.removed {
+		if now.Sub(t.at) < tombstoneLife || t.revision > m.complete {
+			break
+		}
+		n++
+		if known := m.items[t.key]; known.Removed && known.Revision == t.revision {
+			delete(m.items, t.key)
+			m.floor = max(m.floor, t.revision)
+		}
+	}
+	m.removed = m.removed[n:]
+}
+
 // Since returns the items, removed ones too, whose meaning changed after the revision, and the revision up to which the
-// mirror is complete.
+// mirror is complete. The batch is full if removals after the revision are no longer remembered.
 func (m *Mirror) Since(after uint64) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := Batch{At: m.complete}
+	b := Batch{At: m.complete, Full: after < m.floor}
 	for _, item := range m.items {
-		if item.meant > after {
+		if item.meant > after || b.Full {
 			b.Items = append(b.Items, item.Item)
 		}
 	}
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -20,7 +20,7 @@
 	same := func(before, now Item) bool {
 		return len(before.Value) > 0 && len(now.Value) > 0 && before.Value[0] == now.Value[0]
 	}
-	return NewMirror(prefix, same, changed)
+	return NewMirror(prefix, same, clockwork.NewFakeClock(), changed)
 }
 
 func TestWhatMeansTheSameIsNotTold(t *testing.T) {
@@ -104,6 +104,113 @@
 	})
 }
 
+// Removals are forgotten in time, and what was removed stays removed nevertheless: here, and at a host that hears of it
+// only afterwards.
+func TestForgottenRemovalsStayInForce(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := NewMirror("", nil, clock, func([]Item) {})
+	behind := newMirror("", func([]Item) {})
+	start := Batch{Items: []Item{item("k", 1), item("kept", 2)}, At: 2}
+	m.Replace(start)
+	behind.Replace(start)
+	m.Merge(2, Batch{Items: []Item{{Key: "k", Revision: 3, Removed: true}}, At: 3})
+	is.Equal(len(m.Since(2).Items), 1)
+	clock.Advance(tombstoneLife)
+	m.Merge(3, Batch{At: 4})
+	is.Equal(len(m.items), 1)
+	is.Equal(m.Merge(0, Batch{Items: start.Items, At: 2}), 0) // an old item does not come back
+	news := m.Since(behind.Complete())
+	is.True(news.Full)
+	behind.Merge(2, news)
+	is.True(behind.items["k"].Removed)
+	is.Equal(behind.Complete(), uint64(4))
+	is.True(!m.Since(3).Full) // who knows of the removal needs no full list
+	m.Merge(4, Batch{Items: []Item{item("k", 5)}, At: 5})
+	is.Equal(len(m.items), 2) // published anew
+}
+
+// A host that has just read a full list never knew of what was removed before it, and another one that is behind must
+// hear of it all the same.
+func TestAListTellsOthersOfRemovalsBeforeIt(t *testing.T) {
+	is := is.New(t)
+	behind, listed := newMirror("", func([]Item) {}), newMirror("", func([]Item) {})
+	behind.Replace(Batch{Items: []Item{item("k", 1), item("kept", 2)}, At: 2})
+	listed.Replace(Batch{Items: []Item{item("kept", 2)}, At: 4}) // k was removed by revision 3
+	behind.Merge(2, listed.Since(2))
+	is.True(behind.items["k"].Removed)
+	is.Equal(behind.Complete(), uint64(4))
+}
+
+// A removal beyond what the mirror is complete for is kept: changes before it may still come.
+func TestRemovalsAreKeptUntilTheMirrorIsComplete(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := NewMirror("", nil, clock, func([]Item) {})
+	m.Replace(Batch{At: 2})
+	m.Merge(7, Batch{Items: []Item{{Key: "k", Revision: 9, Removed: true}}, At: 9})
+	clock.Advance(2 * tombstoneLife)
+	m.Merge(2, Batch{At: 3})
+	is.Equal(m.Merge(3, Batch{Items: []Item{item("k", 4)}, At: 4}), 0)
+	m.Merge(4, Batch{At: 9})
+	is.Equal(len(m.items), 0)
+}
+
+// Two hosts that read the store and hear from each other, with long gaps between, know at last what the store has.
+func TestHostsThatForgetRemovalsAgreeWithTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		mirrors := []*Mirror{}
+		for range 2 {
+			mirrors = append(mirrors, NewMirror("", func(_, _ Item) bool { return false }, clock, func([]Item) {}))
+		}
+		var history []Item
+		newest := map[string]Item{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m := mirrors[rapid.IntRange(0, 1).Draw(t, "host")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0: // somebody publishes or removes
+				key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+				i := Item{Key: key, Revision: uint64(len(history) + 1), Removed: rapid.Bool().Draw(t, "removed")}
+				history, newest[key] = append(history, i), i
+			case 1: // a host reads the store
+				if after := m.Complete(); after > 0 {
+					m.Merge(after, Batch{Items: history[after:], At: uint64(len(history))})
+				}
+			case 2: // a host lists the store
+				list := Batch{At: uint64(len(history))}
+				for _, i := range newest {
+					if !i.Removed {
+						list.Items = append(list.Items, i)
+					}
+				}
+				m.Replace(list)
+			case 3: // a host hears from the other
+				other := mirrors[0]
+				if m == other {
+					other = mirrors[1]
+				}
+				after := m.Complete()
+				m.Merge(after, other.Since(after))
+			case 4:
+				clock.Advance(tombstoneLife / 2)
+			}
+		}
+		for n, m := range mirrors {
+			if m.Complete() == 0 {
+				continue
+			}
+			m.Merge(m.Complete(), Batch{Items: history[m.Complete():], At: uint64(len(history))})
+			for key, want := range newest {
+				got, known := m.items[key]
+				if live := known && !got.Removed; live == want.Removed || live && got.Revision != want.Revision {
+					t.Fatalf("host %d has %+v of %s, the store %+v", n, got, key, want)
+				}
+			}
+		}
+	})
+}
+
 // fakeLapses counts what it is told.
 type fakeLapses struct {
 	outages, regained int
