--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,43 +157,67 @@
 	is.Equal(len(m.items), 0)
 }
 
+// history is what was written into a store, its last revision the length.
+type history struct {
+	items  []Item
+	newest map[string]Item
+}
+
+func (h *history) at() uint64 { return uint64(len(h.items)) }
+
+func (h *history) write(key string, removed bool) {
+	i := Item{Key: key, Revision: h.at() + 1, Removed: removed}
+	h.items, h.newest[key] = append(h.items, i), i
+}
+
+// list returns what a full list returns.
+func (h *history) list() Batch {
+	b := Batch{At: h.at()}
+	for _, i := range h.newest {
+		if !i.Removed {
+			b.Items = append(b.Items, i)
+		}
+	}
+	return b
+}
+
+// since returns the changes after the revision.
+func (h *history) since(after uint64) Batch { return Batch{Items: h.items[after:], At: h.at()} }
+
+// differs returns what the mirror has otherwise than the store, once it has read all changes.
+func (h *history) differs(m *Mirror) string {
+	m.Merge(m.Complete(), h.since(m.Complete()))
+	for key, want := range h.newest {
+		got, known := m.items[key]
+		if live := known && !got.Removed; live == want.Removed || live && got.Revision != want.Revision {
+			return fmt.Sprintf("%+v, the store %+v", got.Item, want)
+		}
+	}
+	return ""
+}
+
 // Two hosts that read the store and hear from each other, with long gaps between, know at last what the store has.
 func TestHostsThatForgetRemovalsAgreeWithTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := clockwork.NewFakeClock()
-		mirrors := []*Mirror{}
-		for range 2 {
-			mirrors = append(mirrors, NewMirror("", func(_, _ Item) bool { return false }, clock, func([]Item) {}))
-		}
-		var history []Item
-		newest := map[string]Item{}
+		never := func(_, _ Item) bool { return false }
+		mirrors := [2]*Mirror{NewMirror("", never, clock, func([]Item) {}), NewMirror("", never, clock, func([]Item) {})}
+		h := &history{newest: map[string]Item{}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			m := mirrors[rapid.IntRange(0, 1).Draw(t, "host")]
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
-			case 0: // somebody publishes or removes
+			n := rapid.IntRange(0, 1).Draw(t, "host")
+			m, other := mirrors[n], mirrors[1-n]
+			after := m.Complete()
+			switch step := rapid.SampledFrom([]string{"write", "read", "list", "hear", "wait"}).Draw(t, "step"); {
+			case step == "write":
 				key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
-				i := Item{Key: key, Revision: uint64(len(history) + 1), Removed: rapid.Bool().Draw(t, "removed")}
-				history, newest[key] = append(history, i), i
-			case 1: // a host reads the store
-				if after := m.Complete(); after > 0 {
-					m.Merge(after, Batch{Items: history[after:], At: uint64(len(history))})
-				}
-			case 2: // a host lists the store
-				list := Batch{At: uint64(len(history))}
-				for _, i := range newest {
-					if !i.Removed {
-						list.Items = append(list.Items, i)
-					}
-				}
-				m.Replace(list)
-			case 3: // a host hears from the other
-				other := mirrors[0]
-				if m == other {
-					other = mirrors[1]
-				}
-				after := m.Complete()
+				h.write(key, rapid.Bool().Draw(t, "removed"))
+			case step == "read" && after > 0:
+				m.Merge(after, h.since(after))
+			case step == "list":
+				m.Replace(h.list())
+			case step == "hear":
 				m.Merge(after, other.Since(after))
-			case 4:
+			case step == "wait":
 				clock.Advance(tombstoneLife / 2)
 			}
 		}
@@ -200,12 +225,8 @@
 			if m.Complete() == 0 {
 				continue
 			}
-			m.Merge(m.Complete(), Batch{Items: history[m.Complete():], At: uint64(len(history))})
-			for key, want := range newest {
-				got, known := m.items[key]
-				if live := known && !got.Removed; live == want.Removed || live && got.Revision != want.Revision {
-					t.Fatalf("host %d has %+v of %s, the store %+v", n, got, key, want)
-				}
+			if d := h.differs(m); d != "" {
+				t.Fatalf("host %d has %s", n, d)
 			}
 		}
 	})
