A host that the store turns away is not taken for an outage of the store

The store turned 28 machines away from second 24.5 to 32.5. One of them read the store for others in bkk-a. It passed on that removals count as lapses; its followers then read the store themselves, and since they had never failed, nothing took that back: a server removed at 27.2 s was kept as lapsed until 34.9 s (log: upstream-lapsed on all 17 hosts of bkk-a, store-lost on 7). A host that is turned away itself kept lapses for as long as it was, also before. Change: lapses do not travel. A host that the store does not answer passes no news on, so that the others see for themselves; it hears from one that the store answers, of its own data centre or any other, and that ends its outage. An outage shorter than three heartbeats leaves no grace, since no entry can lapse in it. Ruled out: passing on the grace after an outage, which keeps a server that is gone for two seconds more at hosts that never lost the store. Tests: TestAHostThatTheStoreTurnsAwayPassesNoNewsOn, TestAHostThatTheStoreTurnsAwayAsksWhomItCan, and 'removed in an outage too short for a lapse' fail before.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -17,6 +17,10 @@
 // upstreams that live publish themselves again within two seconds.
 const returnGrace = 2 * time.Second
 
+// minLapse is the shortest outage in which entries can lapse: upstreams publish themselves about once a second, and the
+// third time that is missed ends an entry.
+const minLapse = 2500 * time.Millisecond
+
 // ItemKind is what a published item describes.
 type ItemKind int
 
@@ -191,52 +195,30 @@
 }
 
 // Outage says that the store does not answer, so that entries may lapse whose upstreams live.
-func (s *Store) Outage() { s.KeepLapsed(published.WhileOut) }
-
-// Regained says that the store answers again. Entries that lapsed meanwhile count as gone if they are not back soon.
-func (s *Store) Regained() { s.KeepLapsed(returnGrace) }
-
-// KeepLapsed makes removals count as lapses for that long from now on, whatever was said before; 0 ends it at once.
-func (s *Store) KeepLapsed(left time.Duration) {
+func (s *Store) Outage() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	switch {
-	case left == published.WhileOut:
-		s.lapseEnd = now.AddDate(1, 0, 0) // no outage that matters lasts a year
-	case left > 0:
-		s.lapseEnd = now.Add(left)
-		s.clock.AfterFunc(left, s.dropLapsed)
-	case !s.lapseEnd.IsZero():
-		s.lapseEnd = now
-		s.forgetLapsed()
-	}
+	s.lapseEnd = s.clock.Now().AddDate(1, 0, 0) // no outage that matters lasts a year
 }
 
-// LapseLeft returns how much longer removals count as lapses: 0 if they do not, published.WhileOut while the store does not answer.
-func (s *Store) LapseLeft() time.Duration {
+// Regained says that the store, or a host that reads it, answers again after so long. Entries that lapsed meanwhile
+// count as gone if they are not back soon, and at once if the time was too short for entries to lapse.
+func (s *Store) Regained(outage time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left := s.lapseEnd.Sub(s.clock.Now())
-	if left > returnGrace {
-		return published.WhileOut
+	grace := returnGrace
+	if outage < minLapse {
+		grace = 0
 	}
-	return max(0, left)
+	s.lapseEnd = s.clock.Now().Add(grace)
+	s.clock.AfterFunc(grace, s.dropLapsed)
 }
 
 // dropLapsed ends the grace after an outage, unless another one began or ended meanwhile.
 func (s *Store) dropLapsed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clock.Now().Before(s.lapseEnd) {
-		return
-	}
-	s.forgetLapsed()
-}
-
-// forgetLapsed takes the lapsed upstreams out; the caller holds mu.
-func (s *Store) forgetLapsed() {
-	if len(s.lapsed) == 0 {
+	if s.clock.Now().Before(s.lapseEnd) || len(s.lapsed) == 0 {
 		return
 	}
 	for id := range s.lapsed {
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"math"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,15 +20,14 @@
 	readersPerDataCentre = 2
 	// silentFor is how long a host is not asked for news again after a call that failed.
 	silentFor = 5 * time.Second
+	// notReadingFor is how long a host is not asked again that said that it does not read the store, or is turned away.
+	notReadingFor = time.Second
 	// unheardAfter is how long a host that nobody heard of still counts as a reader, and unheardPerHost how much longer
 	// for each host of the fleet: word of a host that lives takes up to 17 s among 88 hosts, and 42 s among 200.
 	unheardAfter   = 15 * time.Second
 	unheardPerHost = 100 * time.Millisecond
 )
 
-// whileOut stands for a store that does not answer.
-const whileOut = math.MaxUint32
-
 // News implements fleetpb.Fleet: it waits for changes of the published items on behalf of another host.
 func (f *Fleet) News(ctx context.Context, r *fleetpb.NewsRequest) (*fleetpb.NewsAnswer, error) {
 	f.mu.Lock()
@@ -43,36 +42,42 @@
 		return &fleetpb.NewsAnswer{}, nil
 	}
 	return &fleetpb.NewsAnswer{
-		Reading: true, AgeMs: milliseconds(news.Age), LapseMs: milliseconds(news.LapseLeft),
+		Reading: true, AgeMs: uint32(news.Age.Milliseconds()) + 1,
 		Mirror: encodeMirror(r.GetComplete(), news.Batch), WaitedMs: uint32(f.Clock.Since(begun).Milliseconds()),
 		Withheld: news.Withheld,
 	}, nil
 }
 
-// milliseconds returns d rounded up, and whileOut for what is longer than any age or grace.
-func milliseconds(d time.Duration) uint32 {
-	const most = time.Hour
-	if d > most {
-		return whileOut
-	}
-	return uint32((max(0, d) + time.Millisecond - 1) / time.Millisecond)
-}
-
 // Reader implements published.Peers. Who reads is only a matter of cost: a host that asks one that does not read the
-// store reads it itself.
-func (f *Fleet) Reader() published.Peer {
+// store reads it itself. A host that the store turns away asks whoever it can.
+func (f *Fleet) Reader(failing bool) published.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	readers := f.readers()
-	if f.leaving || slices.Contains(readers, f.Self) {
+	if f.leaving || slices.Contains(readers, f.Self) && !failing {
 		return nil
 	}
-	now := f.Clock.Now()
-	readers = slices.DeleteFunc(readers, func(address string) bool { return now.Before(f.members[address].silentUntil) })
-	if len(readers) == 0 {
+	address := f.ask(readers)
+	if address == "" && failing {
+		address = f.ask(slices.Sorted(maps.Keys(f.members)))
+	}
+	if address == "" {
 		return nil
 	}
-	return &reader{fleet: f, address: readers[loadbalancer.HashKey(f.Self)%uint64(len(readers))]}
+	return &reader{fleet: f, address: address}
+}
+
+// ask returns one of the hosts, always the same one while it answers, or "". The caller holds mu.
+func (f *Fleet) ask(hosts []string) string {
+	now := f.Clock.Now()
+	hosts = slices.DeleteFunc(hosts, func(address string) bool {
+		m := f.members[address]
+		return m == nil || m.leaving || now.Before(m.silentUntil)
+	})
+	if len(hosts) == 0 {
+		return ""
+	}
+	return hosts[loadbalancer.HashKey(f.Self)%uint64(len(hosts))]
 }
 
 // readers returns the first hosts of the data centre in an order that all of them agree on. The caller holds mu.
@@ -107,27 +112,24 @@
 	sent := r.fleet.Clock.Now()
 	answer, err := client.News(ctx, &fleetpb.NewsRequest{Complete: after, WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
-		r.fleet.noteSilent(r.address)
+		r.fleet.noteSilent(r.address, silentFor)
 		return published.News{}, errors.Wrapf(err, "hear from %s", r.address)
 	}
 	if !answer.GetReading() {
+		r.fleet.noteSilent(r.address, notReadingFor)
 		return published.News{}, errors.Errorf("hear from %s: it does not read the store", r.address)
 	}
 	onTheWay := r.fleet.Clock.Since(sent) - time.Duration(answer.GetWaitedMs())*time.Millisecond
-	news := published.News{
-		Batch: decodeMirror(answer.GetMirror()), LapseLeft: published.WhileOut, Withheld: answer.GetWithheld(),
+	return published.News{
+		Batch: decodeMirror(answer.GetMirror()), Withheld: answer.GetWithheld(),
 		Age: time.Duration(answer.GetAgeMs())*time.Millisecond + max(0, onTheWay),
-	}
-	if answer.GetLapseMs() != whileOut {
-		news.LapseLeft = time.Duration(answer.GetLapseMs()) * time.Millisecond
-	}
-	return news, nil
+	}, nil
 }
 
-func (f *Fleet) noteSilent(address string) {
+func (f *Fleet) noteSilent(address string, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.members[address]; m != nil {
-		m.silentUntil = f.Clock.Now().Add(silentFor)
+		m.silentUntil = f.Clock.Now().Add(wait)
 	}
 }
--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -67,8 +67,6 @@
 	Batch
 	// Age is how long ago the store answered that host.
 	Age time.Duration
-	// LapseLeft is how much longer removals count as lapses there.
-	LapseLeft time.Duration
 	// Withheld says that there are changes, too large to be passed on: they are to be read from the store.
 	Withheld bool
 }
@@ -84,8 +82,9 @@
 
 // Peers chooses whom to hear from.
 type Peers interface {
-	// Reader returns the host from which this one shall hear of changes, nil if it is to read the store itself.
-	Reader() Peer
+	// Reader returns the host from which this one shall hear of changes, nil if it is to read the store itself. Failing
+	// says that the store does not answer this host.
+	Reader(failing bool) Peer
 }
 
 // follow waits for news of another host. It returns false if this host has to read the store itself.
@@ -93,7 +92,7 @@
 	if r.Peers == nil {
 		return false
 	}
-	peer := r.Peers.Reader()
+	peer := r.Peers.Reader(r.Failing())
 	if peer == nil {
 		r.noteFollowing("", 0, nil)
 		return false
@@ -117,9 +116,8 @@
 	}
 	r.noteFollowing(peer.Address(), news.Age, nil)
 	r.relist = false // what the other host knows is complete
-	r.regained()
-	r.Lapses.KeepLapsed(news.LapseLeft)
 	r.Mirror.Merge(after, news.Batch)
+	r.fresh(r.Clock.Now().Add(-news.Age))
 	return true
 }
 
@@ -132,7 +130,8 @@
 }
 
 // Serve returns what this host knows beyond the revision, waiting up to wait for a change. It returns false if this host
-// does not read the store.
+// does not read the store, or the store does not answer it: the other host then finds out by itself whether the store is
+// away or turned only this one away.
 func (r *Reader) Serve(ctx context.Context, after uint64, wait time.Duration) (News, bool) {
 	now := r.Clock.Now()
 	r.askedAt.Store(now.UnixNano())
@@ -140,12 +139,10 @@
 	for {
 		changed := r.Mirror.Changed()
 		now, answered := r.Clock.Now(), r.answeredAt.Load()
-		if answered == 0 || *r.following.Load() != "" {
+		if answered == 0 || r.Failing() || *r.following.Load() != "" {
 			return News{}, false
 		}
-		news := News{
-			Batch: r.Mirror.Since(after), Age: time.Duration(now.UnixNano() - answered), LapseLeft: r.Lapses.LapseLeft(),
-		}
+		news := News{Batch: r.Mirror.Since(after), Age: time.Duration(now.UnixNano() - answered)}
 		if !news.Small() {
 			news.Items, news.Withheld = nil, true
 			return news, true
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -41,17 +41,12 @@
 	Scope tally.Scope
 }
 
-// WhileOut is the time for which removals count as lapses while the store does not answer.
-const WhileOut time.Duration = math.MaxInt64
-
 // Lapses knows whether removals are to be believed: a store that was away has dropped entries whose writers live.
 type Lapses interface {
-	// Outage says that the source fails, Regained that it answers again.
+	// Outage says that neither the source nor another host answers this one, Regained that one of them does again, after
+	// so long.
 	Outage()
-	Regained()
-	// LapseLeft returns how much longer removals count as lapses, and KeepLapsed takes over another host's answer.
-	LapseLeft() time.Duration
-	KeepLapsed(left time.Duration)
+	Regained(outage time.Duration)
 }
 
 // Reader keeps a mirror up to date from a source.
@@ -65,7 +60,7 @@
 	// listing is nil while no list is under way.
 	listing *listing
 	retry   time.Duration
-	// answeredAt is the time as of which the source is known and askedAt when another host last asked for changes, both in Unix
+	// answeredAt is the time as of which the source is known here and askedAt when another host last asked for changes, both in Unix
 	// nanoseconds of the clock.
 	answeredAt, askedAt atomic.Int64
 	// following is the host from which this one hears of changes, empty if it reads the source.
@@ -105,9 +100,6 @@
 	switch {
 	case err == nil:
 		r.retry = minRetry
-		if r.regained() {
-			r.Lapses.Regained()
-		}
 		return r.pause()
 	case errors.Is(err, ErrHistoryLost):
 		r.Log.Info().Str("event", "store-history-lost").Str("prefix", r.Mirror.Prefix()).
@@ -139,7 +131,7 @@
 	if len(b.Items) == 0 {
 		sent = sent.Add(r.Wait) // the source held the call open that long
 	}
-	r.answered(sent)
+	r.fresh(sent)
 	return nil
 }
 
@@ -182,7 +174,7 @@
 	}
 	r.Mirror.Replace(l.batch)
 	r.listing, r.relist = nil, false
-	r.answered(l.begun)
+	r.fresh(l.begun)
 	return nil
 }
 
@@ -194,11 +186,6 @@
 	return page, next, errors.Wrapf(err, "list %q after %q", r.Mirror.Prefix(), after)
 }
 
-// answered notes that this host knows what the source knew at the time.
-func (r *Reader) answered(at time.Time) {
-	r.answeredAt.Store(min(at.UnixNano(), r.Clock.Now().UnixNano()))
-}
-
 func (r *Reader) failed(err error) {
 	r.failures.Inc(1)
 	if r.failedSince.CompareAndSwap(0, r.Clock.Now().UnixNano()) {
@@ -208,14 +195,15 @@
 	}
 }
 
-// regained reports whether an outage has ended.
-func (r *Reader) regained() bool {
-	since := r.failedSince.Swap(0)
-	if since == 0 {
-		return false
+// fresh notes that this host knows what the source knew at the time, which ends an outage.
+func (r *Reader) fresh(at time.Time) {
+	now := r.Clock.Now().UnixNano()
+	before := r.answeredAt.Swap(min(at.UnixNano(), now))
+	if r.failedSince.Swap(0) == 0 {
+		return
 	}
-	outage := time.Duration(r.Clock.Now().UnixNano() - since)
-	r.Log.Info().Str("event", "store-regained").Str("prefix", r.Mirror.Prefix()).Dur("outage_ms", outage).
-		Uint64("complete", r.Mirror.Complete()).Send()
-	return true
+	outage := time.Duration(now - before)
+	r.Log.Info().Str("event", "store-regained").Str("prefix", r.Mirror.Prefix()).Str("peer", *r.following.Load()).
+		Dur("outage_ms", outage).Uint64("complete", r.Mirror.Complete()).Send()
+	r.Lapses.Regained(outage)
 }
