--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -50,15 +50,15 @@
 
 // Reader implements published.Peers. Who reads is only a matter of cost: a host that asks one that does not read the
 // store reads it itself. A host that the store turns away asks whoever it can.
-func (f *Fleet) Reader(failing bool) published.Peer {
+func (f *Fleet) Reader(turnedAway bool) published.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	readers := f.readers()
-	if f.leaving || slices.Contains(readers, f.Self) && !failing {
+	if f.leaving || slices.Contains(readers, f.Self) && !turnedAway {
 		return nil
 	}
 	address := f.ask(readers)
-	if address == "" && failing {
+	if address == "" && turnedAway {
 		address = f.ask(slices.Sorted(maps.Keys(f.members)))
 	}
 	if address == "" {
--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -17,6 +17,9 @@
 	// Pause is the time between two calls of the store, so that many small changes share one call. SharedPause takes its
 	// place on a host from which others hear.
 	Pause, SharedPause time.Duration
+	// SharedWait bounds how long such a host lets the store hold a call open: until the answer it does not know that
+	// nothing has changed.
+	SharedWait time.Duration
 	// NewsWait is how long a call for news waits for a change, NewsSlack how much longer it may take before the other
 	// host counts as silent.
 	NewsWait, NewsSlack time.Duration
@@ -27,11 +30,12 @@
 // Parts of the staleness in a pace. A change is known after SharedPause, NewsWait and NewsSlack at the latest, when the
 // reading host falls silent just before it would have told it; what is left is for the store's answer and the way.
 const (
-	pausePart     = 0.6
-	sharedPart    = 0.35
-	newsWaitPart  = 0.35
-	newsSlackPart = 0.15
-	newsAgePart   = 0.5
+	pausePart      = 0.6
+	sharedPart     = 0.35
+	sharedWaitPart = 0.1
+	newsWaitPart   = 0.35
+	newsSlackPart  = 0.15
+	newsAgePart    = 0.5
 )
 
 // maxPause and maxSharedPause bound the pauses however much staleness is allowed: who learns late of a leaving upstream
@@ -46,13 +50,16 @@
 	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
 	return Pace{
 		Pause: min(maxPause, part(pausePart)), SharedPause: min(maxSharedPause, part(sharedPart)),
-		NewsWait: part(newsWaitPart), NewsSlack: part(newsSlackPart), MaxNewsAge: part(newsAgePart),
+		SharedWait: part(sharedWaitPart),
+		NewsWait:   part(newsWaitPart), NewsSlack: part(newsSlackPart), MaxNewsAge: part(newsAgePart),
 	}
 }
 
 const (
 	// newsPause is the least time between two calls for news, whatever they bring.
 	newsPause = 20 * time.Millisecond
+	// turnedAwayFor is how long after a call that failed a host leaves the store alone while others tell it of changes.
+	turnedAwayFor = 5 * time.Second
 	// sharedFor is how long after the last call for news this host counts as one that others hear from.
 	sharedFor = 5 * time.Second
 	// maxNewsBytes bounds the values of a batch that is passed on to hosts that can read it from the store. A large configuration, passed on to ten hosts, would fill the link of
@@ -82,9 +89,9 @@
 
 // Peers chooses whom to hear from.
 type Peers interface {
-	// Reader returns the host from which this one shall hear of changes, nil if it is to read the store itself. Failing
-	// says that the store does not answer this host.
-	Reader(failing bool) Peer
+	// Reader returns the host from which this one shall hear of changes, nil if it is to read the store itself.
+	// TurnedAway says that the store did not answer this host lately.
+	Reader(turnedAway bool) Peer
 }
 
 // follow waits for news of another host. It returns false if this host has to read the store itself.
@@ -92,7 +99,7 @@
 	if r.Peers == nil {
 		return false
 	}
-	peer := r.Peers.Reader(r.Failing())
+	peer := r.Peers.Reader(r.Clock.Since(r.turnedAway) < turnedAwayFor)
 	if peer == nil {
 		r.noteFollowing("", 0, nil)
 		return false
@@ -168,10 +175,21 @@
 	return total <= maxNewsBytes
 }
 
+// shared reports whether other hosts hear of changes from this one.
+func (r *Reader) shared() bool { return r.Clock.Now().UnixNano()-r.askedAt.Load() < int64(sharedFor) }
+
 // pause returns the time until the next call of the store.
 func (r *Reader) pause() time.Duration {
-	if r.Clock.Now().UnixNano()-r.askedAt.Load() < int64(sharedFor) {
+	if r.shared() {
 		return r.Pace.SharedPause
 	}
 	return r.Pace.Pause
 }
+
+// wait returns how long the store may hold a call for changes open.
+func (r *Reader) wait() time.Duration {
+	if r.shared() {
+		return min(r.Wait, r.Pace.SharedWait)
+	}
+	return r.Wait
+}
--- a/internal/published/news_test.go
+++ b/internal/published/news_test.go
@@ -30,8 +30,8 @@
 	// each is called after every tick.
 	each func()
 
-	storeDown, silent, refusing bool
-	staleness                   time.Duration
+	storeDown, silent, refusing, askedTurnedAway bool
+	staleness                                    time.Duration
 }
 
 func newWorld() *world { return newWorldWith(2 * time.Second) }
@@ -45,7 +45,7 @@
 
 func (w *world) reader(peers Peers, down func() bool) *Reader {
 	return NewReader(ReaderOptions{
-		Source: &view{world: w, down: down}, Mirror: newMirror("", func([]Item) {}), Pace: PaceFor(w.staleness),
+		Source: &view{world: w, down: down}, Mirror: newMirror("", func([]Item) {}), Wait: time.Second, Pace: PaceFor(w.staleness),
 		Lapses: &fakeLapses{}, Peers: peers, Clock: w.clock, Log: zerolog.Nop(),
 		Scope: tally.NoopScope,
 	})
@@ -83,6 +83,8 @@
 	world *world
 	down  func() bool
 	calls int
+	// waits are the waits of the calls for changes.
+	waits []time.Duration
 }
 
 func (v *view) Page(context.Context, string, string) (Batch, string, error) {
@@ -90,7 +92,8 @@
 	return b, "", err
 }
 
-func (v *view) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (Batch, error) {
+func (v *view) Changes(_ context.Context, _ string, after uint64, wait time.Duration) (Batch, error) {
+	v.waits = append(v.waits, wait)
 	return v.batch(after)
 }
 
@@ -108,7 +111,10 @@
 }
 
 // Reader implements Peers: the reading host is the one to hear from.
-func (w *world) Reader(bool) Peer { return w }
+func (w *world) Reader(turnedAway bool) Peer {
+	w.askedTurnedAway = turnedAway
+	return w
+}
 
 // Address implements Peer.
 func (w *world) Address() string { return "reading" }
@@ -248,3 +254,33 @@
 	is.Equal(r.Source.(*view).calls, calls+1) // once, and then it hears from the other host again
 	is.Equal(*r.following.Load(), "reading")
 }
+
+// While the store is quiet, a host from which others hear learns often enough that nothing has changed.
+func TestAQuietStoreDoesNotMakeNewsOld(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.run(w.reader(w, up), 5*time.Second)
+	waits := w.reading.Source.(*view).waits
+	pace := w.reading.Pace
+	is.True(waits[len(waits)-1]+pace.SharedPause < pace.MaxNewsAge)
+	alone := w.reader(nil, up)
+	w.run(alone, 10*time.Second)
+	is.Equal(alone.Source.(*view).waits[0], time.Second)
+}
+
+// A host that the store turned away stays with the host that helps it, and tries the store again after a while.
+func TestATurnedAwayHostStaysWithItsHelper(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.refusing = true
+	away := true
+	r := w.reader(w, func() bool { return away })
+	w.run(r, time.Second)
+	w.refusing = false
+	calls := r.Source.(*view).calls
+	w.run(r, 4*time.Second)
+	is.True(w.askedTurnedAway)
+	is.Equal(r.Source.(*view).calls, calls)
+	w.run(r, 4*time.Second+turnedAwayFor)
+	is.True(!w.askedTurnedAway) // the usual choice again
+}
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -63,6 +63,8 @@
 	// answeredAt is the time as of which the source is known here and askedAt when another host last asked for changes, both in Unix
 	// nanoseconds of the clock.
 	answeredAt, askedAt atomic.Int64
+	// turnedAway is when a call of the source failed last.
+	turnedAway time.Time
 	// following is the host from which this one hears of changes, empty if it reads the source.
 	following atomic.Pointer[string]
 }
@@ -120,16 +122,17 @@
 		return r.list(ctx)
 	}
 	r.calls.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, r.Wait+answerSlack)
+	wait := r.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	after, sent := r.Mirror.Complete(), r.Clock.Now()
-	b, err := r.Source.Changes(ctx, r.Mirror.Prefix(), after, r.Wait)
+	b, err := r.Source.Changes(ctx, r.Mirror.Prefix(), after, wait)
 	if err != nil {
 		return errors.Wrapf(err, "changes of %q after %d", r.Mirror.Prefix(), after)
 	}
 	r.Mirror.Merge(after, b)
 	if len(b.Items) == 0 {
-		sent = sent.Add(r.Wait) // the source held the call open that long
+		sent = sent.Add(wait) // the source held the call open that long
 	}
 	r.fresh(sent)
 	return nil
@@ -188,6 +191,7 @@
 
 func (r *Reader) failed(err error) {
 	r.failures.Inc(1)
+	r.turnedAway = r.Clock.Now()
 	if r.failedSince.CompareAndSwap(0, r.Clock.Now().UnixNano()) {
 		r.Log.Warn().Str("event", "store-lost").Str("prefix", r.Mirror.Prefix()).
 			Uint64("complete", r.Mirror.Complete()).Err(err).Send()
