Hosts that the store turns away ask those that read it, one after the other

Change: such a host asks the readers of its own data centre, then those of the others, and up to eight in one round while each says at once that it has nothing. Ruled out: asking all at once, which would cost as many calls as hosts when the store is really away. Test: TestAHostThatTheStoreTurnsAwayAsksThoseThatReadIt.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -53,13 +53,13 @@
 func (f *Fleet) Reader(turnedAway bool) published.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	readers := f.readers()
-	if f.leaving || slices.Contains(readers, f.Self) && !turnedAway {
+	near := f.readers(f.centre)
+	if f.leaving || slices.Contains(near, f.Self) && !turnedAway {
 		return nil
 	}
-	address := f.ask(readers)
+	address := f.ask(near)
 	if address == "" && turnedAway {
-		address = f.ask(slices.Sorted(maps.Keys(f.members)))
+		address = f.ask(f.farReaders())
 	}
 	if address == "" {
 		return nil
@@ -67,6 +67,19 @@
 	return &reader{fleet: f, address: address}
 }
 
+// farReaders returns the hosts of other data centres that read the store. The caller holds mu.
+func (f *Fleet) farReaders() []string {
+	var far []string
+	seen := map[uint32]bool{f.centre: true}
+	for _, address := range slices.Sorted(maps.Keys(f.members)) {
+		if centre := f.members[address].dataCentre; !seen[centre] {
+			seen[centre] = true
+			far = append(far, f.readers(centre)...)
+		}
+	}
+	return far
+}
+
 // ask returns one of the hosts, always the same one while it answers, or "". The caller holds mu.
 func (f *Fleet) ask(hosts []string) string {
 	now := f.Clock.Now()
@@ -80,13 +93,16 @@
 	return hosts[loadbalancer.HashKey(f.Self)%uint64(len(hosts))]
 }
 
-// readers returns the first hosts of the data centre in an order that all of them agree on. The caller holds mu.
-func (f *Fleet) readers() []string {
+// readers returns the first hosts of a data centre in an order that all hosts agree on. The caller holds mu.
+func (f *Fleet) readers(centre uint32) []string {
 	now := f.Clock.Now()
 	unheard := unheardAfter + time.Duration(len(f.members))*unheardPerHost
-	near := []string{f.Self}
+	var near []string
+	if centre == f.centre {
+		near = append(near, f.Self)
+	}
 	for address, m := range f.members {
-		if m.dataCentre == f.centre && !m.leaving && now.Sub(m.heard) < unheard {
+		if m.dataCentre == centre && !m.leaving && now.Sub(m.heard) < unheard {
 			near = append(near, address)
 		}
 	}
@@ -117,7 +133,7 @@
 	}
 	if !answer.GetReading() {
 		r.fleet.noteSilent(r.address, notReadingFor)
-		return published.News{}, errors.Errorf("hear from %s: it does not read the store", r.address)
+		return published.News{}, errors.Wrapf(published.ErrNotReading, "hear from %s", r.address)
 	}
 	onTheWay := r.fleet.Clock.Since(sent) - time.Duration(answer.GetWaitedMs())*time.Millisecond
 	return published.News{
--- a/internal/fleet/news_test.go
+++ b/internal/fleet/news_test.go
@@ -131,15 +131,15 @@
 	}
 }
 
-func TestAHostThatTheStoreTurnsAwayAsksWhomItCan(t *testing.T) {
+func TestAHostThatTheStoreTurnsAwayAsksThoseThatReadIt(t *testing.T) {
 	is := is.New(t)
-	hosts := startFleet(t, clockwork.NewFakeClock(), "a", "a", "b")
-	for _, h := range hosts {
-		is.True(h.Reader(false) == nil) // all read the store
+	hosts := startFleet(t, clockwork.NewFakeClock(), "a", "a", "b", "b", "b")
+	far, _ := readersOf(hosts, "b")
+	for _, h := range hosts[:2] {
+		is.True(h.Reader(false) == nil) // it reads the store
 		peer := h.Reader(true)
-		is.True(peer != nil)
-		is.True(peer.Address() != h.Self)
+		is.True(peer.Address() != h.Self && !slices.Contains(far, peer.Address())) // the other one nearby first
 		h.noteSilent(peer.Address(), silentFor)
-		is.True(h.Reader(true) != nil) // the third one, wherever it is
+		is.True(slices.Contains(far, h.Reader(true).Address()))
 	}
 }
--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -58,6 +58,8 @@
 const (
 	// newsPause is the least time between two calls for news, whatever they bring.
 	newsPause = 20 * time.Millisecond
+	// maxAsked bounds the hosts that are asked in turn while each says at once that it has nothing to pass on.
+	maxAsked = 8
 	// turnedAwayFor is how long after a call that failed a host leaves the store alone while others tell it of changes.
 	turnedAwayFor = 5 * time.Second
 	// sharedFor is how long after the last call for news this host counts as one that others hear from.
@@ -78,12 +80,15 @@
 	Withheld bool
 }
 
+// ErrNotReading says that a host does not read the store, or is turned away by it.
+var ErrNotReading = errors.New("the host does not read the store")
+
 // Peer is another host that reads the store.
 type Peer interface {
 	// Address identifies the host.
 	Address() string
-	// News returns what the host knows beyond the revision, waiting up to wait for a change. It is an error if the host
-	// does not read the store.
+	// News returns what the host knows beyond the revision, waiting up to wait for a change. The error is ErrNotReading
+	// if the host has nothing to pass on.
 	News(ctx context.Context, after uint64, wait time.Duration) (News, error)
 }
 
@@ -99,11 +104,22 @@
 	if r.Peers == nil {
 		return false
 	}
-	peer := r.Peers.Reader(r.Clock.Since(r.turnedAway) < turnedAwayFor)
-	if peer == nil {
-		r.noteFollowing("", 0, nil)
-		return false
+	for range maxAsked {
+		peer := r.Peers.Reader(r.Clock.Since(r.turnedAway) < turnedAwayFor)
+		if peer == nil {
+			r.noteFollowing("", 0, nil)
+			return false
+		}
+		heard, err := r.hear(ctx, peer)
+		if !errors.Is(err, ErrNotReading) {
+			return heard
+		}
 	}
+	return false
+}
+
+// hear waits for news of the peer.
+func (r *Reader) hear(ctx context.Context, peer Peer) (bool, error) {
 	r.followed.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, r.Pace.NewsWait+r.Pace.NewsSlack)
 	defer cancel()
@@ -112,20 +128,20 @@
 	switch {
 	case err != nil:
 	case news.Withheld:
-		return false
+		return false, nil
 	case news.Age >= r.Pace.MaxNewsAge:
 		err = errors.Errorf("hear from %s: its news is %s old", peer.Address(), news.Age)
 	}
 	if err != nil {
 		r.unfollowed.Inc(1)
 		r.noteFollowing("", news.Age, err)
-		return false
+		return false, err
 	}
 	r.noteFollowing(peer.Address(), news.Age, nil)
 	r.relist = false // what the other host knows is complete
 	r.Mirror.Merge(after, news.Batch)
 	r.fresh(r.Clock.Now().Add(-news.Age))
-	return true
+	return true, nil
 }
 
 // noteFollowing logs a change of the host from which this one hears.
--- a/internal/published/news_test.go
+++ b/internal/published/news_test.go
@@ -135,7 +135,7 @@
 				return News{}, context.DeadlineExceeded
 			}
 		case !reading:
-			return News{}, errors.New("does not read")
+			return News{}, ErrNotReading
 		case news.Withheld || len(news.Items) > 0 || waited >= wait || news.Age >= w.reading.Pace.MaxNewsAge:
 			return news, nil
 		}
