The age of what a host knows follows from the lesser of two bounds

Cause: the pace of reading the store followed from drain_ms alone. On the four known sites config_ms is the same; where it is shorter, a host whose reading host falls silent would learn of a configuration too late. Change: timeouts.leaving and timeouts.configuration, from drain_ms and config_ms; the lesser one counts. The template's test has two different values. Ruled out: a third setting for evacuations; their bound is 5 s on all sites, and keys' the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 	g.fleet = g.newFleet()
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, Wait: changesWait,
-		Pace:   published.PaceFor(g.settings.Timeouts.Staleness.Std()),
+		Pace:   published.PaceFor(g.settings.Timeouts.Staleness()),
 		Lapses: g.store, Peers: g.fleet, Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
 	g.fleet.Store = g.reader
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -49,18 +49,23 @@
 	Stop Duration `json:"stop"`
 	// Gossip is the time between two exchanges with other hosts.
 	Gossip Duration `json:"gossip"`
-	// Staleness is the time in which a change of the published items must be in force.
-	Staleness Duration `json:"staleness"`
+	// Leaving is the time after which a leaving upstream may get nothing more, and Configuration the one in which a
+	// configuration must be in force. What this host knows of published items is never older than the lesser one.
+	Leaving       Duration `json:"leaving"`
+	Configuration Duration `json:"configuration"`
 }
 
+// Staleness returns how old what a host knows of published items may be.
+func (l DirectLimits) Staleness() time.Duration { return min(l.Leaving.Std(), l.Configuration.Std()) }
+
 // Default values and limits of the settings.
 const (
 	defaultDirectDrain  = 3 * time.Second
 	defaultDirectStop   = 8 * time.Second
 	defaultDirectGossip = time.Second
-	defaultStaleness    = 2 * time.Second
-	minStaleness        = 500 * time.Millisecond
-	maxStaleness        = time.Minute
+	defaultInForce      = 2 * time.Second
+	minInForce          = 500 * time.Millisecond
+	maxInForce          = time.Minute
 	minMemoryMB         = 32
 	maxMemoryMB         = 1 << 20
 	maxShare            = 1000
@@ -71,7 +76,8 @@
 	setInt(&d.Timeouts.Drain, Duration(defaultDirectDrain))
 	setInt(&d.Timeouts.Stop, Duration(defaultDirectStop))
 	setInt(&d.Timeouts.Gossip, Duration(defaultDirectGossip))
-	setInt(&d.Timeouts.Staleness, Duration(defaultStaleness))
+	setInt(&d.Timeouts.Leaving, Duration(defaultInForce))
+	setInt(&d.Timeouts.Configuration, Duration(defaultInForce))
 	c := newChecks()
 	c.text("name", d.Name)
 	c.text("data_centre", d.DataCentre)
@@ -94,7 +100,8 @@
 	c.between("timeouts.drain", d.Timeouts.Drain, minTimeout, d.Timeouts.Stop.Std())
 	c.between("timeouts.stop", d.Timeouts.Stop, minTimeout, maxTimeout)
 	c.between("timeouts.gossip", d.Timeouts.Gossip, minGossip, maxGossip)
-	c.between("timeouts.staleness", d.Timeouts.Staleness, minStaleness, maxStaleness)
+	c.between("timeouts.leaving", d.Timeouts.Leaving, minInForce, maxInForce)
+	c.between("timeouts.configuration", d.Timeouts.Configuration, minInForce, maxInForce)
 	c.log(d.Log)
 	return c.problems
 }
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -22,7 +23,7 @@
 		"node": "front-catania-a-1", "zone": "catania-a", "ip": "10.1.0.40", "listen.front": "10.1.0.40:8227",
 		"listen.ready": "10.1.0.40:8220", "listen.control": "10.1.0.40:8229", "platform.address": "10.200.1.7:8223",
 		"limits.memory_mb": "284", "bounds.retry_budget_ratio": "0.2", "bounds.budget_slack": "54",
-		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5", "bounds.grace_s": "8", "bounds.drain_ms": "2000",
+		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5", "bounds.grace_s": "8", "bounds.drain_ms": "3000", "bounds.config_ms": "2000",
 	}
 	lists := map[string][]string{"zones": {"acireale", "catania-a"}, "seeds": {"10.1.0.40:8229", "10.2.0.29:8229"}}
 	file := filepath.Join(t.TempDir(), "router.json")
@@ -31,6 +32,7 @@
 	is.NoErr(Load(file, &got))
 	is.NoErr(Load("testdata/direct.json", &want))
 	is.Equal(got, want)
+	is.Equal(got.Timeouts.Staleness(), 2*time.Second) // the lesser one
 }
 
 var (
