--- a/internal/published/news.go
+++ b/internal/published/news.go
@@ -7,12 +7,11 @@
 	"github.com/pkg/errors"
 )
 
-// In a large data centre a few hosts read the store, and the others hear of changes from them: each call of the store is
-// paid for, and most of what it brings are heartbeats that mean nothing new.
-//
-// What a host knows is as old as the answer of the store behind it, whichever way it came. Pace bounds that age.
-
 // Pace is the rhythm in which published items are read.
+//
+// In a large data centre a few hosts read the store, and the others hear of changes from them: each call of the store is
+// paid for, and most of what it brings are heartbeats that mean nothing new. What a host knows is as old as the answer
+// of the store behind it, whichever way it came; the pace bounds that age.
 type Pace struct {
 	// Pause is the time between two calls of the store, so that many small changes share one call. SharedPause takes its
 	// place on a host from which others hear.
@@ -64,8 +63,9 @@
 	turnedAwayFor = 5 * time.Second
 	// sharedFor is how long after the last call for news this host counts as one that others hear from.
 	sharedFor = 5 * time.Second
-	// maxNewsBytes bounds the values of a batch that is passed on to hosts that can read it from the store. A large configuration, passed on to ten hosts, would fill the link of
-	// the host that reads it for seconds; the store's link is faster.
+	// maxNewsBytes bounds the values of a batch that is passed on to hosts that can read it from the store. A large
+	// configuration, passed on to ten hosts, would fill the link of the host that reads it for seconds; the store's link
+	// is faster.
 	maxNewsBytes = 16 << 10
 	// maxServeWait bounds how long a call for news may wait here.
 	maxServeWait = 5 * time.Second
