--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -127,7 +127,8 @@
 	return &Fleet{
 		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout},
 		news: &http.Client{Transport: o.Transport}, seeds: o.Seeds,
-		members: map[string]*member{}, centre: uint32(loadbalancer.HashKey(o.DataCentre)), rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
+		members: map[string]*member{}, centre: uint32(loadbalancer.HashKey(o.DataCentre)),
+		rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -65,10 +65,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &testHost{mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, clock, func([]published.Item) {}), loads: &fakeLoads{}, store: &fakeStore{reading: true},
-		strikes: quarantine.NewTable(quarantine.Limits{Strikes: 2, Lifetime: time.Minute}, clock, nil)}
+	h := &testHost{
+		mirror: published.NewMirror("", func(_, _ published.Item) bool { return false }, clock, func([]published.Item) {}),
+		loads:  &fakeLoads{}, store: &fakeStore{reading: true},
+		strikes: quarantine.NewTable(quarantine.Limits{Strikes: 2, Lifetime: time.Minute}, clock, nil),
+	}
 	h.Fleet = New(Options{
-		Self: l.Addr().String(), Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second, Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
+		Self: l.Addr().String(), Incarnation: 1, Seeds: seeds, Floor: 2, Interval: time.Second,
+		Mirror: h.mirror, Loads: h.loads, Strikes: h.strikes,
 		DataCentre: dataCentre, Store: h.store, Transport: &http.Transport{}, Clock: clock,
 		Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
@@ -134,7 +138,9 @@
 	h.mirror.Replace(published.Batch{Items: items[:1], At: 1})
 	h.mirror.Merge(1, published.Batch{Items: items[1:], At: 10})
 	for _, tt := range []struct{ complete, want int }{{0, 10}, {7, 3}, {10, 0}, {12, 0}} {
-		d, err := h.Exchange(context.Background(), &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: uint64(tt.complete)}, WantsItems: true})
+		d, err := h.Exchange(context.Background(), &fleetpb.Digest{
+			Mirror: &fleetpb.Mirror{Complete: uint64(tt.complete)}, WantsItems: true,
+		})
 		is.NoErr(err)
 		is.Equal(len(d.GetMirror().GetItems()), tt.want)
 	}
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -88,7 +88,9 @@
 
 // NewMirror returns an empty mirror that reports changed items.
 func NewMirror(prefix string, same Same, clock clockwork.Clock, changed func([]Item)) *Mirror {
-	return &Mirror{clock: clock, prefix: prefix, same: same, changed: changed, items: map[string]entry{}, news: make(chan struct{})}
+	return &Mirror{
+		clock: clock, prefix: prefix, same: same, changed: changed, items: map[string]entry{}, news: make(chan struct{}),
+	}
 }
 
 // Prefix returns the prefix of the keys.
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -300,7 +300,9 @@
 	clock := clockwork.NewFakeClock()
 	source := &scripted{}
 	m := newMirror("", func([]Item) {})
-	r := NewReader(ReaderOptions{Source: source, Mirror: m, Clock: clock, Log: zerolog.Nop(), Scope: tally.NoopScope, Lapses: &fakeLapses{}})
+	r := NewReader(ReaderOptions{
+		Source: source, Mirror: m, Clock: clock, Log: zerolog.Nop(), Scope: tally.NoopScope, Lapses: &fakeLapses{},
+	})
 	page := func(next string, at uint64, items ...Item) func(bool, uint64) (Batch, error) {
 		return func(bool, uint64) (Batch, error) { source.more = next; return Batch{Items: items, At: at}, nil }
 	}
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -60,8 +60,8 @@
 	// listing is nil while no list is under way.
 	listing *listing
 	retry   time.Duration
-	// answeredAt is the time as of which the source is known here and askedAt when another host last asked for changes, both in Unix
-	// nanoseconds of the clock.
+	// answeredAt is the time as of which the source is known here, and askedAt when another host last asked for changes,
+	// both in Unix nanoseconds of the clock.
 	answeredAt, askedAt atomic.Int64
 	// turnedAway is when a call of the source failed last.
 	turnedAway time.Time
