A planned stop answers a request that it has just read

A connection stays idle in that state until its next request's header has been read and parsed; a process that is not scheduled in between (these hosts have 0.19 to 0.8 of a core) loses the request. Ruled out: the idle timer (it ends a wait by a deadline and closes nothing); requests in the backlog of a closed listener, which no process has read. Change: before the shutdown the waits of unused connections are ended by a deadline, as the idle timer does; net/http lifts it where a request has come. The shutdown follows when each connection has ended or is in use, or after a second. TestAStopAnswersARequestThatWasJustRead: unexpected EOF before, passes after, 20 of 20 under the race detector.

--- a/internal/direct/idle.go
+++ b/internal/direct/idle.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -9,6 +10,9 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// endPoll is how often a stop looks whether unused connections have ended.
+const endPoll = 5 * time.Millisecond
+
 // idleConns ends callers' connections that stay unused for longer than the limit in force.
 //
 // It never closes a connection: a request may have been read from it already. It lets the wait for the next request run
@@ -54,6 +58,34 @@
 		i.clock.AfterFunc(left, func() { i.expire(c, since) })
 		return
 	}
+	i.endWait(c)
+}
+
+// endWait ends the wait for the next request; the caller holds mu.
+func (i *idleConns) endWait(c net.Conn) {
 	// A connection that takes no deadline ends with its caller.
 	_ = c.SetReadDeadline(i.clock.Now().Add(-time.Second))
 }
+
+// end ends the waits of all unused connections, those too that are unused later, and returns when each has ended or has
+// read a request. http.Server.Shutdown would close connections from which a request was read already, but whose state
+// does not say so yet.
+func (i *idleConns) end(ctx context.Context) {
+	for ctx.Err() == nil && i.endWaits() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-i.clock.After(endPoll):
+		}
+	}
+}
+
+// endWaits ends the waits of the connections that are unused now and returns their number. It is called again and again,
+// since net/http sets a deadline of its own after a connection has become unused.
+func (i *idleConns) endWaits() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.since {
+		i.endWait(c)
+	}
+	return len(i.since)
+}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -84,6 +84,10 @@
 // Stop makes all further answers ask for the end of their connections.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// EndIdle ends callers' unused connections without cutting off a request that was read from one. It is called before the
+// HTTP server is shut down, and returns when all have ended or the context has.
+func (s *Server) EndIdle(ctx context.Context) { s.idle.end(ctx) }
+
 // InFlight returns the requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	changesWait = time.Second
 	// killMargin is the time before the end of a planned stop at which what is left is cut off.
 	killMargin = 800 * time.Millisecond
+	// endIdleLimit bounds the wait for the end of callers' unused connections, which takes as long as the process needs to
+	// be scheduled once for each.
+	endIdleLimit = time.Second
 	// maxIdlePeerConns bounds the unused connections to each other host and to the store.
 	maxIdlePeerConns = 2
 )
@@ -182,6 +185,9 @@
 	left := g.settings.Timeouts.Stop.Std() - killMargin - g.clock.Since(begun)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	idle, cancelIdle := context.WithTimeout(ctx, endIdleLimit)
+	g.server.EndIdle(idle)
+	cancelIdle()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Warn().Str("event", "stop-limit").Int64("in_flight", g.server.InFlight()).Err(err).Send()
 	}
