A list has its bound of pages again; one order of hosts, one flag for an outage

It is back; TestAListHasABoundOfPages fails without it (1,001 pages read). - The order of a data centre's readers was a sort of its own beside loadbalancer.Order, which is called now. - The time at which an outage began was kept and only ever compared with 0, since the outage's length follows from the last answer: a flag. - A function without a comment in internal/peers/documents.go has one. Behaviour is otherwise as it was.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -106,10 +105,7 @@
 			near = append(near, address)
 		}
 	}
-	key := loadbalancer.HashKey("store-reader")
-	slices.SortFunc(near, func(a, b string) int {
-		return cmp.Compare(loadbalancer.Score(key, b), loadbalancer.Score(key, a))
-	})
+	loadbalancer.Order(loadbalancer.HashKey("store-reader"), near)
 	return near[:min(readersPerDataCentre, len(near))]
 }
 
--- a/internal/peers/documents.go
+++ b/internal/peers/documents.go
@@ -50,6 +50,8 @@
 		return false
 	}
 }
+
+// pullFrom fetches the document of a digest's sender, at the address that the document in force has for it.
 func (g *Gossip) pullFrom(d *gossippb.Digest) {
 	address := d.SenderAddress
 	if snap := g.Store.Current(); snap != nil {
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -330,3 +330,24 @@
 	is.Equal(source.calls, []string{"list", "lista", "list"}) // too old to go on
 	is.Equal(m.Complete(), uint64(30))
 }
+
+// A store that names a next page without end does not hold a list, nor its memory, for good.
+func TestAListHasABoundOfPages(t *testing.T) {
+	is := is.New(t)
+	source := &scripted{}
+	r := NewReader(ReaderOptions{
+		Source: source, Mirror: newMirror("", func([]Item) {}), Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(),
+		Scope: tally.NoopScope, Lapses: &fakeLapses{},
+	})
+	for range maxPages + 1 {
+		source.steps = append(source.steps, func(bool, uint64) (Batch, error) {
+			source.more = "k"
+			return Batch{Items: []Item{item("k", 1)}, At: 1}, nil
+		})
+	}
+	r.step(context.Background())
+	is.Equal(len(source.calls), maxPages)
+	is.True(r.Failing())
+	is.True(r.listing == nil) // the next list begins anew
+	is.Equal(r.Mirror.Complete(), uint64(0))
+}
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -19,6 +19,8 @@
 	// maxListTime is how long a full list may take, with interruptions, before it begins anew: stores keep the history
 	// since its first page for 20 s.
 	maxListTime = 10 * time.Second
+	// maxPages bounds one full list; a page holds about 500 items.
+	maxPages = 1000
 	// answerSlack is how much longer than its wait a call for changes may take before its connection counts as silent.
 	answerSlack = 800 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call; a configuration must be in force within 2 s.
@@ -53,8 +55,8 @@
 type Reader struct {
 	ReaderOptions
 	calls, failures, followed, unfollowed tally.Counter
-	// failedSince is when the present outage began, in Unix nanoseconds of the clock; 0 while the source answers.
-	failedSince atomic.Int64
+	// failing is set while neither the source nor another host answers.
+	failing atomic.Bool
 	// relist is set until a full list has been read, at the start and after a loss of history.
 	relist bool
 	// listing is nil while no list is under way.
@@ -80,8 +82,8 @@
 	return r
 }
 
-// Failing reports whether the last call failed.
-func (r *Reader) Failing() bool { return r.failedSince.Load() != 0 }
+// Failing reports whether neither the source nor another host answers.
+func (r *Reader) Failing() bool { return r.failing.Load() }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
@@ -146,6 +148,8 @@
 	batch Batch
 	// next is the key after which the next page begins.
 	next string
+	// pages is how many pages were read.
+	pages int
 }
 
 // noRevision is a revision up to which no mirror is complete.
@@ -161,10 +165,15 @@
 	}
 	l := r.listing
 	for {
+		if l.pages == maxPages {
+			r.listing = nil
+			return errors.Errorf("list %q has over %d pages", r.Mirror.Prefix(), maxPages)
+		}
 		page, next, err := r.page(ctx, l.next)
 		if err != nil {
 			return err
 		}
+		l.pages++
 		if l.batch.At == 0 {
 			l.batch.At = page.At
 		}
@@ -192,7 +201,7 @@
 func (r *Reader) failed(err error) {
 	r.failures.Inc(1)
 	r.turnedAway = r.Clock.Now()
-	if r.failedSince.CompareAndSwap(0, r.Clock.Now().UnixNano()) {
+	if r.failing.CompareAndSwap(false, true) {
 		r.Log.Warn().Str("event", "store-lost").Str("prefix", r.Mirror.Prefix()).
 			Uint64("complete", r.Mirror.Complete()).Err(err).Send()
 		r.Lapses.Outage()
@@ -203,7 +212,7 @@
 func (r *Reader) fresh(at time.Time) {
 	now := r.Clock.Now().UnixNano()
 	before := r.answeredAt.Swap(min(at.UnixNano(), now))
-	if r.failedSince.Swap(0) == 0 {
+	if !r.failing.Swap(false) {
 		return
 	}
 	outage := time.Duration(now - before)
