A refusal for a body beyond the budget reaches its caller when the body was read whole

Cause: bodyFilter sets a past read deadline after any failed read, so that net/http does not wait for the rest of the body. Where the last read returned the body's end together with the budget's error, net/http already reads on to notice a disconnected caller; the deadline fails that read, net/http cancels the request, and finish cuts the connection instead of sending the 503. Ruled out: a caller that had disconnected (the test's caller waits), the budget's accounting (unchanged). Change: the budgeted reader knows whether the body has ended; then no deadline is set.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -161,14 +161,16 @@
 }
 
 // readBody sets the request's body. It reads no more than one byte past the limit.
-func readBody(req *Request, body io.Reader, limit int64) error {
+func readBody(req *Request, body *inbound.BudgetedReader, limit int64) error {
 	control := http.NewResponseController(req.response.writer)
 	// Some connections do not support deadlines; there the caller's own timeout bounds the read.
 	_ = control.SetReadDeadline(req.Deadline)
 	raw, err := io.ReadAll(body)
 	nextDeadline := time.Time{}
-	if err != nil {
-		nextDeadline = time.Unix(1, 0) // keeps net/http from waiting for the rest of the body before it sends the response
+	if err != nil && !body.Ended() {
+		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
+		// net/http reads on to notice a disconnected caller, and a failure of that read would cancel the request.
+		nextDeadline = time.Unix(1, 0)
 	}
 	_ = control.SetReadDeadline(nextDeadline)
 	switch {
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -36,6 +36,7 @@
 	body     io.Reader
 	budget   *BodyBudget
 	reserved int64
+	ended    bool
 }
 
 // NewReader returns a reader of a request's body whose bytes count against the budget until Release.
@@ -46,6 +47,7 @@
 // Read implements io.Reader. It returns ErrBudgetExceeded if the budget is exhausted.
 func (r *BudgetedReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	r.ended = r.ended || errors.Is(err, io.EOF)
 	if !r.budget.reserve(int64(n)) {
 		return 0, ErrBudgetExceeded
 	}
@@ -53,6 +55,9 @@
 	return n, err
 }
 
+// Ended reports whether the end of the body has been read, even if the read returned ErrBudgetExceeded.
+func (r *BudgetedReader) Ended() bool { return r.ended }
+
 // Release returns the reserved bytes to the budget. The body of a request that continues after its caller has
 // disconnected stays in memory without being counted.
 func (r *BudgetedReader) Release() {
--- a/internal/inbound/body_test.go
+++ b/internal/inbound/body_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -27,6 +28,18 @@
 	is.Equal(budget.used.Load(), int64(10))
 }
 
+func TestEndOfBodyIsKnownBeyondBudget(t *testing.T) {
+	is := is.New(t)
+	beyond := NewBodyBudget(3).NewReader(iotest.DataErrReader(strings.NewReader("1234")))
+	_, err := io.ReadAll(beyond)
+	is.True(errors.Is(err, ErrBudgetExceeded))
+	is.True(beyond.Ended())
+	partial := NewBodyBudget(3).NewReader(strings.NewReader("1234"))
+	_, err = io.ReadAll(partial)
+	is.True(errors.Is(err, ErrBudgetExceeded))
+	is.True(!partial.Ended()) // the reader has not returned the end yet
+}
+
 func TestHeaderBytesCountsRequestLineAndFields(t *testing.T) {
 	is := is.New(t)
 	r := &http.Request{Method: "GET", RequestURI: "/a", Proto: "HTTP/1.1", Host: "h", Header: http.Header{"A": {"b", "cc"}}}
