Upstream connections bound heads and discarded bodies

Cause: upconn read heads with http.ReadResponse on an unbounded reader, so that one endless header line, header block or stream of bytes that are no HTTP filled the memory of the host; and what followed the first megabyte of a long response to another request was read as the next response's head, so that text in that body could pass for the caller's answer. A 'not executed' response whose body never ended held the retry until the caller's deadline. Ruled out by the same tests on the old code: chunk extensions, trailers, informational responses and unmatched responses without end were bounded before; a late second copy, with or without an ID, was never taken for an answer.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -140,7 +140,7 @@
 	switch {
 	case meta.NotRun:
 		req.rejectedBy = append(req.rejectedBy, key)
-		return d.notExecuted(u, resp, meta, release)
+		return d.notExecuted(u, conn, resp, meta, release)
 	case resp.StatusCode < http.StatusMultipleChoices && !meta.Signed:
 		release(false)
 		d.balancer.RecordBrokenResponse(u, errors.New("response is not signed by the upstream"))
@@ -200,11 +200,10 @@
 }
 
 // notExecuted handles a response by which the upstream reports that it did not execute the request.
-func (d *dispatchFilter) notExecuted(u *catalog.Upstream, resp *http.Response, meta ResponseMetadata, release func(bool)) attemptResult {
+func (d *dispatchFilter) notExecuted(u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, meta ResponseMetadata, release func(bool)) attemptResult {
 	key := u.Key()
 	d.metrics.notRun.Inc(1)
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
-	release(err == nil)
+	release(conn.Discard(resp))
 	if meta.WrongInstance {
 		d.balancer.MarkReplaced(u)
 		return notRunResult(true, "wrong-instance", "another upstream has the address", key, nil)
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -18,7 +18,8 @@
 type Conn struct {
 	raw     net.Conn
 	address string
-	br      *bufio.Reader
+	head    *headLimiter
+	br      *bufio.Reader // reads from head
 	bw      *bufio.Writer
 	// Reused is set if the connection has carried a request before.
 	Reused bool
@@ -34,12 +35,6 @@
 // buffer, so that the write does not block on the upstream.
 const maxInlineBodyBytes = 8 << 10
 
-// maxUnmatchedBytes limits the bytes that are read and discarded of one response that belongs to another request.
-const maxUnmatchedBytes = 1 << 20
-
-// maxUnmatchedResponses limits how many responses are read in search of the one that belongs to the request.
-const maxUnmatchedResponses = 4
-
 // Close closes the connection; pending reads and writes fail.
 func (c *Conn) Close() { _ = c.raw.Close() }
 
@@ -110,7 +105,9 @@
 // read returns the next response that belongs to the request and discards those that do not.
 func (c *Conn) read(req *http.Request, matches ResponseMatcher) (*http.Response, error) {
 	for range maxUnmatchedResponses {
+		c.head.begin()
 		resp, err := http.ReadResponse(c.br, req)
+		c.head.end()
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.address)
 		}
@@ -120,7 +117,7 @@
 		if matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBytes)); err != nil {
+		if err := discardUnmatched(resp.Body); err != nil {
 			return nil, errors.Wrapf(err, "discard a response of %s to another request", c.address)
 		}
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -99,9 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
+	head := &headLimiter{Reader: raw}
 	return &Conn{
-		raw: raw, address: address, br: bufio.NewReaderSize(raw, readBufferBytes), bw: bufio.NewWriterSize(raw, writeBufferBytes),
-		idleTimeout: defaultIdleTimeout,
+		raw: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
+		bw: bufio.NewWriterSize(raw, writeBufferBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
