Hosts of a data centre tell each other observed loads within a tenth of a second

Cause: with 295 hosts an engine reports its load to the same host once in 40 s, and gossip, which goes to five other data centres in five of six rounds, takes seconds. Change: internal/loadshare sends what responses reported in UDP datagrams to the hosts of the data centre every 100 ms. Three of four gossip rounds of a large data centre stay inside it, and digests to others hold no loads.

--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -36,10 +36,10 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	var list []LoadReport
-	for key, s := range t.statsByKey {
+	for id, s := range t.statsByID {
 		if s.fresh(now) {
 			list = append(list, LoadReport{
-				IncarnationID: IncarnationID(key), Load: s.avgLoad, FailureShare: s.failureShare(now), Age: now.Sub(s.avgLoadAt),
+				IncarnationID: id, Load: s.avgLoad, FailureShare: s.failureShare(now), Age: now.Sub(s.avgLoadAt),
 			})
 		}
 		if len(list) == maxReports {
@@ -54,12 +54,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	byID := make(map[uint32]*stats, len(t.statsByKey))
-	for key, s := range t.statsByKey {
-		byID[IncarnationID(key)] = s
-	}
 	for _, r := range reports {
-		s := byID[r.IncarnationID]
+		s := t.statsByID[r.IncarnationID]
 		if at := now.Add(-r.Age); s != nil && at.After(s.avgLoadAt) {
 			s.avgLoad, s.avgLoadAt, s.sentSince = r.Load, at, 0
 			if at.After(s.failedAt) {
@@ -68,3 +64,34 @@
 		}
 	}
 }
+
+// maxObservations limits the observations between two calls of TakeObservations, and so the size of a message.
+const maxObservations = 96
+
+// TakeObservations returns the loads that responses reported to this host since the last call, at most maxObservations.
+func (t *Table) TakeObservations() []LoadReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	reports := make([]LoadReport, len(t.observations))
+	for i, s := range t.observations {
+		s.observed = false
+		reports[i] = LoadReport{IncarnationID: s.id, Load: float64(s.lastLoad), Age: now.Sub(s.lastLoadAt)}
+	}
+	t.observations = t.observations[:0]
+	return reports
+}
+
+// MergeObservations records loads that responses reported to another host. Unlike the averages of MergeReports, they
+// count as if this host had received the response. For each upstream the newest observation is kept.
+func (t *Table) MergeObservations(reports []LoadReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for _, r := range reports {
+		s := t.statsByID[r.IncarnationID]
+		if at := now.Add(-r.Age); s != nil && at.After(s.lastLoadAt) {
+			s.recordLoad(int(r.Load), at)
+		}
+	}
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -46,6 +46,8 @@
 
 // stats are this host's statistics of one incarnation of an upstream.
 type stats struct {
+	// id is the incarnation's ID in messages to other hosts.
+	id       uint32
 	inFlight int
 	// avgLoad is the moving average of the loads that responses reported to this host and others, as of avgLoadAt.
 	// sentSince counts the requests that this host sent since then.
@@ -55,6 +57,8 @@
 	// lastLoad is the load in the latest response to this host that reported one, received at lastLoadAt.
 	lastLoad   int
 	lastLoadAt time.Time
+	// observed is set while the latest response's load is in the table's list of observations.
+	observed bool
 
 	consecutiveFailures int
 	// avgFailureShare is the moving average share of failed outcomes as of failedAt.
@@ -98,8 +102,12 @@
 
 	mu         sync.Mutex
 	statsByKey map[catalog.UpstreamKey]*stats
-	paths      map[string]*path
-	lastSweep  time.Time
+	statsByID  map[uint32]*stats
+	// observations are the statistics of the upstreams whose load responses reported to this host since the last call of
+	// TakeObservations.
+	observations []*stats
+	paths        map[string]*path
+	lastSweep    time.Time
 	// pools are the members of each service in poolsSnapshot. They are built once for each snapshot.
 	pools         map[string][]member
 	poolsSnapshot *catalog.Snapshot
@@ -118,15 +126,15 @@
 
 // NewTable returns an empty table for a host in the data centre local.
 func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, paths: map[string]*path{}}
+	return &Table{clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{}, paths: map[string]*path{}}
 }
 
 // stats returns the statistics of the upstream and creates them if needed. The caller holds mu.
 func (t *Table) stats(key catalog.UpstreamKey, now time.Time) *stats {
 	s := t.statsByKey[key]
 	if s == nil {
-		s = &stats{}
-		t.statsByKey[key] = s
+		s = &stats{id: IncarnationID(key)}
+		t.statsByKey[key], t.statsByID[s.id] = s, s
 	}
 	s.lastUsed = now
 	return s
@@ -159,6 +167,7 @@
 	for key, s := range t.statsByKey {
 		if s.inFlight == 0 && now.Sub(s.lastUsed) > statsExpiry {
 			delete(t.statsByKey, key)
+			delete(t.statsByID, s.id)
 		}
 	}
 }
@@ -185,13 +194,22 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	s := t.stats(key, now)
-	if s.fresh(now) {
+	s.recordLoad(load, now)
+	if !s.observed && len(t.observations) < maxObservations {
+		s.observed = true
+		t.observations = append(t.observations, s)
+	}
+}
+
+// recordLoad records the load that the upstream reported at the given time.
+func (s *stats) recordLoad(load int, at time.Time) {
+	if s.fresh(at) {
 		s.avgLoad += newLoadWeight * (float64(load) - s.avgLoad)
 	} else {
 		s.avgLoad = float64(load)
 	}
-	s.avgLoadAt, s.sentSince = now, 0
-	s.lastLoad, s.lastLoadAt = load, now
+	s.avgLoadAt, s.sentSince = at, 0
+	s.lastLoad, s.lastLoadAt = load, at
 }
 
 // RecordResponseStart records that a response of the upstream has started, which shows that the upstream is up and the
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -80,15 +80,18 @@
 	return addresses[:maxDigestHosts]
 }
 
-// digest returns the message to a host that knows the given number of members. It holds members, loads, crashes and the
-// revision up to which the mirror is complete.
-func (f *Fleet) digest(knownMembers int) *fleetpb.Digest {
+// digest returns the message to a host of the data centre that knows the given number of members. It holds members,
+// crashes, the revision up to which the mirror is complete, and loads if the host needs them.
+func (f *Fleet) digest(dataCentreHash uint32, knownMembers int) *fleetpb.Digest {
 	complete := f.Mirror.CompleteRevision()
-	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}, Loads: encodeLoads(f.Loads.Reports())}
+	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete, After: complete}}
 	now := f.Clock.Now()
 	d.Strikes = encodeCrashes(f.Crashes.RecentCrashes(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sendsLoads(dataCentreHash) {
+		d.Loads = encodeLoads(f.Loads.Reports())
+	}
 	d.Known, d.WantsItems = uint32(len(f.members)), complete == 0 || f.Store.Disconnected()
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.dataCentreHash}
 	for _, address := range f.digestMembers(knownMembers) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -157,7 +157,8 @@
 		return
 	}
 	f.rounds.Inc(1)
-	reply, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, f.digest(unknownMembers))
+	digest := f.digest(f.dataCentreOf(address), unknownMembers)
+	reply, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, digest)
 	if err != nil {
 		f.failures.Inc(1)
 		f.recordUnreachable(address, errors.Wrapf(err, "exchange with %s", address))
@@ -171,7 +172,7 @@
 // host whose store calls fail.
 func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
 	f.merge(d)
-	reply := f.digest(int(d.GetKnown()))
+	reply := f.digest(d.GetSender().GetDataCentre(), int(d.GetKnown()))
 	theirs := d.GetMirror().GetComplete()
 	if f.Mirror.CompleteRevision() > theirs {
 		if b := f.Mirror.Since(theirs); d.GetWantsItems() || b.WithinRelayLimit() {
@@ -181,6 +182,16 @@
 	return reply, nil
 }
 
+// dataCentreOf returns the hash of the host's data centre, or 0 if the host is unknown.
+func (f *Fleet) dataCentreOf(address string) uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[address]; m != nil {
+		return m.dataCentreHash
+	}
+	return 0
+}
+
 // merge merges a digest. Its sender was seen now, and its members as long ago as the digest says.
 func (f *Fleet) merge(d *fleetpb.Digest) {
 	f.mergeMirror(d.GetSender().GetAddress(), d.GetMirror())
--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -42,9 +42,9 @@
 	}
 	for _, h := range hosts {
 		if other := byAddress[h.pickTarget()]; other != nil {
-			request := h.digest(unknownMembers)
+			request := h.digest(other.dataCentreHash, unknownMembers)
 			other.merge(request)
-			h.merge(other.digest(int(request.GetKnown())))
+			h.merge(other.digest(h.dataCentreHash, int(request.GetKnown())))
 		}
 	}
 }
--- a/internal/fleet/selection.go
+++ b/internal/fleet/selection.go
@@ -6,13 +6,24 @@
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 )
 
+const (
+	// minLocalHosts is the number of other hosts in the local data centre from which on most rounds stay inside it.
+	minLocalHosts = 8
+	// One in remoteRoundInterval of these rounds goes to another data centre.
+	remoteRoundInterval = 4
+)
+
 // pickTarget returns a random member or seed, or "" if there is none. An unreachable member is a candidate in one of
 // unreachableRoundInterval rounds. Seeds are candidates if there are no others, and in one of seedRoundInterval rounds.
 func (f *Fleet) pickTarget() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	localRound := f.localHosts() >= minLocalHosts && f.Rand.IntN(remoteRoundInterval) > 0
 	var candidates []string
 	for address, m := range f.members {
+		if localRound && m.dataCentreHash != f.dataCentreHash {
+			continue
+		}
 		if !m.unreachable || f.Rand.IntN(unreachableRoundInterval) == 0 {
 			candidates = append(candidates, address)
 		}
@@ -31,6 +42,37 @@
 	return candidates[f.Rand.IntN(len(candidates))]
 }
 
+// localHosts returns the number of other hosts in the local data centre. The caller holds mu.
+func (f *Fleet) localHosts() int {
+	n := 0
+	for _, m := range f.members {
+		if m.dataCentreHash == f.dataCentreHash {
+			n++
+		}
+	}
+	return n
+}
+
+// LocalPeers returns the addresses of the other hosts of the local data centre that respond and are not leaving.
+func (f *Fleet) LocalPeers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var peers []string
+	for address, m := range f.members {
+		if m.dataCentreHash == f.dataCentreHash && !m.leaving && !m.unreachable {
+			peers = append(peers, address)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+// sendsLoads reports whether messages to a host of the data centre hold loads. Hosts of a large data centre learn the
+// loads of all upstreams from each other. An unknown data centre has hash 0.
+func (f *Fleet) sendsLoads(dataCentreHash uint32) bool {
+	return dataCentreHash == 0 || dataCentreHash == f.dataCentreHash || f.localHosts() < minLocalHosts
+}
+
 // ShareCount implements allowance.FleetView.
 func (f *Fleet) ShareCount() int {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/fleet/surge_test.go
@@ -0,0 +1,297 @@
+package fleet
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/loadshare"
+	"github.com/orioleusher/orioleusher/internal/published"
+	"github.com/orioleusher/orioleusher/internal/quarantine"
+)
+
+// surge is a fleet that sends prompts to engines while some teams send many times their usual rate. Its hosts use the
+// real balance tables and gossip; time is virtual and there is no network.
+type surge struct {
+	rand    *rand.Rand
+	clock   *clockwork.FakeClock
+	start   time.Time
+	hosts   []*surgeHost
+	byName  map[string]*surgeHost
+	snap    *catalog.Snapshot
+	running map[string]int
+	total   int
+	events  eventQueue
+	// arrivals and overfull count, by second, the requests that reached an engine, and those that reached one beyond
+	// the bound.
+	arrivals, overfull map[int]int
+	// first counts the requests that went to the engine that the prompt alone chooses.
+	first int
+	keys  []surgeKey
+	// usual and surging are the cumulative weights of the keys.
+	usual, surging []float64
+}
+
+type surgeHost struct {
+	*Fleet
+	table  *balance.Table
+	sharer *loadshare.Sharer
+}
+
+// surgeKey is a shared prompt prefix.
+type surgeKey struct {
+	hash     uint64
+	duration time.Duration
+	hot      bool
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+const (
+	surgeEngines = 160
+	// surgeRate is the usual number of requests per second for each engine.
+	surgeRate     = 7.4
+	surgeStart    = 3 * time.Second
+	surgeEnd      = 9 * time.Second
+	surgeLength   = 11 * time.Second
+	surgeFactor   = 20
+	responseDelay = 60 * time.Millisecond
+	// Requests may reach an engine beyond surgeBoundFactor times the mean load plus surgeBoundSlack only rarely.
+	surgeBoundFactor = 2
+	surgeBoundSlack  = 3
+	surgeWindow      = 5 // seconds
+	maxOverfull      = 0.03
+)
+
+// newSurge returns a fleet whose hosts know each other.
+func newSurge(hosts, dataCentres int, seed uint64) *surge {
+	s := &surge{
+		rand: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewFakeClock(), byName: map[string]*surgeHost{},
+		running: map[string]int{}, arrivals: map[int]int{}, overfull: map[int]int{},
+		snap: &catalog.Snapshot{DisabledDataCentres: map[string]bool{}, Upstreams: map[string][]*catalog.Upstream{}},
+	}
+	s.start = s.clock.Now()
+	for i := range surgeEngines {
+		s.snap.Upstreams["s"] = append(s.snap.Upstreams["s"], &catalog.Upstream{
+			ID: fmt.Sprintf("e%d", i), Service: "s", Address: fmt.Sprintf("10.1.0.%d:1", i), Slots: 32, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+		})
+	}
+	for i := range hosts {
+		dc := fmt.Sprintf("dc-%d", i%dataCentres)
+		table := balance.NewTable(dc, s.clock, zerolog.Nop())
+		h := &surgeHost{table: table, Fleet: New(Options{
+			Self: fmt.Sprintf("10.0.%d.%d:9", i/200, i%200), Incarnation: uint64(i + 1), MinHosts: 2, GossipInterval: time.Second,
+			DataCentre: dc, Mirror: published.NewMirror("", nil, s.clock, func([]published.Item) {}),
+			Store: &fakeStore{reading: true}, Loads: table,
+			Crashes: quarantine.NewTable(quarantine.Limits{CrashThreshold: 2, Lifetime: time.Minute}, s.clock, nil), Clock: s.clock,
+			Rand: rand.New(rand.NewPCG(seed, uint64(i))), Log: zerolog.Nop(), Scope: tally.NoopScope,
+		})}
+		h.sharer = loadshare.New(loadshare.Options{Loads: table, Peers: h.Fleet, Clock: s.clock, Scope: tally.NoopScope})
+		s.hosts = append(s.hosts, h)
+		s.byName[h.Self] = h
+	}
+	for _, h := range s.hosts {
+		for _, other := range s.hosts {
+			if h != other {
+				h.members[other.Self] = &member{incarnation: other.Incarnation, dataCentreHash: other.dataCentreHash, lastSeen: s.start}
+			}
+		}
+		s.gossip(h, s.upTo(time.Second))
+		s.share(h, h.LocalPeers(), s.upTo(shareInterval))
+	}
+	s.addKeys()
+	return s
+}
+
+// upTo returns a random duration.
+func (s *surge) upTo(limit time.Duration) time.Duration {
+	return time.Duration(s.rand.Float64() * float64(limit))
+}
+
+// addKeys adds the prompts of three kinds of requests: few long ones, others, and many short ones. The teams that surge
+// send one in twenty requests otherwise.
+func (s *surge) addKeys() {
+	for _, class := range []struct {
+		keys     int
+		share    float64
+		duration time.Duration
+	}{{947, 0.235, 1300 * time.Millisecond}, {497, 0.277, 950 * time.Millisecond}, {872, 0.488, 120 * time.Millisecond}} {
+		var sum float64
+		for i := range class.keys {
+			sum += math.Pow(float64(i+1), -0.3)
+		}
+		for i := range class.keys {
+			w := class.share * math.Pow(float64(i+1), -0.3) / sum
+			k := surgeKey{hash: s.rand.Uint64(), duration: class.duration, hot: s.rand.Float64() < 0.05}
+			s.keys = append(s.keys, k)
+			hot := w
+			if k.hot {
+				hot *= surgeFactor
+			}
+			s.usual, s.surging = append(s.usual, w), append(s.surging, hot)
+		}
+	}
+	for i := 1; i < len(s.keys); i++ {
+		s.usual[i] += s.usual[i-1]
+		s.surging[i] += s.surging[i-1]
+	}
+}
+
+func (s *surge) after(d time.Duration, do func()) {
+	heap.Push(&s.events, simEvent{s.clock.Now().Add(d), do})
+}
+
+// gossip makes the host exchange digests once per interval.
+func (s *surge) gossip(h *surgeHost, in time.Duration) {
+	s.after(in, func() {
+		if other := s.byName[h.pickTarget()]; other != nil {
+			reply, err := other.Exchange(context.Background(), h.digest(other.dataCentreHash, unknownMembers))
+			if err != nil {
+				panic(err) // Exchange calls no other host
+			}
+			h.merge(reply)
+		}
+		s.gossip(h, h.GossipInterval)
+	})
+}
+
+// shareInterval is the time between two datagrams of a host with observed loads.
+const shareInterval = 100 * time.Millisecond
+
+// share makes the host send its observed loads to its peers once per interval.
+func (s *surge) share(h *surgeHost, peers []string, in time.Duration) {
+	s.after(in, func() {
+		datagram, err := h.sharer.Datagram()
+		for _, peer := range peers {
+			if err == nil && datagram != nil && s.rand.IntN(100) > 0 { // one in a hundred is lost
+				err = s.byName[peer].sharer.Merge(datagram)
+			}
+		}
+		if err != nil {
+			panic(err)
+		}
+		s.share(h, peers, shareInterval)
+	})
+}
+
+// run plays the surge.
+func (s *surge) run() {
+	s.arrive()
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		if e.at.Sub(s.start) > surgeLength {
+			return
+		}
+		s.clock.Advance(e.at.Sub(s.clock.Now()))
+		e.do()
+	}
+}
+
+// arrive sends one request and schedules the next.
+func (s *surge) arrive() {
+	elapsed := s.clock.Since(s.start)
+	weights := s.usual
+	if elapsed >= surgeStart && elapsed < surgeEnd {
+		weights = s.surging
+	}
+	sum := weights[len(weights)-1]
+	rate := surgeRate * surgeEngines * sum
+	point := s.rand.Float64() * sum
+	s.send(s.hosts[s.rand.IntN(len(s.hosts))], s.keys[sort.SearchFloat64s(weights, point)])
+	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+}
+
+// send sends a request to the engine that the host chooses.
+func (s *surge) send(h *surgeHost, k surgeKey) {
+	u := h.table.Order(s.snap, "s", balance.Criteria{Engine: true, AffinityHash: k.hash})[0].Upstream
+	if s.preferred(k.hash) == u.ID {
+		s.first++
+	}
+	second := int(s.clock.Since(s.start) / time.Second)
+	s.arrivals[second]++
+	if float64(s.running[u.ID]) > surgeBoundFactor*float64(s.total)/surgeEngines+surgeBoundSlack {
+		s.overfull[second]++
+	}
+	s.running[u.ID]++
+	s.total++
+	h.table.RecordRequestStart(u.Key())
+	s.after(responseDelay, func() { h.table.RecordLoad(u.Key(), s.running[u.ID]) })
+	s.after(k.duration, func() {
+		s.running[u.ID]--
+		s.total--
+		h.table.RecordRequestEnd(u.Key())
+	})
+}
+
+// preferred returns the engine that the prompt alone chooses.
+func (s *surge) preferred(key uint64) string {
+	best, bestScore := "", uint64(0)
+	for _, u := range s.snap.Upstreams["s"] {
+		if score := loadbalancer.ScoreHashed(key, loadbalancer.HashKey(u.ID)); best == "" || score > bestScore {
+			best, bestScore = u.ID, score
+		}
+	}
+	return best
+}
+
+// worstWindow returns the largest share of requests beyond the bound in any window of the bound.
+func (s *surge) worstWindow() float64 {
+	worst := 0.0
+	for from := range s.arrivals {
+		all, over := 0, 0
+		for second := from; second < from+surgeWindow; second++ {
+			all += s.arrivals[second]
+			over += s.overfull[second]
+		}
+		worst = max(worst, float64(over)/float64(max(all, 1)))
+	}
+	return worst
+}
+
+// Pattern: teams that send twenty times their usual, in fleets in which each host sees few of an engine's requests.
+func TestLoadBoundHoldsWhenTeamsSurge(t *testing.T) {
+	for _, tt := range []struct{ hosts, dataCentres int }{{7, 3}, {30, 6}, {295, 6}, {300, 6}, {1000, 17}} {
+		t.Run(fmt.Sprintf("%d hosts", tt.hosts), func(t *testing.T) {
+			if testing.Short() && tt.hosts > 300 {
+				t.Skip("takes half a minute")
+			}
+			s := newSurge(tt.hosts, tt.dataCentres, 1)
+			s.run()
+			all := 0
+			for _, n := range s.arrivals {
+				all += n
+			}
+			t.Logf("worst window %.4f, at the preferred engine %.3f, beyond the bound by second %v", s.worstWindow(), float64(s.first)/float64(all), s.overfull)
+			is.New(t).True(s.worstWindow() <= maxOverfull)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
+	"github.com/orioleusher/orioleusher/internal/loadshare"
 	"github.com/orioleusher/orioleusher/internal/metrics"
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -138,6 +139,10 @@
 	go g.reader.Run(loops)
 	go g.fleet.Run(loops)
 	go g.closeExpiredConns(loops)
+	if err := g.shareLoads(loops); err != nil {
+		stopLoops()
+		return errors.Wrap(err, "run router")
+	}
 	serveErrors := make(chan error, 4)
 	callers := g.server.HTTPServer()
 	for _, s := range []struct {
@@ -164,6 +169,20 @@
 	return errors.Wrap(err, "run router")
 }
 
+// shareLoads starts the exchange of observed loads, on the UDP port with the number of the peer address.
+func (g *Gateway) shareLoads(ctx context.Context) error {
+	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrapf(err, "listen for loads on %s", g.settings.PeerAddress)
+	}
+	sharer := loadshare.New(loadshare.Options{
+		Conn: conn, Loads: g.balancer, Peers: g.fleet, Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 1)),
+		Log: g.log, Scope: g.metrics.Scope,
+	})
+	go sharer.Run(ctx)
+	return nil
+}
+
 func serve(s *http.Server, name, address string, errs chan<- error) {
 	listener, err := net.Listen("tcp", address)
 	if err == nil {
