A starting host reads all items from a neighbour before it lists the store

The items carry their age under the rule of relayed changes, so that a host that has lost the store cannot bring removed items back. Digests carry items only to hosts whose store calls fail; a seed no longer sends all items to each newcomer.

--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -111,7 +111,7 @@
 	return hosts[:min(readersPerDataCentre, len(hosts))]
 }
 
-// peerClient reads changes from another host.
+// peerClient reads published items from another host.
 type peerClient struct {
 	fleet   *Fleet
 	address string
@@ -140,6 +140,71 @@
 	}, nil
 }
 
+// maxSnapshots limits the snapshots that a host sends at the same time. One has about a hundred kilobytes, and a small
+// host's link carries a few megabytes a second.
+const maxSnapshots = 2
+
+// snapshotTimeout limits a call for a snapshot.
+const snapshotTimeout = time.Second
+
+// Snapshot implements fleetpb.Fleet. It returns all published items to a host that starts.
+func (f *Fleet) Snapshot(context.Context, *fleetpb.SnapshotRequest) (*fleetpb.NewsAnswer, error) {
+	select {
+	case f.snapshots <- struct{}{}:
+		defer func() { <-f.snapshots }()
+	default:
+		return &fleetpb.NewsAnswer{}, nil
+	}
+	f.mu.Lock()
+	leaving := f.leaving
+	f.mu.Unlock()
+	update, ok := f.Store.ServeSnapshot()
+	if leaving || !ok {
+		return &fleetpb.NewsAnswer{}, nil
+	}
+	return &fleetpb.NewsAnswer{Reading: true, AgeMs: uint32(update.Age.Milliseconds()) + 1, Mirror: encodeMirror(0, update.Batch)}, nil
+}
+
+// SelectSnapshotPeer returns a random host of the local data centre that may have all published items, or of any data
+// centre if no other host of the local one is known, or nil if there is none.
+func (f *Fleet) SelectSnapshotPeer() published.SnapshotPeer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	localOnly := f.localHosts() > 0
+	var candidates []string
+	for address, m := range f.members {
+		if m.leaving || m.unreachable || now.Before(m.skipUntil) || localOnly && m.dataCentreHash != f.dataCentreHash {
+			continue
+		}
+		candidates = append(candidates, address)
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	slices.Sort(candidates) // map order would make runs with one random seed differ
+	return &peerClient{fleet: f, address: candidates[f.Rand.IntN(len(candidates))]}
+}
+
+// Snapshot implements published.SnapshotPeer.
+func (c *peerClient) Snapshot(ctx context.Context) (published.PeerBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	client := fleetpb.NewFleetProtobufClient("http://"+c.address, c.fleet.watchClient)
+	sent := c.fleet.Clock.Now()
+	reply, err := client.Snapshot(ctx, &fleetpb.SnapshotRequest{})
+	if err != nil {
+		c.fleet.skipMember(c.address, failedPeerDelay)
+		return published.PeerBatch{}, errors.Wrapf(err, "read snapshot from %s", c.address)
+	}
+	if !reply.GetReading() {
+		return published.PeerBatch{}, errors.Wrapf(published.ErrNoSnapshot, "read snapshot from %s", c.address)
+	}
+	return published.PeerBatch{
+		Batch: decodeMirror(reply.GetMirror()), Age: time.Duration(reply.GetAgeMs())*time.Millisecond + c.fleet.Clock.Since(sent),
+	}, nil
+}
+
 func (f *Fleet) skipMember(address string, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -92,7 +92,7 @@
 	if f.sendsLoads(dataCentreHash) {
 		d.Loads = encodeLoads(f.Loads.Reports())
 	}
-	d.Known, d.WantsItems = uint32(len(f.members)), complete == 0 || f.Store.Disconnected()
+	d.Known, d.WantsItems = uint32(len(f.members)), f.Store.Disconnected()
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.dataCentreHash}
 	for _, address := range f.digestMembers(knownMembers) {
 		m := f.members[address]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,8 @@
 	Disconnected() bool
 	// ServeChanges returns this host's changes after the revision, and whether this host reads the store.
 	ServeChanges(ctx context.Context, after uint64, wait time.Duration) (published.PeerBatch, bool)
+	// ServeSnapshot returns all items, and whether they are recent enough to pass on.
+	ServeSnapshot() (published.PeerBatch, bool)
 }
 
 const (
@@ -101,6 +103,8 @@
 	watchClient *http.Client
 	rounds      tally.Counter
 	failures    tally.Counter
+	// snapshots limits the snapshots that are sent at the same time.
+	snapshots chan struct{}
 
 	mu      sync.Mutex
 	seeds   []string
@@ -128,7 +132,7 @@
 		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout},
 		watchClient: &http.Client{Transport: o.Transport}, seeds: o.Seeds,
 		members: map[string]*member{}, dataCentreHash: uint32(loadbalancer.HashKey(o.DataCentre)),
-		rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
+		snapshots: make(chan struct{}, maxSnapshots), rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -55,6 +55,8 @@
 	return s.update, s.reading
 }
 
+func (s *fakeStore) ServeSnapshot() (published.PeerBatch, bool) { return s.update, s.reading }
+
 // startHost starts a host on a free port in data centre dc-1.
 func startHost(t *testing.T, clock clockwork.Clock, seeds ...string) *testHost {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -58,6 +59,8 @@
 	// idleDrainTimeout limits the wait until callers' idle connections have ended, which takes as long as the process
 	// needs to be scheduled once for each of them.
 	idleDrainTimeout = time.Second
+	// maxStartDelay is the maximum time for which a starting process asks other hosts before it lists the store.
+	maxStartDelay = 600 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
 )
@@ -106,7 +109,7 @@
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, LongPollWait: watchTimeout,
 		Timing:  published.ReadTimingFor(g.settings.Timeouts.MaxStaleness()),
-		Outages: g.store, Peers: g.fleet, Clock: clock, Log: log, Scope: g.metrics.Scope,
+		Outages: g.store, Peers: g.fleet, StartDelay: startDelay(mathrand.New(mathrand.NewPCG(g.incarnation, 2))), Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
 	g.fleet.Store = g.reader
 	g.server = g.newServer(a)
@@ -132,6 +135,13 @@
 	})
 }
 
+// startDelay returns how long a process asks other hosts for all published items before it lists the store. When all
+// hosts start together, the cubic distribution makes one in a thousand list the store in the first tenth of the time and
+// one in eight in the first half, so that the others find a host to read from.
+func startDelay(r *mathrand.Rand) time.Duration {
+	return time.Duration(math.Cbrt(r.Float64()) * float64(maxStartDelay))
+}
+
 // Run serves until the context is done and then shuts down gracefully. It returns the first error of a server, if any.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(g.settings.MemoryMB<<20)))
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -100,6 +100,64 @@
 	// SelectPeer returns the host from which this one reads changes, or nil if it reads the store itself. storeFailed is
 	// true if a recent store call of this host failed.
 	SelectPeer(storeFailed bool) Peer
+	// SelectSnapshotPeer returns a host that may have all items, or nil if no other host is known.
+	SelectSnapshotPeer() SnapshotPeer
+}
+
+// ErrNoSnapshot reports that a host does not know all items, or has no capacity to send them.
+var ErrNoSnapshot = errors.New("the host cannot send all items")
+
+// SnapshotPeer is another host that may know all items.
+type SnapshotPeer interface {
+	Address() string
+	// Snapshot returns all items. The error is ErrNoSnapshot if the host cannot send them now.
+	Snapshot(ctx context.Context) (PeerBatch, error)
+}
+
+// startPollInterval is the time between two attempts to read all items from another host.
+const startPollInterval = 40 * time.Millisecond
+
+// starting reports whether this host has just started and asks other hosts for all items.
+func (r *Reader) starting() bool {
+	return r.Peers != nil && r.needsFullList && r.dataAsOf.Load() == 0 && r.Clock.Since(r.startedAt) < r.StartDelay
+}
+
+// readSnapshot reads all items from another host. Its data must be as recent as data from which changes are read, so
+// that a host that has lost the store does not bring removed items back.
+func (r *Reader) readSnapshot(ctx context.Context) bool {
+	peer := r.Peers.SelectSnapshotPeer()
+	if peer == nil {
+		return false
+	}
+	r.peerCalls.Inc(1)
+	update, err := peer.Snapshot(ctx)
+	if err == nil && update.Age >= r.Timing.MaxPeerDataAge {
+		err = errors.Errorf("read snapshot from %s: its data is %s old", peer.Address(), update.Age)
+	}
+	if err == nil && (update.Revision == 0 || !update.Full) {
+		err = errors.Errorf("read snapshot from %s: it is incomplete", peer.Address())
+	}
+	if err != nil {
+		r.peerFailures.Inc(1)
+		r.Log.Debug().Str("event", "no-snapshot").Str("peer", peer.Address()).Err(err).Send()
+		return false
+	}
+	r.Mirror.Replace(update.Batch)
+	r.needsFullList = false
+	r.recordFresh(r.Clock.Now().Add(-update.Age))
+	r.Log.Info().Str("event", "started-from-peer").Str("peer", peer.Address()).Dur("age_ms", update.Age).
+		Int("items", len(update.Items)).Uint64("complete", update.Revision).Send()
+	return true
+}
+
+// ServeSnapshot returns all items, and whether they are complete and recent enough for another host to start from.
+func (r *Reader) ServeSnapshot() (PeerBatch, bool) {
+	dataAsOf := r.dataAsOf.Load()
+	update := PeerBatch{Batch: r.Mirror.Since(0), Age: time.Duration(r.Clock.Now().UnixNano() - dataAsOf)}
+	if dataAsOf == 0 || !update.Full || r.Disconnected() || update.Age >= r.Timing.MaxPeerDataAge {
+		return PeerBatch{}, false
+	}
+	return update, true
 }
 
 // readFromPeers waits for changes from another host. It returns false if this host has to read the store itself.
--- a/internal/published/peers_test.go
+++ b/internal/published/peers_test.go
@@ -116,6 +116,18 @@
 	return c
 }
 
+// SelectSnapshotPeer implements PeerSelector.
+func (c *cluster) SelectSnapshotPeer() SnapshotPeer { return c }
+
+// Snapshot implements SnapshotPeer.
+func (c *cluster) Snapshot(context.Context) (PeerBatch, error) {
+	update, ok := c.serving.ServeSnapshot()
+	if c.refusing || !ok {
+		return PeerBatch{}, ErrNoSnapshot
+	}
+	return update, nil
+}
+
 func (c *cluster) Address() string { return "serving-host" }
 
 // Changes implements Peer. It waits on the test's clock: ServeChanges is called with a cancelled context and returns at
@@ -286,3 +298,68 @@
 	c.run(r, 4*time.Second+storeRetryDelay)
 	is.True(!c.lastStoreFailed) // the normal selection applies again
 }
+
+// A host that starts beside others reads all items from one of them and does not call the store.
+func TestStartingHostReadsItemsFromPeer(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	c.value = make([]byte, 2*maxRelayBytes)
+	c.writeItem()
+	c.run(c.reader(c, storeUp), time.Second)
+	r := c.reader(c, storeUp)
+	r.StartDelay = time.Second
+	r.step(context.Background())
+	is.Equal(len(r.Mirror.Since(0).Items), 1)
+	is.True(r.Mirror.CompleteRevision() > 0)
+	is.Equal(r.Source.(*storeClient).calls, 0)
+}
+
+// A host that starts beside a host that has lost the store must not take over what that host last knew: a key may have
+// been withdrawn since.
+func TestStartingHostRejectsOldItems(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	c.run(c.reader(c, storeUp), time.Second)
+	c.storeDown = true
+	c.writeItem()
+	old, ok := c.serving.ServeSnapshot()
+	is.True(ok)
+	for {
+		c.clock.Advance(tick)
+		if update, ok := c.serving.ServeSnapshot(); !ok {
+			break
+		} else {
+			is.True(update.Age < c.serving.Timing.MaxPeerDataAge)
+		}
+	}
+	r := c.reader(&delayedSnapshot{cluster: c, update: old}, storeUp)
+	r.StartDelay = time.Minute
+	r.step(context.Background())
+	is.Equal(r.Mirror.CompleteRevision(), uint64(0))
+}
+
+// delayedSnapshot is a peer whose snapshot arrives after its data has become too old.
+type delayedSnapshot struct {
+	*cluster
+	update PeerBatch
+}
+
+func (d *delayedSnapshot) SelectSnapshotPeer() SnapshotPeer { return d }
+
+func (d *delayedSnapshot) Snapshot(context.Context) (PeerBatch, error) {
+	d.update.Age = d.serving.Timing.MaxPeerDataAge
+	return d.update, nil
+}
+
+func TestStartingHostListsStoreIfNoPeerHasItems(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	c.refusing = true
+	r := c.reader(c, storeUp)
+	r.StartDelay = 300 * time.Millisecond
+	c.run(r, 250*time.Millisecond)
+	is.Equal(r.Source.(*storeClient).calls, 0)
+	c.run(r, 400*time.Millisecond)
+	is.True(r.Source.(*storeClient).calls > 0)
+	is.True(r.Mirror.CompleteRevision() > 0)
+}
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -39,9 +39,11 @@
 	Outages      OutageListener
 	// Peers is nil if every host reads the source itself.
 	Peers PeerSelector
-	Clock clockwork.Clock
-	Log   zerolog.Logger
-	Scope tally.Scope
+	// StartDelay is how long after its start the reader asks other hosts for all items before it lists the source.
+	StartDelay time.Duration
+	Clock      clockwork.Clock
+	Log        zerolog.Logger
+	Scope      tally.Scope
 }
 
 // OutageListener is notified of outages, during which removals are not reliable: a store that was down has dropped
@@ -64,6 +66,7 @@
 	// partialList is nil while no full list is in progress.
 	partialList *partialList
 	retryDelay  time.Duration
+	startedAt   time.Time
 	// dataAsOf is the time as of which the mirror is up to date with the source. lastPeerRequestAt is when another host
 	// last asked for changes. Both are Unix nanoseconds of the clock.
 	dataAsOf, lastPeerRequestAt atomic.Int64
@@ -78,7 +81,7 @@
 	scope := o.Scope.Tagged(map[string]string{"prefix": o.Mirror.Prefix()})
 	r := &Reader{
 		ReaderOptions: o, storeCalls: scope.Counter("store_calls"), storeFailures: scope.Counter("store_failures"),
-		peerCalls: scope.Counter("news_calls"), peerFailures: scope.Counter("news_failures"), needsFullList: true,
+		startedAt: o.Clock.Now(), peerCalls: scope.Counter("news_calls"), peerFailures: scope.Counter("news_failures"), needsFullList: true,
 	}
 	r.sourcePeer.Store(new(string))
 	return r
@@ -99,6 +102,12 @@
 
 // step makes one call and returns the delay before the next one.
 func (r *Reader) step(ctx context.Context) time.Duration {
+	if r.starting() {
+		if r.readSnapshot(ctx) {
+			return minPeerPollInterval
+		}
+		return startPollInterval
+	}
 	if r.readFromPeers(ctx) {
 		return minPeerPollInterval
 	}
