Edge: the rest of a request with two lengths is not read as a request, and refusals do not wait for a body

Cause: net/http lets a chunked body override a content length and reads what follows as the next request, which a forwarder that used the length has never seen; and it waits without limit for up to 256 KB of a refused body. Change: a connection closes after a request with a transfer encoding; a refusal before the body is read waits 50 ms for the rest; headers are limited to 256 KB. Not done: status 400 for two lengths, since net/http removes the length before handlers see it.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -152,6 +152,7 @@
 	if req.HTTP.Body == nil || req.HTTP.Body == http.NoBody {
 		return next(ctx, req)
 	}
+	req.receiving = true
 	body := f.bodies.NewReader(io.LimitReader(req.HTTP.Body, limit+1))
 	defer body.Release()
 	if err := readBody(req, body, limit); err != nil {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -21,6 +21,8 @@
 	// HTTP is the caller's request; its body has been read into Body.
 	HTTP *http.Request
 	Body []byte
+	// receiving is set once the body is being read.
+	receiving bool
 	// Start is when the request's headers were read.
 	Start time.Time
 	// Deadline is when the final response is due.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -57,6 +57,10 @@
 	defaultIdleTimeout = 15 * time.Second
 	// writeGrace is the time after its deadline within which a response must have been written to the caller.
 	writeGrace = 300 * time.Millisecond
+	// discardTime limits the wait for the rest of a refused request's body, after which its connection could be reused.
+	discardTime = 50 * time.Millisecond
+	// maxHeaderBytes limits the headers of a request whatever the configuration allows.
+	maxHeaderBytes = 256 << 10
 )
 
 // latencyBuckets are the upper bounds of the latency histograms: 16 buckets that double from one millisecond.
@@ -78,7 +82,7 @@
 func (s *Server) HTTPServer() *http.Server {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").Handler(s)
-	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ConnState: s.idleConns.onStateChange}
+	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idleConns.onStateChange}
 }
 
 // DisableKeepAlives makes the server set "Connection: close" on all further responses.
@@ -95,7 +99,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.keepAlivesOff.Load() {
+	// A request with a transfer encoding may also have a content length, which net/http ignores. Whoever forwarded it may
+	// have used the length, so that what follows the body is not read as a request.
+	if s.keepAlivesOff.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now(), response: callerResponse{writer: w, clock: s.Clock}}
@@ -134,6 +140,10 @@
 		panic(http.ErrAbortHandler)
 	default:
 		s.responses.refused(refusal.Code).Inc(1)
+		if !req.receiving && req.HTTP.ContentLength != 0 {
+			// Some connections do not support deadlines; there net/http waits for the body before it sends the response.
+			_ = http.NewResponseController(req.response.writer).SetReadDeadline(time.Now().Add(discardTime))
+		}
 		req.response.sendRefusal(refusal)
 	}
 }
