Responses are held within a budget, events are limited, and slow but sound streams are not cut

Cause: a response was held up to 4 MB whatever else was held; an event without end was kept and searched again with each read; comments counted as progress of a stream; a stream was cut after 1.2 s without an event (1.5 s before the first) even on routes whose objective allows more. Change: up to 256 KB of a response are held, all of them within a tenth of the memory; longer ones are relayed as they arrive and break off if they do. An event has at most 256 KB and is searched once. Only events with data or an ID reset the timer of a stream, which allows three times the route's gap objective and the latency objective. Responses that exceed a limit are counted (answers_too_large) and logged.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -17,12 +17,15 @@
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
-// Limits on the time without data from the upstream during one send.
+// Limits on the time without events from the upstream during one send.
 const (
-	// firstEventTimeout and eventGapTimeout limit the time without data on a stream that can be resumed at another
-	// upstream: before its first event and between events. Callers give up after about twice that time.
+	// firstEventTimeout and eventGapTimeout limit the time without events on a stream that can be resumed at another
+	// upstream: before its first event and between events. Callers give up after about twice that time. Both are longer
+	// on routes whose objectives allow more.
 	firstEventTimeout = 1500 * time.Millisecond
 	eventGapTimeout   = 1200 * time.Millisecond
+	// eventGapFactor is how many times longer than the route's objective for gaps a stream may stay without events.
+	eventGapFactor = 3
 )
 
 // minConnectTimeout and maxConnectTimeout bound the connect timeout. Hosts of one region are milliseconds apart, and a
@@ -33,7 +36,7 @@
 )
 
 // maxBufferedBytes limits a response that is read completely before it is relayed.
-const maxBufferedBytes = 4 << 20
+const maxBufferedBytes = 256 << 10
 
 // attemptResult is the result of one attempt to send a request.
 type attemptResult struct {
@@ -191,6 +194,11 @@
 		return d.outcomeUnknown(req, "silent", "the upstream stayed silent", key, cause)
 	case cause != nil:
 		return d.outcomeUnknown(req, "over", "the time is over", key, cause)
+	case errors.Is(err, upconn.ErrResponseTooLarge):
+		d.balancer.RecordBrokenResponse(u, err)
+		d.metrics.tooLarge.Inc(1)
+		d.log.Warn().Str("event", "answer-too-large").Str("request", req.ID).Str("upstream", key.ID).Str("peer", key.Address).Err(err).Send()
+		return d.outcomeUnknown(req, "answer-too-large", "the upstream's answer is too large", key, err)
 	default:
 		d.balancer.RecordBrokenResponse(u, err)
 		d.crashes.recordBrokenResponse(u, req.fingerprint)
@@ -223,7 +231,8 @@
 	if !req.Route.Repeatable() || req.runs+1 >= req.Route.MaxAttempts {
 		return &inactivityTimer{}
 	}
-	first, gap := firstEventTimeout, eventGapTimeout
+	first := max(firstEventTimeout, req.Route.LatencyObjective)
+	gap := max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap)
 	if req.Route.Kind == catalog.Safe {
 		first = req.Deadline.Sub(d.clock.Now()) / 2
 	}
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -19,7 +19,7 @@
 		&quarantineFilter{quarantine: s.Quarantine},
 		&dispatchFilter{
 			store: s.Store, balancer: s.Balancer, retryBudget: s.RetryBudget, coldLimiter: s.ColdLimiter, pool: s.Pool, codec: s.Codec, clock: s.Clock,
-			log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
+			responses: inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]uint64{},
 			},
 		},
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -46,16 +47,19 @@
 	log         zerolog.Logger
 	metrics     dispatchMetrics
 	crashes     *crashDetector
+	// responses limits the memory for the bodies of responses that are held.
+	responses *inbound.BodyBudget
 }
 
 type dispatchMetrics struct {
-	sends, retries, resumes, refused, notRun, outcomeUnknown tally.Counter
+	sends, retries, resumes, refused, notRun, outcomeUnknown, tooLarge tally.Counter
 }
 
 func newDispatchMetrics(scope tally.Scope) dispatchMetrics {
 	return dispatchMetrics{
 		sends: scope.Counter("sends"), retries: scope.Counter("retries"), resumes: scope.Counter("stream_resumes"),
 		refused: scope.Counter("retries_refused"), notRun: scope.Counter("sends_not_run"), outcomeUnknown: scope.Counter("sends_unknown"),
+		tooLarge: scope.Counter("answers_too_large"),
 	}
 }
 
@@ -64,6 +68,7 @@
 
 // Handle implements Filter.
 func (d *dispatchFilter) Handle(ctx context.Context, req *Request, _ Next) error {
+	defer func() { d.responses.Release(req.reserved) }()
 	d.retryBudget.RecordRequest(req.Service)
 	for {
 		choice, err := d.waitForUpstream(ctx, req)
@@ -117,6 +122,8 @@
 	switch {
 	case req.response.callerGone:
 		return "caller"
+	case req.response.unresumable:
+		return "begun"
 	case req.sends >= maxSends || len(req.tried) >= maxUpstreamsTried:
 		return "sends"
 	case res.notRun:
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -292,7 +292,7 @@
 	h.server = New(Options{
 		Store: h.store, Balancer: balance.NewTable("dc", clock, log), Pool: upconn.NewPool(nil, clock), Codec: testCodec{}, Quarantine: h.quarantine,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}), ColdLimiter: allowance.NewColdLimiter(allowance.ColdLimits{Overage: 1}, oneHost{}, clockwork.NewFakeClock()),
-		BodyBytes: bodyBytes, Clock: clock, Log: log, Scope: tally.NoopScope,
+		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
 	h.front.Config = h.server.HTTPServer()
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,8 +11,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/events"
 	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
 // streamBufferBytes is the size of the buffer for a stream's data; an event has about a hundred bytes.
@@ -21,33 +24,99 @@
 // caller does not treat the response as complete.
 var errResponseTruncated = errors.New("response ended before it was complete")
 
-// relayBuffered reads the complete response and relays it. An incomplete response is not relayed.
+// relayBuffered reads the complete response and relays it. An incomplete response is not relayed. A response that is too
+// long to be held is relayed as it arrives; if it breaks off, so does the caller's response.
 func (d *dispatchFilter) relayBuffered(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, release func(bool)) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
-	}
+	failed := resp.StatusCode >= minFailureStatus
+	body, whole, err := d.readResponse(req, resp)
 	if err != nil {
 		release(false)
 		return d.connectionFailed(ctx, req, u, err)
 	}
-	release(true)
-	failed := resp.StatusCode >= minFailureStatus
+	if !whole && !failed && !req.response.headerSent {
+		return d.relayLong(ctx, req, u, resp, body, release)
+	}
+	release(whole)
 	d.balancer.RecordOutcome(u, failed)
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	req.runs++
-	if failed && req.runs < req.Route.MaxAttempts {
-		req.response.fallback, req.outcomeUnknown = buffered, true
+	if failed && req.runs < req.Route.MaxAttempts || !whole {
+		req.outcomeUnknown = true
+		if whole {
+			req.response.fallback = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+		}
 		return attemptResult{sent: true, err: outcome.Refuse(stepDispatch, resp.StatusCode, "upstream-failed", "the upstream failed").WithPeer(u.ID, nil)}
 	}
 	if req.response.headerSent {
 		// The caller has received part of a stream, and this upstream's response does not continue it.
 		return attemptResult{sent: true, err: errors.Wrapf(errResponseTruncated, "upstream %s responded with status %d", u.ID, resp.StatusCode)}
 	}
-	req.response.sendBuffered(buffered)
+	req.response.sendBuffered(&bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body})
 	return attemptResult{responded: true}
 }
 
+// readResponse reads the body, as far as it may be held in memory, and reports whether that is all of it.
+func (d *dispatchFilter) readResponse(req *Request, resp *http.Response) (body []byte, whole bool, err error) {
+	size := resp.ContentLength
+	if size < 0 {
+		size = maxBufferedBytes
+	}
+	if size > maxBufferedBytes || !d.responses.TryReserve(size) {
+		return nil, false, nil
+	}
+	req.reserved += size
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	if err != nil || len(body) < maxBufferedBytes {
+		return body, err == nil, err
+	}
+	// The body may have exactly the maximum length.
+	var next [1]byte
+	n, err := io.ReadFull(resp.Body, next[:])
+	if errors.Is(err, io.EOF) {
+		return body, true, nil
+	}
+	return append(body, next[:n]...), false, err
+}
+
+// relayLong relays a response as it arrives, after the part of its body that has been read.
+func (d *dispatchFilter) relayLong(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, begun []byte, release func(bool)) attemptResult {
+	if resp.ContentLength >= 0 {
+		req.response.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	req.response.sendHeader(resp.StatusCode, resp.Header)
+	req.response.unresumable = true
+	body := &recordingReader{Reader: io.MultiReader(bytes.NewReader(begun), resp.Body)}
+	buf := make([]byte, streamBufferBytes)
+	_, err := io.CopyBuffer(struct{ io.Writer }{req.response.writer}, body, buf)
+	switch {
+	case body.err != nil:
+		release(false)
+		return d.connectionFailed(ctx, req, u, errors.Wrap(body.err, "read response"))
+	case err != nil:
+		release(false)
+		req.response.callerGone = true
+		return attemptResult{sent: true, err: errors.Wrap(err, "write response to caller")}
+	}
+	release(true)
+	d.balancer.RecordOutcome(u, false)
+	req.runs++
+	return attemptResult{responded: true}
+}
+
+// recordingReader records the error with which reading failed.
+type recordingReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *recordingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // relayStream relays the stream as it arrives, in complete events. If it breaks off, the stream may be resumed at
 // another upstream.
 func (d *dispatchFilter) relayStream(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, inactivity *inactivityTimer, release func(bool)) attemptResult {
@@ -55,8 +124,12 @@
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
-		if output := req.response.stream.Feed(buf[:n]); len(output) > 0 {
+		eventsBefore := req.response.stream.DataEvents
+		output := req.response.stream.Feed(buf[:n])
+		if req.response.stream.DataEvents > eventsBefore {
 			inactivity.reset()
+		}
+		if len(output) > 0 {
 			req.response.sendHeader(resp.StatusCode, resp.Header)
 			if writeErr := req.response.writeAndFlush(output); writeErr != nil {
 				release(false)
@@ -64,6 +137,9 @@
 				return attemptResult{sent: true, err: errors.Wrap(writeErr, "write response to caller")}
 			}
 		}
+		if req.response.stream.TooLarge() {
+			err = errors.Wrapf(upconn.ErrResponseTooLarge, "event is longer than %d bytes", events.MaxEventBytes)
+		}
 		if errors.Is(err, io.EOF) && len(req.response.stream.Incomplete()) == 0 {
 			release(true)
 			d.balancer.RecordOutcome(u, false)
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -43,6 +43,8 @@
 	sends, runs int
 	// attempts holds the upstream selections and their results, for the log.
 	attempts []attemptRecord
+	// reserved is the number of bytes reserved for the bodies of responses.
+	reserved int64
 	// outcomeUnknown is set if an earlier send may have been executed.
 	outcomeUnknown bool
 
@@ -60,6 +62,8 @@
 	status         int
 	// callerGone is set once a write to the caller has failed.
 	callerGone bool
+	// unresumable is set once part of a response has been relayed that cannot be continued by another one.
+	unresumable bool
 	// stream tracks the events of a stream that may be resumed at another upstream.
 	stream events.Scanner
 	// fallback is a complete failure response of an upstream, sent if no later attempt succeeds.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -33,9 +33,12 @@
 	Quarantine *quarantine.Table
 	// BodyBytes limits the body bytes of all requests in flight together.
 	BodyBytes int64
-	Clock     clockwork.Clock
-	Log       zerolog.Logger
-	Scope     tally.Scope
+	// ResponseBytes limits the bytes of upstreams' responses that are held together. Beyond it, responses are relayed as
+	// they arrive.
+	ResponseBytes int64
+	Clock         clockwork.Clock
+	Log           zerolog.Logger
+	Scope         tally.Scope
 }
 
 // Server serves callers' requests.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -6,28 +6,34 @@
 	"strconv"
 )
 
+// MaxEventBytes limits one event. The buffer of a stream holds at most one event and one read.
+const MaxEventBytes = 256 << 10
+
 // Scanner buffers the bytes of a stream and returns complete events. The zero value is ready to use.
 type Scanner struct {
 	pending []byte
+	// lineStart is the start of the last line in pending, of which the first searched bytes of pending hold no end.
+	lineStart, searched int
 	// LastID is the ID of the last event returned, or 0 before the first event with an ID.
 	LastID int64
 	// SkipThroughID is the ID up to which events are dropped because the caller already has them; 0 drops none.
 	SkipThroughID int64
+	// DataEvents is the number of events with an ID or data so far. Others, such as comments, show no progress.
+	DataEvents int
 }
 
 // Feed appends the next bytes and returns the events that they complete, without those up to SkipThroughID.
 func (s *Scanner) Feed(p []byte) []byte {
 	s.pending = append(s.pending, p...)
 	var out []byte
-	end := 0
-	for {
-		length := eventLength(s.pending[end:])
-		if length == 0 {
-			break
-		}
-		event := s.pending[end : end+length]
-		end += length
+	start := 0
+	for s.nextEvent() {
+		event := s.pending[start:s.lineStart]
+		start = s.lineStart
 		id, ok := eventID(event)
+		if ok || hasData(event) {
+			s.DataEvents++
+		}
 		if ok && s.SkipThroughID > 0 && id <= s.SkipThroughID {
 			continue
 		}
@@ -36,34 +42,47 @@
 			s.LastID = id
 		}
 	}
-	s.pending = append(s.pending[:0], s.pending[end:]...)
+	if start > 0 {
+		s.pending = append(s.pending[:0], s.pending[start:]...)
+		s.lineStart -= start
+		s.searched -= start
+	}
 	return out
 }
 
+// nextEvent searches for the end of the next event, which is an empty line, and sets lineStart behind it. It searches
+// each byte once.
+func (s *Scanner) nextEvent() bool {
+	for {
+		end := bytes.IndexByte(s.pending[s.searched:], '\n')
+		if end < 0 {
+			s.searched = len(s.pending)
+			return false
+		}
+		line := s.pending[s.lineStart : s.searched+end]
+		s.searched += end + 1
+		s.lineStart = s.searched
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return true
+		}
+	}
+}
+
 // Incomplete returns the bytes of an incomplete event at the end of the stream so far.
 func (s *Scanner) Incomplete() []byte { return s.pending }
 
+// TooLarge reports whether the incomplete event exceeds MaxEventBytes.
+func (s *Scanner) TooLarge() bool { return len(s.pending) > MaxEventBytes }
+
 // Resume discards an incomplete event and skips events up to LastID, so that the stream can continue from another
 // source.
 func (s *Scanner) Resume() {
-	s.pending = s.pending[:0]
+	s.pending, s.lineStart, s.searched = s.pending[:0], 0, 0
 	s.SkipThroughID = max(s.SkipThroughID, s.LastID)
 }
 
-// eventLength returns the length of the first event in b, including the empty line at its end, or 0 if the event is
-// incomplete.
-func eventLength(b []byte) int {
-	for at := 0; ; {
-		end := bytes.IndexByte(b[at:], '\n')
-		if end < 0 {
-			return 0
-		}
-		line := b[at : at+end]
-		at += end + 1
-		if len(bytes.TrimRight(line, "\r")) == 0 {
-			return at
-		}
-	}
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
 }
 
 // eventID returns the number in the event's id field.
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -55,6 +55,43 @@
 	})
 }
 
+func TestCommentsShowNoProgress(t *testing.T) {
+	is := is.New(t)
+	var s Scanner
+	is.Equal(string(s.Feed([]byte(": ping\n\n: ping\r\n\r\n"))), ": ping\n\n: ping\r\n\r\n")
+	is.Equal(s.DataEvents, 0)
+	s.Feed([]byte("data: x\n\nevent: e\ndata: y\n\nid: 7\n\n"))
+	is.Equal(s.DataEvents, 3)
+}
+
+func TestEventWithoutEndIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	var s Scanner
+	for range MaxEventBytes / 16 {
+		is.True(!s.TooLarge())
+		s.Feed([]byte("data: 123456789\n"))
+	}
+	s.Feed([]byte("x"))
+	is.True(s.TooLarge())
+}
+
+// BenchmarkFeedLongEvent feeds one event in small reads, as a slow or hostile upstream sends it. The time for each byte
+// must not grow with the event.
+func BenchmarkFeedLongEvent(b *testing.B) {
+	for _, size := range []int{16 << 10, 64 << 10, 256 << 10, 1 << 20} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			piece := []byte(strings.Repeat("d", 63) + "\n")
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				var s Scanner
+				for range size / len(piece) {
+					s.Feed(piece)
+				}
+			}
+		})
+	}
+}
+
 func FuzzFeed(f *testing.F) {
 	f.Add([]byte("id: 1\r\ndata: x\r\n\r\n"), 3)
 	f.Fuzz(func(t *testing.T, raw []byte, cut int) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	memoryLimitFraction = 0.6
 	// bodyMemoryFraction is the fraction of the memory that callers' bodies may use.
 	bodyMemoryFraction = 0.2
+	// responseMemoryFraction is the fraction of the memory that held responses of upstreams may use.
+	responseMemoryFraction = 0.1
 	// idleSweepInterval is how often connections that have been idle for too long are closed.
 	idleSweepInterval = time.Second
 	// watchTimeout is how long the store may hold a watch call open. Each upstream updates its entry about once a second,
@@ -129,9 +131,10 @@
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable,
-		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
-		ColdLimiter: allowance.NewColdLimiter(allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.fleet, g.clock),
-		BodyBytes:   int64(bodyMemoryFraction * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+		RetryBudget:   allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
+		ColdLimiter:   allowance.NewColdLimiter(allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.fleet, g.clock),
+		BodyBytes:     int64(bodyMemoryFraction * float64(g.settings.MemoryMB<<20)),
+		ResponseBytes: int64(responseMemoryFraction * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
 }
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -13,7 +13,7 @@
 // ErrBudgetExceeded is returned when the bodies of all requests in flight together use up the budget.
 var ErrBudgetExceeded = errors.New("too many body bytes in flight")
 
-// BodyBudget limits the memory for callers' bodies over all requests in flight. It is safe for concurrent use.
+// BodyBudget limits the memory for bodies over all requests in flight. It is safe for concurrent use.
 type BodyBudget struct {
 	total int64
 	used  atomic.Int64
@@ -22,7 +22,8 @@
 // NewBodyBudget returns a budget of the given number of bytes.
 func NewBodyBudget(total int64) *BodyBudget { return &BodyBudget{total: total} }
 
-func (b *BodyBudget) reserve(n int64) bool {
+// TryReserve reserves n bytes and reports whether the budget allows it. Release returns them.
+func (b *BodyBudget) TryReserve(n int64) bool {
 	if b.used.Add(n) <= b.total {
 		return true
 	}
@@ -30,6 +31,9 @@
 	return false
 }
 
+// Release returns n reserved bytes.
+func (b *BodyBudget) Release(n int64) { b.used.Add(-n) }
+
 // BudgetedReader is a request body that reserves budget for its bytes as they arrive, so that a slow caller holds no
 // more than it has sent.
 type BudgetedReader struct {
@@ -48,7 +52,7 @@
 func (r *BudgetedReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.ended = r.ended || errors.Is(err, io.EOF)
-	if !r.budget.reserve(int64(n)) {
+	if !r.budget.TryReserve(int64(n)) {
 		return 0, ErrBudgetExceeded
 	}
 	r.reserved += int64(n)
@@ -61,7 +65,7 @@
 // Release returns the reserved bytes to the budget. The body of a request that continues after its caller has
 // disconnected stays in memory without being counted.
 func (r *BudgetedReader) Release() {
-	r.budget.used.Add(-r.reserved)
+	r.budget.Release(r.reserved)
 	r.reserved = 0
 }
 
