--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -51,6 +52,14 @@
 
 const streamLength = 8
 
+// floods are what a server in trouble sends without end instead of a response.
+var floods = []struct{ prefix, text string }{
+	{"HTTP/1.1 200 OK\r\nX-Long: ", "x"}, {"HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"}, {"", "\x00\xff"},
+}
+
+// faultKinds is the number of faults of a response, with the floods last.
+const faultKinds = 8
+
 func (s *server) start() error {
 	l, err := net.Listen("tcp", s.listen)
 	if err != nil {
@@ -150,6 +159,10 @@
 	}
 	s.all.record(v)
 	head += "Orioleusher-Response-Stamp: " + instance + "\r\n"
+	if faulty && kind >= 5 {
+		flood(c, floods[kind-5].prefix, floods[kind-5].text)
+		return false
+	}
 	if r.URL.Path == "/stream/" {
 		return s.stream(c, head, id, after, faulty)
 	}
@@ -167,9 +180,25 @@
 		return true
 	}
 	_, err := io.WriteString(c, text)
+	if faulty && kind == 4 { // send a second copy late, when the connection may be in use again
+		time.Sleep(30 * time.Millisecond)
+		_, err = io.WriteString(c, text)
+	}
 	return err == nil
 }
 
+// maxFloodBytes ends a flood that the router has not ended.
+const maxFloodBytes = 256 << 20
+
+// flood sends bytes that are no response until the connection fails.
+func flood(c net.Conn, prefix, text string) {
+	block := strings.Repeat(text, 64<<10/len(text))
+	_, err := io.WriteString(c, prefix)
+	for sent := 0; err == nil && sent < maxFloodBytes; sent += len(block) {
+		_, err = io.WriteString(c, block)
+	}
+}
+
 func (s *server) refuse(c net.Conn, v arrival, status, head string) bool {
 	v.executed = false
 	s.all.record(v)
@@ -208,5 +237,5 @@
 func (a *servers) drawFault() (faulty bool, kind int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.rand.Float64() < a.faultShare, a.rand.IntN(4)
+	return a.rand.Float64() < a.faultShare, a.rand.IntN(faultKinds)
 }
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,6 +38,8 @@
 	serverCount = 5
 	clientCount = 8
 	teams       = 3
+	// routerMemoryMB is the memory of the smallest hosts.
+	routerMemoryMB = 184
 	// heartbeatInterval is the interval at which servers publish their entries.
 	heartbeatInterval = 400 * time.Millisecond
 )
@@ -116,11 +119,35 @@
 	if served*2 < len(f.clients.calls) {
 		f.t.Errorf("only %d of %d requests were successful", served, len(f.clients.calls))
 	}
+	for n, p := range f.routers {
+		if peak := peakMemoryMB(f.t, p); peak > routerMemoryMB {
+			f.t.Errorf("router %d used %d MB at its peak, of %d MB", n, peak, routerMemoryMB)
+		}
+	}
 	for _, violation := range findViolations(f.clients.calls, f.servers.arrivals, &f.faults) {
 		f.t.Error(violation)
 	}
 }
 
+// peakMemoryMB returns the highest resident memory of the process since its last start.
+func peakMemoryMB(t *testing.T, p *testfleet.Process) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kb, err := strconv.Atoi(fields[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kb >> 10
+		}
+	}
+	t.Fatal("the process status holds no peak memory")
+	return 0
+}
+
 func (f *soakRun) startServers(seed uint64) {
 	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: 0.05, store: f.store}
 	for n := range serverCount {
@@ -188,7 +215,7 @@
 			"name": fmt.Sprintf("r%d", n), "data_centre": "z", "data_centres": []string{"z"}, "caller_address": ip + ":8080",
 			"ready_address": ip + ":8081", "peer_address": ip + ":7080", "admin_address": ip + ":9080",
 			"store_address": storeIP() + ":9000", "seed_peers": []string{routerIP(0) + ":7080", routerIP(1) + ":7080"},
-			"memory_mb": 200, "retry": map[string]any{"ratio": 0.2, "slack": 60},
+			"memory_mb": routerMemoryMB, "retry": map[string]any{"ratio": 0.2, "slack": 60},
 			"cold": map[string]any{"overage": 1.5, "slack": 5}, "timeouts": map[string]any{"drain": "1s", "stop": "6s"},
 		})
 		if err != nil {
