--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,8 @@
 	// outageGossipInterval is the time between two rounds while the store does not respond to this host. A change then
 	// arrives within a few rounds, well within the limit of five seconds.
 	outageGossipInterval = 250 * time.Millisecond
+	// startGossipInterval is the time between two rounds while no other host is known. Seeds may start later.
+	startGossipInterval = 100 * time.Millisecond
 	// memberExpiry is how long an unresponsive host still counts when a limit is divided, and memberExpiryPerHost is
 	// the additional time for each host of the fleet. Together they are much longer than the time for which hosts
 	// disagree about the membership, and than the time that a new heartbeat of a host takes to reach every other one.
@@ -144,6 +146,9 @@
 		if f.Store.Disconnected() {
 			wait = outageGossipInterval
 		}
+		if !f.knowsHosts() {
+			wait = startGossipInterval
+		}
 		select {
 		case <-ctx.Done():
 		case <-f.Clock.After(wait):
@@ -151,6 +156,12 @@
 	}
 }
 
+func (f *Fleet) knowsHosts() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members) > 0
+}
+
 // unknownMembers stands for the number of members of another host that has not reported it yet.
 const unknownMembers = math.MaxInt
 
