--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -79,17 +79,7 @@
 func storeIP() string       { return fmt.Sprintf("127.%d.3.1", block) }
 
 func runSeed(t *testing.T, seed uint64) {
-	testfleet.LockBlock(t, block)
-	f := &soakRun{
-		t: t, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
-		faults: faultLog{drainStarted: map[string]time.Time{}},
-		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}},
-	}
-	f.store = newStore(t, storeIP()+":8000")
-	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
-	f.startServers(seed)
-	f.publishConfig()
-	f.startRouters()
+	f := startRun(t, seed, 0.05)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var addresses []string
@@ -106,6 +96,22 @@
 	f.checkResults()
 }
 
+// startRun starts the store, the servers, a share of whose responses are faults, and the routers.
+func startRun(t *testing.T, seed uint64, faultShare float64) *soakRun {
+	testfleet.LockBlock(t, block)
+	f := &soakRun{
+		t: t, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
+		faults: faultLog{drainStarted: map[string]time.Time{}},
+		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}},
+	}
+	f.store = newStore(t, storeIP()+":8000")
+	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
+	f.startServers(seed, faultShare)
+	f.publishConfig()
+	f.startRouters()
+	return f
+}
+
 func (f *soakRun) checkResults() {
 	f.servers.mu.Lock()
 	defer f.servers.mu.Unlock()
@@ -148,8 +154,8 @@
 	return 0
 }
 
-func (f *soakRun) startServers(seed uint64) {
-	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: 0.05, store: f.store}
+func (f *soakRun) startServers(seed uint64, faultShare float64) {
+	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: faultShare, store: f.store}
 	for n := range serverCount {
 		s := &server{all: f.servers, listen: serverIP(n) + ":8000", public: serverIP(n) + ":9000", service: "s"}
 		f.network.Proxy(s.public, s.listen)
