Messages of other hosts and of the store are limited

64 KB for heads, 1 MB for requests of other hosts, 8 MB for responses; net/http's own limit was 1 MB for heads, and twirp reads bodies without a limit. TestResponsesOfPeersAreLimited fails without the limits (32 MB and 128 KB were read).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,14 @@
 	maxStartDelay = 600 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
+	// peerReadTimeout limits the time for reading a request of another host. It exceeds the time for which such a request
+	// may wait for changes, since net/http cancels requests whose connection passes its read deadline.
+	peerReadTimeout = 10 * time.Second
+	// maxPeerHeaderBytes, maxPeerRequestBytes and maxPeerResponseBytes limit what other hosts and the store may send in one
+	// message. A snapshot of 3,000 upstreams has about one megabyte.
+	maxPeerHeaderBytes   = 64 << 10
+	maxPeerRequestBytes  = 1 << 20
+	maxPeerResponseBytes = 8 << 20
 )
 
 // Gateway is a router process.
@@ -88,8 +96,26 @@
 
 // NewTransport returns the HTTP transport for calls to the store and to other hosts. Its connections are closed when
 // sent bytes stay unacknowledged for too long.
-func NewTransport(pool *upconn.Pool) *http.Transport {
-	return &http.Transport{DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true}
+// Responses beyond maxPeerHeaderBytes or maxPeerResponseBytes are errors.
+func NewTransport(pool *upconn.Pool) http.RoundTripper {
+	return bodyLimiter{&http.Transport{
+		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
+	}}
+}
+
+// bodyLimiter limits the bodies of responses.
+type bodyLimiter struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l bodyLimiter) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := l.RoundTripper.RoundTrip(req)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, maxPeerResponseBytes)
+	}
+	return resp, err
 }
 
 // NewPool returns the connection pool of a process with these settings.
@@ -164,7 +190,10 @@
 	}{
 		{"caller", g.settings.CallerAddress, callers},
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
-		{"peer", g.settings.PeerAddress, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerReadTimeout}},
+		{"peer", g.settings.PeerAddress, &http.Server{
+			Handler: http.MaxBytesHandler(g.peerHandler(), maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout,
+			ReadTimeout: peerReadTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+		}},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
 	} {
 		go serve(s.server, s.name, s.address, serveErrors)
