--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -165,11 +165,18 @@
 	return &fleetpb.NewsAnswer{Reading: true, AgeMs: uint32(update.Age.Milliseconds()) + 1, Mirror: encodeMirror(0, update.Batch)}, nil
 }
 
+// minSnapshotFleet is the number of other hosts from which on starting hosts read snapshots. In a smaller fleet all hosts
+// can list the store at once.
+const minSnapshotFleet = 16
+
 // SelectSnapshotPeer returns a random host of the local data centre that may have all published items, or of any data
-// centre if no other host of the local one is known, or nil if there is none.
+// centre if no other host of the local one is known, or nil if the fleet is small or there is none.
 func (f *Fleet) SelectSnapshotPeer() published.SnapshotPeer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.members) < minSnapshotFleet {
+		return nil
+	}
 	now := f.Clock.Now()
 	localOnly := f.localHosts() > 0
 	var candidates []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	// needs to be scheduled once for each of them.
 	idleDrainTimeout = time.Second
 	// maxStartDelay is the maximum time for which a starting process asks other hosts before it lists the store.
-	maxStartDelay = 600 * time.Millisecond
+	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
 	// peerReadTimeout limits the time for reading a request of another host. It exceeds the time for which such a request
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -100,7 +100,8 @@
 	// SelectPeer returns the host from which this one reads changes, or nil if it reads the store itself. storeFailed is
 	// true if a recent store call of this host failed.
 	SelectPeer(storeFailed bool) Peer
-	// SelectSnapshotPeer returns a host that may have all items, or nil if no other host is known.
+	// SelectSnapshotPeer returns a host that may have all items, or nil if the fleet is too small for that to matter or
+	// not known yet.
 	SelectSnapshotPeer() SnapshotPeer
 }
 
@@ -114,21 +115,33 @@
 	Snapshot(ctx context.Context) (PeerBatch, error)
 }
 
-// startPollInterval is the time between two attempts to read all items from another host.
-const startPollInterval = 40 * time.Millisecond
+const (
+	// startGrace is how long a starting host waits until other hosts are known.
+	startGrace = 50 * time.Millisecond
+	// startPollInterval is the time between two attempts to read all items from another host.
+	startPollInterval = 25 * time.Millisecond
+)
 
 // starting reports whether this host has just started and asks other hosts for all items.
 func (r *Reader) starting() bool {
-	return r.Peers != nil && r.needsFullList && r.dataAsOf.Load() == 0 && r.Clock.Since(r.startedAt) < r.StartDelay
+	elapsed := r.Clock.Since(r.startedAt)
+	if r.Peers == nil || !r.needsFullList || r.dataAsOf.Load() != 0 || elapsed >= r.StartDelay {
+		return false
+	}
+	return elapsed < startGrace || r.Peers.SelectSnapshotPeer() != nil
+}
+
+// start tries to read all items from another host and returns the time until the next step.
+func (r *Reader) start(ctx context.Context) time.Duration {
+	if peer := r.Peers.SelectSnapshotPeer(); peer != nil && r.readSnapshot(ctx, peer) {
+		return minPeerPollInterval
+	}
+	return startPollInterval
 }
 
 // readSnapshot reads all items from another host. Its data must be as recent as data from which changes are read, so
 // that a host that has lost the store does not bring removed items back.
-func (r *Reader) readSnapshot(ctx context.Context) bool {
-	peer := r.Peers.SelectSnapshotPeer()
-	if peer == nil {
-		return false
-	}
+func (r *Reader) readSnapshot(ctx context.Context, peer SnapshotPeer) bool {
 	r.peerCalls.Inc(1)
 	update, err := peer.Snapshot(ctx)
 	if err == nil && update.Age >= r.Timing.MaxPeerDataAge {
--- a/internal/published/peers_test.go
+++ b/internal/published/peers_test.go
@@ -351,6 +351,23 @@
 	return d.update, nil
 }
 
+// A small fleet, or one that is not known yet, must not delay the start.
+func TestStartingHostListsStoreIfNoPeerIsKnown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	c.refusing = true
+	r := c.reader(noSnapshots{c}, storeUp)
+	r.StartDelay = time.Minute
+	c.run(r, startGrace+2*startPollInterval)
+	is.True(r.Source.(*storeClient).calls > 0)
+	is.True(r.Mirror.CompleteRevision() > 0)
+}
+
+// noSnapshots is a fleet without a host that may have all items.
+type noSnapshots struct{ *cluster }
+
+func (noSnapshots) SelectSnapshotPeer() SnapshotPeer { return nil }
+
 func TestStartingHostListsStoreIfNoPeerHasItems(t *testing.T) {
 	is := is.New(t)
 	c := newCluster()
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -103,10 +103,7 @@
 // step makes one call and returns the delay before the next one.
 func (r *Reader) step(ctx context.Context) time.Duration {
 	if r.starting() {
-		if r.readSnapshot(ctx) {
-			return minPeerPollInterval
-		}
-		return startPollInterval
+		return r.start(ctx)
 	}
 	if r.readFromPeers(ctx) {
 		return minPeerPollInterval
