Tests of the retry bucket's cap, the checks after the dial and a kept failure after a begun stream; fields that nothing read are gone

ColdLimiter deletes records of upstreams without recent requests (Remove had no caller); max_connections, cold_start_s and header_timeout_ms were decoded and never used.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -104,6 +104,8 @@
 
 	mu   sync.Mutex
 	sent map[string][]time.Time
+	// sweptAt is when the records of upstreams without recent requests were last deleted.
+	sweptAt time.Time
 }
 
 // NewColdLimiter returns a limiter without recorded requests.
@@ -133,6 +135,7 @@
 	share := c.share(upstream, rate)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sweep(now)
 	recent := c.sent[upstream][:0]
 	for _, t := range c.sent[upstream] {
 		if now.Sub(t) < coldWindow {
@@ -147,9 +150,15 @@
 	return true
 }
 
-// Remove deletes the recorded requests of the upstream.
-func (c *ColdLimiter) Remove(upstream string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.sent, upstream)
+// sweep deletes the records of upstreams without requests in the window, once per window. The caller holds mu.
+func (c *ColdLimiter) sweep(now time.Time) {
+	if now.Sub(c.sweptAt) < coldWindow {
+		return
+	}
+	c.sweptAt = now
+	for upstream, sent := range c.sent {
+		if len(sent) == 0 || now.Sub(sent[len(sent)-1]) >= coldWindow {
+			delete(c.sent, upstream)
+		}
+	}
 }
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -56,6 +56,32 @@
 	return list
 }
 
+// What was not used for a long time does not add up: no burst of retries exceeds the share of the slack.
+func TestRetryBudgetHasACap(t *testing.T) {
+	is := is.New(t)
+	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 54}, &testView{minShares: 8})
+	for range 10_000 {
+		r.RecordRequest("s")
+	}
+	retries := 0
+	for r.TryWithdraw("s") {
+		retries++
+	}
+	is.Equal(retries, 5) // an eighth of three quarters of 54, rounded down
+}
+
+// The record of a cold upstream ends some time after its last request, so that upstreams that are gone do not add up.
+func TestColdLimiterForgetsUpstreams(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	c := NewColdLimiter(ColdLimits{Overage: 1.5, Slack: 5}, &testView{minShares: 1}, clock)
+	for _, upstream := range names(200) {
+		is.True(c.TryAcquire(upstream, 16))
+		clock.Advance(coldWindow)
+	}
+	is.True(len(c.sent) <= 2)
+}
+
 // In any window all hosts together must retry at most ratio x requests + slack times, even if hosts are unaware of some
 // others.
 func TestRetryBudgetHoldsInAnyWindow(t *testing.T) {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -58,13 +58,9 @@
 // Service is a pool of upstreams.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that each upstream accepts from all hosts together.
-	MaxConns int
 	// ColdRequestsPerSecond is the number of requests a second that a cold upstream can handle; 0 means that upstreams
 	// of the service are never cold.
 	ColdRequestsPerSecond float64
-	// ColdDuration is how long an upstream stays cold after its start.
-	ColdDuration time.Duration
 	// Engine is set for pools of model engines.
 	Engine bool
 }
@@ -79,10 +75,9 @@
 
 // Limits bounds what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the operators' configuration.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -212,21 +212,52 @@
 	is.Equal((<-got).status, 401)
 }
 
-// An upstream that starts to leave while a connection to it is being established receives no request.
-func TestUpstreamIsCheckedAgainBeforeSend(t *testing.T) {
-	is := is.New(t)
-	h := newHarness(t, catalog.Unsafe, false)
-	chosen := *h.store.Current().Upstreams["s"][0]
-	h.publish("up/" + chosen.ID + "/" + chosen.Address + "/leaving")
-	filters := h.server.filters()
-	req := &Request{
-		RequestMetadata: RequestMetadata{ID: "1", APIKey: "key"}, HTTP: httptest.NewRequest(http.MethodPost, "/r/", http.NoBody),
-		Deadline: time.Now().Add(time.Second), Route: &h.config.Routes[0],
+// What changes while a connection is being established is taken into account before the request is sent.
+func TestRequestIsCheckedAgainBeforeSend(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(h *harness, chosen *catalog.Upstream)
+	}{
+		{"the upstream leaves", func(h *harness, chosen *catalog.Upstream) {
+			h.publish("up/" + chosen.ID + "/" + chosen.Address + "/leaving")
+		}},
+		{"another incarnation has the upstream's ID", func(h *harness, chosen *catalog.Upstream) {
+			h.publish("up/" + chosen.ID + "/127.0.0.1:1")
+		}},
+		{"the key is revoked", func(h *harness, _ *catalog.Upstream) {
+			next := *h.config
+			next.Version, next.Teams = 2, map[string]*catalog.Team{}
+			h.config = &next
+			h.publish("config")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Unsafe, false)
+			chosen := *h.store.Current().Upstreams["s"][0]
+			tt.change(h, &chosen)
+			filters := h.server.filters()
+			req := &Request{
+				RequestMetadata: RequestMetadata{ID: "1", APIKey: "key"}, HTTP: httptest.NewRequest(http.MethodPost, "/r/", http.NoBody),
+				Deadline: time.Now().Add(time.Second), Route: &h.config.Routes[0],
+			}
+			req.HTTP.Host = "h.example"
+			res := filters[len(filters)-1].(*dispatchFilter).attemptSend(context.Background(), req, &chosen)
+			is.True(res.notRun)
+			is.True(!res.sent)
+		})
 	}
-	req.HTTP.Host = "h.example"
-	res := filters[len(filters)-1].(*dispatchFilter).attemptSend(context.Background(), req, &chosen)
-	is.True(res.notRun)
-	is.True(!res.sent)
+}
+
+// A failure response that is kept in case no other attempt succeeds must not follow a part of another response.
+func TestKeptFailureDoesNotFollowBegunStream(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true, fails, cutStream)
+	got := h.call(http.MethodPost, "/r/", "")
+	is.Equal(got.status, 200)
+	is.Equal(got.body, event(1)+event(2))
+	is.True(got.err != nil)
 }
 
 func TestTruncatedStreamAbortsCallerConnection(t *testing.T) {
