Refused callers are told to come back at different times, over the time that capacity needs

Cause: every refusal said 250 ms, whatever the cause and however many were refused, so that all returned together. Change: internal/retryafter counts what a host serves and refuses for each service in the last second and spreads the returns over the time in which as many are served as were refused, within half of what the caller still waits.

--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -99,6 +99,14 @@
 	return req.Route.Priority
 }
 
+// timeLeft returns the time until the deadline, or 0 if none is set yet.
+func (req *Request) timeLeft(now time.Time) time.Duration {
+	if req.Deadline.IsZero() {
+		return 0
+	}
+	return max(0, req.Deadline.Sub(now))
+}
+
 // lastEventID returns the last event of a stream that the caller has received.
 func (req *Request) lastEventID() int64 { return max(req.LastEventID, req.response.stream.LastID) }
 
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
+	"github.com/orioleusher/orioleusher/internal/retryafter"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -50,6 +52,7 @@
 	latency       map[catalog.Kind]tally.Histogram
 	responses     *responseCounters
 	idleConns     *idleConns
+	returns       *retryafter.Advisor
 }
 
 // Timeouts of callers' connections where the configuration does not set them.
@@ -71,7 +74,7 @@
 
 // New returns a server; HTTPServer returns the HTTP server for its listener.
 func New(o Options) *Server {
-	s := &Server{Options: o, responses: newResponseCounters(o.Scope)}
+	s := &Server{Options: o, responses: newResponseCounters(o.Scope), returns: retryafter.NewAdvisor(o.Clock, rand.Float64)}
 	s.latency = map[catalog.Kind]tally.Histogram{}
 	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
@@ -123,6 +126,7 @@
 	}
 	if err == nil {
 		s.responses.relayed.Inc(1)
+		s.returns.Served(req.Service)
 		s.logServed(req, elapsed)
 		return
 	}
@@ -133,6 +137,11 @@
 			Outcome: outcome.Unknown, Cause: err,
 		}
 	}
+	if refusal.RetryAfter > 0 && refusal.Step != stepQuarantine {
+		graded := *refusal
+		graded.RetryAfter = s.returns.Refused(req.Service, refusal.RetryAfter, req.timeLeft(s.Clock.Now()))
+		refusal = &graded
+	}
 	s.logRefused(ctx, req, refusal, elapsed)
 	switch {
 	case req.response.headerSent:
@@ -157,7 +166,7 @@
 		level, event = zerolog.InfoLevel, "cancelled"
 	}
 	s.Log.WithLevel(level).Str("event", event).Func(s.requestFields(req, elapsed)).Int("status", r.Status).Str("code", r.Code).
-		Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).Bool("begun", req.response.headerSent).Err(r.Cause).Send()
+		Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter).Bool("begun", req.response.headerSent).Err(r.Cause).Send()
 }
 
 // idleTimeout returns how long a caller's connection may stay idle.
--- a/internal/published/peers_test.go
+++ b/internal/published/peers_test.go
@@ -32,8 +32,8 @@
 
 	storeDown, unresponsive, refusing, lastStoreFailed bool
 	// peerFrom is the time from which the serving host is known to others.
-	peerFrom time.Time
-	staleness                                          time.Duration
+	peerFrom  time.Time
+	staleness time.Duration
 }
 
 func newCluster() *cluster { return newClusterWith(2 * time.Second) }
