--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -261,3 +261,21 @@
 	is.True(now.ID != was.ID)
 	is.Equal(table.LikelyCacheHolder(before, "s", engineCriteria.AffinityHash, now.Upstream).ID, was.ID)
 }
+
+// Hosts are told at once of engines that are near the bound, and of those that no longer are.
+func TestOnlyNotableLoadsAreObservations(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	snap := snapshotOf(9, "a")
+	table.Order(snap, "s", engineCriteria)
+	for _, u := range snap.Upstreams["s"] {
+		table.RecordLoad(u.Key(), 10)
+	}
+	table.TakeObservations()
+	table.Order(snap, "s", engineCriteria)
+	key := snap.Upstreams["s"][0].Key()
+	for _, step := range []struct{ load, observations int }{{11, 0}, {10 * notableFactor, 1}, {9, 1}, {8, 0}} {
+		table.RecordLoad(key, step.load)
+		is.Equal(len(table.TakeObservations()), step.observations)
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -75,10 +75,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.candidates(snap, service, criteria)
+	mean := meanLoad(list)
+	t.poolStats[service].meanLoad = mean
 	less := lessByLoad
 	if criteria.Engine && criteria.AffinityHash != 0 {
 		less = lessByAffinity
-		deferOverBound(list)
+		deferOverBound(list, mean)
 	} else {
 		t.deferRemote(list)
 	}
@@ -178,8 +180,8 @@
 }
 
 // deferOverBound defers the engines that one more request would put over the load bound.
-func deferOverBound(list []candidate) {
-	bound := loadFactor*meanLoad(list) + loadSlack
+func deferOverBound(list []candidate, mean float64) {
+	bound := loadFactor*mean + loadSlack
 	for i := range list {
 		if list[i].load+1 > bound {
 			list[i].deferred = 1
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -20,6 +20,8 @@
 	loadDecayTime = 5 * time.Second
 	// lastLoadTime is how long the load of the latest response overrides a lower mean.
 	lastLoadTime = time.Second
+	// notableFactor times the mean load of the service is the load from which on other hosts are told at once.
+	notableFactor = 1.5
 	// newLoadWeight is the weight of a newly reported load in the moving average. Streams last about a second and a report
 	// takes a few seconds to reach all hosts, so the average should not follow each stream.
 	newLoadWeight = 0.4
@@ -44,10 +46,18 @@
 	statsExpiry = 10 * time.Second
 )
 
+// poolStats are this host's statistics of a service.
+type poolStats struct {
+	// meanLoad is the mean load at the latest decision.
+	meanLoad float64
+}
+
 // stats are this host's statistics of one incarnation of an upstream.
 type stats struct {
 	// id is the incarnation's ID in messages to other hosts.
-	id       uint32
+	id uint32
+	// pool holds what the upstreams of a service have in common.
+	pool     *poolStats
 	inFlight int
 	// avgLoad is the moving average of the loads that responses reported to this host and others, as of avgLoadAt.
 	// sentSince counts the requests that this host sent since then.
@@ -110,6 +120,7 @@
 	lastSweep    time.Time
 	// pools are the members of each service in poolsSnapshot. They are built once for each snapshot.
 	pools         map[string][]member
+	poolStats     map[string]*poolStats
 	poolsSnapshot *catalog.Snapshot
 	// scratch is a reused buffer for the candidates of one decision.
 	scratch []candidate
@@ -126,7 +137,7 @@
 
 // NewTable returns an empty table for a host in the data centre local.
 func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{}, paths: map[string]*path{}}
+	return &Table{clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{}, poolStats: map[string]*poolStats{}, paths: map[string]*path{}}
 }
 
 // stats returns the statistics of the upstream and creates them if needed. The caller holds mu.
@@ -154,6 +165,12 @@
 			members = append(members, member{upstream: u, key: key, hash: loadbalancer.HashKey(u.ID), stats: t.stats(key, now)})
 		}
 		t.pools[service] = members
+		if t.poolStats[service] == nil {
+			t.poolStats[service] = &poolStats{}
+		}
+		for _, m := range members {
+			m.stats.pool = t.poolStats[service]
+		}
 	}
 	return members
 }
@@ -194,13 +211,20 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	s := t.stats(key, now)
+	notable := s.isNotable(load) || s.isNotable(s.lastLoad)
 	s.recordLoad(load, now)
-	if !s.observed && len(t.observations) < maxObservations {
+	if notable && !s.observed && len(t.observations) < maxObservations {
 		s.observed = true
 		t.observations = append(t.observations, s)
 	}
 }
 
+// isNotable reports whether other hosts should know the load at once. Loads that are far from the bound change slowly
+// enough for gossip.
+func (s *stats) isNotable(load int) bool {
+	return s.pool == nil || float64(load) >= notableFactor*s.pool.meanLoad
+}
+
 // recordLoad records the load that the upstream reported at the given time.
 func (s *stats) recordLoad(load int, at time.Time) {
 	if s.fresh(at) {
--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -40,7 +40,9 @@
 	arrivals, overfull map[int]int
 	// first counts the requests that went to the engine that the prompt alone chooses.
 	first int
-	keys  []surgeKey
+	// datagrams counts the datagrams with observed loads.
+	datagrams int
+	keys      []surgeKey
 	// usual and surging are the cumulative weights of the keys.
 	usual, surging []float64
 }
@@ -191,6 +193,9 @@
 func (s *surge) share(h *surgeHost, peers []string, in time.Duration) {
 	s.after(in, func() {
 		datagram, err := h.sharer.Datagram()
+		if datagram != nil {
+			s.datagrams += len(peers)
+		}
 		for _, peer := range peers {
 			if err == nil && datagram != nil && s.rand.IntN(100) > 0 { // one in a hundred is lost
 				err = s.byName[peer].sharer.Merge(datagram)
@@ -290,7 +295,8 @@
 			for _, n := range s.arrivals {
 				all += n
 			}
-			t.Logf("worst window %.4f, at the preferred engine %.3f, beyond the bound by second %v", s.worstWindow(), float64(s.first)/float64(all), s.overfull)
+			t.Logf("worst window %.4f, at the preferred engine %.3f, %d datagrams a second by a host, beyond the bound by second %v", s.worstWindow(),
+				float64(s.first)/float64(all), s.datagrams/tt.hosts/int(surgeLength/time.Second), s.overfull)
 			is.New(t).True(s.worstWindow() <= maxOverfull)
 		})
 	}
