--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -279,3 +279,25 @@
 		is.Equal(len(table.TakeObservations()), step.observations)
 	}
 }
+
+// Pattern: a data centre is cut off. A request whose connection to it timed out must not lose the rest of its time on
+// another upstream there, or in a data centre that may be cut off as well.
+func TestRequestAvoidsDataCentresThatItCannotReach(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOf(9, "a", "b", "c")
+	clock.Advance(time.Minute)
+	for _, u := range snap.Upstreams["s"] {
+		if u.DataCentre == "c" {
+			table.RecordResponseStart(u)
+		}
+	}
+	criteria := engineCriteria
+	criteria.Unreached = []string{"b"}
+	for _, choice := range table.Order(snap, "s", criteria)[:3] {
+		is.Equal(choice.DataCentre, "c")
+	}
+	is.Equal(len(table.Order(snap, "s", criteria)), 9) // the others are tried last
+	clock.Advance(pathDownTime)
+	is.Equal(table.Order(snap, "s", criteria)[0].ID, table.Order(snap, "s", engineCriteria)[0].ID) // none has responded lately
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -28,6 +28,9 @@
 	Engine bool
 	// Tried lists the upstreams that were already tried for the request.
 	Tried []catalog.UpstreamKey
+	// Unreached lists the data centres to which a connection for the request timed out. The request has lost much of its
+	// time and next goes to a data centre that has just responded, if there is one.
+	Unreached []string
 }
 
 // Priority tiers; upstreams of a higher tier are chosen only after all upstreams of lower tiers.
@@ -108,7 +111,7 @@
 		tier := st.tier(now)
 		if slices.Contains(criteria.Tried, m.key) {
 			tier = tierTried
-		} else if pathDown(m.upstream.DataCentre) {
+		} else if pathDown(m.upstream.DataCentre) || len(criteria.Unreached) > 0 && t.isDoubtful(m.upstream.DataCentre, criteria.Unreached, now) {
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
--- a/internal/balance/path.go
+++ b/internal/balance/path.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -21,8 +22,8 @@
 // ErrResponseTimeout is the cause of a failure in which the upstream sent no data within the time limit.
 var ErrResponseTimeout = errors.New("upstream sent no data within the time limit")
 
-// isTimeout reports whether a failure may be caused by the network path: nothing was received, not even a reset.
-func isTimeout(cause error) bool {
+// IsTimeout reports whether a failure may be caused by the network path: nothing was received, not even a reset.
+func IsTimeout(cause error) bool {
 	var netErr net.Error
 	return errors.Is(cause, ErrResponseTimeout) || errors.Is(cause, os.ErrDeadlineExceeded) || errors.As(cause, &netErr) && netErr.Timeout()
 }
@@ -78,3 +79,9 @@
 		return down >= downPathsForIsolation && dataCentre != t.local && now.Sub(p.lastResponse) > pathDownTime/2
 	}
 }
+
+// isDoubtful reports whether a request that could not reach the given data centres should avoid this one: it is one of
+// them, or has not responded lately. The caller holds mu.
+func (t *Table) isDoubtful(dataCentre string, unreached []string, now time.Time) bool {
+	return slices.Contains(unreached, dataCentre) || now.Sub(t.path(dataCentre).lastResponse) > pathDownTime/2
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -286,7 +286,7 @@
 // suspect at once. Otherwise a single broken response says little about the next request, and the upstream becomes
 // suspect with the second consecutive one. It reports whether the path to its data centre counts as down from now on.
 func (t *Table) RecordBrokenResponse(u *catalog.Upstream, cause error) (pathDown bool) {
-	if isTimeout(cause) {
+	if IsTimeout(cause) {
 		return t.recordFailure(u, 1, cause)
 	}
 	return t.recordFailure(u, brokenForSuspect, cause)
@@ -305,7 +305,7 @@
 		return false
 	}
 	wait := min(minSuspectTime<<min(s.consecutiveFailures-threshold, 8), maxSuspectTime)
-	timedOut := isTimeout(cause)
+	timedOut := IsTimeout(cause)
 	if timedOut {
 		wait = min(timeoutFactor*wait, maxSuspectTime)
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -57,6 +57,9 @@
 		if ctx.Err() == nil {
 			d.recordPath(u, d.balancer.RecordConnectFailure(u, err))
 			d.pool.CloseIdle(u.Address)
+			if balance.IsTimeout(err) {
+				req.unreached = append(req.unreached, u.DataCentre)
+			}
 		}
 		req.tried = append(req.tried, key)
 		return notRunResult(false, "connect-failed", "the upstream could not be reached", key, err)
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -195,7 +195,7 @@
 // selectUpstream returns the first upstream in the request's order of preference that may receive it now, or nil.
 func (d *dispatchFilter) selectUpstream(snap *catalog.Snapshot, req *Request) *balance.Choice {
 	service := snap.Config.Services[req.Service]
-	criteria := balance.Criteria{Engine: service.Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried}
+	criteria := balance.Criteria{Engine: service.Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Unreached: req.unreached}
 	now := d.clock.Now()
 	order := d.balancer.Order(snap, req.Service, criteria)
 	for i := range order {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -38,6 +38,8 @@
 	tried []catalog.UpstreamKey
 	// rejectedBy holds those of them that reported that they did not execute the request; they are not tried again.
 	rejectedBy []catalog.UpstreamKey
+	// unreached holds the data centres to which a connection timed out.
+	unreached []string
 	// sends counts the sends that reached, or may have reached, an upstream; runs counts those that were or may have
 	// been executed.
 	sends, runs int
