--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -301,3 +301,44 @@
 	clock.Advance(pathDownTime)
 	is.Equal(table.Order(snap, "s", criteria)[0].ID, table.Order(snap, "s", engineCriteria)[0].ID) // none has responded lately
 }
+
+func TestPlainServicesPreferLocalUpstreamsWithCapacity(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	snap := snapshotOf(4, "a", "b")
+	is.Equal(table.Order(snap, "s", Criteria{})[0].DataCentre, "a")
+	is.Equal(table.Order(snap, "s", Criteria{})[1].DataCentre, "a")
+	for _, u := range snap.Upstreams["s"] {
+		if u.DataCentre == "a" {
+			table.RecordLoad(u.Key(), 6) // of 8 slots
+		}
+	}
+	is.Equal(table.Order(snap, "s", Criteria{})[0].DataCentre, "b")
+}
+
+func TestOrderHoldsTheBestOfManyUpstreams(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	snap := snapshotOf(60, "a")
+	for i, u := range snap.Upstreams["s"] {
+		u.Slots = 0
+		table.RecordLoad(u.Key(), i*7%60)
+	}
+	order := table.Order(snap, "s", Criteria{})
+	is.Equal(len(order), maxChoices)
+	for i, choice := range order {
+		is.Equal(choice.Load, float64(i))
+	}
+}
+
+func TestOlderObservationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	key := catalog.UpstreamKey{ID: "e"}
+	table.RecordLoad(key, 9)
+	table.MergeObservations([]LoadReport{{IncarnationID: IncarnationID(key), Load: 1, Age: time.Millisecond}})
+	is.Equal(table.State()[0].Load, 9.0)
+	clock.Advance(time.Second)
+	table.MergeObservations([]LoadReport{{IncarnationID: IncarnationID(key), Load: 30}, {IncarnationID: 1, Load: 50}})
+	is.Equal(table.State()[0].Load, 30.0)
+}
