--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -342,3 +342,19 @@
 	table.MergeObservations([]LoadReport{{IncarnationID: IncarnationID(key), Load: 30}, {IncarnationID: 1, Load: 50}})
 	is.Equal(table.State()[0].Load, 30.0)
 }
+
+func TestStatisticsOfGoneUpstreamsAreDeleted(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	table.Order(snapshotOf(9, "a"), "s", engineCriteria)
+	is.Equal(len(table.statsByID), 9)
+	clock.Advance(statsExpiry / 2)
+	table.Order(snapshotOf(3, "a"), "s", engineCriteria)
+	is.Equal(len(table.statsByKey), 9) // kept for a while, since the entry may return
+	for range 3 {
+		clock.Advance(statsExpiry)
+		table.Order(snapshotOf(3, "a"), "s", engineCriteria)
+	}
+	is.Equal(len(table.statsByKey), 3)
+	is.Equal(len(table.statsByID), 3)
+}
