--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -140,8 +140,7 @@
 	}, nil
 }
 
-// maxSnapshots limits the snapshots that a host sends at the same time. One has about a hundred kilobytes, and a small
-// host's link carries a few megabytes a second.
+// maxSnapshots limits the snapshots that a host prepares at the same time. One has about a hundred kilobytes.
 const maxSnapshots = 2
 
 // snapshotTimeout limits a call for a snapshot.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,7 +105,7 @@
 	watchClient *http.Client
 	rounds      tally.Counter
 	failures    tally.Counter
-	// snapshots limits the snapshots that are sent at the same time.
+	// snapshots limits the snapshots that are prepared at the same time.
 	snapshots chan struct{}
 
 	mu      sync.Mutex
