Retry-After of a refusal before the first configuration fits into the caller's time

The deadline is set with the route, so that a refusal before any configuration is known could say 4 s to a caller that waits 0.6 s. TestRetryAfterFitsIntoTimeOfCaller fails without the change.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -382,6 +383,22 @@
 }
 
 // A request is not retried without end if all upstreams refuse connections.
+// A caller that is refused before a configuration is known must be able to come back within its own time.
+func TestRetryAfterFitsIntoTimeOfCaller(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false)
+	h.store = catalog.NewStore(h.decode, clockwork.NewRealClock(), zerolog.Nop())
+	h.serve(allowance.RetryLimits{}, 1<<20)
+	const timeout = 200 * time.Millisecond
+	for range 20 {
+		got := h.call(http.MethodGet, "/r/", "", "X-Wait-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+		is.Equal(got.status, 503)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 0 && after <= timeout.Seconds()/2)
+	}
+}
+
 func TestTriedUpstreamsAreLimited(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false)
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -101,12 +101,16 @@
 	return req.Route.Priority
 }
 
-// timeLeft returns the time until the deadline, or 0 if none is set yet.
+// timeLeft returns how long the caller still waits, or 0 if that is not known. The deadline is known only with the route.
 func (req *Request) timeLeft(now time.Time) time.Duration {
-	if req.Deadline.IsZero() {
+	deadline := req.Deadline
+	if deadline.IsZero() && req.CallerTimeout > 0 {
+		deadline = req.Start.Add(req.CallerTimeout)
+	}
+	if deadline.IsZero() {
 		return 0
 	}
-	return max(0, req.Deadline.Sub(now))
+	return max(0, deadline.Sub(now))
 }
 
 // lastEventID returns the last event of a stream that the caller has received.
