Load bound of 1.7 times the mean and 2 again

In a fleet of seven hosts in three data centres loads come by gossip, a second late, so that the margin that fresh loads allow in large data centres is not there.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,8 +12,8 @@
 // Load bound for prefix affinity: an engine may carry at most loadFactor times the mean load of its service plus
 // loadSlack requests. Deployments require at most twice the mean plus 3.
 const (
-	loadFactor = 1.85
-	loadSlack  = 2.5
+	loadFactor = 1.7
+	loadSlack  = 2
 )
 
 // localLoadShare is the share of its slots up to which an upstream in the local data centre is preferred to upstreams in
