Requests that end without a response are logged and counted by reason

A report named a request that got neither an answer nor a refusal beside a change of the configuration. Three reasons are possible, and logs and metrics did not tell them apart: a panic left no line and no counter of ours, a request that arrives as its idle connection is being ended left neither, and the counters of broken-off and cancelled requests had no code. Now there are the events request-panicked (with the stack) and request-at-idle-timeout with a counter each, and answers_broken_off and requests_cancelled carry the code. Behaviour is unchanged: the panic goes on to net/http.

--- a/internal/direct/idle.go
+++ b/internal/direct/idle.go
@@ -21,21 +21,29 @@
 	clock clockwork.Clock
 	// timeout returns the idle timeout of the current configuration.
 	timeout func() time.Duration
+	// onRace is called when a request has arrived, in whole or in part, on a connection that was being ended.
+	onRace func(c net.Conn, idle time.Duration)
 
 	mu        sync.Mutex
 	idleSince map[net.Conn]time.Time
+	// interrupted holds the connections of idleSince whose read was interrupted.
+	interrupted map[net.Conn]bool
 }
 
-func newIdleConns(clock clockwork.Clock, timeout func() time.Duration) *idleConns {
-	return &idleConns{clock: clock, timeout: timeout, idleSince: map[net.Conn]time.Time{}}
+func newIdleConns(clock clockwork.Clock, timeout func() time.Duration, onRace func(c net.Conn, idle time.Duration)) *idleConns {
+	return &idleConns{
+		clock: clock, timeout: timeout, onRace: onRace, idleSince: map[net.Conn]time.Time{}, interrupted: map[net.Conn]bool{},
+	}
 }
 
 // onStateChange is the server's ConnState hook.
 func (i *idleConns) onStateChange(c net.Conn, connState http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	_, wasIdle := i.idleSince[c]
+	since, wasIdle := i.idleSince[c]
+	wasInterrupted := i.interrupted[c]
 	delete(i.idleSince, c)
+	delete(i.interrupted, c)
 	switch {
 	case connState == http.StateIdle:
 		now := i.clock.Now()
@@ -45,6 +53,9 @@
 		// expire may have set a deadline between the arrival of the request and this hook. A connection that does not
 		// support deadlines has none to clear.
 		_ = c.SetReadDeadline(time.Time{})
+		if wasInterrupted {
+			i.onRace(c, i.clock.Since(since))
+		}
 	}
 }
 
@@ -65,6 +76,7 @@
 
 // interruptRead interrupts the wait for the next request. The caller holds mu.
 func (i *idleConns) interruptRead(c net.Conn) {
+	i.interrupted[c] = true
 	// Some connections do not support deadlines; these end when the caller closes them.
 	_ = c.SetReadDeadline(i.clock.Now().Add(-time.Second))
 }
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -82,7 +85,7 @@
 	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
-	s.idleConns = newIdleConns(o.Clock, s.idleTimeout)
+	s.idleConns = newIdleConns(o.Clock, s.idleTimeout, s.logRequestAtIdleTimeout)
 	s.chain = chain.Compose(s.filters()...)
 	return s
 }
@@ -115,6 +118,7 @@
 	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now(), response: callerResponse{writer: w, clock: s.Clock}}
 	req.response.start = req.Start
+	defer s.logPanic(req)
 	err := s.chain(r.Context(), req)
 	s.finish(r.Context(), req, err)
 }
@@ -148,10 +152,10 @@
 	s.logRefused(ctx, req, refusal, elapsed)
 	switch {
 	case req.response.headerSent:
-		s.responses.truncated.Inc(1)
+		s.responses.brokenOff(refusal.Code).Inc(1)
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil:
-		s.responses.cancelled.Inc(1)
+		s.responses.cancelled(refusal.Code).Inc(1)
 		panic(http.ErrAbortHandler)
 	default:
 		s.responses.refused(refusal.Code).Inc(1)
@@ -163,6 +167,20 @@
 	}
 }
 
+// logPanic logs a panic of a filter and continues it, so that net/http closes the caller's connection.
+func (s *Server) logPanic(req *Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares the value as well
+		s.responses.panics.Inc(1)
+		s.Log.Error().Str("event", "request-panicked").Func(s.requestFields(req, s.Clock.Since(req.Start))).
+			Bool("begun", req.response.headerSent).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Send()
+	}
+	panic(cause)
+}
+
 func (s *Server) logRefused(ctx context.Context, req *Request, r *outcome.Refusal, elapsed time.Duration) {
 	level, event := zerolog.WarnLevel, "not-served"
 	if ctx.Err() != nil {
@@ -180,19 +198,36 @@
 	return defaultIdleTimeout
 }
 
+func (s *Server) logRequestAtIdleTimeout(c net.Conn, idle time.Duration) {
+	s.responses.atIdleTimeout.Inc(1)
+	s.Log.Info().Str("event", "request-at-idle-timeout").Stringer("peer", c.RemoteAddr()).Dur("idle_ms", idle).Send()
+}
+
 // responseCounters counts responses by result.
 type responseCounters struct {
-	scope                         tally.Scope
-	relayed, truncated, cancelled tally.Counter
+	scope                          tally.Scope
+	relayed, panics, atIdleTimeout tally.Counter
 }
 
 func newResponseCounters(scope tally.Scope) *responseCounters {
 	return &responseCounters{
-		scope: scope, relayed: scope.Counter("answers_relayed"), truncated: scope.Counter("answers_broken_off"),
-		cancelled: scope.Counter("requests_cancelled"),
+		scope: scope, relayed: scope.Counter("answers_relayed"), panics: scope.Counter("requests_panicked"),
+		atIdleTimeout: scope.Counter("requests_at_idle_timeout"),
 	}
 }
 
 func (c *responseCounters) refused(code string) tally.Counter {
-	return c.scope.Tagged(map[string]string{"code": code}).Counter("requests_refused")
+	return c.byCode("requests_refused", code)
+}
+
+func (c *responseCounters) brokenOff(code string) tally.Counter {
+	return c.byCode("answers_broken_off", code)
+}
+
+func (c *responseCounters) cancelled(code string) tally.Counter {
+	return c.byCode("requests_cancelled", code)
+}
+
+func (c *responseCounters) byCode(name, code string) tally.Counter {
+	return c.scope.Tagged(map[string]string{"code": code}).Counter(name)
 }
