A stream that has begun is resumed although its route was removed or its key revoked

Callers saw their stream close in its midst, without its end: a caller can get no refusal once the answer has begun. When the upstream broke off, or was given up as silent, the route and the key were looked up again before the next send, as for a request that waits; a configuration that had come into force meanwhile, without the route or with the key revoked, turned the send into a refusal and the refusal into a closed connection. The stream would have gone on at its first upstream, had that not fallen silent. After a change of the route's services the rest came from another service, or from nowhere.

A response that has begun now keeps its route and service; the team is that of the key, as long as there is one. A request that has not begun is refused as before (TestWaitingRequestIsAuthenticatedAgain, TestRequestIsCheckedAgainBeforeSend). Streams that broke off before a blame of their prompt were already treated so.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -85,8 +85,15 @@
 }
 
 // resolveRoute sets the request's route, team and service from the configuration, or returns a refusal. It is called
-// again before each send, since keys can be revoked and routes removed while a request waits.
+// again before each send, since keys can be revoked and routes removed while a request waits. A response that has begun
+// can no longer become a refusal; its route and service stay as they were when it began.
 func resolveRoute(req *Request, c *catalog.Config) error {
+	if req.response.headerSent {
+		if team := c.Teams[req.APIKey]; team != nil && req.Team != nil {
+			req.Team = team
+		}
+		return nil
+	}
 	route := c.Match(normaliseHost(req.HTTP.Host), req.HTTP.URL.EscapedPath())
 	if route == nil {
 		return outcome.Refuse(stepAdmit, http.StatusNotFound, "no-route", "no route matches")
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -41,3 +44,49 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut off because its route, key or service is no longer configured when its upstream
+// breaks off or falls silent.
+func TestBegunStreamIsResumedDespiteConfigurationChange(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(c *catalog.Config)
+		team   string
+	}{
+		{"route removed", func(c *catalog.Config) { c.Routes = nil }, "team"},
+		{"key revoked", func(c *catalog.Config) { c.Teams = map[string]*catalog.Team{} }, "team"},
+		{"key of another team", func(c *catalog.Config) { c.Teams = map[string]*catalog.Team{"key": {Name: "next"}} }, "next"},
+		{"other service", func(c *catalog.Config) {
+			c.Routes = slices.Clone(c.Routes)
+			c.Routes[0].WeightedServices = []catalog.WeightedService{{Service: "other", Weight: 1}}
+		}, "team"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			relayed := make(chan struct{})
+			cut := behaviour{"stream cut after its first event was relayed", func(c net.Conn, r *http.Request) bool {
+				streamFrom(c, r, 1)
+				<-relayed
+				return false
+			}, true}
+			h := newHarness(t, catalog.Stream, true, cut, streams)
+			resp, err := http.DefaultClient.Do(h.newRequest(http.MethodPost, "/r/", ""))
+			is.NoErr(err)
+			defer resp.Body.Close()
+			first := make([]byte, len(event(1)))
+			_, err = io.ReadFull(resp.Body, first)
+			is.NoErr(err)
+			next := *h.config
+			next.Version = 2
+			tt.change(&next)
+			h.config = &next
+			h.publish("config")
+			close(relayed)
+			rest, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(first)+string(rest), wholeStream())
+			seen, _, _, _ := h.record()
+			is.Equal(seen[1].Header.Get("X-Team"), tt.team)
+		})
+	}
+}
