A body that is late is refused with 408 instead of a closed connection

The cause: when the read of a body reaches its deadline, net/http cancels the request's context as if the caller had left, and finish does not answer callers that left. The read now records that it was the deadline that ended it, and the request is refused; a caller that really leaves in mid body is still not answered.

The class is that of a signal with two meanings. Elsewhere: no other read deadline is set while a request is served; the one for discarding a refused body is set after the decision to answer.

TestIncompleteBodyIsRefusedAtDeadline failed before (no response), passes now, 20 of 20 with the race detector.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -174,6 +175,7 @@
 	// Some connections do not support deadlines; there the caller's own timeout bounds the read.
 	_ = control.SetReadDeadline(req.Deadline)
 	raw, err := io.ReadAll(body)
+	req.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
 		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -25,6 +25,9 @@
 	Body []byte
 	// receiving is set once the body is being read.
 	receiving bool
+	// bodyLate is set if the body was not complete at the deadline. net/http then cancels the request's context although
+	// the caller still waits.
+	bodyLate bool
 	// Start is when the request's headers were read.
 	Start time.Time
 	// Deadline is when the final response is due.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -149,12 +149,13 @@
 		graded.RetryAfter = s.returns.Refused(req.Service, refusal.RetryAfter, req.timeLeft(s.Clock.Now()))
 		refusal = &graded
 	}
-	s.logRefused(ctx, req, refusal, elapsed)
+	cancelled := ctx.Err() != nil && !req.bodyLate
+	s.logRefused(req, refusal, cancelled, elapsed)
 	switch {
 	case req.response.headerSent:
 		s.responses.brokenOff(refusal.Code).Inc(1)
 		panic(http.ErrAbortHandler)
-	case ctx.Err() != nil:
+	case cancelled:
 		s.responses.cancelled(refusal.Code).Inc(1)
 		panic(http.ErrAbortHandler)
 	default:
@@ -181,9 +182,9 @@
 	panic(cause)
 }
 
-func (s *Server) logRefused(ctx context.Context, req *Request, r *outcome.Refusal, elapsed time.Duration) {
+func (s *Server) logRefused(req *Request, r *outcome.Refusal, cancelled bool, elapsed time.Duration) {
 	level, event := zerolog.WarnLevel, "not-served"
-	if ctx.Err() != nil {
+	if cancelled {
 		level, event = zerolog.InfoLevel, "cancelled"
 	}
 	s.Log.WithLevel(level).Str("event", event).Func(s.requestFields(req, elapsed)).Int("status", r.Status).Str("code", r.Code).
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -90,3 +90,11 @@
 		})
 	}
 }
+
+// Guards against a caller whose body is late and whose connection is closed without a response.
+func TestIncompleteBodyIsRefusedAtDeadline(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	statuses := h.sendRaw("POST /r/"+rawHead+"X-Wait-Ms: 50\r\nContent-Length: 10\r\n\r\nhalf", responseTimeout)
+	is.Equal(statuses, []int{http.StatusRequestTimeout})
+}
