A silent send is given up only once its request can be sent to another upstream

Callers saw a stream close in its midst whose upstream was sound and only silent for longer than 1.2 s: the router gave the send up, and only then looked for another upstream and for retry budget. Where all others were leaving, were at their limits or paused, or the budget was used up, the answer broke off, although the upstream would have gone on.

When the time is over, the timer now asks whether the retry budget and an upstream that was not tried allow the next send, and otherwise asks again every 100 ms; an event starts the time anew. What is asked may change until the send, so that the answer can still break off in the moment between the two. The timer also does not run once a request has been sent as often as it may be.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -65,6 +65,13 @@
 	*b = min(max(1, r.share()), *b+r.limits.Ratio) // The balance can reach one retry even if the share is smaller.
 }
 
+// Available reports whether the balance of the service allows a retry.
+func (r *RetryBudget) Available(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return *r.balance(service) >= 1
+}
+
 // TryWithdraw takes one retry from the balance of the service. It returns false if none is left.
 func (r *RetryBudget) TryWithdraw(service string) bool {
 	r.mu.Lock()
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -27,10 +27,7 @@
 // counts against the limits of that upstream.
 func (s *Selector) Select(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
 	now := s.clock.Now()
-	order := s.table.order(snap, service, criteria, func(m *member) bool {
-		limits := s.limits(snap, m.upstream, m.stats.limit, now)
-		return len(limits) == 0 || s.limiter.Available(m.target(), limits...)
-	})
+	order := s.order(snap, service, criteria, now)
 	for i := range order {
 		u := &order[i]
 		if slices.Contains(criteria.Rejected, u.Key()) {
@@ -43,6 +40,19 @@
 	return nil
 }
 
+// HasUntried reports whether an upstream that was not tried for the request may receive it now.
+func (s *Selector) HasUntried(snap *catalog.Snapshot, service string, criteria Criteria) bool {
+	return slices.ContainsFunc(s.order(snap, service, criteria, s.clock.Now()), func(c Choice) bool { return c.Tier < tierTried })
+}
+
+// order returns the upstreams that their limits allow to receive a request, in the order of preference.
+func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
+	return s.table.order(snap, service, criteria, func(m *member) bool {
+		limits := s.limits(snap, m.upstream, m.stats.limit, now)
+		return len(limits) == 0 || s.limiter.Available(m.target(), limits...)
+	})
+}
+
 // limits returns the limits on requests to the upstream; nil if there are none.
 func (s *Selector) limits(snap *catalog.Snapshot, u *catalog.Upstream, named requestLimit, now time.Time) []allowance.RateLimit {
 	var limits []allowance.RateLimit
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	eventGapTimeout   = 1200 * time.Millisecond
 	// eventGapFactor is how many times longer than the route's objective for gaps a stream may stay without events.
 	eventGapFactor = 3
+	// moveCheckInterval is how often a silent send is checked for another upstream that may receive its request.
+	moveCheckInterval = 100 * time.Millisecond
 )
 
 // minConnectTimeout and maxConnectTimeout bound the connect timeout. Hosts of one region are milliseconds apart, and a
@@ -260,33 +263,70 @@
 	return notRunResult(true, "upstream-full", "the upstream did not take the request", key, nil)
 }
 
-// inactivityTimer cancels a send whose upstream sends no data for too long. It is active only if the request can be
-// retried at another upstream. The response to a safe request must be complete within half of the remaining time.
+// inactivityTimer gives up a send whose upstream sends no data for too long, if the request can be sent to another
+// upstream at that moment. The response to a safe request must be complete within half of the remaining time.
 type inactivityTimer struct {
-	timer      *time.Timer
 	gapTimeout time.Duration
+	// canMove reports whether another upstream may receive the request now.
+	canMove func() bool
+	giveUp  context.CancelCauseFunc
+
+	mu sync.Mutex
+	// timer is nil if the send must not be given up, and after the send.
+	timer *time.Timer
 }
 
-func (d *dispatchFilter) newInactivityTimer(req *Request, cancel context.CancelCauseFunc) *inactivityTimer {
-	if !req.Route.Repeatable() || req.runs+1 >= req.Route.MaxAttempts {
+func (d *dispatchFilter) newInactivityTimer(req *Request, giveUp context.CancelCauseFunc) *inactivityTimer {
+	if !req.Route.Repeatable() || req.runs+1 >= req.Route.MaxAttempts || req.sendsExhausted() {
 		return &inactivityTimer{}
 	}
 	first := max(firstEventTimeout, req.Route.LatencyObjective)
-	gap := max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap)
 	if req.Route.Kind == catalog.Safe {
 		first = req.Deadline.Sub(d.clock.Now()) / 2
 	}
-	return &inactivityTimer{timer: time.AfterFunc(first, func() { cancel(balance.ErrResponseTimeout) }), gapTimeout: gap}
+	t := &inactivityTimer{
+		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), canMove: d.newMoveCheck(req), giveUp: giveUp,
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(first, t.expire)
+	return t
+}
+
+// newMoveCheck returns a function that reports whether another upstream may receive the request now. It may run
+// concurrently with a send, which changes the request.
+func (d *dispatchFilter) newMoveCheck(req *Request) func() bool {
+	service, criteria := req.Service, req.criteria(d.store.Current())
+	return func() bool {
+		return d.retryBudget.Available(service) && d.selector.HasUntried(d.store.Current(), service, criteria)
+	}
+}
+
+func (t *inactivityTimer) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.timer == nil:
+	case t.canMove():
+		t.giveUp(balance.ErrResponseTimeout)
+	default:
+		t.timer.Reset(moveCheckInterval)
+	}
 }
 
 func (t *inactivityTimer) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.timer != nil {
 		t.timer.Reset(t.gapTimeout)
 	}
 }
 
 func (t *inactivityTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.timer != nil {
 		t.timer.Stop()
+		t.timer = nil
 	}
 }
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -126,7 +126,7 @@
 		return "caller"
 	case req.response.unresumable:
 		return "begun"
-	case req.sends >= maxSends || len(req.tried) >= maxUpstreamsTried:
+	case req.sendsExhausted():
 		return "sends"
 	case res.notRun:
 		return ""
@@ -139,6 +139,11 @@
 	}
 }
 
+// sendsExhausted reports whether the request has been sent, or tried to be, as often as it may be.
+func (req *Request) sendsExhausted() bool {
+	return req.sends >= maxSends || len(req.tried) >= maxUpstreamsTried
+}
+
 // finishFailed ends a request that is not retried and returns its error. A buffered failure response of an upstream
 // takes precedence over a refusal by the router. A refusal must not report "not run" if an earlier send may have been
 // executed.
@@ -203,10 +208,15 @@
 
 // selectUpstream returns the first upstream in the request's order of preference that may receive it now, or nil.
 func (d *dispatchFilter) selectUpstream(snap *catalog.Snapshot, req *Request) *balance.Choice {
-	return d.selector.Select(snap, req.Service, balance.Criteria{
+	return d.selector.Select(snap, req.Service, req.criteria(snap))
+}
+
+// criteria returns what determines the choice of the request's next upstream.
+func (req *Request) criteria(snap *catalog.Snapshot) balance.Criteria {
+	return balance.Criteria{
 		Engine: snap.Config.Services[req.Service].Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Rejected: req.rejectedBy,
 		Unreached: req.unreached,
-	})
+	}
 }
 
 // affinityKey returns the hash of the prompt prefix that the request shares with others: all segments but the last
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,12 +11,14 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
@@ -98,3 +101,71 @@
 	statuses := h.sendRaw("POST /r/"+rawHead+"X-Wait-Ms: 50\r\nContent-Length: 10\r\n\r\nhalf", responseTimeout)
 	is.Equal(statuses, []int{http.StatusRequestTimeout})
 }
+
+// Guards against a stream that is cut off because its upstream is silent for a moment while the request cannot be sent to
+// another one.
+func TestSilentStreamIsNotGivenUpWithoutAlternative(t *testing.T) {
+	leave := func(h *harness) {
+		for i, l := range h.listeners {
+			h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
+		}
+	}
+	for _, tt := range []struct {
+		name   string
+		change func(h *harness)
+		budget allowance.RetryLimits
+	}{
+		{"all upstreams leave", leave, allowance.RetryLimits{Ratio: 0.2, Slack: 100}},
+		{"no retry budget", func(*harness) {}, allowance.RetryLimits{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			begun := make(chan struct{})
+			silent := behaviour{"silent in the middle", func(c net.Conn, r *http.Request) bool {
+				streamFrom(c, r, 2)
+				close(begun)
+				time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+				for id := 3; id <= streamEvents; id++ {
+					writeText(c, chunk(event(id)))
+				}
+				writeText(c, "0\r\n\r\n")
+				return true
+			}, true}
+			h := newHarness(t, catalog.Stream, true, silent)
+			h.serve(tt.budget, 1<<20)
+			replies := make(chan reply, 1)
+			go func() { replies <- h.call(http.MethodPost, "/r/", "") }()
+			<-begun
+			tt.change(h)
+			got := <-replies
+			is.NoErr(got.err)
+			is.Equal(got.body, wholeStream())
+		})
+	}
+}
+
+// Guards against a stream that stays at a silent upstream although another one can take it.
+func TestSilentStreamMovesOnceAnAlternativeAppears(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	mute := behaviour{"silent for good", func(c net.Conn, r *http.Request) bool {
+		streamFrom(c, r, 2)
+		close(begun)
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}, true}
+	h := newHarness(t, catalog.Stream, true, mute, streams)
+	replies := make(chan reply, 1)
+	go func() { replies <- h.call(http.MethodPost, "/r/", "") }()
+	<-begun
+	for i, l := range h.listeners {
+		h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
+	}
+	time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+	for i, l := range h.listeners {
+		h.publish(fmt.Sprintf("up/u%d/%s", i+1, l.Addr()))
+	}
+	got := <-replies
+	is.NoErr(got.err)
+	is.Equal(got.body, wholeStream())
+}
