--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -69,10 +69,11 @@
 		r.RecordRequest("s")
 	}
 	retries := 0
-	for r.TryWithdraw("s") {
+	for r.Available("s") && r.TryWithdraw("s") {
 		retries++
 	}
 	is.Equal(retries, 5) // an eighth of three quarters of 54, rounded down
+	is.True(!r.TryWithdraw("s"))
 }
 
 // The record of a cold upstream ends some time after its last request, so that upstreams that are gone do not add up.
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -60,6 +60,18 @@
 	is.Equal(selectable(s, snap), 1)
 }
 
+// Guards against a send that is given up for an upstream that is at its limit.
+func TestUpstreamAtItsLimitIsNotLeft(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOf(1, "a")
+	s := newSelector(table, clock)
+	table.RecordRequestLimit(snap.Upstreams["s"][0], perSecond(2.5))
+	is.True(s.HasUntried(snap, "s", engineCriteria))
+	is.Equal(selectable(s, snap), 10) // asking has not used up any of the limit
+	is.True(!s.HasUntried(snap, "s", engineCriteria))
+}
+
 // Guards against requests that are refused because all places in the order are taken by upstreams at their limits.
 func TestUpstreamsAtTheirLimitsDoNotHideOthers(t *testing.T) {
 	is := is.New(t)
@@ -89,6 +101,39 @@
 	is.Equal(selectable(s, snap), 2) // two of eight requests in four seconds are left
 }
 
+// Guards against a send that is given up for an upstream that must not receive the request.
+func TestUntriedUpstreamMayReceiveRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(table *Table, snap *catalog.Snapshot, other *catalog.Upstream)
+		want   bool
+	}{
+		{"one is left", func(*Table, *catalog.Snapshot, *catalog.Upstream) {}, true},
+		{"it leaves", func(_ *Table, _ *catalog.Snapshot, other *catalog.Upstream) { other.Leaving = true }, false},
+		{"its data centre is disabled", func(_ *Table, snap *catalog.Snapshot, other *catalog.Upstream) {
+			snap.DisabledDataCentres = map[string]bool{other.DataCentre: true}
+		}, false},
+		{"it asked for a pause", func(table *Table, _ *catalog.Snapshot, other *catalog.Upstream) {
+			table.MarkPaused(other, time.Minute)
+		}, false},
+		{"it is suspected", func(table *Table, _ *catalog.Snapshot, other *catalog.Upstream) {
+			table.RecordBrokenResponse(other, ErrResponseTimeout)
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := newTable()
+			snap := snapshotOf(2, "a")
+			tried, other := snap.Upstreams["s"][0], snap.Upstreams["s"][1]
+			table.Order(snap, "s", engineCriteria)
+			tt.change(table, snap, other)
+			criteria := engineCriteria
+			criteria.Tried = []catalog.UpstreamKey{tried.Key()}
+			is.Equal(newSelector(table, clock).HasUntried(snap, "s", criteria), tt.want)
+		})
+	}
+}
+
 func TestLimitReportsBetweenHosts(t *testing.T) {
 	snap := snapshotOf(2, "a")
 	u := snap.Upstreams["s"][0]
