Log lines tell the software versions of upstreams, and which stream a request continues

Cause: an upstream's software version and the Resumes header were not read, so that the log could not tell whether a stream went on at another version than the one that began it.

Change: both are decoded; upstream-published, the trail of a request and the lines of requests that continue a stream name them. Such requests are always logged. No decision reads them.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -118,8 +118,10 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
-	Leaving    bool
+	// Version is the version of the upstream's software; empty if unknown.
+	Version string
+	Slots   int
+	Leaving bool
 	// StartedAtMs distinguishes incarnations with the same ID. It is the start time in Unix milliseconds, or 0 if
 	// unknown.
 	StartedAtMs int64
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -182,7 +182,7 @@
 	if known == nil || known.Key() != u.Key() || known.Leaving != u.Leaving {
 		s.log.Info().Str("event", "upstream-published").Str("upstream", u.ID).Str("service", u.Service).
 			Str("peer", u.Address).Str("data_centre", u.DataCentre).Bool("leaving", u.Leaving).Int64("born", u.StartedAtMs).
-			Time("cold_until", u.ColdUntil).Uint64("revision", item.Revision).Send()
+			Str("software", u.Version).Time("cold_until", u.ColdUntil).Uint64("revision", item.Revision).Send()
 	}
 	s.upstreams[entry.Name] = u
 }
--- a/internal/direct/attempt_log.go
+++ b/internal/direct/attempt_log.go
@@ -25,6 +25,7 @@
 type attemptRecord struct {
 	upstream   string
 	dataCentre string
+	version    string
 	load       float64
 	loadKnown  bool
 	tier       int
@@ -35,7 +36,7 @@
 
 func newAttemptRecord(req *Request, c *balance.Choice, start, end time.Time, res attemptResult) attemptRecord {
 	rec := attemptRecord{
-		upstream: c.ID, dataCentre: c.DataCentre, load: c.Load, loadKnown: c.LoadKnown, tier: c.Tier, startOffset: start.Sub(req.Start),
+		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, load: c.Load, loadKnown: c.LoadKnown, tier: c.Tier, startOffset: start.Sub(req.Start),
 		duration: end.Sub(start), result: "answered",
 	}
 	if !res.responded {
@@ -47,7 +48,7 @@
 	return rec
 }
 
-// formatAttempts returns the attempts as one text: upstream@data centre, the load on which the selection was based
+// formatAttempts returns the attempts as one text: upstream@data centre, its software version, the load on which the selection was based
 // (with ? if it was not reported recently), the tier, the start offset, the duration and the result.
 func (req *Request) formatAttempts() string {
 	var b strings.Builder
@@ -59,17 +60,17 @@
 		if !a.loadKnown {
 			unknownMark = "?"
 		}
-		fmt.Fprintf(&b, "%s@%s,load:%.0f%s,tier:%d,at:%dms,took:%dms,%s", a.upstream, a.dataCentre, a.load, unknownMark, a.tier,
+		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,tier:%d,at:%dms,took:%dms,%s", a.upstream, a.dataCentre, a.version, a.load, unknownMark, a.tier,
 			a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result)
 	}
 	return b.String()
 }
 
-// logServed logs a served request if it was late, took more than one attempt or ended with a failure response of an
+// logServed logs a served request if it was late, continued a stream, took more than one attempt or ended with a failure response of an
 // upstream; of all other requests it logs a sample.
 func (s *Server) logServed(req *Request, elapsed time.Duration) {
 	late := req.Route.Kind != catalog.Stream && elapsed > req.Route.LatencyObjective || req.response.firstByteAfter > req.Route.LatencyObjective
-	if !late && len(req.attempts) == 1 && req.response.status < minFailureStatus && loadbalancer.HashKey(req.ID)%servedLogSampling != 0 {
+	if !late && !req.continuesStream() && len(req.attempts) == 1 && req.response.status < minFailureStatus && loadbalancer.HashKey(req.ID)%servedLogSampling != 0 {
 		return
 	}
 	s.Log.Info().Str("event", "served").Func(s.requestFields(req, elapsed)).Bool("late", late).Int("status", req.response.status).Send()
@@ -86,6 +87,9 @@
 		if snap := s.Store.Current(); snap.Config != nil {
 			event.Uint64("version", snap.Config.Version)
 		}
+		if req.continuesStream() {
+			event.Str("resumes", req.Resumes).Int64("after_event", req.LastEventID)
+		}
 		if req.response.firstByteAfter > 0 {
 			event.Dur("first_ms", req.response.firstByteAfter)
 		}
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -26,6 +26,9 @@
 	Prompt []PromptSegment
 	// LastEventID is the last event of a stream that the caller has received; 0 for a new stream.
 	LastEventID int64
+	// Resumes is the ID of the request that received the first event of the stream that this one continues; empty if not
+	// specified.
+	Resumes string
 }
 
 // ForwardMetadata is what the router sends to an upstream in addition to the caller's own headers.
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -152,6 +152,9 @@
 	return strings.Join(ids, ",")
 }
 
+// continuesStream reports whether the caller has received a part of the stream from an earlier request.
+func (req *Request) continuesStream() bool { return req.Resumes != "" || req.LastEventID > 0 }
+
 // lastEventID returns the last event of a stream that the caller has received.
 func (req *Request) lastEventID() int64 { return max(req.LastEventID, req.response.stream.LastID) }
 
