Soak: software versions of servers, and callers that take streams up

The stand-ins of servers publish a software version, and each event names the version and the instance that wrote it. Callers whose stream broke off send the request again within their deadline, under a new ID, on a new connection, to another router, with Last-Event-Id and Resumes. The checker joins what a caller received over all its requests. It finds streams that hold events of several versions, events that are missing or repeated between requests, and take-ups that go on under half as often as new streams begin. New faults: all routers are killed at once, and servers are replaced by a newer version, after draining or at once, under a new ID or their own.

The check of a response's events compares every byte as before: each event must be that of a server that ran this request. A take-up that is refused must not have run, as has been checked for unsafe requests.

--- a/internal/proofs/soak/check_test.go
+++ b/internal/proofs/soak/check_test.go
@@ -29,6 +29,8 @@
 	disturbances []disturbance
 	// drainStarted is the time at which each draining instance announced that it leaves.
 	drainStarted map[string]time.Time
+	// serving lists the periods in which instances were published as ready.
+	serving []servingPeriod
 }
 
 // undisturbed reports whether no fault affected the router at the given time and in the recoveryWindow before it.
@@ -72,15 +74,19 @@
 	}
 	violations = append(violations, limitViolations(runs, f)...)
 	violations = append(violations, noticeViolations(runs, f)...)
+	writers := writersByRequest(runs)
 	for i := range calls {
-		checkCall(&calls[i], ran[calls[i].id], f, add)
+		checkCall(&calls[i], ran[calls[i].id], writers[calls[i].id], f, add)
 	}
+	streams := joinStreams(calls, writers)
+	checkStreams(streams, add)
+	checkTakeUps(streams, f, add)
 	return violations
 }
 
-func checkCall(c *call, ran int, f *faultLog, add func(string, ...any)) {
+func checkCall(c *call, ran int, writers []writer, f *faultLog, add func(string, ...any)) {
 	checkOnce(c, ran, add)
-	checkComplete(c, add)
+	checkComplete(c, writers, add)
 	checkKey(c, ran, f, add)
 	ip, _, _ := strings.Cut(c.router, ":")
 	if took := c.ended.Sub(c.started); took > requestTimeout+responseSlack && f.undisturbed(ip, c.started) && f.undisturbed(ip, c.ended) {
@@ -88,22 +94,22 @@
 	}
 }
 
-// checkOnce checks that an unsafe request ran at most once, and did not run if its status says so.
+// checkOnce checks that an unsafe request ran at most once. Neither an unsafe request nor one that takes a stream up may have
+// run if its status says so.
 func checkOnce(c *call, ran int, add func(string, ...any)) {
-	if c.path != "/unsafe/" {
-		return
-	}
-	if ran > 1 {
+	unsafe, takeUp := c.path == "/unsafe/", c.resumes != ""
+	if unsafe && ran > 1 {
 		add("unsafe request %s ran %d times", c.id, ran)
 	}
-	if refused := c.status == 503 || c.status == 429 || c.status == 408 || c.status == 421; refused && ran > 0 {
-		add("unsafe request %s got status %d although it ran", c.id, c.status)
+	refused := c.status == 503 || c.status == 429 || c.status == 408 || c.status == 421
+	if (unsafe || takeUp) && refused && ran > 0 {
+		add("request %s to %s got status %d although it ran", c.id, c.path, c.status)
 	}
 }
 
 // checkComplete checks that a successful response is the complete response to this request, and that the events of a stream
 // are in order. A response that was cut off may be incomplete.
-func checkComplete(c *call, add func(string, ...any)) {
+func checkComplete(c *call, writers []writer, add func(string, ...any)) {
 	if c.status != 200 {
 		return
 	}
@@ -111,9 +117,9 @@
 	switch {
 	case c.stamp == "":
 		add("request %s got a successful response without a stamp", c.id)
-	case stream && c.complete && c.body != completeStream(c.id):
+	case stream && c.complete && !isCompleteStream(c, writers):
 		add("stream %s is incomplete: %q", c.id, c.body)
-	case stream && !strings.HasPrefix(completeStream(c.id), c.body):
+	case stream && !isPartOfStream(c, writers):
 		add("stream %s has events out of order: %q", c.id, c.body)
 	case !stream && c.complete && c.body != responseBody(c.id, c.stamp):
 		add("request %s got a wrong response body: %q", c.id, c.body)
@@ -130,11 +136,3 @@
 		add("request %s with a valid key was refused with status %d", c.id, c.status)
 	}
 }
-
-func completeStream(id string) string {
-	var b strings.Builder
-	for n := 1; n <= streamLength; n++ {
-		b.WriteString(streamEvent(id, n))
-	}
-	return b.String()
-}
--- a/internal/proofs/soak/client_test.go
+++ b/internal/proofs/soak/client_test.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +31,17 @@
 	// key is the API key. revoked is set if it was revoked at least configLimit ago.
 	key     string
 	revoked bool
+	// resumes is the ID of the request that brought the first event of the stream that this one takes up, and after the last
+	// event received.
+	resumes string
+	after   int
+	// timeLeft is the deadline that the request names; requestTimeout if it is 0.
+	timeLeft time.Duration
+	// dropAfter is the number of events after which the client closes the connection; 0 for never.
+	dropAfter  int
+	retryAfter time.Duration
+	// unconnected is set if no connection could be established.
+	unconnected bool
 }
 
 // clients sends requests to the routers until it is stopped, and records the results.
@@ -35,6 +50,9 @@
 	calls []call
 	// keys are the current API keys by team; rotateKey replaces them.
 	keys map[string]string
+	// dropShare is the share of streams whose connections the clients close midway.
+	dropShare float64
+	paths     []string
 }
 
 var paths = []string{"/safe/", "/unsafe/", "/stream/"}
@@ -51,17 +69,27 @@
 		case <-time.After(time.Duration(5+r.IntN(40)) * time.Millisecond):
 		}
 		team := fmt.Sprintf("t%d", r.IntN(teams))
-		v := call{id: fmt.Sprintf("%d-%d", n, i), path: paths[r.IntN(len(paths))], team: team, router: routers[r.IntN(len(routers))]}
+		v := call{id: fmt.Sprintf("%d-%d", n, i), path: c.paths[r.IntN(len(c.paths))], team: team, router: routers[r.IntN(len(routers))]}
 		c.mu.Lock()
 		v.key = c.keys[v.team]
 		c.mu.Unlock()
-		c.sendAndRecord(client, v)
+		if c.dropShare > 0 && r.Float64() < c.dropShare {
+			v.dropAfter = 1 + r.IntN(streamLength-1)
+		}
+		if v = c.sendAndRecord(client, v); v.brokeOff() {
+			c.takeUp(v, routers)
+		}
 	}
 }
 
-// sendAndRecord sends the request and records the result.
-func (c *clients) sendAndRecord(client *http.Client, v call) {
+// sendAndRecord sends the request, and records and returns the result.
+func (c *clients) sendAndRecord(client *http.Client, v call) call {
 	send(client, &v)
+	c.record(v)
+	return v
+}
+
+func (c *clients) record(v call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, v)
@@ -74,18 +102,42 @@
 	}
 	req.Host = "soak.example"
 	req.Header.Set("Orioleusher-Request-Id", v.id)
-	req.Header.Set("Orioleusher-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	req.Header.Set("Orioleusher-Deadline-Ms", fmt.Sprint(cmp.Or(v.timeLeft, requestTimeout).Milliseconds()))
 	req.Header.Set("Api-Key", v.key)
 	if v.prompt != "" {
 		req.Header.Set("Orioleusher-Prefix-Hash", v.prompt)
 	}
+	if v.resumes != "" {
+		req.Header.Set("Resumes", v.resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(v.after))
+	}
 	v.started = time.Now()
 	resp, err := client.Do(req)
 	if err == nil {
-		raw, readErr := io.ReadAll(resp.Body)
+		v.body, v.complete = readBody(resp.Body, v.dropAfter)
 		resp.Body.Close()
 		v.status, v.stamp = resp.StatusCode, resp.Header.Get("Orioleusher-Response-Stamp")
-		v.body, v.complete = string(raw), readErr == nil
+		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		v.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
+	var failure *net.OpError
+	v.unconnected = errors.As(err, &failure) && failure.Op == "dial"
 	v.ended = time.Now()
 }
+
+// readBody reads to the end of the body or, if dropAfter is not 0, to that number of events. It reports whether the end was
+// reached.
+func readBody(r io.Reader, dropAfter int) (body string, complete bool) {
+	var b strings.Builder
+	block := make([]byte, 4096)
+	for {
+		n, err := r.Read(block)
+		b.Write(block[:n])
+		if err != nil {
+			return b.String(), err == io.EOF
+		}
+		if dropAfter > 0 && strings.Count(b.String(), eventEnd) >= dropAfter {
+			return b.String(), false
+		}
+	}
+}
--- a/internal/proofs/soak/deadly_prompt_test.go
+++ b/internal/proofs/soak/deadly_prompt_test.go
@@ -119,12 +119,13 @@
 // checkSoundCalls checks that sound requests of the last seconds were served.
 func (f *soakRun) checkSoundCalls() {
 	last := f.clients.calls[len(f.clients.calls)-1].ended
+	writers := writersByRequest(f.servers.arrivals)
 	served := 0
 	for _, c := range f.clients.calls {
 		if strings.HasPrefix(c.id, deadlyClientPrefix) || c.started.Before(last.Add(-stableTime)) {
 			continue
 		}
-		if c.status != http.StatusOK || !c.complete || c.body != completeStream(c.id) {
+		if c.status != http.StatusOK || !c.complete || !isCompleteStream(&c, writers[c.id]) {
 			f.t.Errorf("sound request %s to %s got status %d, complete %v", c.id, c.router, c.status, c.complete)
 		}
 		served++
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -19,6 +19,8 @@
 	routerIP                           string // the IP of the router
 	at                                 time.Time
 	executed                           bool
+	// version is the version of the server's software.
+	version string
 	// resumedAfter is the last event that the client received; 0 for a new stream.
 	resumedAfter int
 	// limit is the request limit that the response named, in requests per second; 0 if it named none.
@@ -35,8 +37,13 @@
 	rand     *rand.Rand
 	// faultShare is the share of requests that are answered with a fault.
 	faultShare float64
-	store      *store
-	list       []*server
+	// cutShare is the share of streams that are cut, and eventInterval the time between two events of a stream.
+	cutShare      float64
+	eventInterval time.Duration
+	// serving lists the periods in which instances were published as ready.
+	serving []servingPeriod
+	store   *store
+	list    []*server
 }
 
 // server is one address at which instances run one after another.
@@ -48,6 +55,7 @@
 
 	mu          sync.Mutex
 	instance    string
+	version     string
 	startNumber int64
 	seq         int
 	draining    bool
@@ -71,17 +79,27 @@
 // faultKinds is the number of faults of a response, with the floods last.
 const faultKinds = 8
 
+// start starts a new instance.
 func (s *server) start() error {
+	s.mu.Lock()
+	s.instance = fmt.Sprintf("i-%s-%d", s.public, s.startNumber+1)
+	s.mu.Unlock()
+	return s.startAgain()
+}
+
+// startAgain starts the server under the ID that it had.
+func (s *server) startAgain() error {
 	l, err := net.Listen("tcp", s.listen)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	s.startNumber++
-	s.instance = fmt.Sprintf("i-%s-%d", s.public, s.startNumber)
+	s.seq = 0
 	s.listener, s.conns, s.draining, s.limit, s.leaving, s.pause = l, map[net.Conn]bool{}, false, 0, false, 0
+	instance, version := s.instance, s.version
 	s.mu.Unlock()
-	s.publish()
+	s.all.beginServing(instance, version, s.publish())
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -107,7 +125,7 @@
 	}
 	entry := map[string]any{
 		"service": s.service, "address": s.public, "zone": "z", "slots": 8, "state": state, "cold_remaining_ms": 0,
-		"sequence": s.seq, "born": s.startNumber,
+		"sequence": s.seq, "born": s.startNumber, "version": s.version,
 	}
 	key := "servers/" + s.instance
 	s.mu.Unlock()
@@ -118,21 +136,28 @@
 func (s *server) drain() time.Time {
 	s.mu.Lock()
 	s.draining = true
+	instance := s.instance
 	s.mu.Unlock()
+	s.all.endServing(instance)
 	return s.publish()
 }
 
 // crash stops the instance, resets all its connections and removes its entry from the store.
 func (s *server) crash() {
+	s.all.store.remove("servers/" + s.reset())
+}
+
+// reset stops the instance, resets all its connections and returns the instance.
+func (s *server) reset() string {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.listener.Close()
 	for c := range s.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
-	key := "servers/" + s.instance
-	s.mu.Unlock()
-	s.all.store.remove(key)
+	s.all.endServing(s.instance)
+	return s.instance
 }
 
 func (s *server) serve(c net.Conn) {
@@ -152,12 +177,12 @@
 // answer serves one request. It returns false if the connection must be closed.
 func (s *server) answer(c net.Conn, r *http.Request) bool {
 	s.mu.Lock()
-	instance, limit, leaving, pause := s.instance, s.limit, s.leaving, s.pause
+	instance, version, limit, leaving, pause := s.instance, s.version, s.limit, s.leaving, s.pause
 	s.mu.Unlock()
 	id := r.Header.Get("Orioleusher-Request-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	v := arrival{
-		request: id, instance: instance, team: r.Header.Get("Orioleusher-Tenant-Id"), key: r.Header.Get("Api-Key"),
+		request: id, instance: instance, version: version, team: r.Header.Get("Orioleusher-Tenant-Id"), key: r.Header.Get("Api-Key"),
 		path: r.URL.Path, routerIP: c.RemoteAddr().(*net.TCPAddr).IP.String(), at: time.Now(), executed: true, resumedAfter: after, limit: limit, leaving: leaving,
 	}
 	head := "Orioleusher-Request-Id: " + id + "\r\n"
@@ -189,7 +214,7 @@
 		return false
 	}
 	if r.URL.Path == "/stream/" {
-		return s.stream(c, head, id, after, faulty)
+		return s.stream(c, head, v, s.all.drawCut(faulty))
 	}
 	if !faulty {
 		kind = 0
@@ -239,13 +264,14 @@
 	return err == nil
 }
 
-func (s *server) stream(c net.Conn, head, id string, after int, faulty bool) bool {
+func (s *server) stream(c net.Conn, head string, v arrival, cut cut) bool {
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for n := after + 1; n <= streamLength; n++ {
-		time.Sleep(10 * time.Millisecond)
-		event := streamEvent(id, n)
-		if faulty && n == streamLength/2 {
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event)/2, event[:len(event)/2])
+	for n := v.resumedAfter + 1; n <= streamLength; n++ {
+		time.Sleep(s.all.eventInterval)
+		event := streamEvent(v.request, n, writer{v.instance, v.version})
+		if n == cut.event {
+			event = event[:cut.length(event)]
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
 			return false
 		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
@@ -258,7 +284,38 @@
 
 func responseBody(id, instance string) string { return "answer to " + id + " by " + instance }
 
-func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// writer is a server that wrote an event.
+type writer struct{ instance, version string }
+
+func streamEvent(id string, n int, w writer) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s %s\n\n", n, id, n, w.version, w.instance)
+}
+
+// cut is the event in or after which a stream is cut; no stream is cut at event 0.
+type cut struct {
+	event int
+	whole bool
+}
+
+func (c cut) length(event string) int {
+	if c.whole {
+		return len(event)
+	}
+	return len(event) / 2
+}
+
+// drawCut decides where a stream is cut. A faulty one is cut in the middle of its middle event.
+func (a *servers) drawCut(faulty bool) cut {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case faulty:
+		return cut{event: streamLength / 2}
+	case a.cutShare > 0 && a.rand.Float64() < a.cutShare:
+		return cut{event: 1 + a.rand.IntN(streamLength), whole: a.rand.IntN(2) == 0}
+	}
+	return cut{}
+}
 
 func (a *servers) record(v arrival) {
 	a.mu.Lock()
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -80,6 +80,7 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	f := startRun(t, seed, 0.05)
+	f.clients.dropShare = 0.1
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var addresses []string
@@ -102,7 +103,7 @@
 	f := &soakRun{
 		t: t, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
 		faults: faultLog{drainStarted: map[string]time.Time{}},
-		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}},
+		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
 	}
 	f.store = newStore(t, storeIP()+":8000")
 	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
@@ -125,11 +126,23 @@
 	if served*2 < len(f.clients.calls) {
 		f.t.Errorf("only %d of %d requests were successful", served, len(f.clients.calls))
 	}
+	f.checkMemory()
+	f.checkPromises()
+}
+
+func (f *soakRun) checkMemory() {
 	for n, p := range f.routers {
 		if peak := peakMemoryMB(f.t, p); peak > routerMemoryMB {
 			f.t.Errorf("router %d used %d MB at its peak, of %d MB", n, peak, routerMemoryMB)
 		}
 	}
+}
+
+// checkPromises reports every violation of a promise.
+func (f *soakRun) checkPromises() {
+	f.faults.serving = f.servers.serving
+	streams := joinStreams(f.clients.calls, writersByRequest(f.servers.arrivals))
+	f.t.Logf("%s; at undisturbed routers: %+v", countStreams(streams), undisturbedShares(streams, &f.faults))
 	for _, violation := range findViolations(f.clients.calls, f.servers.arrivals, &f.faults) {
 		f.t.Error(violation)
 	}
@@ -155,9 +168,9 @@
 }
 
 func (f *soakRun) startServers(seed uint64, faultShare float64) {
-	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: faultShare, store: f.store}
+	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: faultShare, eventInterval: 10 * time.Millisecond, store: f.store}
 	for n := range serverCount {
-		s := &server{all: f.servers, listen: serverIP(n) + ":8000", public: serverIP(n) + ":9000", service: "s"}
+		s := &server{all: f.servers, listen: serverIP(n) + ":8000", public: serverIP(n) + ":9000", service: "s", version: "v1"}
 		f.network.Proxy(s.public, s.listen)
 		f.servers.list = append(f.servers.list, s)
 		if err := s.start(); err != nil {
@@ -273,7 +286,7 @@
 // injectFaults runs random actions until the end, one after another. A third of the time it runs an action on a router
 // concurrently with one on the servers or the store.
 func (f *soakRun) injectFaults(end time.Time) {
-	routers := []func(){f.freeze, f.killAndRestart, f.restart, f.sendSIGHUP, f.cutStore, f.cutServer}
+	routers := []func(){f.freeze, f.killAndRestart, f.killAll, f.restart, f.sendSIGHUP, f.cutStore, f.cutServer}
 	others := []func(){f.failStore, f.restoreStore, f.dropHistory, f.crashServer, f.drainServer, f.leaveUnpublished, f.pauseServer, f.limitServer, f.rotateKey, f.idle}
 	for time.Now().Before(end) {
 		router, other := routers[f.randomInt(len(routers))], others[f.randomInt(len(others))]
--- a/internal/proofs/soak/stop_test.go
+++ b/internal/proofs/soak/stop_test.go
@@ -35,9 +35,7 @@
 			t.Errorf("request %s to %s got status %d, complete %v", c.id, c.path, c.status, c.complete)
 		}
 	}
-	for _, violation := range findViolations(f.clients.calls, f.servers.arrivals, &f.faults) {
-		t.Error(violation)
-	}
+	f.checkPromises()
 }
 
 // waitNotReady returns once two readiness checks in a row have failed.
