Streams go on only at the software version that began them

What callers saw: text joined from two software versions, answered 200 with nothing to show it, in one answer or over the requests with which they took a stream up.

Cause: nothing read the version of an upstream, or Resumes. A stream went on at the first upstream of the order. Class of fault: a decision that depends on what another host, or an earlier life of this one, knew of the upstream.

Change: a stream is bound to the service and version of the upstream from which its first bytes were relayed (direct.bindStream), and only upstreams of that version are in the order. A host at which a caller takes a stream up finds its origin (internal/origin): its own record; a witness that the relaying host told by datagram before the first byte; or, if nobody knows, a single version that can have begun the stream in the time that it may last, as far as this host, another one or the store's history has followed. Otherwise the request is refused at once, not run: stream-origin-unknown, stream-version-gone, or stream-version-unseen with a Retry-After.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -34,6 +34,13 @@
 	// Unreached lists the data centres to which a connection for the request timed out. The request has lost much of its
 	// time and next goes to a data centre that has just responded, if there is one.
 	Unreached []string
+	// Version is the software version that the upstream must have; nil if any may be chosen.
+	Version *string
+}
+
+// accepts reports whether the upstream has the software version that the request needs.
+func (c *Criteria) accepts(u *catalog.Upstream) bool {
+	return c.Version == nil || u.Version == *c.Version
 }
 
 // Priority tiers; upstreams of a higher tier are chosen only after all upstreams of lower tiers.
@@ -91,7 +98,7 @@
 	list := t.candidates(snap, service, criteria)
 	mean := meanLoad(list)
 	t.poolStats[service].meanLoad = mean
-	list = slices.DeleteFunc(list, func(c candidate) bool { return !available(c.member) })
+	list = slices.DeleteFunc(list, func(c candidate) bool { return !criteria.accepts(c.member.upstream) || !available(c.member) })
 	less := lessByLoad
 	if criteria.Engine && criteria.AffinityHash != 0 {
 		less = lessByAffinity
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -151,6 +151,8 @@
 	DisabledDataCentres map[string]bool
 	// Upstreams holds all published upstreams by service, including leaving ones, ordered by ID.
 	Upstreams map[string][]*Upstream
+	// Versions holds the software versions of all published upstreams by service, in ascending order.
+	Versions map[string][]string
 }
 
 // AcceptsNewWork reports whether new requests may be sent to the upstream.
@@ -158,6 +160,16 @@
 	return !u.Leaving && !s.DisabledDataCentres[u.DataCentre]
 }
 
+// Serves reports whether an upstream of the service with the software version is published and not leaving.
+func (s *Snapshot) Serves(service, version string) bool {
+	for _, u := range s.Upstreams[service] {
+		if u.Version == version && !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // ColdRequestsPerSecond returns the number of requests a second that a cold upstream of the service can handle, or 0 if
 // its upstreams are never cold.
 func (s *Snapshot) ColdRequestsPerSecond(service string) float64 {
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -61,6 +61,8 @@
 	configRevision      uint64
 	disabledDataCentres map[string]bool
 	upstreams           map[string]*Upstream
+	// pastVersions holds the software versions of upstreams that were removed or replaced.
+	pastVersions versionLog
 	// expiredInOutage holds the upstreams whose entries were removed in a store outage.
 	expiredInOutage map[string]bool
 	// outageGraceEnd is the time until which removals count as expired entries. It is in the distant future during a
@@ -74,7 +76,7 @@
 func NewStore(decode DecodeFunc, clock clockwork.Clock, log zerolog.Logger) *Store {
 	s := &Store{
 		decode: decode, clock: clock, log: log, disabledDataCentres: map[string]bool{}, upstreams: map[string]*Upstream{},
-		expiredInOutage: map[string]bool{}, configReady: make(chan struct{}),
+		expiredInOutage: map[string]bool{}, pastVersions: versionLog{}, configReady: make(chan struct{}),
 	}
 	s.current.Store(&Snapshot{DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}})
 	return s
@@ -184,14 +186,19 @@
 			Str("peer", u.Address).Str("data_centre", u.DataCentre).Bool("leaving", u.Leaving).Int64("born", u.StartedAtMs).
 			Str("software", u.Version).Time("cold_until", u.ColdUntil).Uint64("revision", item.Revision).Send()
 	}
+	if known != nil && (known.Version != u.Version || known.Service != u.Service) {
+		s.pastVersions.record(known, s.clock.Now())
+	}
 	s.upstreams[entry.Name] = u
 }
 
 func (s *Store) removeUpstream(id string, revision uint64) {
 	delete(s.expiredInOutage, id)
-	if s.upstreams[id] == nil {
+	known := s.upstreams[id]
+	if known == nil {
 		return
 	}
+	s.pastVersions.record(known, s.clock.Now())
 	delete(s.upstreams, id)
 	s.log.Info().Str("event", "upstream-gone").Str("upstream", id).Uint64("revision", revision).Send()
 }
@@ -250,12 +257,13 @@
 
 // publish builds and publishes the next snapshot. The caller holds mu.
 func (s *Store) publish() {
-	next := &Snapshot{Config: s.config, ConfigRevision: s.configRevision, DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}}
+	next := &Snapshot{Config: s.config, ConfigRevision: s.configRevision, DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}, Versions: map[string][]string{}}
 	for _, u := range s.upstreams {
 		next.Upstreams[u.Service] = append(next.Upstreams[u.Service], u)
 	}
 	for _, list := range next.Upstreams {
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+		next.Versions[list[0].Service] = distinctVersions(list)
 	}
 	before := s.current.Swap(next)
 	if before.Config == nil && next.Config != nil {
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -22,6 +22,7 @@
 	stepAdmit      = "admit"
 	stepReceive    = "receive"
 	stepQuarantine = "hold"
+	stepOrigin     = "origin"
 	stepDispatch   = "dispatch"
 )
 
@@ -106,7 +107,7 @@
 		}
 	}
 	req.Route = route
-	req.Service = pickService(route, req.ID)
+	req.Service = pickService(route, req.firstID())
 	return nil
 }
 
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -17,8 +17,10 @@
 		&deadlineFilter{clock: s.Clock},
 		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes)},
 		&quarantineFilter{quarantine: s.Quarantine},
+		&originFilter{resolver: s.Origins},
 		&dispatchFilter{
-			store: s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
+			shareOrigin: s.ShareOrigin,
+			store:       s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
 			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock,
 			responses: inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -48,6 +49,7 @@
 	metrics     dispatchMetrics
 	crashes     *crashDetector
 	prompts     *promptblame.Table
+	shareOrigin func(origin.Record)
 	// responses limits the memory for the bodies of responses that are held.
 	responses *inbound.BodyBudget
 }
@@ -180,6 +182,9 @@
 		if err := checkPrompt(d.prompts, req); err != nil {
 			return nil, err
 		}
+		if err := d.checkOrigin(snap, req); err != nil {
+			return nil, err
+		}
 		if left := req.Deadline.Sub(d.clock.Now()); left < minRemainingTime {
 			return nil, outcome.Unavailable(stepDispatch, "no-time", "no time is left")
 		}
@@ -215,7 +220,7 @@
 func (req *Request) criteria(snap *catalog.Snapshot) balance.Criteria {
 	return balance.Criteria{
 		Engine: snap.Config.Services[req.Service].Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Rejected: req.rejectedBy,
-		Unreached: req.unreached,
+		Unreached: req.unreached, Version: req.version(),
 	}
 }
 
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
@@ -32,7 +34,7 @@
 func (testCodec) DecodeRequest(r *http.Request) RequestMetadata {
 	ms, _ := strconv.Atoi(r.Header.Get("X-Wait-Ms"))
 	last, _ := strconv.ParseInt(r.Header.Get("X-Last"), 10, 64)
-	meta := RequestMetadata{ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), CallerTimeout: time.Duration(ms) * time.Millisecond, LastEventID: last}
+	meta := RequestMetadata{ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), CallerTimeout: time.Duration(ms) * time.Millisecond, LastEventID: last, Resumes: r.Header.Get("X-Resumes")}
 	for id := range strings.SplitSeq(r.Header.Get("X-Prompt"), ",") {
 		meta.Prompt = append(meta.Prompt, PromptSegment{ID: id})
 	}
@@ -268,6 +270,9 @@
 	server   *Server
 	// quarantine is the server's quarantine table.
 	quarantine *quarantine.Table
+	// origins holds the recorded origins of streams. Streams without a record are bound to soleVersion.
+	origins     *origin.Table
+	soleVersion *string
 	// prompts is the server's table of prompt segments that crash upstreams.
 	prompts *promptblame.Table
 	front   *httptest.Server
@@ -296,6 +301,7 @@
 	h.store = catalog.NewStore(h.decode, clock, log)
 	h.quarantine = quarantine.NewTable(QuarantineLimits, clock, nil)
 	h.prompts = promptblame.NewTable(clock, log)
+	h.origins, h.soleVersion = origin.NewTable(clock), new(string)
 	h.config = &catalog.Config{
 		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
 		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
@@ -320,6 +326,8 @@
 	h.server = New(Options{
 		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
+		Origins:     h,
+		ShareOrigin: h.origins.AddOwn,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}), Selector: balance.NewSelector(
 			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
 		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
@@ -330,6 +338,17 @@
 	h.t.Cleanup(h.front.Close)
 }
 
+// Resolve implements OriginResolver.
+func (h *harness) Resolve(_ context.Context, q origin.Query) (origin.Origin, bool, error) {
+	if r, ok := h.origins.Find(q.Stream); ok {
+		return r.Origin, true, nil
+	}
+	if h.soleVersion == nil {
+		return origin.Origin{}, false, origin.ErrUnknown
+	}
+	return origin.Origin{Service: q.Service, Version: *h.soleVersion}, false, nil
+}
+
 func (h *harness) publish(key string) {
 	h.revision++
 	h.store.Apply([]published.Item{{Key: key, Revision: h.revision}})
@@ -340,7 +359,13 @@
 		return catalog.Entry{Kind: catalog.ItemConfig, Config: h.config}, nil
 	}
 	fields := append(strings.Split(item.Key, "/"), "")
+	if item.Removed {
+		return catalog.Entry{Kind: catalog.ItemUpstream, Name: fields[1]}, nil
+	}
 	u := &catalog.Upstream{ID: fields[1], Service: "s", Address: fields[2], DataCentre: "dc", Leaving: fields[3] == "leaving"}
+	if version, ok := strings.CutPrefix(fields[3], "version-"); ok {
+		u.Version = version
+	}
 	if fields[3] == "cold" {
 		u.ColdUntil = time.Now().Add(time.Hour)
 	}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -135,7 +135,7 @@
 	stream := &req.response.stream
 	stream.Resume()
 	buf := make([]byte, streamBufferBytes)
-	begun := false
+	begun, bound := false, false
 	for {
 		n, err := resp.Body.Read(buf)
 		eventsBefore := stream.DataEvents
@@ -147,6 +147,10 @@
 				d.recordBegun(req)
 			}
 		}
+		if len(output) > 0 && !bound {
+			bound = true
+			d.bindStream(req, u)
+		}
 		if writeErr := req.response.sendEvents(resp, output); writeErr != nil {
 			release(false)
 			req.response.callerGone = true
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -4,6 +4,7 @@
 package direct
 
 import (
+	"cmp"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/events"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/origin"
 )
 
 // Request is one request of a caller, with the state that the filters attach to it. A retry by the caller is a new
@@ -54,6 +56,8 @@
 	attempts []attemptRecord
 	// reserved is the number of bytes reserved for the bodies of responses.
 	reserved int64
+	// origin is the service and version of the upstream that began the stream; nil before its first byte.
+	origin *origin.Origin
 	// outcomeUnknown is set if an earlier send may have been executed.
 	outcomeUnknown bool
 
@@ -155,6 +159,20 @@
 // continuesStream reports whether the caller has received a part of the stream from an earlier request.
 func (req *Request) continuesStream() bool { return req.Resumes != "" || req.LastEventID > 0 }
 
+// streamID identifies the stream to which the request belongs.
+func (req *Request) streamID() origin.StreamID { return origin.HashRequestID(req.firstID()) }
+
+// firstID returns the ID of the request that began the stream.
+func (req *Request) firstID() string { return cmp.Or(req.Resumes, req.ID) }
+
+// version returns the software version to which the request is bound; nil if it is not bound.
+func (req *Request) version() *string {
+	if req.origin == nil {
+		return nil
+	}
+	return &req.origin.Version
+}
+
 // lastEventID returns the last event of a stream that the caller has received.
 func (req *Request) lastEventID() int64 { return max(req.LastEventID, req.response.stream.LastID) }
 
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -20,6 +20,7 @@
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
@@ -39,6 +40,10 @@
 	Quarantine *quarantine.Table
 	// Prompts holds the prompt segments that crash upstreams.
 	Prompts *promptblame.Table
+	// Origins finds out which software version began a stream that a caller continues.
+	Origins OriginResolver
+	// ShareOrigin records which software version began a stream of this host, and tells other hosts if they need it.
+	ShareOrigin func(origin.Record)
 	// BodyBytes limits the body bytes of all requests in flight together.
 	BodyBytes int64
 	// ResponseBytes limits the bytes of upstreams' responses that are held together. Beyond it, responses are relayed as
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,6 +94,7 @@
 	Loads      LoadReports
 	Crashes    CrashRecords
 	Prompts    PromptRecords
+	Origins    Origins
 	Transport  http.RoundTripper
 	Clock      clockwork.Clock
 	Rand       *rand.Rand
--- /dev/null
+++ b/internal/fleet/origin.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/origin"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+const (
+	// globalWitnesses and localWitnesses are the numbers of hosts of the fleet, and of the sender's data centre, that are
+	// told of a stream. If the data centre is cut off, only the latter can be asked.
+	globalWitnesses = 2
+	localWitnesses  = 1
+	// spareWitnesses is the number of further hosts that are asked, as hosts may disagree about the members.
+	spareWitnesses = 1
+	// originTimeout limits the time for asking other hosts.
+	originTimeout = 100 * time.Millisecond
+)
+
+// Origins holds what this host knows of the origins of streams.
+type Origins interface {
+	// Known returns what this host knows without asking others.
+	Known(origin.Query) origin.Answer
+}
+
+// Witnesses implements origin.Witnesses.
+func (f *Fleet) Witnesses(stream origin.StreamID) []string {
+	return f.witnesses(stream, globalWitnesses, localWitnesses)
+}
+
+// witnesses returns the first hosts of the fleet and of the local data centre in an order that is the same on all hosts.
+func (f *Fleet) witnesses(stream origin.StreamID, global, local int) []string {
+	f.mu.Lock()
+	var all, near []string
+	for address, m := range f.members {
+		if m.leaving {
+			continue
+		}
+		all = append(all, address)
+		if m.dataCentreHash == f.dataCentreHash {
+			near = append(near, address)
+		}
+	}
+	f.mu.Unlock()
+	loadbalancer.SortByScore(uint64(stream), all)
+	loadbalancer.SortByScore(uint64(stream), near)
+	hosts := all[:min(global, len(all))]
+	for _, address := range near[:min(local, len(near))] {
+		if !slices.Contains(hosts, address) {
+			hosts = append(hosts, address)
+		}
+	}
+	return hosts
+}
+
+// AskOrigin implements origin.Peers. It asks the hosts at once and returns when one knows the origin, or when all have
+// answered or failed.
+func (f *Fleet) AskOrigin(ctx context.Context, q origin.Query) []origin.Answer {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	hosts := f.witnesses(q.Stream, globalWitnesses+spareWitnesses, localWitnesses+spareWitnesses)
+	answers := make(chan *origin.Answer, len(hosts))
+	for _, host := range hosts {
+		go func() { answers <- f.askHost(ctx, host, q) }()
+	}
+	var list []origin.Answer
+	for range hosts {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		list = append(list, *a)
+		if a.Origin != nil {
+			break
+		}
+	}
+	return list
+}
+
+// askHost returns the host's answer, or nil if there is none.
+func (f *Fleet) askHost(ctx context.Context, host string, q origin.Query) *origin.Answer {
+	reply, err := fleetpb.NewFleetProtobufClient("http://"+host, f.client).Origin(ctx, &fleetpb.OriginRequest{
+		Stream: uint64(q.Stream), Service: q.Service, WindowMs: uint32(q.Window.Milliseconds()),
+	})
+	if err != nil {
+		f.Log.Debug().Str("event", "origin-not-told").Str("peer", host).Err(err).Send()
+		return nil
+	}
+	a := &origin.Answer{
+		Host: host, Versions: reply.GetVersions(), Followed: milliseconds(reply.GetFollowedMs()), Age: milliseconds(reply.GetAgeMs()),
+	}
+	if m := reply.GetOrigin(); m != nil {
+		r := origin.Decode(m, f.Clock.Now())
+		a.Origin = &r
+	}
+	return a
+}
+
+// Origin implements fleetpb.Fleet.
+func (f *Fleet) Origin(_ context.Context, r *fleetpb.OriginRequest) (*fleetpb.OriginAnswer, error) {
+	a := f.Origins.Known(origin.Query{Stream: origin.StreamID(r.GetStream()), Service: r.GetService(), Window: milliseconds(r.GetWindowMs())})
+	reply := &fleetpb.OriginAnswer{
+		Versions: a.Versions, FollowedMs: uint32(a.Followed.Milliseconds()), AgeMs: uint32(min(a.Age, maxAge).Milliseconds()),
+	}
+	if a.Origin != nil {
+		reply.Origin = origin.Encode(*a.Origin, f.Clock.Now())
+	}
+	return reply, nil
+}
+
+// maxAge is the age that stands for anything older.
+const maxAge = 24 * time.Hour
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/orioleusher/orioleusher/internal/fleet"
 	"github.com/orioleusher/orioleusher/internal/loadshare"
 	"github.com/orioleusher/orioleusher/internal/metrics"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -65,6 +66,8 @@
 	// idleDrainTimeout limits the wait until callers' idle connections have ended, which takes as long as the process
 	// needs to be scheduled once for each of them.
 	idleDrainTimeout = time.Second
+	// originWindow is how long other hosts are told which version began a stream after another version served.
+	originWindow = 30 * time.Second
 	// maxStartDelay is the maximum time for which a starting process asks other hosts before it lists the store.
 	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
@@ -96,6 +99,9 @@
 	server          *direct.Server
 	quarantineTable *quarantine.Table
 	prompts         *promptblame.Table
+	origins         *origin.Table
+	versions        *publishedVersions
+	originSharer    *origin.Sharer
 	stopping        atomic.Bool
 }
 
@@ -150,10 +156,30 @@
 		Outages: g.store, Peers: g.fleet, StartDelay: startDelay(mathrand.New(mathrand.NewPCG(g.incarnation, 2))), Clock: clock, Log: log, Scope: g.metrics.Scope,
 	})
 	g.fleet.Store = g.reader
-	g.server = g.newServer(a)
+	g.versions = &publishedVersions{
+		store: g.store, reader: g.reader, mirror: g.mirror, source: a.Source, decode: a.Decode,
+		retention: s.Timeouts.StoreHistory.Std(), clock: clock, log: log,
+	}
+	origins := g.newOrigins()
+	g.fleet.Origins = origins
+	g.server = g.newServer(a, origins)
 	return g
 }
 
+// newOrigins returns the resolver of the origins of streams, and sets what records and tells them.
+func (g *Gateway) newOrigins() *origin.Resolver {
+	maxAge := g.settings.Timeouts.MaxStaleness()
+	g.origins = origin.NewTable(g.clock)
+	g.originSharer = origin.NewSharer(origin.SharerOptions{
+		Table: g.origins, Versions: g.versions, Window: originWindow, MaxDataAge: maxAge, Witnesses: g.fleet, Clock: g.clock,
+		Log: g.log, Scope: g.metrics.Scope,
+	})
+	return origin.NewResolver(origin.Options{
+		Table: g.origins, Versions: g.versions, Peers: g.fleet, History: g.versions, MaxDataAge: maxAge, Clock: g.clock,
+		Log: g.log, Scope: g.metrics.Scope,
+	})
+}
+
 func (g *Gateway) newFleet() *fleet.Fleet {
 	return fleet.New(fleet.Options{
 		Self: g.settings.PeerAddress, Incarnation: g.incarnation, Seeds: g.settings.SeedPeers,
@@ -163,10 +189,11 @@
 	})
 }
 
-func (g *Gateway) newServer(a Adapter) *direct.Server {
+func (g *Gateway) newServer(a Adapter, origins *origin.Resolver) *direct.Server {
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
+		Origins: origins, ShareOrigin: g.originSharer.Record,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
@@ -222,14 +249,16 @@
 	return errors.Wrap(err, "run router")
 }
 
-// shareLoads starts the exchange of observed loads, on the UDP port with the number of the peer address.
+// shareLoads starts the exchange of observed loads and of the origins of streams, on the UDP port with the number of the peer address.
 func (g *Gateway) shareLoads(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress)
 	if err != nil {
 		return errors.Wrapf(err, "listen for loads on %s", g.settings.PeerAddress)
 	}
+	g.originSharer.Conn = conn
+	go g.originSharer.Run(ctx)
 	sharer := loadshare.New(loadshare.Options{
-		Conn: conn, Loads: g.balancer, Peers: g.fleet, Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 1)),
+		Conn: conn, Loads: g.balancer, Origins: g.origins, Peers: g.fleet, Clock: g.clock, Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 1)),
 		Log: g.log, Scope: g.metrics.Scope,
 	})
 	go sharer.Run(ctx)
--- /dev/null
+++ b/internal/gateway/versions.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/published"
+)
+
+// publishedVersions tells which software versions upstreams had lately. It implements origin.Versions and origin.History.
+type publishedVersions struct {
+	store  *catalog.Store
+	reader *published.Reader
+	mirror *published.Mirror
+	source published.Source
+	decode catalog.DecodeFunc
+	// retention is how long the source keeps changes; 0 if unknown.
+	retention time.Duration
+	clock     clockwork.Clock
+	log       zerolog.Logger
+
+	// knownSince is the time since which versions are known from the source's history, in Unix nanoseconds of the clock; 0 if
+	// it has not been read.
+	knownSince atomic.Int64
+
+	mu sync.Mutex // held while the history is read
+	// failedAt is when the history was last found to be insufficient.
+	failedAt time.Time
+}
+
+// historyRetryInterval is the time after a failed attempt to read the source's history in which there is no other one.
+const historyRetryInterval = 5 * time.Second
+
+// errHistoryInsufficient reports that the source's history does not tell all versions that were published.
+var errHistoryInsufficient = errors.New("the history does not tell all versions")
+
+// VersionsSince implements origin.Versions.
+func (v *publishedVersions) VersionsSince(service string, since time.Time) []string {
+	return v.store.VersionsSince(service, since)
+}
+
+// FollowedSince implements origin.Versions.
+func (v *publishedVersions) FollowedSince() time.Time {
+	followed := v.reader.FollowedSince()
+	if since := v.knownSince.Load(); since != 0 && since < followed.UnixNano() {
+		return time.Unix(0, since)
+	}
+	return followed
+}
+
+// DataAge implements origin.Versions.
+func (v *publishedVersions) DataAge() time.Duration { return v.reader.DataAge() }
+
+// Extend implements origin.History. It reads the changes that the source still has, once after the start.
+func (v *publishedVersions) Extend(ctx context.Context) (time.Duration, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	if since := v.knownSince.Load(); since != 0 {
+		return now.Sub(time.Unix(0, since)), nil
+	}
+	if now.Sub(v.failedAt) < historyRetryInterval {
+		return 0, errHistoryInsufficient
+	}
+	items, whole, err := published.ReadHistory(ctx, v.source, v.mirror.Prefix, v.mirror.Complete())
+	if err == nil && !whole && v.retention == 0 {
+		err = errors.Wrap(errHistoryInsufficient, "its length is not known")
+	}
+	if err == nil {
+		err = v.recordVersions(items, now)
+	}
+	if err != nil {
+		v.failedAt = now
+		return 0, err
+	}
+	known := v.retention
+	if whole {
+		known = wholeHistory
+	}
+	v.knownSince.Store(now.Add(-known).UnixNano())
+	v.log.Info().Str("event", "version-history-read").Int("changes", len(items)).Bool("whole", whole).Dur("known_ms", known).Send()
+	return known, nil
+}
+
+// wholeHistory is the time for which versions count as known if no change has ever been discarded.
+const wholeHistory = time.Hour
+
+// recordVersions records the software versions of the upstreams in the changes, which count as published until now. It fails
+// if an upstream was removed whose version the changes do not tell.
+func (v *publishedVersions) recordVersions(items []published.Item, now time.Time) error {
+	known := map[string]bool{}
+	for _, item := range items {
+		entry, err := v.decode(item, now)
+		switch {
+		case entry.Kind != catalog.ItemUpstream || err != nil:
+		case entry.Upstream != nil:
+			known[entry.Name] = true
+			v.store.RecordPastVersion(entry.Upstream.Service, entry.Upstream.Version, now)
+		case !known[entry.Name]:
+			return errors.Wrapf(errHistoryInsufficient, "version of removed upstream %q", entry.Name)
+		}
+	}
+	return nil
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
@@ -49,15 +50,21 @@
 	LocalPeers() []string
 }
 
+// Origins records which software versions began the streams of other hosts.
+type Origins interface {
+	Add(origin.Record)
+}
+
 // Options configures New.
 type Options struct {
-	Conn  net.PacketConn
-	Loads Observations
-	Peers Peers
-	Clock clockwork.Clock
-	Rand  *rand.Rand
-	Log   zerolog.Logger
-	Scope tally.Scope
+	Conn    net.PacketConn
+	Loads   Observations
+	Origins Origins
+	Peers   Peers
+	Clock   clockwork.Clock
+	Rand    *rand.Rand
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Sharer exchanges observed loads with the other hosts of the data centre.
@@ -166,6 +173,9 @@
 	}
 	s.Loads.MergeObservations(reports)
 	s.Loads.MergeLimitReports(DecodeLimits(loads.GetLimits()))
+	for _, o := range loads.GetOrigins() {
+		s.Origins.Add(origin.Decode(o, s.Clock.Now()))
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/origin/resolver.go
@@ -0,0 +1,170 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+)
+
+// ErrUnknown reports that it cannot be found out which version began a stream.
+var ErrUnknown = errors.New("the version that began the stream is not known")
+
+// Versions tells which software versions upstreams had lately.
+type Versions interface {
+	// VersionsSince returns the versions of the service that were published at any time since then, as far as this host
+	// has followed what is published.
+	VersionsSince(service string, since time.Time) []string
+	// FollowedSince returns the time since which this host has followed what is published without a gap, and DataAge how
+	// old its knowledge is.
+	FollowedSince() time.Time
+	DataAge() time.Duration
+}
+
+// Answer is what another host knows of a stream.
+type Answer struct {
+	// Host is the address of the host.
+	Host string
+	// Origin is nil if the host does not know the origin.
+	Origin *Record
+	// Versions are the versions of the service that were published within the window.
+	Versions []string
+	// Followed is the time for which the host has followed what is published, and Age how old its knowledge is.
+	Followed, Age time.Duration
+}
+
+// Query asks for a stream.
+type Query struct {
+	Stream  StreamID
+	Service string
+	// Window is the time within which the stream began.
+	Window time.Duration
+}
+
+// Peers asks other hosts.
+type Peers interface {
+	// AskOrigin returns the answers of the hosts that may have been told of the stream, up to the first that knows its
+	// origin.
+	AskOrigin(ctx context.Context, q Query) []Answer
+}
+
+// History extends the knowledge of published versions into the past.
+type History interface {
+	// Extend reads the versions that were published before this host began to follow, and returns for how long before now
+	// they are known.
+	Extend(ctx context.Context) (time.Duration, error)
+}
+
+// Options configures NewResolver.
+type Options struct {
+	Table    *Table
+	Versions Versions
+	Peers    Peers
+	History  History
+	// MaxDataAge is the age of what is known of published versions from which on another host may have used a version that
+	// this one has not seen.
+	MaxDataAge time.Duration
+	Clock      clockwork.Clock
+	Log        zerolog.Logger
+	Scope      tally.Scope
+}
+
+// Resolver finds the origins of streams that callers continue.
+type Resolver struct {
+	Options
+	scope tally.Scope
+}
+
+// NewResolver returns a resolver.
+func NewResolver(o Options) *Resolver {
+	return &Resolver{Options: o, scope: o.Scope.SubScope("origin")}
+}
+
+// Sources of an origin, for the log and the metrics.
+const (
+	sourceOwn     = "own"
+	sourcePeer    = "peer"
+	sourceVersion = "single-version"
+	sourceUnknown = "unknown"
+)
+
+// evidence is what is known of the versions that can have begun a stream.
+type evidence struct {
+	versions []string
+	// followed is the time for which they are known, and age how old the newest knowledge is.
+	followed, age time.Duration
+	peers         int
+}
+
+// add adds what a host knows.
+func (e *evidence) add(versions []string, followed, age time.Duration) {
+	for _, v := range versions {
+		if !slices.Contains(e.versions, v) {
+			e.versions = append(e.versions, v)
+		}
+	}
+	e.followed, e.age = max(e.followed, followed), min(e.age, age)
+}
+
+// Known returns what this host knows without asking others.
+func (r *Resolver) Known(q Query) Answer {
+	now := r.Clock.Now()
+	// The versions are read last, so that they are known at least for the time and with the age that the answer claims.
+	a := Answer{Followed: now.Sub(r.Versions.FollowedSince()), Age: r.Versions.DataAge()}
+	a.Versions = r.Versions.VersionsSince(q.Service, now.Add(-q.Window))
+	if rec, ok := r.Table.Find(q.Stream); ok {
+		a.Origin = &rec
+	}
+	return a
+}
+
+// Resolve returns the origin of the stream, and whether a record of it exists. The error is ErrUnknown if there is no record
+// and upstreams of more than one version, or of an unknown one, may have begun the stream.
+func (r *Resolver) Resolve(ctx context.Context, q Query) (o Origin, recorded bool, err error) {
+	own := r.Known(q)
+	e := &evidence{versions: own.Versions, followed: own.Followed, age: own.Age}
+	if own.Origin != nil {
+		r.log(q, own.Origin.Origin, sourceOwn, e)
+		return own.Origin.Origin, true, nil
+	}
+	for _, a := range r.Peers.AskOrigin(ctx, q) {
+		if a.Origin != nil {
+			r.Table.Add(*a.Origin)
+			r.log(q, a.Origin.Origin, sourcePeer, e)
+			return a.Origin.Origin, true, nil
+		}
+		e.add(a.Versions, a.Followed, a.Age)
+		e.peers++
+	}
+	if len(e.versions) == 1 && e.followed < q.Window && e.age <= r.MaxDataAge {
+		r.readHistory(ctx, q, e)
+	}
+	if len(e.versions) != 1 || e.followed < q.Window || e.age > r.MaxDataAge {
+		r.log(q, Origin{}, sourceUnknown, e)
+		return Origin{}, false, ErrUnknown
+	}
+	o = Origin{Service: q.Service, Version: e.versions[0]}
+	r.log(q, o, sourceVersion, e)
+	return o, false, nil
+}
+
+// readHistory adds what the history of the published items tells.
+func (r *Resolver) readHistory(ctx context.Context, q Query, e *evidence) {
+	followed, err := r.History.Extend(ctx)
+	if err != nil {
+		r.Log.Warn().Str("event", "version-history-unread").Str("service", q.Service).Err(err).Send()
+		return
+	}
+	e.add(r.Versions.VersionsSince(q.Service, r.Clock.Now().Add(-q.Window)), followed, e.age)
+}
+
+func (r *Resolver) log(q Query, o Origin, source string, e *evidence) {
+	r.scope.Tagged(map[string]string{"source": source}).Counter("resolved").Inc(1)
+	r.Log.Info().Str("event", "stream-origin").Uint64("stream", uint64(q.Stream)).Str("service", q.Service).Str("software", o.Version).
+		Str("source", source).Strs("versions", e.versions).Dur("window_ms", q.Window).Dur("followed_ms", e.followed).
+		Dur("age_ms", e.age).Int("peers", e.peers).Send()
+}
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -25,6 +25,8 @@
 	PeerLongPollWait, PeerTimeoutSlack time.Duration
 	// MaxPeerDataAge is the maximum age of the serving host's last store response.
 	MaxPeerDataAge time.Duration
+	// MaxStaleness is the maximum age of this host's data.
+	MaxStaleness time.Duration
 	// MaxDataAge is the age of this host's data at which a request to another host is given up.
 	MaxDataAge time.Duration
 }
@@ -53,6 +55,7 @@
 func ReadTimingFor(staleness time.Duration) ReadTiming {
 	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
 	return ReadTiming{
+		MaxStaleness:       staleness,
 		PollInterval:       min(maxPollInterval, part(pollIntervalFraction)),
 		SharedPollInterval: min(maxSharedPollInterval, part(sharedPollIntervalFraction)),
 		SharedLongPollWait: part(sharedLongPollWaitFraction),
@@ -160,7 +163,9 @@
 	}
 	r.Mirror.Replace(update.Batch)
 	r.needsFullList = false
-	r.recordFresh(r.Clock.Now().Add(-update.Age))
+	asOf := r.Clock.Now().Add(-update.Age)
+	r.recordListed(asOf)
+	r.recordFresh(asOf)
 	r.Log.Info().Str("event", "started-from-peer").Str("peer", peer.Address()).Dur("age_ms", update.Age).
 		Int("items", len(update.Items)).Uint64("complete", update.Revision).Send()
 	return true
@@ -220,7 +225,11 @@
 	r.setSourcePeer(peer.Address(), update.Age, nil)
 	r.needsFullList = false // the other host's data is complete
 	r.Mirror.Merge(after.Revision, update.Batch)
-	r.recordFresh(r.Clock.Now().Add(-update.Age))
+	asOf := r.Clock.Now().Add(-update.Age)
+	if update.Full {
+		r.recordListed(asOf)
+	}
+	r.recordFresh(asOf)
 	return true, nil
 }
 
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -70,6 +70,9 @@
 	// dataAsOf is the time as of which the mirror is up to date with the source. lastPeerRequestAt is when another host
 	// last asked for changes. Both are Unix nanoseconds of the clock.
 	dataAsOf, lastPeerRequestAt atomic.Int64
+	// followedSince is the time since which no change was missed, in Unix nanoseconds of the clock; 0 before the first full
+	// list.
+	followedSince atomic.Int64
 	// storeFailedAt is when a call to the source last failed.
 	storeFailedAt time.Time
 	// sourcePeer is the host from which this one reads changes, or empty if it reads the source itself.
@@ -207,6 +210,7 @@
 	}
 	r.Mirror.Replace(l.batch)
 	r.partialList, r.needsFullList = nil, false
+	r.recordListed(l.startedAt)
 	r.recordFresh(l.startedAt)
 	return nil
 }
@@ -246,6 +250,33 @@
 	}
 }
 
+// FollowedSince returns the time since which this host has missed no change, except of items that were published and removed
+// within the maximum staleness. It is now before the first full list.
+func (r *Reader) FollowedSince() time.Time {
+	if since := r.followedSince.Load(); since != 0 {
+		return time.Unix(0, since)
+	}
+	return r.Clock.Now()
+}
+
+// DataAge returns the age of this host's data.
+func (r *Reader) DataAge() time.Duration {
+	asOf := r.dataAsOf.Load()
+	if asOf == 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(r.Clock.Now().UnixNano() - asOf)
+}
+
+// recordListed records that a full list as of the given time replaced what this host knew. Items that were published and
+// removed since its data was up to date are missing from it.
+func (r *Reader) recordListed(at time.Time) {
+	asOf := r.dataAsOf.Load()
+	if asOf == 0 || time.Duration(at.UnixNano()-asOf) > r.Timing.MaxStaleness {
+		r.followedSince.Store(at.UnixNano())
+	}
+}
+
 // recordFresh records that the mirror is up to date with the source as of the given time, which ends an outage.
 func (r *Reader) recordFresh(at time.Time) {
 	now := r.Clock.Now().UnixNano()
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -55,6 +55,8 @@
 	// smaller of the two.
 	Leaving       Duration `json:"leaving"`
 	Configuration Duration `json:"configuration"`
+	// StoreHistory is how long the store keeps the changes of published items; 0 if that is not known.
+	StoreHistory Duration `json:"store_history,omitempty"`
 }
 
 // MaxStaleness returns the maximum age of this host's data from published items.
@@ -70,6 +72,7 @@
 	defaultApplyTime    = 2 * time.Second
 	minApplyTime        = 500 * time.Millisecond
 	maxApplyTime        = time.Minute
+	maxStoreHistory     = 24 * time.Hour
 	minMemoryMB         = 32
 	maxMemoryMB         = 1 << 20
 	maxRatio            = 1000
@@ -106,6 +109,7 @@
 	c.durationRange("timeouts.gossip", d.Timeouts.Gossip, minGossipInterval, maxGossipInterval)
 	c.durationRange("timeouts.leaving", d.Timeouts.Leaving, minApplyTime, maxApplyTime)
 	c.durationRange("timeouts.configuration", d.Timeouts.Configuration, minApplyTime, maxApplyTime)
+	c.durationRange("timeouts.store_history", d.Timeouts.StoreHistory, 0, maxStoreHistory)
 	c.log(d.Log)
 	return c.problems
 }
