A version is not concluded from a host with old data and one that has just started

A host whose data is too old but that has followed for long, and a host with fresh data that has just started, were taken together as one that has followed for long with fresh data. A version that was published and removed in between is known to neither, so that a stream that it began went on at the version that both know. The time for which a host has followed now counts only if its data is not too old.

--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -100,14 +100,18 @@
 	peers         int
 }
 
-// add adds what a host knows.
-func (e *evidence) add(versions []string, followed, age time.Duration) {
-	for _, v := range versions {
+// add adds what a host knows. If its knowledge is older than maxAge, the time for which it has followed does not count:
+// versions may have come and gone since, before hosts with newer knowledge began to follow.
+func (e *evidence) add(a Answer, maxAge time.Duration) {
+	for _, v := range a.Versions {
 		if !slices.Contains(e.versions, v) {
 			e.versions = append(e.versions, v)
 		}
 	}
-	e.followed, e.age = max(e.followed, followed), min(e.age, age)
+	if a.Age <= maxAge {
+		e.followed = max(e.followed, a.Followed)
+	}
+	e.age = min(e.age, a.Age)
 }
 
 // Known returns what this host knows without asking others.
@@ -126,7 +130,8 @@
 // and upstreams of more than one version, or of an unknown one, may have begun the stream.
 func (r *Resolver) Resolve(ctx context.Context, q Query) (o Origin, recorded bool, err error) {
 	own := r.Known(q)
-	e := &evidence{versions: own.Versions, followed: own.Followed, age: own.Age}
+	e := &evidence{age: own.Age}
+	e.add(own, r.MaxDataAge)
 	if own.Origin != nil {
 		r.log(q, own.Origin.Origin, sourceOwn, e)
 		return own.Origin.Origin, true, nil
@@ -137,7 +142,7 @@
 			r.log(q, a.Origin.Origin, sourcePeer, e)
 			return a.Origin.Origin, true, nil
 		}
-		e.add(a.Versions, a.Followed, a.Age)
+		e.add(a, r.MaxDataAge)
 		e.peers++
 	}
 	if len(e.versions) == 1 && e.followed < q.Window && e.age <= r.MaxDataAge {
@@ -159,7 +164,7 @@
 		r.Log.Warn().Str("event", "version-history-unread").Str("service", q.Service).Err(err).Send()
 		return
 	}
-	e.add(r.Versions.VersionsSince(q.Service, r.Clock.Now().Add(-q.Window)), followed, e.age)
+	e.add(Answer{Versions: r.Versions.VersionsSince(q.Service, r.Clock.Now().Add(-q.Window)), Followed: followed, Age: e.age}, r.MaxDataAge)
 }
 
 func (r *Resolver) log(q Query, o Origin, source string, e *evidence) {
