The history of versions does not cover a later gap

Once a host had read the store's history, it claimed to know all versions since then for good, also after it had been cut off from the store and had listed the items anew. Versions that were published and removed in the gap were taken for none, so that a stream that one of them began could go on at the only version that was left.

What the history tells now holds as long as the reader has missed no change since; after a gap the history is read again.

TestGapAfterHistoryWasRead failed before (versions_test.go: the version of the gap unknown, the time for which versions are known an hour and more).

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -26,15 +26,21 @@
 	clock     clockwork.Clock
 	log       zerolog.Logger
 
-	// knownSince is the time since which versions are known from the source's history, in Unix nanoseconds of the clock; 0 if
-	// it has not been read.
-	knownSince atomic.Int64
+	// history is nil until the source's history has been read.
+	history atomic.Pointer[versionHistory]
 
 	mu sync.Mutex // held while the history is read
 	// failedAt is when the history was last found to be insufficient.
 	failedAt time.Time
 }
 
+// versionHistory says since when versions are known from the source's history.
+type versionHistory struct {
+	since time.Time
+	// followedSince is the time since which the reader had followed the source. After a later gap the history does not help.
+	followedSince time.Time
+}
+
 // historyRetryInterval is the time after a failed attempt to read the source's history in which there is no other one.
 const historyRetryInterval = 5 * time.Second
 
@@ -49,8 +55,8 @@
 // FollowedSince implements origin.Versions.
 func (v *publishedVersions) FollowedSince() time.Time {
 	followed := v.reader.FollowedSince()
-	if since := v.knownSince.Load(); since != 0 && since < followed.UnixNano() {
-		return time.Unix(0, since)
+	if h := v.history.Load(); h != nil && h.followedSince.Equal(followed) && h.since.Before(followed) {
+		return h.since
 	}
 	return followed
 }
@@ -58,13 +64,13 @@
 // DataAge implements origin.Versions.
 func (v *publishedVersions) DataAge() time.Duration { return v.reader.DataAge() }
 
-// Extend implements origin.History. It reads the changes that the source still has, once after the start.
+// Extend implements origin.History. It reads the changes that the source still has, once after the start and after each gap.
 func (v *publishedVersions) Extend(ctx context.Context) (time.Duration, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.clock.Now()
-	if since := v.knownSince.Load(); since != 0 {
-		return now.Sub(time.Unix(0, since)), nil
+	now, followed := v.clock.Now(), v.reader.FollowedSince()
+	if h := v.history.Load(); h != nil && h.followedSince.Equal(followed) {
+		return now.Sub(h.since), nil
 	}
 	if now.Sub(v.failedAt) < historyRetryInterval {
 		return 0, errHistoryInsufficient
@@ -84,7 +90,7 @@
 	if whole {
 		known = wholeHistory
 	}
-	v.knownSince.Store(now.Add(-known).UnixNano())
+	v.history.Store(&versionHistory{since: now.Add(-known), followedSince: followed})
 	v.log.Info().Str("event", "version-history-read").Int("changes", len(items)).Bool("whole", whole).Dur("known_ms", known).Send()
 	return known, nil
 }
