A caller that gives up does not delay the history of versions

If the caller for whose stream the history was read gave up, the attempt counted as a failure of the store, and for five seconds the streams of all other callers were refused for which the history was needed. TestCallerThatGivesUpDoesNotDelayHistory failed before with errHistoryInsufficient.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -83,7 +83,9 @@
 		err = v.recordVersions(items, now)
 	}
 	if err != nil {
-		v.failedAt = now
+		if ctx.Err() == nil { // otherwise the caller has given up, which says nothing of the source
+			v.failedAt = now
+		}
 		return 0, err
 	}
 	known := v.retention
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -257,6 +257,21 @@
 	is.Equal(known, wholeHistory)
 }
 
+// Guards against a caller that gives up while the history is read, and by that has the streams of others refused.
+func TestCallerThatGivesUpDoesNotDelayHistory(t *testing.T) {
+	is := is.New(t)
+	source := &historyStore{}
+	source.write("u1", "1")
+	vt := startVersions(t, source)
+	ctx, cancel := context.WithCancel(vt.ctx)
+	source.onHistory = cancel
+	_, err := vt.Extend(ctx)
+	is.True(errors.Is(err, context.Canceled))
+	source.onHistory = nil
+	_, err = vt.Extend(vt.ctx)
+	is.NoErr(err)
+}
+
 // Guards against a time for which versions count as known before they are.
 func TestVersionsAreKnownBeforeTheirTimeCounts(t *testing.T) {
 	is := is.New(t)
