--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -34,29 +34,49 @@
 
 // witnesses returns the first hosts of the fleet and of the local data centre in an order that is the same on all hosts.
 func (f *Fleet) witnesses(stream origin.StreamID, global, local int) []string {
+	all, near := make(topHosts, 0, global+1), make(topHosts, 0, local+1)
 	f.mu.Lock()
-	var all, near []string
 	for address, m := range f.members {
 		if m.leaving {
 			continue
 		}
-		all = append(all, address)
+		h := scoredHost{address, loadbalancer.Score(uint64(stream), address)}
+		all = all.add(h, global)
 		if m.dataCentreHash == f.dataCentreHash {
-			near = append(near, address)
+			near = near.add(h, local)
 		}
 	}
 	f.mu.Unlock()
-	loadbalancer.SortByScore(uint64(stream), all)
-	loadbalancer.SortByScore(uint64(stream), near)
-	hosts := all[:min(global, len(all))]
-	for _, address := range near[:min(local, len(near))] {
-		if !slices.Contains(hosts, address) {
-			hosts = append(hosts, address)
+	hosts := make([]string, 0, len(all)+len(near))
+	for _, h := range append(all, near...) {
+		if !slices.Contains(hosts, h.address) {
+			hosts = append(hosts, h.address)
 		}
 	}
 	return hosts
 }
 
+// topHosts holds the hosts with the highest scores in descending order.
+type topHosts []scoredHost
+
+type scoredHost struct {
+	address string
+	score   uint64
+}
+
+// add adds the host if it belongs to the first limit.
+func (t topHosts) add(h scoredHost, limit int) topHosts {
+	i := len(t)
+	for i > 0 && t[i-1].score < h.score {
+		i--
+	}
+	if i >= limit {
+		return t
+	}
+	t = slices.Insert(t, i, h)
+	return t[:min(limit, len(t))]
+}
+
 // AskOrigin implements origin.Peers. It asks the hosts at once and returns when one knows the origin, or when all have
 // answered or failed.
 func (f *Fleet) AskOrigin(ctx context.Context, q origin.Query) []origin.Answer {
