A host that has just started does not claim to have followed for weeks

The answer of a host that had not yet listed the store, or that completed its list while it was asked, held a negative time, which became 49 days in the message, so that a version could be concluded from a list that had just begun. After 49 days of following, the time wrapped around.

TestOriginIsAskedOverHTTP failed before in the cases "follows since a moment that is still to come" (1193h2m47.294s) and "follows for months".

--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -124,7 +124,7 @@
 func (f *Fleet) Origin(_ context.Context, r *fleetpb.OriginRequest) (*fleetpb.OriginAnswer, error) {
 	a := f.Origins.Known(origin.Query{Stream: origin.StreamID(r.GetStream()), Service: r.GetService(), Window: milliseconds(r.GetWindowMs())})
 	reply := &fleetpb.OriginAnswer{
-		Versions: a.Versions, FollowedMs: uint32(a.Followed.Milliseconds()), AgeMs: uint32(min(a.Age, maxAge).Milliseconds()),
+		Versions: a.Versions, FollowedMs: boundedMilliseconds(a.Followed), AgeMs: boundedMilliseconds(a.Age),
 	}
 	if a.Origin != nil {
 		reply.Origin = origin.Encode(*a.Origin, f.Clock.Now())
@@ -132,5 +132,10 @@
 	return reply, nil
 }
 
-// maxAge is the age that stands for anything older.
+// maxAge is the time that stands for anything longer.
 const maxAge = 24 * time.Hour
+
+// boundedMilliseconds returns the time in the unit of messages. A time that begins in the future counts as 0.
+func boundedMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(0, d), maxAge).Milliseconds())
+}
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -202,6 +202,8 @@
 		{"versions", origin.Answer{Versions: []string{"1", "2"}, Followed: time.Minute, Age: 1500 * time.Millisecond},
 			origin.Answer{Versions: []string{"1", "2"}, Followed: time.Minute, Age: 1500 * time.Millisecond}},
 		{"no data", origin.Answer{Age: 1<<63 - 1}, origin.Answer{Age: maxAge}},
+		{"follows since a moment that is still to come", origin.Answer{Versions: []string{"1"}, Followed: -2 * time.Millisecond}, origin.Answer{Versions: []string{"1"}}},
+		{"follows for months", origin.Answer{Versions: []string{"1"}, Followed: 60 * 24 * time.Hour}, origin.Answer{Versions: []string{"1"}, Followed: maxAge}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
