Other hosts are told of streams also while a single version serves

What callers would have seen: a host dies while one version serves, another version is published within a few seconds, and the streams of the dead host that are taken up then are refused, although their version still serves: only the dead host knew their origin, as others were told only from the second version on.

Hosts now always tell of a stream: as before at once, before the first event, while several versions serve or the list is too old, and otherwise within half a second.

After all hosts were killed while two versions serve, nobody knows an origin and all take-ups are refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	// idleDrainTimeout limits the wait until callers' idle connections have ended, which takes as long as the process
 	// needs to be scheduled once for each of them.
 	idleDrainTimeout = time.Second
-	// originWindow is how long other hosts are told which version began a stream after another version served.
+	// originWindow is how long other hosts are told at once which version began a stream after another version served.
 	originWindow = 30 * time.Second
 	// maxStartDelay is the maximum time for which a starting process asks other hosts before it lists the store.
 	maxStartDelay = 300 * time.Millisecond
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -118,9 +118,9 @@
 	t.order = t.order[n:]
 }
 
-// TakeUnshared returns the records of streams of this host for which share returns true and of which other hosts have not
-// been told, at most limit. They count as shared from then on.
-func (t *Table) TakeUnshared(limit int, share func(service string) bool) []Record {
+// TakeUnshared returns the records of streams of this host of which other hosts have not been told, at most limit. They
+// count as shared from then on.
+func (t *Table) TakeUnshared(limit int) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -129,8 +129,8 @@
 		if len(list) == limit {
 			break
 		}
-		if r := t.records[stream]; now.Before(r.Expires) && share(r.Service) {
-			delete(t.unshared, stream)
+		delete(t.unshared, stream)
+		if r := t.records[stream]; now.Before(r.Expires) {
 			list = append(list, r)
 		}
 	}
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// shareInterval is the time between two searches for streams that began before other hosts had to be told of them.
-	shareInterval = 500 * time.Millisecond
+	// ShareInterval is the time within which other hosts are told of a stream that they do not need at once.
+	ShareInterval = 500 * time.Millisecond
 	// maxShared limits the streams of which other hosts are told in one such interval.
 	maxShared = 256
 	// errorLogInterval is the time between two log lines about failed sends.
@@ -45,8 +45,8 @@
 	Scope      tally.Scope
 }
 
-// Sharer tells other hosts the origins of the streams of this host, by datagrams. While a single version serves, nobody
-// needs them.
+// Sharer tells other hosts the origins of the streams of this host, by datagrams. While a single version serves, they are
+// needed only if another one is published after this host has died.
 type Sharer struct {
 	SharerOptions
 	sent, sendErrors tally.Counter
@@ -61,7 +61,8 @@
 	return &Sharer{SharerOptions: o, sent: scope.Counter("sent_bytes"), sendErrors: scope.Counter("send_errors")}
 }
 
-// Record records the origin of a stream of this host and tells other hosts of it if they need it.
+// Record records the origin of a stream of this host. Other hosts are told of it before Record returns if they need it, and
+// otherwise soon after.
 func (s *Sharer) Record(r Record) {
 	if !s.needsSharing(r.Service) {
 		s.Table.AddOwn(r)
@@ -71,13 +72,13 @@
 	s.tell(r)
 }
 
-// Run tells other hosts of streams that began before a second version served, until the context ends.
+// Run tells other hosts of streams until the context ends.
 func (s *Sharer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-s.Clock.After(shareInterval):
-			s.share()
+		case <-s.Clock.After(ShareInterval):
+			s.Share()
 		}
 	}
 }
@@ -87,16 +88,9 @@
 	return s.Versions.DataAge() > s.MaxDataAge || len(s.Versions.VersionsSince(service, s.Clock.Now().Add(-s.Window))) > 1
 }
 
-// share tells other hosts of the streams of which they have not been told.
-func (s *Sharer) share() {
-	needed := map[string]bool{}
-	records := s.Table.TakeUnshared(maxShared, func(service string) bool {
-		if _, ok := needed[service]; !ok {
-			needed[service] = s.needsSharing(service)
-		}
-		return needed[service]
-	})
-	for _, r := range records {
+// Share tells other hosts of the streams of which they have not been told.
+func (s *Sharer) Share() {
+	for _, r := range s.Table.TakeUnshared(maxShared) {
 		s.tell(r)
 	}
 }
