A stream that a caller takes up goes on although its prompt is blamed

What callers would have seen: a take-up refused at once with prompt-quarantined, though a host recorded that the stream had begun, which shows that its prompt crashes no upstream. In the same answer a begun stream was already left alone.

The caller's word alone, a Last-Event-Id without a record, still counts for nothing. A take-up that breaks off before its next event does not raise suspicion against its segments either.

TestTakenUpStreamIsServedDespiteBlame failed before in its first case (503).

--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -57,7 +57,7 @@
 // newSuspect returns the request, whose response breaks off now.
 func newSuspect(req *Request, now time.Time) suspect {
 	s := suspect{fingerprint: req.fingerprint, brokenOffAt: now}
-	if !req.response.begun() {
+	if !req.response.begun() && !req.begunBefore {
 		s.segments = req.segmentHashes()
 	}
 	return s
@@ -132,10 +132,10 @@
 	return outcome.Unavailable(stepQuarantine, "quarantined", "upstreams died while this request ran").WithRetryAfter(left)
 }
 
-// checkPrompt refuses a request whose prompt has segments that crash upstreams. A stream that has begun goes on: its own
-// prompt has not crashed the upstream.
+// checkPrompt refuses a request whose prompt has segments that crash upstreams. A stream that has begun, also with an earlier
+// request, goes on: its own prompt has not crashed the upstream.
 func checkPrompt(table *promptblame.Table, req *Request) error {
-	if req.response.begun() {
+	if req.response.begun() || req.begunBefore {
 		return nil
 	}
 	left := table.Check(req.segmentHashes())
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -29,11 +29,11 @@
 	if req.Route.Kind != catalog.Stream || !req.continuesStream() {
 		return next(ctx, req)
 	}
-	o, _, err := f.resolver.Resolve(ctx, origin.Query{Stream: req.streamID(), Service: req.Service, Window: req.Route.Timeout})
+	o, recorded, err := f.resolver.Resolve(ctx, origin.Query{Stream: req.streamID(), Service: req.Service, Window: req.Route.Timeout})
 	if err != nil {
 		return outcome.Unavailable(stepOrigin, "stream-origin-unknown", "it is not known which software version began the stream").WithPeer("", err)
 	}
-	req.origin = &o
+	req.origin, req.begunBefore = &o, recorded
 	return next(ctx, req)
 }
 
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -137,3 +137,21 @@
 	is.Equal(r.Version, "1")
 	is.True(time.Until(r.Expires) > 9*time.Second) // the timeout of the route is ten seconds
 }
+
+// Guards against the refusal of a stream that a caller takes up, because its prompt has a segment that is blamed for crashes: a
+// stream that has begun shows that its prompt crashes no upstream. The caller's word alone does not.
+func TestTakenUpStreamIsServedDespiteBlame(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		is := is.New(t)
+		h := newHarness(t, catalog.Stream, true, streams)
+		h.blame("thing")
+		if recorded {
+			h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
+		}
+		got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Prompt", "common,thing,own")
+		is.Equal(got.status == http.StatusOK, recorded)
+		if !recorded {
+			is.Equal(got.refusalCode(), "prompt-quarantined")
+		}
+	}
+}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -58,6 +58,8 @@
 	reserved int64
 	// origin is the service and version of the upstream that began the stream; nil before its first byte.
 	origin *origin.Origin
+	// begunBefore is set if a host recorded that the stream began with an earlier request.
+	begunBefore bool
 	// outcomeUnknown is set if an earlier send may have been executed.
 	outcomeUnknown bool
 
