Streams that go on wait for upstreams of their version, and go first at limited ones

What callers saw: take-ups refused with 503 within 15 ms while servers of their version were there.

Cause, from the trail of the refused requests: the only upstream that its limit allowed refused connections, and was tried eight times in 3 to 11 ms. The other upstreams of the version had limits, which new requests used up.

Change, for requests that are bound to a version: an upstream that has just failed for the request is not tried again while it is suspected; the request waits up to a quarter of what is left instead of an eighth of the objective; while one waits, requests that may go to any version leave limited upstreams of this one to it.

Ruled out: the same rule on immediate retries for all requests.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -129,6 +129,9 @@
 		}
 		tier := st.tier(now)
 		if slices.Contains(criteria.Tried, m.key) {
+			if criteria.Version != nil && tier == tierSuspect {
+				continue // the few other upstreams of the version are worth a wait
+			}
 			tier = tierTried
 		} else if pathDown(m.upstream.DataCentre) || len(criteria.Unreached) > 0 && t.isDoubtful(m.upstream.DataCentre, criteria.Unreached, now) {
 			tier = max(tier, tierSuspect)
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -49,6 +49,9 @@
 func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
 	return s.table.order(snap, service, criteria, func(m *member) bool {
 		limits := s.limits(snap, m.upstream, m.stats.limit, now)
+		if len(limits) > 0 && criteria.Version == nil && m.stats.pool.waiting[m.upstream.Version] > 0 {
+			return false
+		}
 		return len(limits) == 0 || s.limiter.Available(m.target(), limits...)
 	})
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -51,6 +51,8 @@
 type poolStats struct {
 	// meanLoad is the mean load at the latest decision.
 	meanLoad float64
+	// waiting counts the requests that wait for an upstream of a certain software version.
+	waiting map[string]int
 }
 
 // stats are this host's statistics of one incarnation of an upstream.
@@ -188,7 +190,7 @@
 		}
 		t.pools[service] = members
 		if t.poolStats[service] == nil {
-			t.poolStats[service] = &poolStats{}
+			t.poolStats[service] = &poolStats{waiting: map[string]int{}}
 		}
 		for _, m := range members {
 			m.stats.pool = t.poolStats[service]
@@ -197,6 +199,24 @@
 	return members
 }
 
+// WaitForVersion records that a request waits for an upstream of the software version, until the returned function is
+// called. Requests that may go to any version then leave limited upstreams of this one to it.
+func (t *Table) WaitForVersion(snap *catalog.Snapshot, service, version string) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.poolMembers(snap, service, t.clock.Now())
+	pool := t.poolStats[service]
+	pool.waiting[version]++
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		pool.waiting[version]--
+		if pool.waiting[version] == 0 {
+			delete(pool.waiting, version)
+		}
+	}
+}
+
 // sweep deletes the statistics of upstreams that were not used for statsExpiry. The caller holds mu.
 func (t *Table) sweep(now time.Time) {
 	if now.Sub(t.lastSweep) < statsExpiry {
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -30,6 +30,9 @@
 	// A request waits for an available upstream for at most 1/upstreamWaitDivisor of its latency objective: a delay of
 	// up to an eighth of the objective does not count as a wait.
 	upstreamWaitDivisor = 8
+	// A request that continues a stream waits longer, for up to 1/boundWaitDivisor of the time that is left: only the
+	// upstreams of one software version can take it, and the stream is lost otherwise.
+	boundWaitDivisor = 4
 	// upstreamPollInterval is how often a waiting request checks for an available upstream.
 	upstreamPollInterval = 20 * time.Millisecond
 	// minRemainingTime is the remaining time below which a request is not sent: no upstream responds faster.
@@ -174,6 +177,8 @@
 // checks the request against the current configuration and blames before each selection.
 func (d *dispatchFilter) waitForUpstream(ctx context.Context, req *Request) (*balance.Choice, error) {
 	var waitUntil time.Time
+	endWait := func() {}
+	defer func() { endWait() }()
 	for {
 		snap := d.store.Current()
 		if err := resolveRoute(req, snap.Config); err != nil {
@@ -194,6 +199,10 @@
 		now := d.clock.Now()
 		if waitUntil.IsZero() {
 			waitUntil = now.Add(req.Route.LatencyObjective / upstreamWaitDivisor)
+			if req.origin != nil {
+				waitUntil = now.Add(req.Deadline.Sub(now) / boundWaitDivisor)
+				endWait = d.balancer.WaitForVersion(snap, req.Service, req.origin.Version)
+			}
 		}
 		if until := d.balancer.AllPausedUntil(snap, req.Service); until.After(waitUntil) {
 			return nil, outcome.Unavailable(stepDispatch, "upstreams-paused", "all upstreams have asked for a pause").
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -155,3 +155,22 @@
 		}
 	}
 }
+
+// Guards against refusals of streams that callers take up, while one upstream of their version fails at once and another one
+// accepts work again soon.
+func TestTakenUpStreamWaitsForUpstreamOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true, streams)
+	versions := []string{"1", "1", "2"}
+	h.publishVersions(versions...)
+	h.listeners[0].Close()
+	h.server.Balancer.MarkPaused(h.store.Current().Upstreams["s"][1], 400*time.Millisecond)
+	h.origins.Add(origin.Record{
+		Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s", Version: "1"}, Expires: time.Now().Add(time.Minute),
+	})
+	got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Wait-Ms", "8000")
+	is.Equal(got.status, http.StatusOK)
+	is.NoErr(got.err)
+	seen, _, _, _ := h.record()
+	is.Equal(versionOf(seen[0], versions), "1")
+}
