A silent stream is not given up for an upstream of another version

A send whose upstream falls silent is given up if another upstream may receive the request at that moment.

The check now asks for the version to which the stream is bound by then. An upstream whose entry changes its version without a new start time counts as another one after the dial. Test: TestSilentStreamIsNotGivenUpForAnotherVersion.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -116,7 +116,7 @@
 func isUsable(snap *catalog.Snapshot, u *catalog.Upstream) bool {
 	for _, current := range snap.Upstreams[u.Service] {
 		if current.ID == u.ID {
-			return current.Key() == u.Key() && snap.AcceptsNewWork(current)
+			return current.Key() == u.Key() && current.Version == u.Version && snap.AcceptsNewWork(current)
 		}
 	}
 	return false
@@ -267,11 +267,13 @@
 // upstream at that moment. The response to a safe request must be complete within half of the remaining time.
 type inactivityTimer struct {
 	gapTimeout time.Duration
-	// canMove reports whether another upstream may receive the request now.
-	canMove func() bool
+	// canMove reports whether another upstream, of the software version unless it is nil, may receive the request now.
+	canMove func(version *string) bool
 	giveUp  context.CancelCauseFunc
 
 	mu sync.Mutex
+	// version is the software version that began the stream; nil before its first byte.
+	version *string
 	// timer is nil if the send must not be given up, and after the send.
 	timer *time.Timer
 }
@@ -286,6 +288,7 @@
 	}
 	t := &inactivityTimer{
 		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), canMove: d.newMoveCheck(req), giveUp: giveUp,
+		version: req.version(),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,9 +298,10 @@
 
 // newMoveCheck returns a function that reports whether another upstream may receive the request now. It may run
 // concurrently with a send, which changes the request.
-func (d *dispatchFilter) newMoveCheck(req *Request) func() bool {
+func (d *dispatchFilter) newMoveCheck(req *Request) func(version *string) bool {
 	service, criteria := req.Service, req.criteria(d.store.Current())
-	return func() bool {
+	return func(version *string) bool {
+		criteria.Version = version
 		return d.retryBudget.Available(service) && d.selector.HasUntried(d.store.Current(), service, criteria)
 	}
 }
@@ -307,13 +311,20 @@
 	defer t.mu.Unlock()
 	switch {
 	case t.timer == nil:
-	case t.canMove():
+	case t.canMove(t.version):
 		t.giveUp(balance.ErrResponseTimeout)
 	default:
 		t.timer.Reset(moveCheckInterval)
 	}
 }
 
+// bind records the software version to which the stream is bound.
+func (t *inactivityTimer) bind(version *string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = version
+}
+
 func (t *inactivityTimer) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -174,3 +175,23 @@
 	seen, _, _, _ := h.record()
 	is.Equal(versionOf(seen[0], versions), "1")
 }
+
+// Guards against a stream that is cut off because its upstream is silent for a moment and another one could only begin it
+// anew at another software version.
+func TestSilentStreamIsNotGivenUpForAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	silent := behaviour{"silent in the middle", func(c net.Conn, r *http.Request) bool {
+		streamFrom(c, r, 2)
+		time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+		for id := 3; id <= streamEvents; id++ {
+			writeText(c, chunk(event(id)))
+		}
+		writeText(c, "0\r\n\r\n")
+		return true
+	}, true}
+	h := newHarness(t, catalog.Stream, true, silent)
+	h.publishVersions("1", "2", "3")
+	got := h.call(http.MethodPost, "/r/", "")
+	is.NoErr(got.err)
+	is.Equal(got.body, wholeStream())
+}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -150,6 +150,7 @@
 		if len(output) > 0 && !bound {
 			bound = true
 			d.bindStream(req, u)
+			inactivity.bind(req.version())
 		}
 		if writeErr := req.response.sendEvents(resp, output); writeErr != nil {
 			release(false)
