A stream that a caller takes up stays at its service when the weights of its route change

A route may split its requests over services by weights; a continued stream goes to the service of its first request, by whose ID it is picked. After a change of the weights the pick can differ, and the stream was refused (stream-version-gone) although its service and version serve. The recorded service now holds as long as the route sends to it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,6 +56,11 @@
 	return r.Kind == Safe || r.Kind == Stream && r.ResumableStreams
 }
 
+// SendsTo reports whether a share of the route's requests goes to the service.
+func (r *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service is a pool of upstreams.
 type Service struct {
 	Name string
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -108,6 +108,9 @@
 	}
 	req.Route = route
 	req.Service = pickService(route, req.firstID())
+	if req.origin != nil && route.SendsTo(req.origin.Service) {
+		req.Service = req.origin.Service // the weights may have changed since the stream began
+	}
 	return nil
 }
 
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -195,3 +195,13 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, wholeStream())
 }
+
+// Guards against a stream that goes on at another service, or nowhere, after the weights of its route have changed.
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true, streams)
+	h.config.Routes[0].WeightedServices = []catalog.WeightedService{{Service: "other", Weight: 1e9}, {Service: "s", Weight: 1e-9}}
+	h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
+	got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2")
+	is.Equal(got.status, http.StatusOK)
+}
