What a host claims to have followed holds for gaps at other hosts' changes, and when the time of day is set

Another host tells the latest state of each item, not those in between. A host that was out of contact for longer than its data may be old and then reads such changes claimed to have followed all the while, so that a version that came and went was missed. And a host whose mirror gossip had filled first never claimed to have followed at all, so that it depended on others for streams of unknown origin.

Ages of data were differences of the time of day: a clock that is set forward made all data old, one that is set back made it fresh, and with it what a host claims. They now follow the monotonic clock. Found by the review; tests: TestFollowedTimeOfHostThatReadsFromPeers, TestTimesOfDataKeepMonotonicReading.

--- a/internal/published/history_test.go
+++ b/internal/published/history_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/bits"
+	"strings"
 	"testing"
 	"time"
 
@@ -246,3 +247,29 @@
 	r.step(context.Background()) // data that is too old is not taken over
 	is.True(r.FollowedSince().Equal(before))
 }
+
+// Guards against a host that claims to have followed what it cannot know: what another host tells lacks the states in between,
+// and what gossip brought before does not count as a list.
+func TestFollowedTimeOfHostThatReadsFromPeers(t *testing.T) {
+	is := is.New(t)
+	r, _, clock := newFollowingReader()
+	r.recordListed(clock.Now())
+	r.recordFresh(clock.Now())
+	start := clock.Now()
+	is.Equal(r.FollowedSince(), start) // also if another host's first batch is not full
+	clock.Advance(r.Timing.MaxStaleness)
+	r.recordListed(clock.Now())
+	r.recordFresh(clock.Now())
+	is.Equal(r.FollowedSince(), start)
+	clock.Advance(r.Timing.MaxStaleness + 1)
+	r.recordListed(clock.Now())
+	r.recordFresh(clock.Now())
+	is.Equal(r.FollowedSince(), clock.Now())
+}
+
+// Guards against ages that change when the time of day is set.
+func TestTimesOfDataKeepMonotonicReading(t *testing.T) {
+	var m moment
+	m.set(time.Now())
+	is.New(t).True(strings.Contains(m.get().String(), " m=+"))
+}
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -131,7 +131,7 @@
 // starting reports whether this host has just started and asks other hosts for all items.
 func (r *Reader) starting() bool {
 	elapsed := r.Clock.Since(r.startedAt)
-	if r.Peers == nil || !r.needsFullList || r.dataAsOf.Load() != 0 || elapsed >= r.StartDelay {
+	if r.Peers == nil || !r.needsFullList || !r.dataAsOf.get().IsZero() || elapsed >= r.StartDelay {
 		return false
 	}
 	return elapsed < startGrace || r.Peers.SelectSnapshotPeer() != nil
@@ -173,9 +173,9 @@
 
 // ServeSnapshot returns all items, and whether they are complete and recent enough for another host to start from.
 func (r *Reader) ServeSnapshot() (PeerBatch, bool) {
-	dataAsOf := r.dataAsOf.Load()
-	update := PeerBatch{Batch: r.Mirror.Since(Version{}), Age: time.Duration(r.Clock.Now().UnixNano() - dataAsOf)}
-	if dataAsOf == 0 || !update.Full || r.Disconnected() || update.Age >= r.Timing.MaxPeerDataAge {
+	dataAsOf := r.dataAsOf.get()
+	update := PeerBatch{Batch: r.Mirror.Since(Version{}), Age: r.Clock.Since(dataAsOf)}
+	if dataAsOf.IsZero() || !update.Full || r.Disconnected() || update.Age >= r.Timing.MaxPeerDataAge {
 		return PeerBatch{}, false
 	}
 	return update, true
@@ -226,9 +226,7 @@
 	r.needsFullList = false // the other host's data is complete
 	r.Mirror.Merge(after.Revision, update.Batch)
 	asOf := r.Clock.Now().Add(-update.Age)
-	if update.Full {
-		r.recordListed(asOf)
-	}
+	r.recordListed(asOf)
 	r.recordFresh(asOf)
 	return true, nil
 }
@@ -236,11 +234,11 @@
 // peerWait returns how long a request to another host may wait for a change. The older this host's data already is, the
 // sooner it must find out that the other host does not respond.
 func (r *Reader) peerWait() time.Duration {
-	dataAsOf := r.dataAsOf.Load()
-	if dataAsOf == 0 {
+	dataAsOf := r.dataAsOf.get()
+	if dataAsOf.IsZero() {
 		return r.Timing.PeerLongPollWait
 	}
-	age := time.Duration(r.Clock.Now().UnixNano() - dataAsOf)
+	age := r.Clock.Since(dataAsOf)
 	return max(0, min(r.Timing.PeerLongPollWait, r.Timing.MaxDataAge-r.Timing.PeerTimeoutSlack-age))
 }
 
@@ -257,15 +255,15 @@
 // checks for itself whether the store is down or is failing only for this host.
 func (r *Reader) ServeChanges(ctx context.Context, after Version, wait time.Duration) (PeerBatch, bool) {
 	now := r.Clock.Now()
-	r.lastPeerRequestAt.Store(now.UnixNano())
+	r.lastPeerRequestAt.set(now)
 	until := now.Add(min(wait, maxServeWait))
 	for {
 		changed := r.Mirror.Changed()
-		now, dataAsOf := r.Clock.Now(), r.dataAsOf.Load()
-		if dataAsOf == 0 || r.Disconnected() || *r.sourcePeer.Load() != "" || r.Mirror.Complete().Era < after.Era {
+		now, dataAsOf := r.Clock.Now(), r.dataAsOf.get()
+		if dataAsOf.IsZero() || r.Disconnected() || *r.sourcePeer.Load() != "" || r.Mirror.Complete().Era < after.Era {
 			return PeerBatch{}, false
 		}
-		update := PeerBatch{Batch: r.Mirror.Since(after), Age: time.Duration(now.UnixNano() - dataAsOf)}
+		update := PeerBatch{Batch: r.Mirror.Since(after), Age: now.Sub(dataAsOf)}
 		if !update.WithinRelayLimit() {
 			update.Items, update.Withheld = nil, true
 			return update, true
@@ -293,7 +291,7 @@
 
 // isShared reports whether other hosts read changes from this one.
 func (r *Reader) isShared() bool {
-	return r.Clock.Now().UnixNano()-r.lastPeerRequestAt.Load() < int64(sharedTimeout)
+	return r.Clock.Since(r.lastPeerRequestAt.get()) < sharedTimeout
 }
 
 // nextPollInterval returns the time until the next store call.
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -68,17 +68,30 @@
 	retryDelay  time.Duration
 	startedAt   time.Time
 	// dataAsOf is the time as of which the mirror is up to date with the source. lastPeerRequestAt is when another host
-	// last asked for changes. Both are Unix nanoseconds of the clock.
-	dataAsOf, lastPeerRequestAt atomic.Int64
-	// followedSince is the time since which no change was missed, in Unix nanoseconds of the clock; 0 before the first full
-	// list.
-	followedSince atomic.Int64
+	// last asked for changes.
+	dataAsOf, lastPeerRequestAt moment
+	// followedSince is the time since which no change was missed; zero before the first full list.
+	followedSince moment
 	// storeFailedAt is when a call to the source last failed.
 	storeFailedAt time.Time
 	// sourcePeer is the host from which this one reads changes, or empty if it reads the source itself.
 	sourcePeer atomic.Pointer[string]
 }
 
+// moment is a time that several goroutines read and set. It keeps the reading of the monotonic clock, by which ages stay
+// right when the time of day is set.
+type moment struct{ at atomic.Pointer[time.Time] }
+
+func (m *moment) set(at time.Time) { m.at.Store(&at) }
+
+// get returns the time, or the zero time if none was set.
+func (m *moment) get() time.Time {
+	if at := m.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // NewReader returns a reader; Run starts it.
 func NewReader(o ReaderOptions) *Reader {
 	scope := o.Scope.Tagged(map[string]string{"prefix": o.Mirror.Prefix})
@@ -253,38 +266,42 @@
 // FollowedSince returns the time since which this host has missed no change, except of items that were published and removed
 // within the maximum staleness. It is now before the first full list.
 func (r *Reader) FollowedSince() time.Time {
-	if since := r.followedSince.Load(); since != 0 {
-		return time.Unix(0, since)
+	if since := r.followedSince.get(); !since.IsZero() {
+		return since
 	}
 	return r.Clock.Now()
 }
 
 // DataAge returns the age of this host's data.
 func (r *Reader) DataAge() time.Duration {
-	asOf := r.dataAsOf.Load()
-	if asOf == 0 {
+	asOf := r.dataAsOf.get()
+	if asOf.IsZero() {
 		return math.MaxInt64
 	}
-	return time.Duration(r.Clock.Now().UnixNano() - asOf)
+	return r.Clock.Since(asOf)
 }
 
-// recordListed records that a full list as of the given time replaced what this host knew. Items that were published and
-// removed since its data was up to date are missing from it.
+// recordListed records that items as of the given time, which lack intermediate states, replaced what this host knew. Items
+// that were published and removed since its data was up to date are missing from them.
 func (r *Reader) recordListed(at time.Time) {
-	asOf := r.dataAsOf.Load()
-	if asOf == 0 || time.Duration(at.UnixNano()-asOf) > r.Timing.MaxStaleness {
-		r.followedSince.Store(at.UnixNano())
+	asOf := r.dataAsOf.get()
+	if r.followedSince.get().IsZero() || at.Sub(asOf) > r.Timing.MaxStaleness {
+		r.followedSince.set(at)
 	}
 }
 
 // recordFresh records that the mirror is up to date with the source as of the given time, which ends an outage.
 func (r *Reader) recordFresh(at time.Time) {
-	now := r.Clock.Now().UnixNano()
-	before := r.dataAsOf.Swap(min(at.UnixNano(), now))
+	now := r.Clock.Now()
+	if at.After(now) {
+		at = now
+	}
+	before := r.dataAsOf.get()
+	r.dataAsOf.set(at)
 	if !r.failing.Swap(false) {
 		return
 	}
-	outage := time.Duration(now - before)
+	outage := now.Sub(before)
 	r.Log.Info().Str("event", "store-regained").Str("prefix", r.Mirror.Prefix).Str("peer", *r.sourcePeer.Load()).
 		Dur("outage_ms", outage).Uint64("complete", r.Mirror.CompleteRevision()).Send()
 	r.Outages.OutageEnded(outage)
