A history that the store has cut, and a timeout that was shortened, do not make a stream's origin certain

From the review of the fix: - A store may discard changes sooner than it says, for which the host took what was left for all changes of that time: after a release, a loss of history and the death of all hosts, streams of the old version would have gone on at the new one. What a cut history tells now counts only if no upstream of the service started within the window, with 5 s for clocks that differ; a restored store's history never counts as whole. An entry that could not be read names no version and no longer hides others. - A stream may have begun with a longer timeout than the route's present one. The window is the longest timeout of a route for streams to the service in any configuration so far. - Past versions have their own lock: the first event of each stream waited while a large configuration was decoded.

Tests: new cases of TestHistoryExtendsWhatIsKnown (an upstream that started lately, cut and whole), TestHistoryThatIsNotReadIsReported (too many changes), TestStreamTimeoutsDoNotShrink. TestHistoryOfOldStoreIsRead bounds the calls by what is kept instead of by 40, which is stricter; followed() of a cut history is 0, as it depends on the service.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -157,6 +157,8 @@
 	DisabledDataCentres map[string]bool
 	// Upstreams holds all published upstreams by service, including leaving ones, ordered by ID.
 	Upstreams map[string][]*Upstream
+	// StreamTimeouts holds the longest timeout of a route for streams, in any configuration so far, by service.
+	StreamTimeouts map[string]time.Duration
 	// Versions holds the software versions of all published upstreams by service, in ascending order.
 	Versions map[string][]string
 }
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -60,9 +61,10 @@
 	// configRevision is the store's revision of config.
 	configRevision      uint64
 	disabledDataCentres map[string]bool
+	streamTimeouts      map[string]time.Duration
 	upstreams           map[string]*Upstream
 	// pastVersions holds the software versions of upstreams that were removed or replaced.
-	pastVersions versionLog
+	pastVersions *versionLog
 	// expiredInOutage holds the upstreams whose entries were removed in a store outage.
 	expiredInOutage map[string]bool
 	// outageGraceEnd is the time until which removals count as expired entries. It is in the distant future during a
@@ -76,7 +78,7 @@
 func NewStore(decode DecodeFunc, clock clockwork.Clock, log zerolog.Logger) *Store {
 	s := &Store{
 		decode: decode, clock: clock, log: log, disabledDataCentres: map[string]bool{}, upstreams: map[string]*Upstream{},
-		expiredInOutage: map[string]bool{}, pastVersions: versionLog{}, configReady: make(chan struct{}),
+		expiredInOutage: map[string]bool{}, pastVersions: newVersionLog(), streamTimeouts: map[string]time.Duration{}, configReady: make(chan struct{}),
 	}
 	s.current.Store(&Snapshot{DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}})
 	return s
@@ -133,10 +135,26 @@
 	c.Index()
 	s.logRevokedKeys(c, item.Revision)
 	s.config, s.configRevision = c, item.Revision
+	s.extendStreamTimeouts(c)
 	s.log.Info().Str("event", "config-in-force").Uint64("version", c.Version).Uint64("revision", item.Revision).
 		Int("routes", len(c.Routes)).Int("keys", len(c.Teams)).Send()
 }
 
+// extendStreamTimeouts takes over the timeouts of the configuration's routes for streams, if they are longer than before:
+// streams that began with the previous configuration go on.
+func (s *Store) extendStreamTimeouts(c *Config) {
+	timeouts := maps.Clone(s.streamTimeouts)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, share := range r.WeightedServices {
+			if r.Kind == Stream {
+				timeouts[share.Service] = max(timeouts[share.Service], r.Timeout)
+			}
+		}
+	}
+	s.streamTimeouts = timeouts
+}
+
 func (s *Store) logRevokedKeys(next *Config, revision uint64) {
 	if s.config == nil {
 		return
@@ -187,18 +205,24 @@
 			Str("software", u.Version).Time("cold_until", u.ColdUntil).Uint64("revision", item.Revision).Send()
 	}
 	if known != nil && (known.Version != u.Version || known.Service != u.Service) {
-		s.pastVersions.record(known, s.clock.Now())
+		s.recordPast(known)
 	}
 	s.upstreams[entry.Name] = u
 }
 
+// recordPast records the software version of an upstream that was published until now.
+func (s *Store) recordPast(u *Upstream) {
+	now := s.clock.Now()
+	s.pastVersions.record(serviceVersion{u.Service, u.Version}, now, now)
+}
+
 func (s *Store) removeUpstream(id string, revision uint64) {
 	delete(s.expiredInOutage, id)
 	known := s.upstreams[id]
 	if known == nil {
 		return
 	}
-	s.pastVersions.record(known, s.clock.Now())
+	s.recordPast(known)
 	delete(s.upstreams, id)
 	s.log.Info().Str("event", "upstream-gone").Str("upstream", id).Uint64("revision", revision).Send()
 }
@@ -257,7 +281,7 @@
 
 // publish builds and publishes the next snapshot. The caller holds mu.
 func (s *Store) publish() {
-	next := &Snapshot{Config: s.config, ConfigRevision: s.configRevision, DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}, Versions: map[string][]string{}}
+	next := &Snapshot{Config: s.config, ConfigRevision: s.configRevision, DisabledDataCentres: s.disabledDataCentres, Upstreams: map[string][]*Upstream{}, StreamTimeouts: s.streamTimeouts, Versions: map[string][]string{}}
 	for _, u := range s.upstreams {
 		next.Upstreams[u.Service] = append(next.Upstreams[u.Service], u)
 	}
--- a/internal/catalog/versions.go
+++ b/internal/catalog/versions.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -14,17 +16,35 @@
 	service, version string
 }
 
-// versionLog holds when software versions were last published.
-type versionLog map[serviceVersion]time.Time
+// versionLog holds when software versions were last published. It has its own lock, since it is read for each stream and a
+// large configuration is decoded under that of the store.
+type versionLog struct {
+	mu            sync.Mutex
+	lastPublished map[serviceVersion]time.Time
+}
+
+func newVersionLog() *versionLog { return &versionLog{lastPublished: map[serviceVersion]time.Time{}} }
+
+// record records that the version was published until the given time.
+func (l *versionLog) record(v serviceVersion, at, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.lastPublished, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > versionExpiry })
+	if l.lastPublished[v].Before(at) {
+		l.lastPublished[v] = at
+	}
+}
 
-// record records that an upstream of the version was published until now.
-func (l versionLog) record(u *Upstream, now time.Time) {
-	for v, at := range l {
-		if now.Sub(at) > versionExpiry {
-			delete(l, v)
+// appendSince appends the versions of the service that were published since then and are not in the list.
+func (l *versionLog) appendSince(list []string, service string, since time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for v, at := range l.lastPublished {
+		if v.service == service && !at.Before(since) && !slices.Contains(list, v.version) {
+			list = append(list, v.version)
 		}
 	}
-	l[serviceVersion{u.Service, u.Version}] = now
+	return list
 }
 
 // distinctVersions returns the software versions of the upstreams in ascending order.
@@ -42,14 +62,9 @@
 // VersionsSince returns the software versions of the service's upstreams that were published at any time since then, as
 // far as this host has followed the published items, in ascending order.
 func (s *Store) VersionsSince(service string, since time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	// A version is recorded as past before the snapshot that lacks it, so that reading the snapshot first misses none.
 	versions := slices.Clone(s.Current().Versions[service])
-	for v, at := range s.pastVersions {
-		if v.service == service && !at.Before(since) && !slices.Contains(versions, v.version) {
-			versions = append(versions, v.version)
-		}
-	}
+	versions = s.pastVersions.appendSince(versions, service, since)
 	slices.Sort(versions)
 	return versions
 }
@@ -57,9 +72,10 @@
 // RecordPastVersion records that an upstream of the version was published at the given time, as the store's history
 // tells.
 func (s *Store) RecordPastVersion(service, version string, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v := (serviceVersion{service, version}); s.pastVersions[v].Before(at) {
-		s.pastVersions[v] = at
-	}
+	s.pastVersions.record(serviceVersion{service, version}, at, s.clock.Now())
+}
+
+// StartedSince reports whether an upstream of the service that is published now started since then, or does not say when.
+func (s *Store) StartedSince(service string, since time.Time) bool {
+	return slices.ContainsFunc(s.Current().Upstreams[service], func(u *Upstream) bool { return u.StartedAtMs == 0 || u.StartedAtMs >= since.UnixMilli() })
 }
--- a/internal/catalog/versions_test.go
+++ b/internal/catalog/versions_test.go
@@ -104,7 +104,7 @@
 	s.clock.Advance(1)
 	s.put("up/u1", "s 4")
 	is.Equal(s.VersionsSince("s", time.Time{}), []string{"2", "3", "4"})
-	is.Equal(len(s.pastVersions), 2)
+	is.Equal(len(s.pastVersions.lastPublished), 2)
 }
 
 // Guards against take-ups that are sent to, or refused for, upstreams that are no longer there.
@@ -131,3 +131,17 @@
 	s.remove("up/u3")
 	is.Equal(len(s.Current().Versions["s"]), 0)
 }
+
+// Guards against streams that began with the timeout of an earlier configuration, and that are taken for younger ones.
+func TestStreamTimeoutsDoNotShrink(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(func(item published.Item, _ time.Time) (Entry, error) {
+		route := Route{Kind: Stream, Timeout: time.Duration(item.Value[0]) * time.Second, WeightedServices: []WeightedService{{Service: "s"}}}
+		other := Route{Kind: Safe, Timeout: time.Hour, WeightedServices: []WeightedService{{Service: "s"}}}
+		return Entry{Kind: ItemConfig, Config: &Config{Version: item.Revision, Routes: []Route{route, other}}}, nil
+	}, clockwork.NewFakeClock(), zerolog.Nop())
+	for i, seconds := range []byte{3, 12, 5} {
+		s.Apply([]published.Item{{Key: "config", Value: []byte{seconds}, Revision: uint64(i + 1)}})
+		is.Equal(s.Current().StreamTimeouts["s"], time.Duration(max(seconds, []byte{0, 0, 12}[i]))*time.Second)
+	}
+}
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -17,7 +17,7 @@
 		&deadlineFilter{clock: s.Clock},
 		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes)},
 		&quarantineFilter{quarantine: s.Quarantine},
-		&originFilter{resolver: s.Origins},
+		&originFilter{store: s.Store, resolver: s.Origins},
 		&dispatchFilter{
 			shareOrigin: s.ShareOrigin,
 			store:       s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -18,6 +18,7 @@
 
 // originFilter binds a request that continues a stream to the software version that began it.
 type originFilter struct {
+	store    *catalog.Store
 	resolver OriginResolver
 }
 
@@ -29,7 +30,9 @@
 	if req.Route.Kind != catalog.Stream || !req.continuesStream() {
 		return next(ctx, req)
 	}
-	o, recorded, err := f.resolver.Resolve(ctx, origin.Query{Stream: req.streamID(), Service: req.Service, Window: req.Route.Timeout})
+	o, recorded, err := f.resolver.Resolve(ctx, origin.Query{
+		Stream: req.streamID(), Service: req.Service, Window: f.store.Current().StreamTimeouts[req.Service],
+	})
 	if err != nil {
 		return outcome.Unavailable(stepOrigin, "stream-origin-unknown", "it is not known which software version began the stream").WithPeer("", err)
 	}
@@ -43,7 +46,7 @@
 	if req.origin == nil {
 		req.origin = &origin.Origin{Service: u.Service, Version: u.Version}
 	}
-	if !req.Route.Repeatable() {
+	if !req.Route.Repeatable() || req.firstID() == "" {
 		return
 	}
 	lifetime := max(req.Route.Timeout, req.CallerTimeout)
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -139,24 +139,6 @@
 	is.True(time.Until(r.Expires) > 9*time.Second) // the timeout of the route is ten seconds
 }
 
-// Guards against the refusal of a stream that a caller takes up, because its prompt has a segment that is blamed for crashes: a
-// stream that has begun shows that its prompt crashes no upstream. The caller's word alone does not.
-func TestTakenUpStreamIsServedDespiteBlame(t *testing.T) {
-	for _, recorded := range []bool{true, false} {
-		is := is.New(t)
-		h := newHarness(t, catalog.Stream, true, streams)
-		h.blame("thing")
-		if recorded {
-			h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
-		}
-		got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Prompt", "common,thing,own")
-		is.Equal(got.status == http.StatusOK, recorded)
-		if !recorded {
-			is.Equal(got.refusalCode(), "prompt-quarantined")
-		}
-	}
-}
-
 // Guards against refusals of streams that callers take up, while one upstream of their version fails at once and another one
 // accepts work again soon.
 func TestTakenUpStreamWaitsForUpstreamOfItsVersion(t *testing.T) {
@@ -176,6 +158,24 @@
 	is.Equal(versionOf(seen[0], versions), "1")
 }
 
+// Guards against the refusal of a stream that a caller takes up, because its prompt has a segment that is blamed for crashes: a
+// stream that has begun shows that its prompt crashes no upstream. The caller's word alone does not.
+func TestTakenUpStreamIsServedDespiteBlame(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		is := is.New(t)
+		h := newHarness(t, catalog.Stream, true, streams)
+		h.blame("thing")
+		if recorded {
+			h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
+		}
+		got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Prompt", "common,thing,own")
+		is.Equal(got.status == http.StatusOK, recorded)
+		if !recorded {
+			is.Equal(got.refusalCode(), "prompt-quarantined")
+		}
+	}
+}
+
 // Guards against a stream that is cut off because its upstream is silent for a moment and another one could only begin it
 // anew at another software version.
 func TestSilentStreamIsNotGivenUpForAnotherVersion(t *testing.T) {
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -34,9 +34,11 @@
 	failedAt time.Time
 }
 
-// versionHistory says since when versions are known from the source's history.
+// versionHistory says for which time versions are known from the source's history.
 type versionHistory struct {
 	since time.Time
+	// whole is set if the source has never discarded a change.
+	whole bool
 	// followedSince is the time since which the reader had followed the source. After a later gap the history does not help.
 	followedSince time.Time
 }
@@ -44,6 +46,9 @@
 // historyRetryInterval is the time after a failed attempt to read the source's history in which there is no other one.
 const historyRetryInterval = 5 * time.Second
 
+// historyTimeout limits the time for reading the source's history, for which the callers' streams wait.
+const historyTimeout = time.Second
+
 // errHistoryInsufficient reports that the source's history does not tell all versions that were published.
 var errHistoryInsufficient = errors.New("the history does not tell all versions")
 
@@ -55,7 +60,7 @@
 // FollowedSince implements origin.Versions.
 func (v *publishedVersions) FollowedSince() time.Time {
 	followed := v.reader.FollowedSince()
-	if h := v.history.Load(); h != nil && h.followedSince.Equal(followed) && h.since.Before(followed) {
+	if h := v.history.Load(); h != nil && h.whole && h.followedSince.Equal(followed) {
 		return h.since
 	}
 	return followed
@@ -65,17 +70,40 @@
 func (v *publishedVersions) DataAge() time.Duration { return v.reader.DataAge() }
 
 // Extend implements origin.History. It reads the changes that the source still has, once after the start and after each gap.
-func (v *publishedVersions) Extend(ctx context.Context) (time.Duration, error) {
+//
+// A source may discard changes sooner than it says. If it has discarded some, the history therefore counts only if no
+// upstream of the service started within the window: a version that replaced another one would have.
+func (v *publishedVersions) Extend(ctx context.Context, service string, window time.Duration) (time.Duration, error) {
+	h, err := v.readHistory(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now := v.clock.Now()
+	if !h.whole && v.store.StartedSince(service, now.Add(-window-maxClockSkew)) {
+		return 0, errors.Wrapf(errHistoryInsufficient, "upstreams of %q started lately", service)
+	}
+	return now.Sub(h.since), nil
+}
+
+// maxClockSkew is how much the clocks of hosts and upstreams may differ.
+const maxClockSkew = 5 * time.Second
+
+// readHistory returns the history, and reads it if that has not been done since the last gap.
+func (v *publishedVersions) readHistory(ctx context.Context) (*versionHistory, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, followed := v.clock.Now(), v.reader.FollowedSince()
 	if h := v.history.Load(); h != nil && h.followedSince.Equal(followed) {
-		return now.Sub(h.since), nil
+		return h, nil
 	}
 	if now.Sub(v.failedAt) < historyRetryInterval {
-		return 0, errHistoryInsufficient
+		return nil, errHistoryInsufficient
 	}
-	items, whole, err := published.ReadHistory(ctx, v.source, v.mirror.Prefix, v.mirror.Complete())
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	complete := v.mirror.Complete()
+	items, whole, err := published.ReadHistory(ctx, v.source, v.mirror.Prefix, complete)
+	whole = whole && complete.Era <= 1 // a restored source lacks the writes that were lost
 	if err == nil && !whole && v.retention == 0 {
 		err = errors.Wrap(errHistoryInsufficient, "its length is not known")
 	}
@@ -83,18 +111,19 @@
 		err = v.recordVersions(items, now)
 	}
 	if err != nil {
-		if ctx.Err() == nil { // otherwise the caller has given up, which says nothing of the source
-			v.failedAt = now
+		if !errors.Is(ctx.Err(), context.Canceled) { // otherwise the caller has given up, which says nothing of the source
+			v.failedAt = v.clock.Now()
 		}
-		return 0, err
+		return nil, err
 	}
 	known := v.retention
 	if whole {
 		known = wholeHistory
 	}
-	v.history.Store(&versionHistory{since: now.Add(-known), followedSince: followed})
+	h := &versionHistory{since: now.Add(-known), whole: whole, followedSince: followed}
+	v.history.Store(h)
 	v.log.Info().Str("event", "version-history-read").Int("changes", len(items)).Bool("whole", whole).Dur("known_ms", known).Send()
-	return known, nil
+	return h, nil
 }
 
 // wholeHistory is the time for which versions count as known if no change has ever been discarded.
@@ -107,7 +136,9 @@
 	for _, item := range items {
 		entry, err := v.decode(item, now)
 		switch {
-		case entry.Kind != catalog.ItemUpstream || err != nil:
+		case entry.Kind != catalog.ItemUpstream:
+		case err != nil:
+			known[entry.Name] = true // it names no upstream that could have received a request
 		case entry.Upstream != nil:
 			known[entry.Name] = true
 			v.store.RecordPastVersion(entry.Upstream.Service, entry.Upstream.Version, now)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -74,10 +74,14 @@
 	return published.Batch{Items: s.changes[after:], Revision: uint64(len(s.changes))}, nil
 }
 
-func decodeVersion(item published.Item, _ time.Time) (catalog.Entry, error) {
+func decodeVersion(item published.Item, now time.Time) (catalog.Entry, error) {
 	e := catalog.Entry{Kind: catalog.ItemUpstream, Name: strings.TrimPrefix(item.Key, "up/")}
 	if !item.Removed {
-		e.Upstream = &catalog.Upstream{ID: e.Name, Service: "s", Version: string(item.Value)}
+		version, young := strings.CutSuffix(string(item.Value), " young")
+		e.Upstream = &catalog.Upstream{ID: e.Name, Service: "s", Version: version, StartedAtMs: 1}
+		if young {
+			e.Upstream.StartedAtMs = now.UnixMilli()
+		}
 	}
 	return e, nil
 }
@@ -137,6 +141,11 @@
 	return strings.Join(vt.VersionsSince("s", vt.clock.Now().Add(-testRetention)), " ")
 }
 
+// extend asks for the versions of the tests' service.
+func (vt *versionsTest) extend(ctx context.Context) (time.Duration, error) {
+	return vt.Extend(ctx, "s", testRetention)
+}
+
 // followed returns the time for which versions are known.
 func (vt *versionsTest) followed() time.Duration { return vt.clock.Since(vt.FollowedSince()) }
 
@@ -159,6 +168,8 @@
 			s.write("u2", "2")
 			s.lost = 1
 		}, testRetention, "1 2", testRetention},
+		{"a part, and an upstream that started lately", func(s *historyStore) { s.write("u1", "1"); s.write("u2", "1 young"); s.lost = 1 }, testRetention, "1", 0},
+		{"whole, and an upstream that started lately", func(s *historyStore) { s.write("u1", "1"); s.write("u2", "1 young") }, testRetention, "1", wholeHistory},
 		{"a part of unknown length", func(s *historyStore) { s.write("u1", "1"); s.write("u2", "2"); s.lost = 1 }, 0, "1 2", 0},
 		{"nothing is left", func(s *historyStore) { s.write("u1", "1"); s.lost = 1 }, testRetention, "1", 0},
 		{"an upstream was removed whose version is not told", func(s *historyStore) {
@@ -192,9 +203,12 @@
 				source.err = errors.New("down")
 			}
 			is.Equal(vt.followed(), time.Duration(0))
-			known, err := vt.Extend(vt.ctx)
+			known, err := vt.extend(vt.ctx)
 			is.Equal(err == nil, tt.known > 0)
 			is.Equal(known, tt.known)
+			if tt.known != wholeHistory {
+				tt.known = 0 // what a part tells depends on the service
+			}
 			is.Equal(vt.followed(), tt.known)
 			if err == nil {
 				is.Equal(vt.versions(), tt.versions)
@@ -212,7 +226,7 @@
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Go(func() {
-			if known, err := vt.Extend(vt.ctx); err != nil || known < wholeHistory {
+			if known, err := vt.extend(vt.ctx); err != nil || known < wholeHistory {
 				t.Errorf("known for %s, error %v", known, err)
 			}
 		})
@@ -220,7 +234,7 @@
 	wg.Wait()
 	is.Equal(source.calls, 1)
 	vt.run(10 * time.Second)
-	known, err := vt.Extend(vt.ctx)
+	known, err := vt.extend(vt.ctx)
 	is.NoErr(err)
 	is.Equal(known, wholeHistory+10*time.Second)
 	is.Equal(vt.followed(), known)
@@ -237,7 +251,7 @@
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Go(func() {
-			if _, err := vt.Extend(vt.ctx); err == nil {
+			if _, err := vt.extend(vt.ctx); err == nil {
 				t.Error("no error")
 			}
 		})
@@ -245,14 +259,14 @@
 	wg.Wait()
 	is.Equal(source.calls, 1)
 	vt.clock.Advance(historyRetryInterval - 1)
-	_, err := vt.Extend(vt.ctx)
+	_, err := vt.extend(vt.ctx)
 	is.True(errors.Is(err, errHistoryInsufficient))
 	is.Equal(source.calls, 1)
 	source.mu.Lock()
 	source.err = nil
 	source.mu.Unlock()
 	vt.clock.Advance(1)
-	known, err := vt.Extend(vt.ctx)
+	known, err := vt.extend(vt.ctx)
 	is.NoErr(err)
 	is.Equal(known, wholeHistory)
 }
@@ -265,10 +279,10 @@
 	vt := startVersions(t, source)
 	ctx, cancel := context.WithCancel(vt.ctx)
 	source.onHistory = cancel
-	_, err := vt.Extend(ctx)
+	_, err := vt.extend(ctx)
 	is.True(errors.Is(err, context.Canceled))
 	source.onHistory = nil
-	_, err = vt.Extend(vt.ctx)
+	_, err = vt.extend(vt.ctx)
 	is.NoErr(err)
 }
 
@@ -286,7 +300,7 @@
 		is.Equal(vt.followed(), time.Duration(0))
 		return decodeVersion(item, now)
 	}
-	_, err := vt.Extend(vt.ctx)
+	_, err := vt.extend(vt.ctx)
 	is.NoErr(err)
 	is.Equal(decoded, 3)
 	is.Equal(vt.versions(), "1 2")
@@ -300,7 +314,7 @@
 	source := &historyStore{}
 	source.write("u1", "1")
 	vt := startVersions(t, source)
-	_, err := vt.Extend(vt.ctx)
+	_, err := vt.extend(vt.ctx)
 	is.NoErr(err)
 	vt.run(5 * time.Second)
 	is.Equal(vt.followed(), wholeHistory+5*time.Second)
@@ -316,6 +330,6 @@
 	vt.run(5 * time.Second)
 	is.True(vt.DataAge() < 2*time.Second)
 	is.True(strings.Contains(vt.versions(), "2") || vt.followed() <= 5*time.Second)
-	_, err = vt.Extend(vt.ctx)
+	_, err = vt.extend(vt.ctx)
 	is.True(err != nil) // the history does not tell of the gap
 }
--- a/internal/published/history_test.go
+++ b/internal/published/history_test.go
@@ -77,7 +77,7 @@
 		is.NoErr(err)
 		is.True(!whole)
 		is.Equal(uint64(len(items)), kept)
-		is.True(source.calls <= maxHistoryCalls)
+		is.True(source.calls <= 2*bits.Len64(historyStep+kept)) // the calls depend on what is kept, not on the age of the store
 	}
 }
 
@@ -91,6 +91,7 @@
 	}{
 		{"nothing left", &historySource{era: 1, revision: 64, lost: 64}, true},
 		{"nothing left and more has happened", &historySource{era: 1, revision: 80, lost: 70}, true},
+		{"more changes than are read", &historySource{era: 1, revision: 64 + 2*maxHistoryItems}, true},
 		{"a later era", &historySource{era: 2, revision: 64}, true},
 		{"a later era that keeps a part", &historySource{era: 2, revision: 64, lost: 40}, true},
 		{"an earlier era", &historySource{revision: 64}, true},
