Planned stop: no request is cut without an answer, and late ones are refused

What callers saw: in a planned stop of one router the connections of requests ended with no answer, among them requests that may not be repeated. Those taken in the drain time were cut at the end of the stop; those that came after it on connections that were already accepted were read and cut at once.

Cause: with direct sending a request was taken whatever its deadline, and at the end of the stop the process simply ended. After the drain time http.Server.Shutdown closes connections from which a request has been read and not begun. While the idle connections ended before that, up to a second, requests were still passed on that could not end in time.

The tests in internal/direct fail without the check and the cancellation (5 of 11 cases, the late body, 3 of 3 kinds).

The fix: a planned stop has a schedule. From the end of the drain time on, a request that may outlast the stop is refused, not run; so is one that is to be sent, or sent again after a refusal, with less than its latency objective left. Upstreams are given no more time than the stop has. What is left at the end is cancelled at the same time as before, and callers without a response are told that the outcome is unknown. The callers' address is closed by itself, and connections end by themselves, so that no request that was read is dropped.

Changed tests: TestDrainAnswersRequestReadJustBefore and TestDrainEndsIdleConnections call AwaitConns, which replaces DrainIdleConns followed by Shutdown; what they check is the same. The soak's servers work for as long as a header asks, and the timeout of its routes can be set.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -24,6 +24,7 @@
 	stepQuarantine = "hold"
 	stepOrigin     = "origin"
 	stepDispatch   = "dispatch"
+	stepStop       = "stop"
 )
 
 // defaultRetryAfter is the Retry-After value of a refusal whose cause is expected to pass soon.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -209,7 +209,7 @@
 		}
 	}
 	header := d.codec.ForwardHeader(in.Header, ForwardMetadata{
-		Upstream: u.Key(), Team: req.team(), RemainingTime: req.Deadline.Sub(d.clock.Now()), Priority: req.priority(),
+		Upstream: u.Key(), Team: req.team(), RemainingTime: d.stop.bound(req.Deadline).Sub(d.clock.Now()), Priority: req.priority(),
 		LastEventID: req.lastEventID(), Engine: engine, LikelyCacheHolder: holder,
 	})
 	hopheader.Drop(header)
@@ -235,6 +235,8 @@
 	case errors.Is(cause, balance.ErrResponseTimeout):
 		d.recordPath(u, d.balancer.RecordBrokenResponse(u, cause))
 		return d.outcomeUnknown(req, "silent", "the upstream stayed silent", key, cause)
+	case errors.Is(cause, errStopped):
+		return d.outcomeUnknown(req, "stopping", "the router stopped before the upstream had answered", key, cause)
 	case cause != nil:
 		return d.outcomeUnknown(req, "over", "the time is over", key, cause)
 	case errors.Is(err, upconn.ErrResponseTooLarge):
@@ -284,7 +286,7 @@
 	}
 	first := max(firstEventTimeout, req.Route.LatencyObjective)
 	if req.Route.Kind == catalog.Safe {
-		first = req.Deadline.Sub(d.clock.Now()) / 2
+		first = d.stop.bound(req.Deadline).Sub(d.clock.Now()) / 2
 	}
 	t := &inactivityTimer{
 		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), canMove: d.newMoveCheck(req), giveUp: giveUp,
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -21,7 +21,7 @@
 		&dispatchFilter{
 			shareOrigin: s.ShareOrigin,
 			store:       s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
-			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock,
+			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock, stop: s.stop,
 			responses: inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
 			},
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -48,6 +48,7 @@
 	pool        *upconn.Pool
 	codec       Codec
 	clock       clockwork.Clock
+	stop        *plannedStop
 	log         zerolog.Logger
 	metrics     dispatchMetrics
 	crashes     *crashDetector
@@ -76,6 +77,7 @@
 func (d *dispatchFilter) Handle(ctx context.Context, req *Request, _ Next) error {
 	defer func() { d.responses.Release(req.reserved) }()
 	d.retryBudget.RecordRequest(req.Service)
+	req.receivedAt = d.clock.Now()
 	for {
 		choice, err := d.waitForUpstream(ctx, req)
 		if err != nil {
@@ -190,6 +192,9 @@
 		if err := d.checkOrigin(snap, req); err != nil {
 			return nil, err
 		}
+		if err := d.stop.check(req, d.clock.Now()); err != nil {
+			return nil, err
+		}
 		if left := req.Deadline.Sub(d.clock.Now()); left < minRemainingTime {
 			return nil, outcome.Unavailable(stepDispatch, "no-time", "no time is left")
 		}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -46,6 +46,7 @@
 	h.Del("X-Key")
 	h.Set("X-Team", meta.Team)
 	h.Set("X-Instance", meta.Upstream.ID)
+	h.Set("X-Remaining-Ms", strconv.FormatInt(meta.RemainingTime.Milliseconds(), 10))
 	h.Del("X-Last")
 	if meta.LastEventID > 0 {
 		h.Set("X-Last", strconv.FormatInt(meta.LastEventID, 10))
--- a/internal/direct/idle.go
+++ b/internal/direct/idle.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 )
 
-// drainPollInterval is how often drain checks whether idle connections have ended.
+// drainPollInterval is how often await checks whether connections have ended.
 const drainPollInterval = 5 * time.Millisecond
 
 // idleConns ends callers' connections that stay idle for longer than the current limit.
@@ -28,6 +29,8 @@
 	idleSince map[net.Conn]time.Time
 	// interrupted holds the connections of idleSince whose read was interrupted.
 	interrupted map[net.Conn]bool
+	// open is the number of connections.
+	open int
 }
 
 func newIdleConns(clock clockwork.Clock, timeout func() time.Duration, onRace func(c net.Conn, idle time.Duration)) *idleConns {
@@ -45,6 +48,10 @@
 	delete(i.idleSince, c)
 	delete(i.interrupted, c)
 	switch {
+	case connState == http.StateNew:
+		i.open++
+	case connState == http.StateClosed || connState == http.StateHijacked:
+		i.open--
 	case connState == http.StateIdle:
 		now := i.clock.Now()
 		i.idleSince[c] = now
@@ -81,25 +88,26 @@
 	_ = c.SetReadDeadline(i.clock.Now().Add(-time.Second))
 }
 
-// drain interrupts all idle connections, including those that become idle later, and returns when each of them has
-// ended or has read a request. http.Server.Shutdown alone could close a connection from which a request has been read
-// but whose state is still idle.
-func (i *idleConns) drain(ctx context.Context) {
-	for ctx.Err() == nil && i.interruptReads() > 0 {
+// await interrupts all idle connections, including those that become idle later, and returns when no connection is open.
+// http.Server.Shutdown would close connections from which a request has been read.
+func (i *idleConns) await(ctx context.Context) error {
+	for i.interruptReads() > 0 {
 		select {
 		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for callers' connections")
 		case <-i.clock.After(drainPollInterval):
 		}
 	}
+	return nil
 }
 
-// interruptReads interrupts the connections that are idle now and returns their number. It must be called repeatedly,
-// since net/http sets its own deadline after a connection has become idle.
+// interruptReads interrupts the connections that are idle now and returns the number of open ones. It must be called
+// repeatedly, since net/http sets its own deadline after a connection has become idle.
 func (i *idleConns) interruptReads() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c := range i.idleSince {
 		i.interruptRead(c)
 	}
-	return len(i.idleSince)
+	return i.open
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -32,6 +32,8 @@
 	bodyLate bool
 	// Start is when the request's headers were read.
 	Start time.Time
+	// receivedAt is when the body had been read.
+	receivedAt time.Time
 	// Deadline is when the final response is due.
 	Deadline time.Time
 
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -57,13 +57,13 @@
 // Server serves callers' requests.
 type Server struct {
 	Options
-	chain         Next
-	keepAlivesOff atomic.Bool
-	inFlight      atomic.Int64
-	latency       map[catalog.Kind]tally.Histogram
-	responses     *responseCounters
-	idleConns     *idleConns
-	returns       *retryafter.Advisor
+	chain     Next
+	stop      *plannedStop
+	inFlight  atomic.Int64
+	latency   map[catalog.Kind]tally.Histogram
+	responses *responseCounters
+	idleConns *idleConns
+	returns   *retryafter.Advisor
 }
 
 // Timeouts of callers' connections where the configuration does not set them.
@@ -85,7 +85,7 @@
 
 // New returns a server; HTTPServer returns the HTTP server for its listener.
 func New(o Options) *Server {
-	s := &Server{Options: o, responses: newResponseCounters(o.Scope), returns: retryafter.NewAdvisor(o.Clock, rand.Float64)}
+	s := &Server{Options: o, stop: newPlannedStop(), responses: newResponseCounters(o.Scope), returns: retryafter.NewAdvisor(o.Clock, rand.Float64)}
 	s.latency = map[catalog.Kind]tally.Histogram{}
 	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
@@ -102,13 +102,6 @@
 	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idleConns.onStateChange}
 }
 
-// DisableKeepAlives makes the server set "Connection: close" on all further responses.
-func (s *Server) DisableKeepAlives() { s.keepAlivesOff.Store(true) }
-
-// DrainIdleConns ends callers' idle connections without cutting off a request that was read from one. It is called
-// before the HTTP server is shut down, and returns when all of them have ended or the context is done.
-func (s *Server) DrainIdleConns(ctx context.Context) { s.idleConns.drain(ctx) }
-
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
@@ -118,13 +111,16 @@
 	defer s.inFlight.Add(-1)
 	// A request with a transfer encoding may also have a content length, which net/http ignores. Whoever forwarded it may
 	// have used the length, so that what follows the body is not read as a request.
-	if s.keepAlivesOff.Load() || len(r.TransferEncoding) > 0 {
+	if s.stop.schedule.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now(), response: callerResponse{writer: w, clock: s.Clock}}
 	req.response.start = req.Start
 	defer s.logPanic(req)
-	err := s.chain(r.Context(), req)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(s.stop.ended, func() { cancel(errStopped) })()
+	err := s.chain(ctx, req)
 	s.finish(r.Context(), req, err)
 }
 
@@ -149,7 +145,7 @@
 			Outcome: outcome.Unknown, Cause: err,
 		}
 	}
-	if refusal.RetryAfter > 0 && refusal.Step != stepQuarantine {
+	if refusal.RetryAfter > 0 && refusal.Step != stepQuarantine && refusal.Step != stepStop {
 		graded := *refusal
 		graded.RetryAfter = s.returns.Refused(req.Service, refusal.RetryAfter, req.timeLeft(s.Clock.Now()))
 		refusal = &graded
--- a/internal/direct/stop_test.go
+++ b/internal/direct/stop_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,8 +79,7 @@
 	defer cancel()
 	stopped := make(chan error, 1)
 	go func() {
-		h.server.DrainIdleConns(ctx)
-		stopped <- server.Shutdown(ctx)
+		stopped <- h.server.AwaitConns(ctx)
 	}()
 	const polls = 10
 	time.Sleep(polls * drainPollInterval) // lets the drain poll the connection several times; the exact number does not matter
@@ -108,8 +109,7 @@
 	is.NoErr(resp.Body.Close())
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	h.server.DrainIdleConns(ctx)
-	is.NoErr(ctx.Err())
+	is.NoErr(h.server.AwaitConns(ctx))
 	is.Equal(h.server.idleConns.idleCount(), 0)
 	is.NoErr(server.Shutdown(ctx))
 }
@@ -120,3 +120,123 @@
 	defer i.mu.Unlock()
 	return len(i.idleSince)
 }
+
+// after returns the behaviour with a delay before it.
+func (b behaviour) after(delay time.Duration) behaviour {
+	return behaviour{b.name + " late", func(c net.Conn, r *http.Request) bool {
+		time.Sleep(delay)
+		return b.serve(c, r)
+	}, b.ran}
+}
+
+// Guards against requests that a stopping router passes on, at first or once more, although their response cannot be
+// expected before the end of the stop, and against refusals of those that can be served.
+func TestRequestThatMayOutlastStopIsRefused(t *testing.T) {
+	const long, objective = 5 * time.Second, 800 * time.Millisecond
+	tests := []struct {
+		name      string
+		kind      catalog.Kind
+		resumable bool
+		// refuseFrom and cutOff are counted from the request.
+		refuseFrom, cutOff time.Duration
+		waitMS             string
+		script             []behaviour
+		status, sends      int
+	}{
+		{"safe, late", catalog.Safe, false, 0, long, "", nil, 503, 0},
+		{"unsafe, late", catalog.Unsafe, false, 0, long, "", nil, 503, 0},
+		{"stream, late", catalog.Stream, false, 0, long, "", nil, 503, 0},
+		{"unsafe, late, with a short deadline", catalog.Unsafe, false, 0, long, "1000", []behaviour{ok}, 200, 1},
+		{"unsafe, in time", catalog.Unsafe, false, long, long, "", []behaviour{ok}, 200, 1},
+		{"stream, in time", catalog.Stream, false, long, long, "", []behaviour{streams}, 200, 1},
+		{"unsafe, less than the objective left", catalog.Unsafe, false, long, objective / 2, "", nil, 503, 0},
+		{"unsafe, refused when little is left", catalog.Unsafe, false, long, 5 * objective / 4, "", []behaviour{shed.after(objective / 2)}, 503, 1},
+		{"unsafe, refused when enough is left", catalog.Unsafe, false, long, long, "", []behaviour{shed.after(objective / 2), ok}, 200, 2},
+		{"safe, failed when little is left", catalog.Safe, false, long, 5 * objective / 4, "", []behaviour{closes.after(objective / 2), ok}, 200, 2},
+		{"begun stream broken off when little is left", catalog.Stream, true, long, 5 * objective / 4, "", []behaviour{cutStream.after(3 * objective / 4), streams}, 200, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.kind, tt.resumable, tt.script...)
+			now := time.Now()
+			h.server.BeginStop(now.Add(tt.refuseFrom), now.Add(tt.cutOff))
+			r := h.call(http.MethodPost, "/r/", "body", "X-Wait-Ms", tt.waitMS)
+			is.NoErr(r.err)
+			is.Equal(r.status, tt.status)
+			seen, _, _, left := h.record()
+			is.Equal(len(seen), tt.sends)
+			is.Equal(left, 0)
+			for _, sent := range seen { // no upstream may work beyond the end of the stop
+				ms, err := strconv.Atoi(sent.Header.Get("X-Remaining-Ms"))
+				is.NoErr(err)
+				is.True(time.Duration(ms)*time.Millisecond <= tt.cutOff)
+			}
+			if tt.status != http.StatusServiceUnavailable {
+				return
+			}
+			is.True(strings.Contains(r.body, `"code":"stopping"`))
+			is.True(strings.Contains(r.body, `"outcome":"not-run"`))
+			wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(wait > 0 && wait <= 1)
+		})
+	}
+}
+
+// A request whose headers came in time and whose body came late is a late one.
+func TestRequestWithLateBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	const margin = 100 * time.Millisecond
+	now := time.Now()
+	h.server.BeginStop(now.Add(margin), now.Add(5*time.Second))
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: id-1\r\nX-Key: key\r\nContent-Length: 4\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(2 * margin)
+	_, err = io.WriteString(c, "body")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Close)
+}
+
+// Guards against requests that are in flight at the end of a planned stop and whose connections end without a response. A
+// connection on which a request arrives only then is answered too.
+func TestRequestsCutOffByStopAreAnswered(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Stream} {
+		t.Run(string(kind), func(t *testing.T) {
+			is := is.New(t)
+			hang, ended := hangs()
+			h := newHarness(t, kind, false, hang)
+			now := time.Now()
+			h.server.BeginStop(now.Add(time.Minute), now.Add(5*time.Second))
+			late, err := net.Dial("tcp", h.front.Listener.Addr().String())
+			is.NoErr(err)
+			defer late.Close()
+			replies := make(chan reply, 1)
+			go func() { replies <- h.call(http.MethodPost, "/r/", "body") }()
+			h.waitRuns(1)
+			h.server.CutOff()
+			r := <-replies
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusBadGateway)
+			is.True(strings.Contains(r.body, `"code":"stopping"`))
+			is.True(strings.Contains(r.body, `"outcome":"unknown"`))
+			<-ended
+			_, err = io.WriteString(late, "GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: id-2\r\nX-Key: key\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(late), nil)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			_, _, ran, _ := h.record()
+			is.Equal(ran, 1)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,11 +63,13 @@
 	watchTimeout = time.Second
 	// shutdownMargin is the time before the end of a planned stop at which remaining requests are cut off.
 	shutdownMargin = 800 * time.Millisecond
-	// idleDrainTimeout limits the wait until callers' idle connections have ended, which takes as long as the process
-	// needs to be scheduled once for each of them.
-	idleDrainTimeout = time.Second
 	// originWindow is how long other hosts are told at once which version began a stream after another version served.
 	originWindow = 30 * time.Second
+	// finalResponseTime limits the writing of the responses to requests that were cut off.
+	finalResponseTime = 300 * time.Millisecond
+	// refuseMargin is how long before the callers' address is closed requests are refused that may outlast the stop: the
+	// signal was sent before this process received it.
+	refuseMargin = 100 * time.Millisecond
 	// maxStartDelay is the maximum time for which a starting process asks other hosts before it lists the store.
 	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
@@ -221,12 +223,20 @@
 		return errors.Wrap(err, "run router")
 	}
 	serveErrors := make(chan error, 4)
-	callers := g.server.HTTPServer()
+	callers, err := net.Listen("tcp", g.settings.CallerAddress)
+	if err != nil {
+		stopLoops()
+		return errors.Wrapf(err, "run router: serve caller address %s", g.settings.CallerAddress)
+	}
+	go func() {
+		if err := g.server.HTTPServer().Serve(callers); !g.stopping.Load() {
+			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
+		}
+	}()
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
 	}{
-		{"caller", g.settings.CallerAddress, callers},
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
 		{"peer", g.settings.PeerAddress, &http.Server{
 			Handler: http.MaxBytesHandler(g.peerHandler(), maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout,
@@ -238,7 +248,6 @@
 	}
 	g.log.Info().Str("event", "started").Uint64("incarnation", g.incarnation).Str("version", process.Version).
 		Str("data_centre", g.settings.DataCentre).Send()
-	var err error
 	select {
 	case <-ctx.Done():
 		g.stop(callers)
@@ -277,22 +286,33 @@
 
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
-func (g *Gateway) stop(callers *http.Server) {
-	start := g.clock.Now()
+func (g *Gateway) stop(callers net.Listener) {
+	start, drain := g.clock.Now(), g.settings.Timeouts.Drain.Std()
+	cutOff := start.Add(g.settings.Timeouts.Stop.Std() - shutdownMargin)
 	g.stopping.Store(true)
-	g.server.DisableKeepAlives()
+	g.server.BeginStop(start.Add(drain-refuseMargin), cutOff)
 	g.fleet.MarkLeaving()
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.server.InFlight()).Send()
-	g.clock.Sleep(g.settings.Timeouts.Drain.Std())
-	remaining := g.settings.Timeouts.Stop.Std() - shutdownMargin - g.clock.Since(start)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	idleCtx, cancelIdle := context.WithTimeout(ctx, idleDrainTimeout)
-	g.server.DrainIdleConns(idleCtx)
-	cancelIdle()
-	if err := callers.Shutdown(ctx); err != nil {
-		g.log.Warn().Str("event", "stop-limit").Int64("in_flight", g.server.InFlight()).Err(err).Send()
+	g.clock.Sleep(drain)
+	if err := callers.Close(); err != nil {
+		g.log.Warn().Str("event", "address-not-closed").Str("address", g.settings.CallerAddress).Err(err).Send()
 	}
+	err := g.awaitConns(cutOff.Sub(g.clock.Now()))
+	if err == nil {
+		return
+	}
+	g.log.Warn().Str("event", "stop-limit").Int64("in_flight", g.server.InFlight()).Err(err).Send()
+	g.server.CutOff()
+	if err := g.awaitConns(finalResponseTime); err != nil {
+		g.log.Warn().Str("event", "callers-cut-off").Int64("in_flight", g.server.InFlight()).Err(err).Send()
+	}
+}
+
+// awaitConns waits until all callers' connections have ended, for a limited time.
+func (g *Gateway) awaitConns(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return g.server.AwaitConns(ctx)
 }
 
 func (g *Gateway) closeExpiredConns(ctx context.Context) {
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -71,6 +71,9 @@
 
 const streamLength = 8
 
+// headerWorkMS is how long a server works on a request before it begins to answer, in milliseconds.
+const headerWorkMS = "X-Work-Ms"
+
 // floods are what a server in trouble sends without end instead of a response.
 var floods = []struct{ prefix, text string }{
 	{"HTTP/1.1 200 OK\r\nX-Long: ", "x"}, {"HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"}, {"", "\x00\xff"},
@@ -209,6 +212,9 @@
 		s.crashAndRestart(instance)
 		return false
 	}
+	if ms, err := strconv.Atoi(r.Header.Get(headerWorkMS)); err == nil {
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+	}
 	if faulty && kind >= 5 {
 		flood(c, floods[kind-5].prefix, floods[kind-5].text)
 		return false
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -70,6 +70,8 @@
 	routers []*testfleet.Process
 	faults  faultLog
 	version int
+	// routeTimeout is the timeout of the routes.
+	routeTimeout time.Duration
 	// keys are the API keys in the configuration by team.
 	keys map[string][]string
 }
@@ -102,8 +104,8 @@
 	testfleet.LockBlock(t, block)
 	f := &soakRun{
 		t: t, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
-		faults: faultLog{drainStarted: map[string]time.Time{}},
-		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
+		faults: faultLog{drainStarted: map[string]time.Time{}}, routeTimeout: requestTimeout,
+		keys: map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
 	}
 	f.store = newStore(t, storeIP()+":8000")
 	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
@@ -204,7 +206,7 @@
 	route := func(path, kind string, attempts int, resume bool) map[string]any {
 		return map[string]any{
 			"name": strings.Trim(path, "/"), "host": "soak.example", "prefix": path, "kind": kind, "service": "s",
-			"timeout_ms": requestTimeout.Milliseconds(), "target_latency_ms": 500, "max_attempts": attempts,
+			"timeout_ms": f.routeTimeout.Milliseconds(), "target_latency_ms": 500, "max_attempts": attempts,
 			"resume_streams": resume, "gap_aim_ms": 200,
 		}
 	}
