Catalog: an unreadable entry in a store outage names no upstream either

What callers saw: nothing reported; found while looking into odd entries of another writer. An upstream whose entry another writer replaced by an odd one during a store outage, or up to two seconds after one or after a restoration, stayed in use.

Cause: an entry that cannot be read was taken for one that had expired with the outage, and expired entries are kept for a while.

Evidence: four new cases of TestUpstreamsThatAcceptNewWork failed on: unreadable in an outage, in the grace period after it, in a restored store, and after it had expired in an outage. "Readable again" passed before.

The fix: only a removal counts as an expiry. An upstream that is alive publishes its entry again within about a second.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -189,7 +189,7 @@
 func (s *Store) applyUpstream(item published.Item, entry Entry) {
 	known := s.upstreams[entry.Name]
 	if item.Removed || entry.Upstream == nil {
-		if known != nil && s.clock.Now().Before(s.outageGraceEnd) {
+		if item.Removed && known != nil && s.clock.Now().Before(s.outageGraceEnd) {
 			s.expiredInOutage[entry.Name] = true
 			s.log.Info().Str("event", "upstream-lapsed").Str("upstream", entry.Name).Uint64("revision", item.Revision).Send()
 			return
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -94,6 +94,20 @@
 		{"leaving", func(s *storeTest) { s.put("up/u1", "leaving") }, "u2"},
 		{"removed", func(s *storeTest) { s.remove("up/u1") }, "u2"},
 		{"unreadable", func(s *storeTest) { s.put("up/u1", "bad") }, "u2"},
+		{"readable again", func(s *storeTest) { s.put("up/u1", "bad"); s.put("up/u1", "") }, "u1 u2"},
+		{"unreadable in an outage", func(s *storeTest) { s.OutageStarted(); s.put("up/u1", "bad") }, "u2"},
+		{"unreadable in the grace period after an outage", func(s *storeTest) {
+			s.OutageStarted()
+			s.OutageEnded(minExpiryOutage)
+			s.put("up/u1", "bad")
+		}, "u2"},
+		{"unreadable in a restored store", func(s *storeTest) { s.Restored(published.Version{Era: 2, Revision: 5}); s.put("up/u1", "bad") }, "u2"},
+		{"expired in an outage and unreadable after it", func(s *storeTest) {
+			s.OutageStarted()
+			s.remove("up/u1")
+			s.OutageEnded(minExpiryOutage)
+			s.put("up/u1", "bad")
+		}, "u2"},
 		{"item of another writer", func(s *storeTest) { s.put("other/u1", "") }, "u1 u2"},
 		{"data centre disabled", func(s *storeTest) { s.put("out/a", "") }, ""},
 		{"data centre enabled again", func(s *storeTest) { s.put("out/a", ""); s.remove("out/a") }, "u1 u2"},
