--- a/internal/fleet/changes_test.go
+++ b/internal/fleet/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +145,30 @@
 		is.True(slices.Contains(remote, h.SelectPeer(true).Address()))
 	}
 }
+
+// Guards against odd items of another writer for which hosts no longer pass on the others. Keys are text, as the store's
+// responses are.
+func TestOddItemsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	upToDate := startHost(t, clock)
+	behind := startHost(t, clock, upToDate.Self)
+	var items []published.Item
+	for i, key := range []string{"", "\x00\ufffd\r\n", strings.Repeat("k", 1000), "servers/", "servers/odd", "other/", "servers/good"} {
+		items = append(items, published.Item{Key: key, Value: []byte("\xff\xfe" + strings.Repeat("[", 1000)), Revision: uint64(i + 2)})
+	}
+	behind.mirror.Replace(published.Batch{Items: []published.Item{{Key: "servers/odd", Value: []byte("v"), Revision: 1}}, Revision: 1})
+	upToDate.mirror.Replace(published.Batch{Items: items, Revision: 9})
+	upToDate.store.update = published.PeerBatch{Batch: published.Batch{Items: items, Revision: 9, Full: true}}
+	peer := &peerClient{fleet: behind.Fleet, address: upToDate.Self}
+	changes, err := peer.Changes(context.Background(), published.Version{Revision: 1}, time.Second)
+	is.NoErr(err)
+	is.Equal(changes.Items, items)
+	snapshot, err := peer.Snapshot(context.Background())
+	is.NoErr(err)
+	is.Equal(snapshot.Items, items)
+	behind.store.failing = true
+	behind.GossipRound(context.Background())
+	is.Equal(behind.mirror.CompleteRevision(), uint64(9))
+	is.Equal(len(behind.mirror.Since(published.Version{}).Items), len(items))
+}
