State dump: the request limit is a copy, not a pointer into live statistics

Table.State returned the address of the statistics' limit, which the state dump encoded after the table's lock was released, while responses wrote it. TestStateIsEncodedWhileLimitsChange (data race) and TestStateKeepsLimitOfItsMoment (9 instead of 4) fail without the change.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -412,7 +412,8 @@
 			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil), Leaving: s.leaving, Paused: max(0, s.pausedUntil.Sub(now)),
 		}
 		if s.limit.inForce(now) {
-			state.RequestLimit, state.RequestLimitAge = &s.limit.perSecond, now.Sub(s.limit.at)
+			perSecond := s.limit.perSecond
+			state.RequestLimit, state.RequestLimitAge = &perSecond, now.Sub(s.limit.at)
 		}
 		states = append(states, state)
 	}
