Idle connections to a leaving upstream are closed on every host that learns of it

Cause: only the host that the upstream told closed them, and its own connection returned to the pool after the response, as did those of requests that still ran. balance.Table now has one observer of what upstreams say of themselves (OnChange), whoever told this host; direct.Server closes idle connections there, and a connection that is returned later is closed as well.

TestIdleConnectionsToLeavingUpstreamAreClosed: 4 of 4 cases fail without the change (a connection is open after two seconds), pass with it.

--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -41,7 +41,7 @@
 // RecordRequestLimit records the request limit that the upstream named in a response; nil if it named none.
 func (t *Table) RecordRequestLimit(u *catalog.Upstream, perSecond *float64) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(u.Key(), now)
 	report := LimitReport{Named: perSecond != nil}
@@ -76,6 +76,7 @@
 	if s.limit.inForce(now) == before.inForce(now) && (!r.Named || r.PerSecond == before.perSecond) {
 		return false
 	}
+	t.recordChange(s, CauseLimit)
 	t.log.Info().Str("event", "upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
 		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", source).Dur("age_ms", r.Age).Send()
 	return true
@@ -121,7 +122,7 @@
 // MergeLimitReports records what upstreams said to another host.
 func (t *Table) MergeLimitReports(reports []LimitReport) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	for _, r := range reports {
 		s := t.statsByID[r.IncarnationID]
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -40,10 +40,44 @@
 	return 1 << step
 }
 
+// Cause is what an upstream said of itself.
+type Cause string
+
+// Causes of changes.
+const (
+	CauseLimit   Cause = "limit"
+	CauseLeaving Cause = "leaving"
+	CausePause   Cause = "pause"
+)
+
+// Change is a change in what this host knows that an upstream said of itself, to this host or another one.
+type Change struct {
+	Upstream catalog.UpstreamKey
+	Cause    Cause
+}
+
+// OnChange sets the function that is called after each change. It is called before the table is used.
+func (t *Table) OnChange(f func(Change)) { t.onChange = f }
+
+// unlock releases mu and passes on the changes that were made with it held.
+func (t *Table) unlock() {
+	changes := t.changes
+	t.changes = nil
+	t.mu.Unlock()
+	for _, c := range changes {
+		t.onChange(c)
+	}
+}
+
+// recordChange makes unlock pass on a change. The caller holds mu.
+func (t *Table) recordChange(s *stats, cause Cause) {
+	t.changes = append(t.changes, Change{Upstream: s.key, Cause: cause})
+}
+
 // MarkLeaving records that the upstream said that it is leaving. It reports whether that was not known.
 func (t *Table) MarkLeaving(u *catalog.Upstream) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	s := t.stats(u.Key(), t.clock.Now())
 	if !t.markLeaving(s, "response") {
 		return false
@@ -58,6 +92,7 @@
 		return false
 	}
 	s.leaving = true
+	t.recordChange(s, CauseLeaving)
 	t.log.Info().Str("event", "upstream-leaving").Str("upstream", s.key.ID).Str("peer", s.key.Address).Str("source", source).
 		Int("in_flight", s.inFlight).Send()
 	return true
@@ -66,7 +101,7 @@
 // MarkPaused records that the upstream turned a request away and wants nothing from this host for a time.
 func (t *Table) MarkPaused(u *catalog.Upstream, pause time.Duration) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(u.Key(), now)
 	bounded := min(pause, maxPause)
@@ -75,6 +110,7 @@
 		t.log.Info().Str("event", "upstream-paused").Str("upstream", u.ID).Str("peer", u.Address).Dur("asked_ms", pause).
 			Dur("for_ms", until.Sub(now)).Int("in_flight", s.inFlight).Send()
 		s.pausedUntil = until
+		t.recordChange(s, CausePause)
 	}
 }
 
@@ -86,6 +122,14 @@
 	return s == nil || s.acceptsWork(t.clock.Now())
 }
 
+// Leaving reports whether the incarnation of the upstream is leaving, as far as it said.
+func (t *Table) Leaving(key catalog.UpstreamKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsByKey[key]
+	return s != nil && s.leaving
+}
+
 // AllPausedUntil returns the earliest end of the pauses if all usable upstreams of the service have asked for one, or the
 // zero time.
 func (t *Table) AllPausedUntil(snap *catalog.Snapshot, service string) time.Time {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -139,6 +139,9 @@
 	poolsSnapshot *catalog.Snapshot
 	// scratch is a reused buffer for the candidates of one decision.
 	scratch []candidate
+	// changes are the changes that onChange is called with once mu is released.
+	changes  []Change
+	onChange func(Change)
 }
 
 // member is an upstream of a snapshot with the data that a decision needs.
@@ -158,7 +161,10 @@
 
 // NewTable returns an empty table for a host in the data centre local.
 func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{}, poolStats: map[string]*poolStats{}, paths: map[string]*path{}}
+	return &Table{
+		clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{},
+		poolStats: map[string]*poolStats{}, paths: map[string]*path{}, onChange: func(Change) {},
+	}
 }
 
 // stats returns the statistics of the upstream and creates them if needed. The caller holds mu.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -70,11 +70,11 @@
 	// Connecting takes time, so the configuration and the upstream's state may have changed since the selection.
 	snap := d.store.Current()
 	if err := resolveRoute(req, snap.Config); err != nil || !isUsable(snap, u) || !d.balancer.AcceptsWork(key) {
-		d.pool.Put(conn)
+		d.keep(conn, key)
 		return notRunResult(false, "upstream-left", "the upstream was taken out", key, err)
 	}
 	if err := checkPrompt(d.prompts, req); err != nil {
-		d.pool.Put(conn)
+		d.keep(conn, key)
 		return attemptResult{notRun: true, err: err}
 	}
 	d.balancer.RecordRequestStart(key)
@@ -96,6 +96,14 @@
 	return d.pool.Get(ctx, u.Address)
 }
 
+// keep returns a connection to the pool, unless its upstream is leaving.
+func (d *dispatchFilter) keep(conn *upconn.Conn, key catalog.UpstreamKey) {
+	d.pool.Put(conn)
+	if d.balancer.Leaving(key) { // asked last, since the upstream may say so meanwhile
+		d.pool.CloseIdle(key.Address)
+	}
+}
+
 // recordPath closes the idle connections to the upstream's data centre once the path to it is down. A request that is
 // sent there later, to find out whether the path works again, then waits for a connection and not for a response on a
 // connection that is no longer one.
@@ -164,7 +172,7 @@
 	}
 	release := func(whole bool) {
 		if whole && stop() {
-			d.pool.Put(conn)
+			d.keep(conn, key)
 			return
 		}
 		conn.Close()
@@ -190,8 +198,8 @@
 		d.balancer.RecordLoad(u.Key(), meta.Load.Running+meta.Load.Waiting)
 	}
 	d.balancer.RecordRequestLimit(u, meta.RequestLimit)
-	if meta.Leaving && d.balancer.MarkLeaving(u) {
-		d.pool.CloseIdle(u.Address)
+	if meta.Leaving {
+		d.balancer.MarkLeaving(u)
 	}
 	if meta.RetryAfter > 0 {
 		d.balancer.MarkPaused(u, meta.RetryAfter)
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -181,6 +181,7 @@
 	bodies    []string
 	ran       int
 	conns     int // accepted connections
+	open      int // of them, those that are not closed
 	listeners []net.Listener
 }
 
@@ -199,6 +200,7 @@
 			}
 			u.mu.Lock()
 			u.conns++
+			u.open++
 			u.mu.Unlock()
 			go u.serve(c)
 		}
@@ -207,7 +209,12 @@
 }
 
 func (u *upstreams) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		u.mu.Lock()
+		u.open--
+		u.mu.Unlock()
+	}()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -252,6 +259,13 @@
 	return u.conns
 }
 
+// openConnCount returns the number of connections that neither side has closed.
+func (u *upstreams) openConnCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
 // waitRuns waits until the upstreams have executed, or begun to execute, n requests.
 func (u *upstreams) waitRuns(n int) {
 	for {
--- a/internal/direct/notice_test.go
+++ b/internal/direct/notice_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
@@ -55,3 +57,51 @@
 	seen, _, _, _ := h.record()
 	is.Equal(len(seen), 1)
 }
+
+// Guards against connections to a leaving upstream that stay open until they expire, on hosts that hear of it from others,
+// and after a request that still ran there.
+func TestIdleConnectionsToLeavingUpstreamAreClosed(t *testing.T) {
+	hear := func(h *harness, key catalog.UpstreamKey) {
+		h.server.Balancer.MergeLimitReports([]balance.LimitReport{{IncarnationID: balance.IncarnationID(key), Leaving: true}})
+	}
+	tests := []struct {
+		name string
+		// last is the response to the second request. learn is called while the request runs, and afterwards if idle is set.
+		last  behaviour
+		learn func(*harness, catalog.UpstreamKey)
+		idle  bool
+	}{
+		{"said in the response", ok.withHeader("X-Leaving: 1"), func(*harness, catalog.UpstreamKey) {}, false},
+		{"said in a refusal", shed.withHeader("X-Leaving: 1"), func(*harness, catalog.UpstreamKey) {}, false},
+		{"heard while the connection is idle", ok, hear, true},
+		{"heard while a request runs", ok, hear, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var h *harness
+			var key catalog.UpstreamKey
+			last := tt.last
+			last.serve = func(c net.Conn, r *http.Request) bool {
+				if !tt.idle {
+					tt.learn(h, key)
+				}
+				return tt.last.serve(c, r)
+			}
+			h = newHarness(t, catalog.Unsafe, false, ok, last)
+			key = h.leaveOnly()
+			h.call(http.MethodPost, "/r/", "")
+			h.call(http.MethodPost, "/r/", "")
+			is.Equal(h.connCount(), 1)
+			if tt.idle {
+				is.Equal(h.openConnCount(), 1)
+				tt.learn(h, key)
+			}
+			// An idle connection expires after four seconds.
+			for end := time.Now().Add(responseTimeout); h.openConnCount() > 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(h.openConnCount(), 0)
+		})
+	}
+}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -91,10 +91,18 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.idleConns = newIdleConns(o.Clock, s.idleTimeout, s.logRequestAtIdleTimeout)
+	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
 	return s
 }
 
+// recordUpstreamChange closes the idle connections to an upstream that is leaving.
+func (s *Server) recordUpstreamChange(c balance.Change) {
+	if c.Cause == balance.CauseLeaving {
+		s.Pool.CloseIdle(c.Upstream.Address)
+	}
+}
+
 // HTTPServer returns the HTTP server for the callers' address.
 func (s *Server) HTTPServer() *http.Server {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
+	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
@@ -36,7 +37,10 @@
 			is := is.New(t)
 			var logged bytes.Buffer
 			scope, clock, log := tally.NewTestScope("", nil), clockwork.NewFakeClock(), zerolog.New(&logged)
-			s := New(Options{Store: catalog.NewStore(nil, clock, log), Codec: testCodec{}, Clock: clock, Log: log, Scope: scope})
+			s := New(Options{
+				Store: catalog.NewStore(nil, clock, log), Balancer: balance.NewTable("dc", clock, log), Codec: testCodec{}, Clock: clock, Log: log,
+				Scope: scope,
+			})
 			s.chain = func(context.Context, *Request) error { panic(tt.cause) }
 			func() {
 				defer func() { is.Equal(recover(), tt.cause) }()
