Kept states are indexed, so that an exchange of digests does not walk all items

Mirror.Kept walked all items under the mirror's lock in each exchange, although it returns something only after a restoration or removal of lasting items.

--- a/internal/published/era.go
+++ b/internal/published/era.go
@@ -78,6 +78,7 @@
 	m.complete, m.restoredAt = Version{Era: era}, restoredAt
 	m.eraEnteredAt = m.Clock.Now()
 	m.writes = newWriteLog() // the store gives out revisions again
+	m.indexKept()
 }
 
 // beginEra prepares the mirror for a full list of the current era, or of the first era that it knows. It returns the items
@@ -219,8 +220,8 @@
 		return nil
 	}
 	var removals []Item
-	for key, e := range m.items {
-		if m.isLost(e) {
+	for key := range m.kept {
+		if m.isLost(m.items[key]) {
 			removals = append(removals, Item{Key: key, Era: m.complete.Era, Revision: m.complete.Revision, Removed: true})
 		}
 	}
@@ -237,10 +238,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := Batch{Era: m.complete.Era, Revision: m.complete.Revision, RestoredAt: m.restoredAt}
-	for _, e := range m.items {
-		if (e.outdated != nil || m.Lasting(e.Key) && (e.Removed || m.isLost(e))) && len(b.Items) < maxKept {
-			b.Items = append(b.Items, m.export(e)...)
+	for key := range m.kept {
+		if len(b.Items) >= maxKept {
+			break // Map iteration order is random, so that each message has a different subset.
 		}
+		b.Items = append(b.Items, m.export(m.items[key])...)
 	}
 	return b
 }
+
+// inKept reports whether Kept returns the item. The caller holds mu.
+func (m *Mirror) inKept(e entry) bool {
+	return e.outdated != nil || m.Lasting(e.Key) && (e.Removed || m.isLost(e))
+}
+
+// indexKept finds the kept items anew after a change of the era. The caller holds mu.
+func (m *Mirror) indexKept() {
+	for _, e := range m.items {
+		m.set(e)
+	}
+}
--- a/internal/published/era_test.go
+++ b/internal/published/era_test.go
@@ -342,6 +342,49 @@
 	w.checkFinal(t, hosts)
 }
 
+// Guards against kept states of which other hosts are not told, since the index of them lags behind the items.
+func TestKeptItemsAreIndexed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, clock := newRestorableStore(), clockwork.NewFakeClock()
+		s.backUp()
+		hosts := []*follower{newFollower(s, clock), newFollower(s, clock)}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "host")
+			key := rapid.SampledFrom([]string{"op/a", "op/b", "up/c"}).Draw(t, "key")
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			case 0, 1:
+				s.write(key, rapid.StringN(1, 1, -1).Draw(t, "value"))
+			case 2:
+				s.remove(key)
+			case 3:
+				s.backUp()
+			case 4:
+				s.restore()
+			case 5:
+				hosts[i].hear(hosts[1-i])
+			default:
+				hosts[i].read()
+			}
+			clock.Advance(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Second)
+			for _, h := range hosts {
+				checkKeptIndex(t, h.Mirror)
+			}
+		}
+	})
+}
+
+func checkKeptIndex(t *rapid.T, m *Mirror) {
+	want := map[string]struct{}{}
+	for key, e := range m.items {
+		if m.inKept(e) {
+			want[key] = struct{}{}
+		}
+	}
+	if !maps.Equal(m.kept, want) {
+		t.Fatalf("kept is %v, should be %v", m.kept, want)
+	}
+}
+
 // checkFinal lets the hosts read and talk to each other, and fails if one has not in force what is wanted.
 func (w *writer) checkFinal(t *rapid.T, hosts []*follower) {
 	if w.unseen {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -92,6 +92,8 @@
 	mergeMu sync.Mutex
 	mu      sync.Mutex
 	items   map[string]entry
+	// kept are the keys of the items for which inKept holds.
+	kept map[string]struct{}
 	// complete is the version up to which no change is missing; its revision is 0 before the first full list.
 	complete Version
 	// restoredAt is the revision of the current era up to which items may have been written before the era; 0 before the
@@ -144,7 +146,7 @@
 	if o.OnRestore == nil {
 		o.OnRestore = func(Version) {}
 	}
-	return &Mirror{MirrorOptions: o, items: map[string]entry{}, changes: make(chan struct{}), writes: newWriteLog()}
+	return &Mirror{MirrorOptions: o, items: map[string]entry{}, kept: map[string]struct{}{}, changes: make(chan struct{}), writes: newWriteLog()}
 }
 
 // Complete returns the version up to which no change is missing; its revision is 0 before the first full list.
@@ -192,6 +194,7 @@
 func (m *Mirror) sameEra(b Batch) bool {
 	if m.complete.Revision == 0 && b.Era > m.complete.Era {
 		m.complete.Era, m.restoredAt = b.Era, 0
+		m.indexKept()
 	}
 	return b.Era == m.complete.Era
 }
@@ -298,7 +301,7 @@
 	}
 	if m.compacted.Era < b.Era && !item.Removed {
 		removal := Item{Key: item.Key, Era: m.compacted.Era, Revision: m.compacted.Revision, Removed: true}
-		m.items[item.Key] = entry{Item: removal, equivalentSince: m.compacted, listedEra: b.Era, outdated: &item}
+		m.set(entry{Item: removal, equivalentSince: m.compacted, listedEra: b.Era, outdated: &item})
 	}
 	return false
 }
@@ -315,7 +318,7 @@
 	case known.Era < b.Era && !item.Removed:
 		known.outdated = &item
 	}
-	m.items[item.Key] = known
+	m.set(known)
 }
 
 // put replaces the known state of a key. It returns false if the new value is equivalent. The caller holds mu.
@@ -331,13 +334,23 @@
 	if equivalent {
 		next.equivalentSince = known.equivalentSince
 	}
-	m.items[item.Key] = next
+	m.set(next)
 	if item.Removed {
 		m.tombstones = append(m.tombstones, tombstone{key: item.Key, version: item.Version(), receivedAt: m.Clock.Now()})
 	}
 	return !equivalent
 }
 
+// set sets the state of the entry's key. The caller holds mu.
+func (m *Mirror) set(e entry) {
+	m.items[e.Key] = e
+	if m.inKept(e) {
+		m.kept[e.Key] = struct{}{}
+	} else {
+		delete(m.kept, e.Key)
+	}
+}
+
 // expireTombstones drops tombstones that are older than tombstoneTTL and not newer than complete. The caller holds mu.
 func (m *Mirror) expireTombstones() {
 	now := m.Clock.Now()
@@ -349,6 +362,7 @@
 		n++
 		if known := m.items[t.key]; known.Removed && known.outdated == nil && known.Version() == t.version {
 			delete(m.items, t.key)
+			delete(m.kept, t.key)
 			m.compacted = latest(m.compacted, t.version)
 		}
 	}
