--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -92,12 +92,11 @@
 	d.Prompts = encodePrompts(f.Prompts.Records(), now)
 	// Loads calls this fleet to divide limits, so that it must not be called with mu held.
 	d.Limits = loadshare.EncodeLimits(f.Loads.LimitReports())
-	loads := encodeLoads(f.Loads.Reports())
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.sendsLoads(dataCentreHash) {
-		d.Loads = loads
+		d.Loads = encodeLoads(f.Loads.Reports())
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	d.Known, d.WantsItems = uint32(len(f.members)), f.Store.Disconnected()
 	d.Sender = &fleetpb.Host{Address: f.Self, Incarnation: f.Incarnation, Leaving: f.leaving, DataCentre: f.dataCentreHash}
 	for _, address := range f.digestMembers(knownMembers) {
--- a/internal/fleet/selection.go
+++ b/internal/fleet/selection.go
@@ -85,6 +85,8 @@
 // sendsLoads reports whether messages to a host of the data centre hold loads. Hosts of a large data centre learn the
 // loads of all upstreams from each other. An unknown data centre has hash 0.
 func (f *Fleet) sendsLoads(dataCentreHash uint32) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return dataCentreHash == 0 || dataCentreHash == f.dataCentreHash || f.localHosts() < minLocalHosts
 }
 
