What an upstream says of itself is one record for each incarnation, shown with source and age, and counted

balance.stats held limit, leaving and pausedUntil side by side, with two paths that decided of what other hosts are told. Now selfReport holds them with when and by whom this host was told, and recordChange alone passes changes on, to other hosts and to the observer. The messages between hosts are as before.

--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -15,8 +15,9 @@
 	perSecond float64
 	// named is false if the upstream names no limit.
 	named bool
-	// at is when the upstream last said so, and namedAt when it last named a limit.
-	at, namedAt time.Time
+	// origin tells when the upstream last said so; namedAt is when it last named a limit.
+	origin
+	namedAt time.Time
 }
 
 func (l *requestLimit) inForce(now time.Time) bool { return l.named && now.Sub(l.at) < limitExpiry }
@@ -48,43 +49,33 @@
 	if perSecond != nil {
 		report.PerSecond = *perSecond
 	}
-	if t.updateLimit(s, report, now, "response") {
-		t.announce(s)
-	}
-}
-
-// announce puts the upstream's report into the next message with changed limits. The caller holds mu.
-func (t *Table) announce(s *stats) {
-	if !s.limitChanged && len(t.changedLimits) < maxLimitReports {
-		s.limitChanged = true
-		t.changedLimits = append(t.changedLimits, s)
-	}
+	t.updateLimit(s, report, now, SourceResponse)
 }
 
-// updateLimit records what the upstream says of its limit. It reports whether that is another limit than before. The
-// caller holds mu.
-func (t *Table) updateLimit(s *stats, r LimitReport, now time.Time, source string) bool {
+// updateLimit records what the upstream says of its limit. The caller holds mu.
+func (t *Table) updateLimit(s *stats, r LimitReport, now time.Time, source Source) {
 	at := now.Add(-r.Age)
-	if at.Before(s.limit.at) {
-		return false
+	before := s.said.limit
+	if at.Before(before.at) {
+		return
 	}
-	before := s.limit
-	s.limit = requestLimit{perSecond: r.PerSecond, named: r.Named, at: at, namedAt: before.namedAt}
+	limit := requestLimit{perSecond: r.PerSecond, named: r.Named, origin: origin{at, source}, namedAt: before.namedAt}
 	if r.Named {
-		s.limit.namedAt = at
+		limit.namedAt = at
 	}
-	if s.limit.inForce(now) == before.inForce(now) && (!r.Named || r.PerSecond == before.perSecond) {
-		return false
+	s.said.limit = limit
+	if limit.inForce(now) == before.inForce(now) && (!r.Named || r.PerSecond == before.perSecond) {
+		return
 	}
-	t.recordChange(s, CauseLimit)
+	t.recordChange(s, CauseLimit, source)
 	t.log.Info().Str("event", "upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
-		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", source).Dur("age_ms", r.Age).Send()
-	return true
+		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", string(source)).Dur("age_ms", r.Age).Send()
 }
 
 // limitReport returns the report of the limit.
 func (s *stats) limitReport(now time.Time) LimitReport {
-	return LimitReport{IncarnationID: s.id, PerSecond: s.limit.perSecond, Named: s.limit.named, Age: now.Sub(s.limit.at), Leaving: s.leaving}
+	limit := s.said.limit
+	return LimitReport{IncarnationID: s.id, PerSecond: limit.perSecond, Named: limit.named, Age: now.Sub(limit.at), Leaving: s.said.isLeaving()}
 }
 
 // LimitReports returns the limits that upstreams named recently, including those that they name no longer, and the upstreams
@@ -95,7 +86,7 @@
 	now := t.clock.Now()
 	var reports []LimitReport
 	for _, s := range t.statsByID {
-		if s.leaving || !s.limit.namedAt.IsZero() && now.Sub(s.limit.namedAt) < limitExpiry {
+		if s.said.isLeaving() || !s.said.limit.namedAt.IsZero() && now.Sub(s.said.limit.namedAt) < limitExpiry {
 			reports = append(reports, s.limitReport(now))
 		}
 		if len(reports) == maxLimitReports {
@@ -112,7 +103,7 @@
 	now := t.clock.Now()
 	reports := make([]LimitReport, len(t.changedLimits))
 	for i, s := range t.changedLimits {
-		s.limitChanged = false
+		s.said.changed = false
 		reports[i] = s.limitReport(now)
 	}
 	t.changedLimits = t.changedLimits[:0]
@@ -130,10 +121,10 @@
 			continue
 		}
 		if r.Age < limitExpiry {
-			t.updateLimit(s, r, now, "peer")
+			t.updateLimit(s, r, now, SourcePeer)
 		}
 		if r.Leaving {
-			t.markLeaving(s, "peer")
+			t.markLeaving(s, now, SourcePeer)
 		}
 	}
 }
@@ -143,8 +134,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsByKey[key]
-	if s == nil || !s.limit.inForce(t.clock.Now()) {
+	if s == nil || !s.said.limit.inForce(t.clock.Now()) {
 		return 0, false
 	}
-	return s.limit.perSecond, true
+	return s.said.limit.perSecond, true
 }
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -64,7 +64,7 @@
 // order returns the upstreams that their limits allow to receive a request, in the order of preference.
 func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
 	return s.table.order(snap, service, criteria, func(m *member) ([]allowance.RateLimit, bool) {
-		limits := s.limits(snap, m.upstream, m.stats.limit, now)
+		limits := s.limits(snap, m.upstream, m.stats.said.limit, now)
 		if len(limits) > 0 && criteria.Version == nil && m.stats.pool.waiting[m.upstream.Version] > 0 {
 			return nil, false
 		}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -80,14 +80,8 @@
 	failedAt        time.Time
 	suspectUntil    time.Time
 	fullUntil       time.Time
-	// limit is the request limit that the upstream names. limitChanged is set while it is in the table's list of changed
-	// limits.
-	limit        requestLimit
-	limitChanged bool
-	// leaving is set once the upstream said that it is leaving. It is final for an incarnation.
-	leaving bool
-	// pausedUntil is the time until which the upstream, which turned a request away, wants nothing from this host.
-	pausedUntil time.Time
+	// said is what the upstream says of itself.
+	said selfReport
 	// replaced is true once another instance responded at the address.
 	replaced bool
 	lastUsed time.Time
@@ -399,11 +393,17 @@
 	Suspect      bool    `json:"suspect"`
 	// RequestLimit is the limit that the upstream names, in requests per second, and RequestLimitAge the time since it was
 	// last reported; both are absent if it names none.
-	RequestLimit    *float64      `json:"request_limit,omitempty"`
-	RequestLimitAge time.Duration `json:"request_limit_age_ns,omitempty"`
-	// Leaving is set if the upstream or another host said that it is leaving. Paused is how long it still wants nothing.
-	Leaving bool          `json:"leaving,omitempty"`
-	Paused  time.Duration `json:"paused_ns,omitempty"`
+	RequestLimit       *float64      `json:"request_limit,omitempty"`
+	RequestLimitAge    time.Duration `json:"request_limit_age_ns,omitempty"`
+	RequestLimitSource Source        `json:"request_limit_source,omitempty"`
+	// Leaving is set if the upstream or another host said that it is leaving, and LeavingAge is the time since this host
+	// knows.
+	Leaving       bool          `json:"leaving,omitempty"`
+	LeavingAge    time.Duration `json:"leaving_age_ns,omitempty"`
+	LeavingSource Source        `json:"leaving_source,omitempty"`
+	// Paused is how long the upstream still wants nothing from this host, and PausedAge the time since it said so.
+	Paused    time.Duration `json:"paused_ns,omitempty"`
+	PausedAge time.Duration `json:"paused_age_ns,omitempty"`
 }
 
 // State returns the state of every upstream for the state dump.
@@ -415,12 +415,9 @@
 	for key, s := range t.statsByKey {
 		state := UpstreamState{
 			ID: key.ID, Address: key.Address, InFlight: s.inFlight, Load: s.load(now), Failures: s.consecutiveFailures,
-			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil), Leaving: s.leaving, Paused: max(0, s.pausedUntil.Sub(now)),
-		}
-		if s.limit.inForce(now) {
-			perSecond := s.limit.perSecond
-			state.RequestLimit, state.RequestLimitAge = &perSecond, now.Sub(s.limit.at)
+			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil),
 		}
+		s.said.fill(&state, now)
 		states = append(states, state)
 	}
 	return states
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -7,12 +7,21 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
+	"github.com/orioleusher/orioleusher/internal/admin"
+	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/document"
+	"github.com/orioleusher/orioleusher/internal/gateway"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/process"
 )
@@ -75,6 +84,8 @@
 		{"explain an unknown route", []string{"explain", "-d", sampleDocument, "--route", "x", "--chat", "c"}, process.ExitFailed, "", `route "x" is not in document version 1`},
 		{"no document given", []string{"status"}, process.ExitFailed, "", "want either --document FILE or --platform URL"},
 		{"dump an unknown router", []string{"dump", "-d", sampleDocument, "x"}, process.ExitFailed, "", `router "x" is not in document version 1`},
+		{"dump routers of a document and others", []string{"dump", "-d", sampleDocument, "-a", "127.0.0.1:1"}, process.ExitFailed, "", "want either --admin or routers of a document"},
+		{"dump an unreachable router", []string{"dump", "-a", "127.0.0.1:1"}, process.ExitCheckFailed, "unreachable: ", ""},
 		{"key without id", []string{"key", "new"}, process.ExitUsage, "", "required flag `--id'"},
 		{"key with a bad id", []string{"key", "new", "--id", "a b"}, process.ExitFailed, "", `--id "a b": want 1 to 64 letters`},
 	}
@@ -114,6 +125,36 @@
 	is.True(created.Entry.NotAfter != nil)
 }
 
+// Guards against a dump that hides what upstreams say of themselves, with who told the router and when.
+func TestDumpOfDirectRouterShowsWhatUpstreamsSay(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := balance.NewTable("dc", clock, zerolog.Nop())
+	limit := 2.5
+	u := &catalog.Upstream{ID: "engine-1", Address: "10.0.0.1:80"}
+	table.RecordRequestLimit(u, &limit)
+	table.MarkLeaving(u)
+	clock.Advance(time.Second)
+	server := httptest.NewServer(admin.Handler(admin.Options{
+		Ready: func() string { return "" }, State: func() any { return gateway.State{Upstreams: table.State()} },
+	}))
+	defer server.Close()
+	code, out, _ := runCtl("dump", "--admin", strings.TrimPrefix(server.URL, "http://"))
+	is.Equal(code, process.ExitOK)
+	_, upstreams, found := strings.Cut(out, "-- upstreams: 1\n")
+	is.True(found)
+	lines := strings.Split(upstreams, "\n")
+	columns, cells := regexp.MustCompile("  +").Split(lines[0], -1), strings.Fields(lines[1])
+	for column, want := range map[string]string{
+		"REQUEST LIMIT": "2.5", "REQUEST LIMIT SOURCE": "response", "REQUEST LIMIT AGE NS": "1000000000", "LEAVING": "true",
+		"LEAVING SOURCE": "response", "LEAVING AGE NS": "1000000000",
+	} {
+		i := slices.Index(columns, column)
+		is.True(i >= 0)
+		is.Equal(cells[i], want)
+	}
+}
+
 func TestStatusReportsUnreachableRouters(t *testing.T) {
 	is := is.New(t)
 	// No process listens on port 1 of these addresses.
--- a/internal/ctl/dump.go
+++ b/internal/ctl/dump.go
@@ -17,7 +17,8 @@
 type dumpCommand struct {
 	app *app
 	documentSource
-	Args struct {
+	Admin []string `short:"a" long:"admin" value-name:"IP:PORT" description:"admin address of a router that sends directly, which no document names; may be repeated"`
+	Args  struct {
 		Routers []string `positional-arg-name:"ROUTER" description:"names of routers; none means all"`
 	} `positional-args:"yes"`
 }
@@ -32,11 +33,7 @@
 // Execute implements flags.Commander.
 func (c *dumpCommand) Execute([]string) error {
 	client := c.app.client()
-	snap, err := c.read(client)
-	if err != nil {
-		return err
-	}
-	hosts, err := selectHosts(snap, c.Args.Routers)
+	hosts, err := c.hosts(client)
 	if err != nil {
 		return err
 	}
@@ -56,6 +53,25 @@
 	return nil
 }
 
+// hosts returns the routers at the admin addresses, or else those of the document.
+func (c *dumpCommand) hosts(client *client) ([]document.EntryHost, error) {
+	if len(c.Admin) == 0 {
+		snap, err := c.read(client)
+		if err != nil {
+			return nil, err
+		}
+		return selectHosts(snap, c.Args.Routers)
+	}
+	if c.documentSource != (documentSource{}) || len(c.Args.Routers) > 0 {
+		return nil, errors.New("want either --admin or routers of a document")
+	}
+	hosts := make([]document.EntryHost, len(c.Admin))
+	for i, address := range c.Admin {
+		hosts[i] = document.EntryHost{Host: document.Host{Name: address, AdminAddress: address}}
+	}
+	return hosts, nil
+}
+
 func selectHosts(snap *document.Snapshot, names []string) ([]document.EntryHost, error) {
 	if len(names) == 0 {
 		return activeHosts(snap), nil
--- a/internal/direct/notice_test.go
+++ b/internal/direct/notice_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -105,3 +106,25 @@
 		})
 	}
 }
+
+// Guards against changes in what upstreams say of themselves that no metric shows, and against counting each response.
+func TestNoticesOfUpstreamsAreCountedByCauseAndSource(t *testing.T) {
+	is := is.New(t)
+	limited := ok.withHeader("X-Limit: 90")
+	h := newHarness(t, catalog.Unsafe, false, limited, limited, shed.withHeader("Retry-After: 2"))
+	scope := tally.NewTestScope("", nil)
+	h.server.Scope = scope
+	key := h.leaveOnly()
+	for range 3 {
+		h.call(http.MethodPost, "/r/", "")
+	}
+	for range 2 {
+		h.server.Balancer.MergeLimitReports([]balance.LimitReport{{IncarnationID: balance.IncarnationID(key), Leaving: true, Age: time.Hour}})
+	}
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		counts[c.Tags()["cause"]+" "+c.Tags()["source"]] = c.Value()
+	}
+	// The refusal names no limit any more.
+	is.Equal(counts, map[string]int64{"limit response": 2, "pause response": 1, "leaving peer": 1})
+}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -96,8 +96,10 @@
 	return s
 }
 
-// recordUpstreamChange closes the idle connections to an upstream that is leaving.
+// recordUpstreamChange counts a change in what an upstream says of itself, and closes the idle connections to one that is
+// leaving.
 func (s *Server) recordUpstreamChange(c balance.Change) {
+	s.Scope.Tagged(map[string]string{"cause": string(c.Cause), "source": string(c.Source)}).Counter("upstream_notices").Inc(1)
 	if c.Cause == balance.CauseLeaving {
 		s.Pool.CloseIdle(c.Upstream.Address)
 	}
