--- a/internal/promptblame/table.go
+++ b/internal/promptblame/table.go
@@ -45,6 +45,8 @@
 	own bool
 }
 
+func (a Attempt) time() time.Time { return a.CrashedAt }
+
 // crash returns the crash that ended the attempt.
 func (a Attempt) crash() crash { return crash{a.Upstream, a.CrashedAt} }
 
@@ -66,6 +68,22 @@
 	At      time.Time
 }
 
+func (c Clearance) time() time.Time { return c.At }
+
+// insertByTime inserts the record into a list that is ordered by time, oldest first. If the list is then longer than the
+// limit, the oldest record is dropped.
+func insertByTime[T interface{ time() time.Time }](list []T, record T, limit int) []T {
+	i := len(list)
+	for i > 0 && list[i-1].time().After(record.time()) {
+		i--
+	}
+	list = slices.Insert(list, i, record)
+	if len(list) > limit {
+		list = slices.Delete(list, 0, 1)
+	}
+	return list
+}
+
 // Table holds what this host has observed or received. It is safe for concurrent use.
 type Table struct {
 	clock clockwork.Clock
@@ -158,14 +176,7 @@
 	if t.clock.Since(a.CrashedAt) >= attemptLifetime || t.isKnown(a) || !t.attribute(&a) {
 		return false
 	}
-	i := len(t.attempts)
-	for i > 0 && t.attempts[i-1].CrashedAt.After(a.CrashedAt) {
-		i--
-	}
-	t.attempts = slices.Insert(t.attempts, i, a)
-	if len(t.attempts) > maxAttempts {
-		t.attempts = slices.Delete(t.attempts, 0, 1)
-	}
+	t.attempts = insertByTime(t.attempts, a, maxAttempts)
 	return t.judge(a)
 }
 
@@ -214,14 +225,7 @@
 		}
 		t.clearances = slices.Delete(t.clearances, i, i+1)
 	}
-	i := len(t.clearances)
-	for i > 0 && t.clearances[i-1].At.After(c.At) {
-		i--
-	}
-	t.clearances = slices.Insert(t.clearances, i, c)
-	if len(t.clearances) > maxClearances {
-		t.clearances = slices.Delete(t.clearances, 0, 1)
-	}
+	t.clearances = insertByTime(t.clearances, c, maxClearances)
 	for i := range t.attempts {
 		if a := &t.attempts[i]; !a.CrashedAt.After(c.At) {
 			a.Segments = without(a.Segments, c.Segment)
--- a/internal/promptblame/table_test.go
+++ b/internal/promptblame/table_test.go
@@ -380,3 +380,18 @@
 	is.Equal(r.Attempts[0].Segments, []uint64{deadly})
 	is.Equal(r.Attempts[1].Segments, []uint64{deadly})
 }
+
+// Guards against records that arrive out of order and count as newer than they are, and against lists without bound.
+func TestRecordsAreInsertedByTime(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	var list []Clearance
+	for i, second := range []int{5, 2, 9, 5, 1, 7} {
+		list = insertByTime(list, Clearance{Segment: uint64(i), At: start.Add(time.Duration(second) * time.Second)}, 4)
+	}
+	var segments []uint64
+	for _, c := range list {
+		segments = append(segments, c.Segment)
+	}
+	is.Equal(segments, []uint64{0, 3, 5, 2}) // of two at the same time, the one that arrived first
+}
