--- a/internal/promptblame/judge.go
+++ b/internal/promptblame/judge.go
@@ -129,7 +129,7 @@
 }
 
 func (t *Table) logVerdict(v verdict, a Attempt) {
-	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatAll(v.segments)).Int("run", v.length).Int("needed", v.needed).
+	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatList(v.segments)).Int("run", v.length).Int("needed", v.needed).
 		Int("requests", v.requests).Int("attempts", v.attempts).Int("begun", v.begun).Int("crashed", v.crashed).
 		Float64("crash_share", v.crashShare).Dur("run_age_ms", t.clock.Since(v.since)).Dur("age_ms", t.clock.Since(a.CrashedAt)).
 		Bool("own", a.own).Bool("blamed", v.blamed()).Send()
@@ -145,7 +145,7 @@
 	}
 	b.Duration = min(2*b.Duration, maxBlameDuration)
 	b.Since, b.Until = a.CrashedAt, now.Add(b.Duration)
-	t.log.Warn().Str("event", "prompt-blame-renewed").Str("segments", formatAll(b.Segments)).Bool("own", a.own).
+	t.log.Warn().Str("event", "prompt-blame-renewed").Str("segments", formatList(b.Segments)).Bool("own", a.own).
 		Dur("age_ms", now.Sub(a.CrashedAt)).Dur("for_ms", b.Duration).Send()
 	return true
 }
@@ -178,10 +178,13 @@
 // format returns the segment's hash as it appears in logs and in the state dump.
 func format(segment uint64) string { return strconv.FormatUint(segment, 10) }
 
-func formatAll(segments []uint64) string {
+func formatAll(segments []uint64) []string {
 	texts := make([]string, len(segments))
 	for i, segment := range segments {
 		texts[i] = format(segment)
 	}
-	return strings.Join(texts, ",")
+	return texts
 }
+
+// formatList returns the segments' hashes as they appear in logs.
+func formatList(segments []uint64) string { return strings.Join(formatAll(segments), ",") }
--- a/internal/promptblame/records.go
+++ b/internal/promptblame/records.go
@@ -92,7 +92,7 @@
 	if i >= 0 && !b.Until.After(t.blames[i].Until.Add(blameDuration/2)) {
 		return false
 	}
-	t.log.Warn().Str("event", "prompt-blame-received").Str("segments", formatAll(b.Segments)).Dur("run_age_ms", now.Sub(b.Since)).
+	t.log.Warn().Str("event", "prompt-blame-received").Str("segments", formatList(b.Segments)).Dur("run_age_ms", now.Sub(b.Since)).
 		Dur("left_ms", b.Until.Sub(now)).Bool("renewed", i >= 0).Send()
 	if i >= 0 {
 		t.blames[i].Since, t.blames[i].Until, t.blames[i].Duration = b.Since, b.Until, b.Duration
@@ -133,11 +133,7 @@
 	t.expire()
 	s := State{Attempts: len(t.attempts), Clearances: len(t.clearances), Blames: []BlameState{}}
 	for _, b := range t.blames {
-		texts := make([]string, len(b.Segments))
-		for i, segment := range b.Segments {
-			texts[i] = format(segment)
-		}
-		s.Blames = append(s.Blames, BlameState{Segments: texts, LeftNs: max(0, b.Until.Sub(t.clock.Now()))})
+		s.Blames = append(s.Blames, BlameState{Segments: formatAll(b.Segments), LeftNs: max(0, b.Until.Sub(t.clock.Now()))})
 	}
 	return s
 }
--- a/internal/promptblame/table.go
+++ b/internal/promptblame/table.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		b.Segments = without(b.Segments, c.Segment)
-		t.log.Info().Str("event", "prompt-cleared").Str("segment", format(c.Segment)).Str("left", formatAll(b.Segments)).
+		t.log.Info().Str("event", "prompt-cleared").Str("segment", format(c.Segment)).Str("left", formatList(b.Segments)).
 			Dur("age_ms", t.clock.Since(c.At)).Send()
 	}
 	t.blames = slices.DeleteFunc(t.blames, func(b Blame) bool { return len(b.Segments) == 0 })
