--- a/internal/fleet/prompts.go
+++ b/internal/fleet/prompts.go
@@ -17,7 +17,8 @@
 	Merge(promptblame.Records)
 }
 
-// Announce makes Run exchange digests with several hosts at once, instead of in the next round.
+// Announce requests exchanges of digests with several hosts before the next round, and does not wait for them. While Run
+// runs, runAnnouncements makes them.
 func (f *Fleet) Announce() {
 	select {
 	case f.announcements <- struct{}{}:
