Responses that are cut after they began: one rule, logged and counted by what ended them

The line not-served or cancelled of a begun answer has ended_by, peer and bytes, the metric answers_cut{ended_by} counts. Found on the way: a long plain response to a repeatable request was cut in the middle of the time left, since the time for the first try went on although nothing else could be tried; relayLong now stops it.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -81,7 +81,7 @@
 	}
 	timeout := req.Route.Timeout
 	if req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout) {
-		timeout = req.CallerTimeout
+		timeout, req.callersDeadline = req.CallerTimeout, true
 	}
 	req.Deadline = req.Start.Add(timeout)
 	return next(ctx, req)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -188,7 +188,7 @@
 	case req.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK:
 		return d.relayStream(ctx, req, u, resp, inactivity, release)
 	default:
-		return d.relayBuffered(ctx, req, u, resp, release)
+		return d.relayBuffered(ctx, req, u, resp, inactivity, release)
 	}
 }
 
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -30,7 +30,7 @@
 
 // relayBuffered reads the complete response and relays it. An incomplete response is not relayed. A response that is too
 // long to be held is relayed as it arrives; if it breaks off, so does the caller's response.
-func (d *dispatchFilter) relayBuffered(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, release func(bool)) attemptResult {
+func (d *dispatchFilter) relayBuffered(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, inactivity *inactivityTimer, release func(bool)) attemptResult {
 	failed := resp.StatusCode >= minFailureStatus
 	body, whole, err := d.readResponse(req, resp)
 	if err != nil {
@@ -38,6 +38,7 @@
 		return d.connectionFailed(ctx, req, u, err)
 	}
 	if !whole && !failed && !req.response.headerSent {
+		inactivity.stop() // nothing else can be tried once a part has been relayed
 		return d.relayLong(ctx, req, u, resp, body, release)
 	}
 	release(whole)
@@ -94,7 +95,8 @@
 	d.recordBegun(req)
 	body := &recordingReader{Reader: io.MultiReader(bytes.NewReader(begun), resp.Body)}
 	buf := make([]byte, streamBufferBytes)
-	_, err := io.CopyBuffer(struct{ io.Writer }{req.response.writer}, body, buf)
+	n, err := io.CopyBuffer(struct{ io.Writer }{req.response.writer}, body, buf)
+	req.response.bytes += n
 	switch {
 	case body.err != nil:
 		release(false)
@@ -227,7 +229,9 @@
 }
 
 func (c *callerResponse) writeAndFlush(p []byte) error {
-	if _, err := c.writer.Write(p); err != nil {
+	n, err := c.writer.Write(p)
+	c.bytes += int64(n)
+	if err != nil {
 		return err
 	}
 	return http.NewResponseController(c.writer).Flush()
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -36,6 +36,8 @@
 	receivedAt time.Time
 	// Deadline is when the final response is due.
 	Deadline time.Time
+	// callersDeadline is set if the deadline is the caller's, and not the end of the route's timeout.
+	callersDeadline bool
 
 	Route   *catalog.Route
 	Team    *catalog.Team
@@ -77,6 +79,8 @@
 	headerSent     bool
 	firstByteAfter time.Duration
 	status         int
+	// bytes counts the body bytes that were written to the caller.
+	bytes int64
 	// mediaType is that of the response that was begun.
 	mediaType string
 	// callerGone is set once a write to the caller has failed.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -152,7 +152,7 @@
 	if !errors.As(err, &refusal) {
 		refusal = &outcome.Refusal{
 			Status: http.StatusBadGateway, Code: "broken-off", Message: "the answer broke off", Step: stepDispatch,
-			Outcome: outcome.Unknown, Cause: err,
+			Peer: req.lastTriedID(), Outcome: outcome.Unknown, Cause: err,
 		}
 	}
 	if refusal.RetryAfter > 0 && refusal.Step != stepQuarantine && refusal.Step != stepStop {
@@ -161,10 +161,12 @@
 		refusal = &graded
 	}
 	cancelled := ctx.Err() != nil && !req.bodyLate
-	s.logRefused(req, refusal, cancelled, elapsed)
+	endedBy := s.endedBy(ctx, req, refusal.Cause)
+	s.logRefused(req, refusal, cancelled, endedBy, elapsed)
 	switch {
 	case req.response.headerSent:
 		s.responses.brokenOff(refusal.Code).Inc(1)
+		s.responses.cut(endedBy).Inc(1)
 		panic(http.ErrAbortHandler)
 	case cancelled:
 		s.responses.cancelled(refusal.Code).Inc(1)
@@ -193,13 +195,17 @@
 	panic(cause)
 }
 
-func (s *Server) logRefused(req *Request, r *outcome.Refusal, cancelled bool, elapsed time.Duration) {
+func (s *Server) logRefused(req *Request, r *outcome.Refusal, cancelled bool, endedBy string, elapsed time.Duration) {
 	level, event := zerolog.WarnLevel, "not-served"
 	if cancelled {
 		level, event = zerolog.InfoLevel, "cancelled"
 	}
-	s.Log.WithLevel(level).Str("event", event).Func(s.requestFields(req, elapsed)).Int("status", r.Status).Str("code", r.Code).
-		Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter).Bool("begun", req.response.headerSent).Err(r.Cause).Send()
+	line := s.Log.WithLevel(level).Str("event", event).Func(s.requestFields(req, elapsed)).Int("status", r.Status).Str("code", r.Code).
+		Str("step", r.Step).Str("peer", r.Peer).Str("outcome", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter).Bool("begun", req.response.headerSent)
+	if req.response.headerSent {
+		line.Str("ended_by", endedBy).Int64("bytes", req.response.bytes)
+	}
+	line.Err(r.Cause).Send()
 }
 
 // idleTimeout returns how long a caller's connection may stay idle.
@@ -228,6 +234,11 @@
 	}
 }
 
+// cut returns the counter of responses that had begun and were ended before they were whole.
+func (c *responseCounters) cut(endedBy string) tally.Counter {
+	return c.scope.Tagged(map[string]string{"ended_by": endedBy}).Counter("answers_cut")
+}
+
 func (c *responseCounters) refused(code string) tally.Counter {
 	return c.byCode("requests_refused", code)
 }
