--- a/internal/published/history_test.go
+++ b/internal/published/history_test.go
@@ -137,13 +137,14 @@
 // Guards against a host that takes its knowledge of published items for complete although it missed some of them.
 func TestFollowedSinceBeginsAnewAfterGap(t *testing.T) {
 	revision := uint64(10)
-	list := func(bool, uint64) (Batch, error) {
-		revision++
-		return Batch{Items: []Item{item("a/x", 3)}, Revision: revision}, nil
-	}
-	lost := func(bool, uint64) (Batch, error) { return Batch{}, ErrHistoryLost }
-	down := func(bool, uint64) (Batch, error) { return Batch{}, errors.New("down") }
 	type step = func(bool, uint64) (Batch, error)
+	respond := func(err error) step {
+		return func(bool, uint64) (Batch, error) {
+			revision++
+			return Batch{Items: []Item{item("a/x", 3)}, Revision: revision}, err
+		}
+	}
+	list, lost, down := respond(nil), respond(ErrHistoryLost), respond(errors.New("down"))
 	for _, tt := range []struct {
 		name  string
 		steps []step
