Soak: releases of newer software versions among its faults

TestSoak could not release versions while streams went on anywhere; now one to four of its five servers are drained and replaced by instances of the next version, beside all other faults.

--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -70,6 +70,8 @@
 	routers []*testfleet.Process
 	faults  faultLog
 	version int
+	// releases counts the software versions that were released.
+	releases int
 	// routeTimeout is the timeout of the routes.
 	routeTimeout time.Duration
 	// keys are the API keys in the configuration by team.
@@ -289,7 +291,7 @@
 // concurrently with one on the servers or the store.
 func (f *soakRun) injectFaults(end time.Time) {
 	routers := []func(){f.freeze, f.killAndRestart, f.killAll, f.restart, f.sendSIGHUP, f.cutStore, f.cutServer}
-	others := []func(){f.failStore, f.restoreStore, f.dropHistory, f.crashServer, f.drainServer, f.leaveUnpublished, f.pauseServer, f.limitServer, f.rotateKey, f.idle}
+	others := []func(){f.failStore, f.restoreStore, f.dropHistory, f.crashServer, f.drainServer, f.leaveUnpublished, f.pauseServer, f.limitServer, f.rotateKey, f.release, f.idle}
 	for time.Now().Before(end) {
 		router, other := routers[f.randomInt(len(routers))], others[f.randomInt(len(others))]
 		var wg sync.WaitGroup
--- a/internal/proofs/soak/version_test.go
+++ b/internal/proofs/soak/version_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"sync"
 	"syscall"
 	"testing"
@@ -95,6 +96,17 @@
 	f.replace(list, version, 0)
 }
 
+// release replaces some servers by instances of the next version, which serve beside the others.
+func (f *soakRun) release() {
+	f.releases++
+	first, count := f.randomInt(serverCount), 1+f.randomInt(serverCount-1)
+	var list []*server
+	for i := range count {
+		list = append(list, f.servers.list[(first+i)%serverCount])
+	}
+	f.releaseVersion(list, fmt.Sprintf("v1.%d", f.releases))
+}
+
 // replace crashes the servers and starts them again with the version after the downtime. Every second one that was not draining
 // keeps its ID and its entry.
 func (f *soakRun) replace(list []*server, version string, downtime time.Duration) {
