--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -458,6 +458,7 @@
     def __init__(self, env, number, events, deadline_s=12.0, tries=4):
         self.env, self.number, self.events, self.deadline_s, self.tries = env, number, events, deadline_s, tries
         self.first_id, self.last, self.versions, self.done = "", 0, [], False
+        self.pause_s = 0.7  # before the next try, unless the answer says how long
 
     async def run(self):
         end = time.monotonic() + self.deadline_s
@@ -470,7 +471,7 @@
                 self.done = True
                 return
             left = end - time.monotonic()
-            await asyncio.sleep(min(float(a.get("Retry-After") or 0.7), max(0, left) / 3))
+            await asyncio.sleep(min(float(a.get("Retry-After") or self.pause_s), max(0, left) / 3))
 
     async def attempt(self, left):
         request_id = new_id()
