--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,4 +1,4 @@
-"""The last two servers of the old software version crash and start again under their ids, with the new version."""
+"""All machines are killed at the same moment after the store has dropped its history and the old version has left."""
 
 import asyncio
 import os
@@ -13,7 +13,8 @@
 EVENTS, PAUSE_S = 55, 0.12
 OLD_SERVERS, NEW_SERVERS = 2, 7
 STREAMS = 45
-DOWN_S = 2.0
+# Both versions have served side by side for this long; it exceeds every route's timeout.
+SIDE_BY_SIDE_S = 20
 
 
 async def scenario(env):
@@ -21,24 +22,43 @@
     store = await env.start_store()
     env.configure(7, [route("quote-draft", "/lohu930/", "streaming", "modello", 12000, 600, 2, resume=True)], [engine_service("modello")],
                   [{"name": "hule930", "api_keys": ["key-of-hule930"]}])
-    old = [Server(store, record, env.ip(2), "modello", ZONES[1], answer, "v1") for _ in range(OLD_SERVERS)]
+    old = [Server(store, record, env.ip(2), "modello", ZONES[i % 4], answer, "v1") for i in range(OLD_SERVERS)]
     new = [Server(store, record, env.ip(2), "modello", ZONES[i % 4], answer, "v2") for i in range(NEW_SERVERS)]
     for s in old + new:
         await s.start()
-    await env.start_routers(7)
-    await asyncio.sleep(10)
+    routers = await env.start_routers(7)
+    await asyncio.sleep(SIDE_BY_SIDE_S)
     clients = [StreamClient(env, n, EVENTS) for n in range(STREAMS)]
     jobs = [asyncio.ensure_future(c.run()) for c in clients]
     await asyncio.sleep(1.5)
     if env.trouble:
-        for s in old:
-            s.crash()
-        await asyncio.sleep(DOWN_S)
-        for s in old:
-            s.version = "v2"
-            await s.start()  # registers at once, with its new version and start time
+        await trouble(env, old, routers)
     await asyncio.gather(*jobs)
     return judge_versions(env, clients)
 
 
+async def trouble(env, old, routers):
+    record, store = env.record, env.store
+    # platform_compact, how drain: watches hear nothing for a second, in which servers leave; then the history is dropped.
+    record("watches-hear-nothing")
+    store.muted = True
+    for s in old:
+        # It never reports draining: its entry is removed, and it goes on serving what it has.
+        record("server-leaves", server=s.id, version=s.version)
+        s.beating.cancel()
+        store.delete("servers/" + s.id)
+    await asyncio.sleep(1)
+    store.compact()
+    record("history-dropped", up_to=store.floor)
+    await asyncio.sleep(0.5)
+    for r in routers:
+        r.process.kill()
+    record("all-routers-killed")
+    for r in routers:
+        r.process.wait()
+    await asyncio.sleep(0.4)
+    for r in routers:
+        r.start(f"{store.ip}:{store.port}")
+
+
 main(HERE, scenario)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -156,17 +156,27 @@
         self.id = name or "i-%010x" % random.getrandbits(40)
         self.sequence, self.cold_until, self.up, self.state = 0, 0.0, False, "ready"
         self.writers, self.listener, self.beating = set(), None, None
+        self.window = 0  # the size of the receive buffer, if it is not the system's
 
     async def start(self, cold_s=0.0):
         """Starts an incarnation: listens and registers."""
         self.born, self.sequence = int(time.time() * 1000), 0
         self.cold_until = time.monotonic() + cold_s
-        self.listener = await asyncio.start_server(self._serve, self.ip, self.port, reuse_address=True)
+        self.listener = await asyncio.start_server(self._serve, sock=self._listen(), limit=8 << 10)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.up = True
         self.beating = asyncio.ensure_future(self._beat())
         self.record("server-started", server=self.id, service=self.service, version=self.version, address=f"{self.ip}:{self.port}", cold_s=cold_s)
 
+    def _listen(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.window:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.window)
+        listener.bind((self.ip, self.port))
+        listener.listen(200)
+        return listener
+
     def register(self):
         self.sequence += 1
         cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
