--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -12,7 +12,7 @@
 
 EVENTS, PAUSE_S = 55, 0.12
 OLD_SERVERS, NEW_SERVERS = 2, 7
-STREAMS = 45
+STREAMS = 60
 # Both versions have served side by side for this long; it exceeds every route's timeout.
 SIDE_BY_SIDE_S = 20
 
