--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -18,7 +18,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HEARTBEAT_S = 1.2
@@ -280,8 +279,7 @@
             "platform": {"address": store_address, "history_s": 20}, "seeds": self.seeds,
             "limits": {"memory_mb": 284}, "bounds": BOUNDS,
         }
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
-            role = tomllib.load(f)["roles"]["router"]
+        role = deployed_role()
         with open(os.path.join(ROOT, role["template"])) as f:
             text = render(f.read(), fields)
         path = os.path.join(self.env.dir, self.name + ".json")
@@ -305,6 +303,13 @@
         raise CannotRun(f"{self.name} does not become ready")
 
 
+def deployed_role():
+    """Returns the texts of [roles.router] in the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as f:
+        section = f.read().split("[roles.router]")[1]
+    return dict(re.findall(r'^(\w+) = "(.*)"$', section, flags=re.M))
+
+
 class CannotRun(Exception):
     pass
 
@@ -343,40 +348,42 @@
 
 async def call(address, method, path, request_id, headers, body=b"", timeout_s=12.0, host="ficu95.example"):
     """Sends one request on a new connection and reads the answer as far as it comes."""
-    a = Answer()
-    ip, port = address.split(":")
-    writer = None
+    a, writers = Answer(), []
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"Orioleusher-Request-Id: {request_id}"]
+    lines += [f"{k}: {v}" for k, v in headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(ip, int(port))
-            lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"Orioleusher-Request-Id: {request_id}"]
-            lines += [f"{k}: {v}" for k, v in headers]
-            if body:
-                lines.append(f"Content-Length: {len(body)}")
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-            a.status = int(head[0].split(" ")[1])
-            a.headers = [tuple(p.strip() for p in line.split(":", 1)) for line in head[1:] if line]
-            if a.get("Transfer-Encoding") == "chunked":
-                while True:
-                    n = int((await reader.readuntil(b"\r\n")).strip().split(b";")[0], 16)
-                    piece = await reader.readexactly(n + 2)
-                    if n == 0:
-                        a.complete = True
-                        break
-                    a.body += piece[:-2]
-            elif a.get("Content-Length"):
-                length = int(a.get("Content-Length"))
-                a.body = await reader.readexactly(length)
-                a.complete = True
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, TimeoutError) as e:
+        await asyncio.wait_for(exchange(a, address, "\r\n".join(lines).encode() + b"\r\n\r\n" + body, writers), timeout_s)
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as e:
         a.error = type(e).__name__
     finally:
-        if writer is not None:
-            writer.close()
+        for w in writers:
+            w.close()
     return a
 
 
+async def exchange(a, address, raw, writers):
+    ip, port = address.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writers.append(writer)
+    writer.write(raw)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    a.status = int(head[0].split(" ")[1])
+    a.headers = [tuple(p.strip() for p in line.split(":", 1)) for line in head[1:] if line]
+    if a.get("Transfer-Encoding") == "chunked":
+        while True:
+            n = int((await reader.readuntil(b"\r\n")).strip().split(b";")[0], 16)
+            piece = await reader.readexactly(n + 2)
+            if n == 0:
+                break
+            a.body += piece[:-2]
+        a.complete = True
+    elif a.get("Content-Length"):
+        a.body = await reader.readexactly(int(a.get("Content-Length")))
+        a.complete = True
+
+
 def free_block():
     """Returns two bytes b, c such that the ports of a router are free at the address 127.b.c.61."""
     for _ in range(50):
