Streams whose version a discarded history cannot tell are refused

Cause: publishedVersions.Extend took a history from which changes were missing for one of the promised length if no published upstream had started lately. A version that served beside another one and left was in the part that was gone.

Ruled out: answers of other hosts (all were killed) and the list itself (it is asked for the history).

Change: a part of the history counts for the time that its repeated entries prove (published.HistorySpan), and from the last removal on whose version it does not tell. The history of a restored store no longer counts. The interval of the repetitions is measured by the writes since the host began to follow, so that no setting and no clock of another machine is needed.

--- a/internal/catalog/versions.go
+++ b/internal/catalog/versions.go
@@ -74,8 +74,3 @@
 func (s *Store) RecordPastVersion(service, version string, at time.Time) {
 	s.pastVersions.record(serviceVersion{service, version}, at, s.clock.Now())
 }
-
-// StartedSince reports whether an upstream of the service that is published now started since then, or does not say when.
-func (s *Store) StartedSince(service string, since time.Time) bool {
-	return slices.ContainsFunc(s.Current().Upstreams[service], func(u *Upstream) bool { return u.StartedAtMs == 0 || u.StartedAtMs >= since.UnixMilli() })
-}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -21,7 +21,7 @@
 	mirror *published.Mirror
 	source published.Source
 	decode catalog.DecodeFunc
-	// retention is how long the source keeps changes; 0 if unknown.
+	// retention is how long the source says that it keeps changes; 0 if unknown.
 	retention time.Duration
 	clock     clockwork.Clock
 	log       zerolog.Logger
@@ -30,24 +30,37 @@
 	history atomic.Pointer[versionHistory]
 
 	mu sync.Mutex // held while the history is read
-	// failedAt is when the history was last found to be insufficient.
+	// failedAt is when the history could last not be read.
 	failedAt time.Time
 }
 
 // versionHistory says for which time versions are known from the source's history.
 type versionHistory struct {
 	since time.Time
-	// whole is set if the source has never discarded a change.
-	whole bool
-	// followedSince is the time since which the reader had followed the source. After a later gap the history does not help.
-	followedSince time.Time
+	// start is where the reader had begun to follow the source. After a later gap the history does not help.
+	start published.FollowStart
+	// part is nil if the source has never discarded a change.
+	part *partialHistory
 }
 
-// historyRetryInterval is the time after a failed attempt to read the source's history in which there is no other one.
-const historyRetryInterval = 5 * time.Second
+// partialHistory measures how far back a history goes of which the source has discarded a part.
+type partialHistory struct {
+	span *published.HistorySpan
+	// after is the revision up to which changes were counted, at the time countedAt.
+	after     uint64
+	countedAt time.Time
+}
 
-// historyTimeout limits the time for reading the source's history, for which the callers' streams wait.
-const historyTimeout = time.Second
+const (
+	// historyRetryInterval is the time after a failed attempt to read the source's history in which there is no other one.
+	historyRetryInterval = 5 * time.Second
+	// historyCountInterval is the interval at which changes are counted while a partial history is too short.
+	historyCountInterval = time.Second
+	// historyTimeout limits the time for reading the source's history, for which the callers' streams wait.
+	historyTimeout = time.Second
+	// wholeHistory is the time for which versions count as known if no change has ever been discarded.
+	wholeHistory = time.Hour
+)
 
 // errHistoryInsufficient reports that the source's history does not tell all versions that were published.
 var errHistoryInsufficient = errors.New("the history does not tell all versions")
@@ -60,7 +73,7 @@
 // FollowedSince implements origin.Versions.
 func (v *publishedVersions) FollowedSince() time.Time {
 	followed := v.reader.FollowedSince()
-	if h := v.history.Load(); h != nil && h.whole && h.followedSince.Equal(followed) {
+	if h := v.history.Load(); h != nil && h.start.Since.Equal(followed) {
 		return h.since
 	}
 	return followed
@@ -71,44 +84,40 @@
 
 // Extend implements origin.History. It reads the changes that the source still has, once after the start and after each gap.
 //
-// A source may discard changes sooner than it says. If it has discarded some, the history therefore counts only if no
-// upstream of the service started within the window: a version that replaced another one would have.
-func (v *publishedVersions) Extend(ctx context.Context, service string, window time.Duration) (time.Duration, error) {
-	h, err := v.readHistory(ctx)
+// A source may discard changes sooner than it says, so that a history that lacks some counts only for the time that its
+// repeated entries prove.
+func (v *publishedVersions) Extend(ctx context.Context, window time.Duration) (time.Duration, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	h := v.history.Load()
+	var err error
+	if start := v.reader.FollowStart(); h == nil || !h.start.Since.Equal(start.Since) {
+		h, err = v.readHistory(ctx, start)
+	} else if v.shouldCount(h, window) {
+		h, err = v.countRepetitions(ctx, h)
+	}
 	if err != nil {
 		return 0, err
 	}
-	now := v.clock.Now()
-	if !h.whole && v.store.StartedSince(service, now.Add(-window-maxClockSkew)) {
-		return 0, errors.Wrapf(errHistoryInsufficient, "upstreams of %q started lately", service)
-	}
-	return now.Sub(h.since), nil
+	v.history.Store(h)
+	return v.clock.Since(h.since), nil
 }
 
-// maxClockSkew is how much the clocks of hosts and upstreams may differ.
-const maxClockSkew = 5 * time.Second
-
-// readHistory returns the history, and reads it if that has not been done since the last gap.
-func (v *publishedVersions) readHistory(ctx context.Context) (*versionHistory, error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now, followed := v.clock.Now(), v.reader.FollowedSince()
-	if h := v.history.Load(); h != nil && h.followedSince.Equal(followed) {
-		return h, nil
-	}
+// readHistory reads the history. The caller holds mu.
+func (v *publishedVersions) readHistory(ctx context.Context, start published.FollowStart) (*versionHistory, error) {
+	now := v.clock.Now()
 	if now.Sub(v.failedAt) < historyRetryInterval {
 		return nil, errHistoryInsufficient
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
 	complete := v.mirror.Complete()
 	items, whole, err := published.ReadHistory(ctx, v.source, v.mirror.Prefix, complete)
-	whole = whole && complete.Era <= 1 // a restored source lacks the writes that were lost
-	if err == nil && !whole && v.retention == 0 {
-		err = errors.Wrap(errHistoryInsufficient, "its length is not known")
-	}
-	if err == nil {
-		err = v.recordVersions(items, now)
+	switch {
+	case err == nil && complete.Era > 1:
+		err = errors.Wrap(errHistoryInsufficient, "the source was restored and lacks the writes that were lost")
+	case err == nil && start.Version.Era != complete.Era:
+		err = errors.Wrapf(errHistoryInsufficient, "the source has begun era %d", complete.Era)
 	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) { // otherwise the caller has given up, which says nothing of the source
@@ -116,24 +125,68 @@
 		}
 		return nil, err
 	}
-	known := v.retention
-	if whole {
-		known = wholeHistory
+	explained := v.recordVersions(items, now)
+	h := &versionHistory{since: now.Add(-wholeHistory), start: start}
+	if !whole || len(explained) < len(items) {
+		h.part = &partialHistory{
+			span: published.NewHistorySpan(start.Version.Revision, v.mirror.Equivalent), after: items[len(items)-1].Revision, countedAt: now,
+		}
+		h.part.span.Add(explained)
+		h.since = v.sinceOf(h)
 	}
-	h := &versionHistory{since: now.Add(-known), whole: whole, followedSince: followed}
-	v.history.Store(h)
-	v.log.Info().Str("event", "version-history-read").Int("changes", len(items)).Bool("whole", whole).Dur("known_ms", known).Send()
+	v.logHistory("version-history-read", h, len(items))
 	return h, nil
 }
 
-// wholeHistory is the time for which versions count as known if no change has ever been discarded.
-const wholeHistory = time.Hour
+// shouldCount reports whether counting more changes may prove that the history is long enough.
+func (v *publishedVersions) shouldCount(h *versionHistory, window time.Duration) bool {
+	return h.part != nil && v.clock.Since(h.since) < window && v.clock.Since(h.part.countedAt) >= historyCountInterval
+}
+
+// countRepetitions returns the history with the changes made since the last count. The caller holds mu.
+func (v *publishedVersions) countRepetitions(ctx context.Context, h *versionHistory) (*versionHistory, error) {
+	part := *h.part
+	part.countedAt = v.clock.Now()
+	b, err := v.source.Changes(ctx, v.mirror.Prefix, part.after, 0)
+	if err == nil && b.Era != h.start.Version.Era {
+		err = errors.Wrapf(errHistoryInsufficient, "the source has begun era %d", b.Era)
+	}
+	if err != nil {
+		h.part.countedAt = part.countedAt
+		return nil, errors.Wrapf(err, "count changes after revision %d", part.after)
+	}
+	part.span.Add(b.Items)
+	part.after = max(part.after, b.Revision)
+	next := &versionHistory{since: h.since, start: h.start, part: &part}
+	if since := v.sinceOf(next); since.Before(next.since) {
+		next.since = since
+	}
+	v.logHistory("version-history-counted", next, len(b.Items))
+	return next, nil
+}
+
+// sinceOf returns the time since which a partial history is known to tell all versions. It never exceeds what the source
+// promises to keep.
+func (v *publishedVersions) sinceOf(h *versionHistory) time.Time {
+	before := h.part.span.Before(h.part.countedAt.Sub(h.start.ReceivedAt))
+	if v.retention > 0 {
+		before = min(before, v.retention)
+	}
+	if since := h.start.ReceivedAt.Add(-before); since.Before(h.start.Since) {
+		return since
+	}
+	return h.start.Since
+}
+
+func (v *publishedVersions) logHistory(event string, h *versionHistory, changes int) {
+	v.log.Info().Str("event", event).Int("changes", changes).Bool("whole", h.part == nil).Dur("known_ms", v.clock.Since(h.since)).Send()
+}
 
-// recordVersions records the software versions of the upstreams in the changes, which count as published until now. It fails
-// if an upstream was removed whose version the changes do not tell.
-func (v *publishedVersions) recordVersions(items []published.Item, now time.Time) error {
-	known := map[string]bool{}
-	for _, item := range items {
+// recordVersions records the software versions of the upstreams in the changes, which count as published until now. It returns
+// the changes after the last removal of an upstream whose version they do not tell.
+func (v *publishedVersions) recordVersions(items []published.Item, now time.Time) []published.Item {
+	known, explained := map[string]bool{}, items
+	for i, item := range items {
 		entry, err := v.decode(item, now)
 		switch {
 		case entry.Kind != catalog.ItemUpstream:
@@ -143,8 +196,8 @@
 			known[entry.Name] = true
 			v.store.RecordPastVersion(entry.Upstream.Service, entry.Upstream.Version, now)
 		case !known[entry.Name]:
-			return errors.Wrapf(errHistoryInsufficient, "version of removed upstream %q", entry.Name)
+			explained = items[i+1:]
 		}
 	}
-	return nil
+	return explained
 }
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -54,9 +54,9 @@
 
 // History extends the knowledge of published versions into the past.
 type History interface {
-	// Extend reads the versions that were published before this host began to follow, and returns for how long before now
-	// those of the service are known.
-	Extend(ctx context.Context, service string, window time.Duration) (time.Duration, error)
+	// Extend reads the versions that were published before this host began to follow, as far back as the window if it can,
+	// and returns for how long before now they are known.
+	Extend(ctx context.Context, window time.Duration) (time.Duration, error)
 }
 
 // Options configures NewResolver.
@@ -159,7 +159,7 @@
 
 // readHistory adds what the history of the published items tells.
 func (r *Resolver) readHistory(ctx context.Context, q Query, e *evidence) {
-	followed, err := r.History.Extend(ctx, q.Service, q.Window)
+	followed, err := r.History.Extend(ctx, q.Window)
 	if err != nil {
 		r.Log.Warn().Str("event", "version-history-unread").Str("service", q.Service).Err(err).Send()
 		return
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -70,14 +70,24 @@
 	// dataAsOf is the time as of which the mirror is up to date with the source. lastPeerRequestAt is when another host
 	// last asked for changes.
 	dataAsOf, lastPeerRequestAt moment
-	// followedSince is the time since which no change was missed; zero before the first full list.
-	followedSince moment
+	// followStart is nil before the first full list.
+	followStart atomic.Pointer[FollowStart]
 	// storeFailedAt is when a call to the source last failed.
 	storeFailedAt time.Time
 	// sourcePeer is the host from which this one reads changes, or empty if it reads the source itself.
 	sourcePeer atomic.Pointer[string]
 }
 
+// FollowStart tells where this host began to follow the source without a gap.
+type FollowStart struct {
+	// Since is the time since which no change was missed.
+	Since time.Time
+	// Version is that of the first list, and ReceivedAt when this host had it: changes after the version were made at Since
+	// or later, those up to it at ReceivedAt or earlier.
+	Version    Version
+	ReceivedAt time.Time
+}
+
 // moment is a time that several goroutines read and set. It keeps the reading of the monotonic clock, by which ages stay
 // right when the time of day is set.
 type moment struct{ at atomic.Pointer[time.Time] }
@@ -266,10 +276,16 @@
 // FollowedSince returns the time since which this host has missed no change, except of items that were published and removed
 // within the maximum staleness. It is now before the first full list.
 func (r *Reader) FollowedSince() time.Time {
-	if since := r.followedSince.get(); !since.IsZero() {
-		return since
+	return r.FollowStart().Since
+}
+
+// FollowStart tells where this host began to follow the source. Before the first full list, that is now, with no version.
+func (r *Reader) FollowStart() FollowStart {
+	if start := r.followStart.Load(); start != nil {
+		return *start
 	}
-	return r.Clock.Now()
+	now := r.Clock.Now()
+	return FollowStart{Since: now, ReceivedAt: now}
 }
 
 // DataAge returns the age of this host's data.
@@ -285,8 +301,8 @@
 // that were published and removed since its data was up to date are missing from them.
 func (r *Reader) recordListed(at time.Time) {
 	asOf := r.dataAsOf.get()
-	if r.followedSince.get().IsZero() || at.Sub(asOf) > r.Timing.MaxStaleness {
-		r.followedSince.set(at)
+	if r.followStart.Load() == nil || at.Sub(asOf) > r.Timing.MaxStaleness {
+		r.followStart.Store(&FollowStart{Since: at, Version: r.Mirror.Complete(), ReceivedAt: r.Clock.Now()})
 	}
 }
 
