A response without a length that a reset cut short is broken off

Cause: a socket reports a reset once. If the write of a long body, which goes on beside the response, received it, the read saw a normal end, and Conn.RoundTrip dropped the error of the write.

Ruled out: an error that the relay drops, and a close by the upstream itself: both would not depend on the size of the request's body, and with bodies that were written before the reset 0 of 30 responses looked whole, with 16 MB 30 of 30.

Change: at the end of a response that only the connection delimits, the write is ended by its deadline and tells whether it had received an error. errorRecorder keeps the error of the socket, which net/http hides.

--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -5,9 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,7 +20,8 @@
 	address string
 	head    *headLimiter
 	br      *bufio.Reader // reads from head
-	bw      *bufio.Writer
+	out     *errorRecorder
+	bw      *bufio.Writer // writes to out
 	// Reused is set if the connection has carried a request before.
 	Reused bool
 	// WriteStarted is set once a byte of the current request may have been sent.
@@ -72,18 +73,16 @@
 // its end before Put. After an error, WriteStarted shows whether any byte may have been sent.
 func (c *Conn) RoundTrip(req *http.Request, body []byte, matches ResponseMatcher) (*http.Response, error) {
 	c.WriteStarted, c.reusable = true, false
-	var writing atomic.Bool
+	w := &requestWrite{done: make(chan struct{})}
 	if len(body) <= maxInlineBodyBytes {
 		if err := c.write(req); err != nil {
 			return nil, err
 		}
+		close(w.done)
 	} else {
-		writing.Store(true)
 		go func() {
-			// A failed write shows as a failure to read the response.
-			if c.write(req) == nil {
-				writing.Store(false)
-			}
+			w.err = c.write(req)
+			close(w.done)
 		}()
 	}
 	resp, err := c.read(req, matches)
@@ -91,15 +90,72 @@
 		return nil, err
 	}
 	c.recordKeepAlive(resp)
-	resp.Body = &eofNotifier{ReadCloser: resp.Body, onEOF: func() { c.reusable = !resp.Close && !writing.Load() }}
+	if endsWithConnection(resp) {
+		resp.Body = &endChecker{ReadCloser: resp.Body, check: func() error { return c.checkEnd(w) }}
+	}
+	resp.Body = &eofNotifier{ReadCloser: resp.Body, onEOF: func() { c.reusable = !resp.Close && w.succeeded() }}
 	return resp, nil
 }
 
+// requestWrite is the writing of a request, which may go on while the response is read.
+type requestWrite struct {
+	done chan struct{}
+	err  error // set before done is closed
+}
+
+// succeeded reports whether the whole request has been written.
+func (w *requestWrite) succeeded() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// endsWithConnection reports whether the end of the connection is all that tells the end of the response's body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// checkEnd returns an error if the connection was broken off rather than closed, once its end has been read. The kernel reports
+// a broken connection once: if the write has received that error, the read sees a normal end.
+func (c *Conn) checkEnd(w *requestWrite) error {
+	// A write that still waits for the upstream ends at once and says whether it received an error before.
+	if err := c.raw.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Wrapf(err, "end the request to %s", c.address)
+	}
+	<-w.done
+	if w.err == nil || errors.Is(w.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return errors.Wrapf(w.err, "response of %s ended with a broken connection", c.address)
+}
+
 func (c *Conn) write(req *http.Request) error {
-	if err := req.Write(c.bw); err != nil {
-		return errors.Wrapf(err, "send to %s", c.address)
+	err := req.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
+	}
+	if c.out.err != nil {
+		err = c.out.err // net/http hides the cause of the error
+	}
+	return errors.Wrapf(err, "send to %s", c.address)
+}
+
+// errorRecorder is a writer that keeps its first error.
+type errorRecorder struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (r *errorRecorder) Write(p []byte) (int, error) {
+	n, err := r.Writer.Write(p)
+	if r.err == nil {
+		r.err = err
 	}
-	return errors.Wrapf(c.bw.Flush(), "send to %s", c.address)
+	return n, err
 }
 
 // read returns the next response that belongs to the request and discards those that do not.
@@ -135,6 +191,23 @@
 	}
 }
 
+// endChecker returns the error of check in place of the end of a response body.
+type endChecker struct {
+	io.ReadCloser
+	check func() error
+}
+
+// Read implements io.Reader.
+func (b *endChecker) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if broken := b.check(); broken != nil {
+			err = broken
+		}
+	}
+	return n, err
+}
+
 // eofNotifier calls onEOF when a response body has been read to its end.
 type eofNotifier struct {
 	io.ReadCloser
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -99,11 +99,15 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headLimiter{Reader: raw}
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *Conn {
+	head, out := &headLimiter{Reader: raw}, &errorRecorder{Writer: raw}
 	return &Conn{
 		raw: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
-		bw: bufio.NewWriterSize(raw, writeBufferBytes), idleTimeout: defaultIdleTimeout,
-	}, nil
+		out: out, bw: bufio.NewWriterSize(out, writeBufferBytes), idleTimeout: defaultIdleTimeout,
+	}
 }
 
 func (p *Pool) popIdle(address string) *Conn {
