--- a/internal/fleet/origin_simulation_test.go
+++ b/internal/fleet/origin_simulation_test.go
@@ -152,7 +152,7 @@
 
 func (h *storyHost) DataAge() time.Duration { return h.story.now() - h.asOf() }
 
-func (h *storyHost) Extend(context.Context, string, time.Duration) (time.Duration, error) {
+func (h *storyHost) Extend(context.Context, time.Duration) (time.Duration, error) {
 	if h.story.noHistory {
 		return 0, errors.New("no history")
 	}
