--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -49,18 +49,15 @@
 // suspect is a request whose response broke off.
 type suspect struct {
 	fingerprint uint64
-	// segments are the prompt segments that may have caused the crash: none if an upstream had begun to answer.
+	// segments are the prompt segments that may have caused the crash, at the stage of the answer.
 	segments    []uint64
+	stage       promptblame.Stage
 	brokenOffAt time.Time
 }
 
 // newSuspect returns the request, whose response breaks off now.
 func newSuspect(req *Request, now time.Time) suspect {
-	s := suspect{fingerprint: req.fingerprint, brokenOffAt: now}
-	if !req.response.begun() && !req.begunBefore {
-		s.segments = req.segmentHashes()
-	}
-	return s
+	return suspect{fingerprint: req.fingerprint, segments: req.segmentHashes(), stage: req.passed, brokenOffAt: now}
 }
 
 // recordBrokenResponse records that the upstream's response to the request broke off. The first call schedules a probe of the
@@ -97,7 +94,7 @@
 		if len(s.segments) > 0 {
 			d.prompts.RecordCrash(promptblame.Attempt{
 				Segments: s.segments, Request: s.fingerprint, Upstream: loadbalancer.HashKey(key.ID), CrashedAt: s.brokenOffAt,
-			})
+			}, s.stage)
 		}
 	}
 }
@@ -132,15 +129,23 @@
 	return outcome.Unavailable(stepQuarantine, "quarantined", "upstreams died while this request ran").WithRetryAfter(left)
 }
 
-// checkPrompt refuses a request whose prompt has segments that crash upstreams. A stream that has begun, also with an earlier
-// request, goes on: its own prompt has not crashed the upstream.
+// checkPrompt refuses a request whose prompt has segments that crash upstreams, also one that continues a stream: an upstream
+// may crash after its first events. What the request's own answer has passed does not count.
 func checkPrompt(table *promptblame.Table, req *Request) error {
-	if req.response.begun() || req.begunBefore {
-		return nil
-	}
-	left := table.Check(req.segmentHashes())
+	left := table.Check(req.segmentHashes(), req.passed)
 	if left <= 0 {
 		return nil
 	}
 	return outcome.Unavailable(stepQuarantine, "prompt-quarantined", "upstreams died when they began to answer this prompt").WithRetryAfter(left)
 }
+
+// recordPassed records that an upstream's answer to the request's prompt has come to the stage.
+func (d *dispatchFilter) recordPassed(req *Request, stage promptblame.Stage) {
+	if stage <= req.passed {
+		return
+	}
+	if segments := req.segmentHashes(); len(segments) > 0 {
+		d.prompts.RecordPassed(segments, req.passed, stage)
+	}
+	req.passed = stage
+}
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -30,13 +30,13 @@
 	if req.Route.Kind != catalog.Stream || !req.continuesStream() {
 		return next(ctx, req)
 	}
-	o, recorded, err := f.resolver.Resolve(ctx, origin.Query{
+	o, _, err := f.resolver.Resolve(ctx, origin.Query{
 		Stream: req.streamID(), Service: req.Service, Window: f.store.Current().StreamTimeouts[req.Service],
 	})
 	if err != nil {
 		return outcome.Unavailable(stepOrigin, "stream-origin-unknown", "it is not known which software version began the stream").WithPeer("", err)
 	}
-	req.origin, req.begunBefore = &o, recorded
+	req.origin = &o
 	return next(ctx, req)
 }
 
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/origin"
+	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
 )
 
@@ -158,20 +159,28 @@
 	is.Equal(versionOf(seen[0], versions), "1")
 }
 
-// Guards against the refusal of a stream that a caller takes up, because its prompt has a segment that is blamed for crashes: a
-// stream that has begun shows that its prompt crashes no upstream. The caller's word alone does not.
-func TestTakenUpStreamIsServedDespiteBlame(t *testing.T) {
+// Guards against upstreams that crash because a stream with a deadly prompt is taken up: that it has begun, which a host has
+// recorded, shows nothing, as upstreams may crash after their first events. Others are taken up.
+func TestTakenUpStreamIsRefusedIfPromptIsBlamed(t *testing.T) {
 	for _, recorded := range []bool{true, false} {
-		is := is.New(t)
-		h := newHarness(t, catalog.Stream, true, streams)
-		h.blame("thing")
-		if recorded {
-			h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
-		}
-		got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Prompt", "common,thing,own")
-		is.Equal(got.status == http.StatusOK, recorded)
-		if !recorded {
-			is.Equal(got.refusalCode(), "prompt-quarantined")
+		for _, blamed := range []bool{true, false} {
+			is := is.New(t)
+			h := newHarness(t, catalog.Stream, true, streams)
+			h.blame("thing", promptblame.Beginning)
+			if recorded {
+				h.origins.Add(origin.Record{Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s"}, Expires: time.Now().Add(time.Minute)})
+			}
+			prompt := "common,other,own"
+			if blamed {
+				prompt = "common,thing,own"
+			}
+			got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2", "X-Prompt", prompt)
+			is.Equal(got.status == http.StatusOK, !blamed)
+			seen, _, _, _ := h.record()
+			is.Equal(len(seen) == 0, blamed)
+			if blamed {
+				is.Equal(got.refusalCode(), "prompt-quarantined")
+			}
 		}
 	}
 }
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +35,8 @@
 	listeners map[string]net.Listener
 	conns     map[string][]net.Conn
 	crashes   int
+	// eventsBeforeCrash is the number of events that are sent whole before a crash.
+	eventsBeforeCrash int
 	// served counts the answered requests by the segments of their prompts.
 	served map[string]int
 }
@@ -121,7 +124,7 @@
 		}
 		prompt := r.Header.Get("X-Prompt")
 		if strings.Contains(prompt, deadlySegment) {
-			writeText(c, fmt.Sprintf(streamHead, r.Header.Get("X-Id"))+chunk("id: 1\nda"))
+			p.beginAnswer(c, r)
 			if p.stop(address) {
 				p.mu.Lock()
 				p.crashes++
@@ -137,6 +140,17 @@
 	}
 }
 
+// beginAnswer sends the events before a crash, from the one that the caller lacks on, and a part of the next.
+func (p *crashingPool) beginAnswer(c net.Conn, r *http.Request) {
+	writeText(c, fmt.Sprintf(streamHead, r.Header.Get("X-Id")))
+	first, _ := strconv.Atoi(r.Header.Get("X-Last"))
+	for id := first + 1; id <= first+p.eventsBeforeCrash; id++ {
+		writeText(c, chunk(event(id)))
+		time.Sleep(time.Millisecond)
+	}
+	writeText(c, chunk("id: 1\nda"))
+}
+
 func (p *crashingPool) crashCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,39 +206,110 @@
 	is.Equal(len(h.quarantine.State()), p.crashCount()/2) // each request was sent twice at most
 }
 
-// blame makes all requests whose prompts have the segment be refused: it records more crashes than any blame needs.
-func (h *harness) blame(id string) {
-	segments := []uint64{loadbalancer.HashKey(id)}
+// blame makes all requests whose prompts have the segment be refused, unless their answers have passed the stage: it records
+// more crashes than any blame needs, beside answers to another prompt.
+func (h *harness) blame(id string, stage promptblame.Stage) {
+	segments, first := []uint64{loadbalancer.HashKey(id)}, time.Now()
+	if stage != promptblame.Beginning { // crashes at later stages count after a while
+		first = first.Add(-45 * time.Second)
+	}
+	for range 20 {
+		h.prompts.RecordPassed([]uint64{loadbalancer.HashKey("another")}, promptblame.Beginning, promptblame.Answered)
+	}
 	for i := range uint64(40) {
-		at := time.Now().Add(time.Duration(i) * time.Second)
-		h.prompts.RecordCrash(promptblame.Attempt{Segments: segments, Request: i, Upstream: i, CrashedAt: at})
+		at := first.Add(time.Duration(i) * time.Second)
+		h.prompts.RecordCrash(promptblame.Attempt{Segments: segments, Request: i, Upstream: i, CrashedAt: at}, stage)
 	}
-	if h.prompts.Check(segments) == 0 {
+	if h.prompts.Check(segments, stage) == 0 {
 		h.t.Errorf("segment %s is not blamed", id)
 	}
 }
 
-// Guards against a stream that is cut off although an upstream has begun to answer its prompt.
-func TestBegunStreamIsResumedDespiteBlame(t *testing.T) {
-	is := is.New(t)
-	relayed := make(chan struct{})
-	cut := behaviour{"stream cut after its first event was relayed", func(c net.Conn, r *http.Request) bool {
-		streamFrom(c, r, 1)
-		<-relayed
-		return false
-	}, true}
-	h := newHarness(t, catalog.Stream, true, cut, streams)
-	resp, err := http.DefaultClient.Do(h.newRequest(http.MethodPost, "/r/", "", "X-Prompt", "common,thing,own"))
-	is.NoErr(err)
-	defer resp.Body.Close()
-	first := make([]byte, len(event(1)))
-	_, err = io.ReadFull(resp.Body, first)
-	is.NoErr(err)
-	h.blame("thing")
-	close(relayed)
-	rest, err := io.ReadAll(resp.Body)
-	is.NoErr(err)
-	is.Equal(string(first)+string(rest), wholeStream())
+// Guards against a stream that is cut off although an upstream has answered its prompt for so long that the prompt is sound, and
+// against one that goes on to crash the next upstream, since its first events are taken for a proof.
+func TestStreamIsResumedDespiteBlameOnlyAfterLongAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		answered time.Duration
+		stage    promptblame.Stage
+		resumed  bool
+	}{
+		{0, promptblame.FirstEvents, false}, {200 * time.Millisecond, promptblame.FirstMoments, false},
+		{700 * time.Millisecond, promptblame.FirstSecond, false},
+		{0, promptblame.Beginning, true},
+		{1600 * time.Millisecond, promptblame.Beginning, true},
+	} {
+		t.Run(fmt.Sprintf("after %s, stage %d", tt.answered, tt.stage), func(t *testing.T) {
+			is := is.New(t)
+			relayed := make(chan struct{})
+			cut := behaviour{"stream cut after some time", func(c net.Conn, r *http.Request) bool {
+				writeText(c, fmt.Sprintf(streamHead, r.Header.Get("X-Id")))
+				for id := 1; id <= 3; id++ {
+					writeText(c, chunk(event(id)))
+					time.Sleep(tt.answered / 2)
+				}
+				<-relayed
+				return false
+			}, true}
+			h := newHarness(t, catalog.Stream, true, cut, streams)
+			resp, err := http.DefaultClient.Do(h.newRequest(http.MethodPost, "/r/", "", "X-Prompt", "common,thing,own"))
+			is.NoErr(err)
+			defer resp.Body.Close()
+			for id := 1; id <= 3; id++ {
+				_, err = io.ReadFull(resp.Body, make([]byte, len(event(id))))
+				is.NoErr(err)
+			}
+			h.blame("thing", tt.stage)
+			close(relayed)
+			_, err = io.ReadAll(resp.Body)
+			is.Equal(err == nil, tt.resumed)
+			seen, _, _, _ := h.record()
+			is.Equal(len(seen) == 2, tt.resumed)
+		})
+	}
+}
+
+// Guards against deadly prompts that are never refused, because upstreams crash only after some events of the answer, and
+// against sound streams that are refused for the crashes beside them.
+func TestCrashAfterFirstEventsCountsAgainstPrompt(t *testing.T) {
+	for _, events := range []int{1, 2, 10} {
+		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Stream, true)
+			for i, l := range h.listeners {
+				h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
+			}
+			h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 1000}, 1<<20)
+			p := newCrashingPool(h, 3)
+			p.eventsBeforeCrash = events
+			const requests, step, window, maxLate = 24, 250 * time.Millisecond, 3 * time.Second, 3
+			refused, late := 0, 0
+			var fifth time.Time
+			for i := range requests {
+				for j := range 5 {
+					got := h.call(http.MethodPost, "/r/", fmt.Sprint("sound", i, j), "X-Prompt", fmt.Sprintf("common,thing,own-%d-%d", i, j))
+					is.Equal(got.status, http.StatusOK)
+					is.Equal(got.body, wholeStream())
+				}
+				before, sent := p.crashCount(), time.Now()
+				got := h.call(http.MethodPost, "/r/", fmt.Sprint("deadly", i), "X-Prompt", fmt.Sprintf("common,thing,%s,own-%d", deadlySegment, i))
+				if got.status == http.StatusServiceUnavailable {
+					refused++
+				}
+				crashes := p.crashCount()
+				if !fifth.IsZero() && sent.Sub(fifth) > window {
+					late += crashes - before
+				}
+				if crashes >= 5 && fifth.IsZero() {
+					fifth = time.Now()
+				}
+				h.waitCrashesRecorded(p)
+				p.restart()
+				time.Sleep(step - restartTime)
+			}
+			is.True(late <= maxLate)
+			is.True(refused > 0)
+		})
+	}
 }
 
 // Guards against a refusal that says "not run" although an upstream may have run the request, and against sends after a
@@ -233,7 +318,7 @@
 	is := is.New(t)
 	var h *harness
 	cut := behaviour{"cut after a blame", func(net.Conn, *http.Request) bool {
-		h.blame("thing")
+		h.blame("thing", promptblame.Beginning)
 		return false
 	}, true}
 	h = newHarness(t, catalog.Stream, true, cut)
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +16,7 @@
 	"github.com/orioleusher/orioleusher/internal/events"
 	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
+	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -43,8 +45,8 @@
 	}
 	release(whole)
 	d.balancer.RecordOutcome(u, failed)
-	if !failed {
-		d.recordBegun(req)
+	if !failed && whole {
+		d.recordPassed(req, promptblame.Answered)
 	}
 	req.runs++
 	if failed && req.runs < req.Route.MaxAttempts || !whole {
@@ -92,7 +94,6 @@
 	}
 	req.response.sendHeader(resp.StatusCode, resp.Header)
 	req.response.unresumable = true
-	d.recordBegun(req)
 	body := &recordingReader{Reader: io.MultiReader(bytes.NewReader(begun), resp.Body)}
 	buf := make([]byte, streamBufferBytes)
 	n, err := io.CopyBuffer(struct{ io.Writer }{req.response.writer}, body, buf)
@@ -108,6 +109,7 @@
 	}
 	release(true)
 	d.balancer.RecordOutcome(u, false)
+	d.recordPassed(req, promptblame.Answered)
 	req.runs++
 	return attemptResult{responded: true}
 }
@@ -137,17 +139,19 @@
 	stream := &req.response.stream
 	stream.Resume()
 	buf := make([]byte, streamBufferBytes)
-	begun, bound := false, false
+	var firstEventAt time.Time
+	bound := false
 	for {
 		n, err := resp.Body.Read(buf)
 		eventsBefore := stream.DataEvents
 		output := stream.Feed(buf[:n])
 		if stream.DataEvents > eventsBefore {
 			inactivity.reset()
-			if !begun {
-				begun = true
-				d.recordBegun(req)
+			now := d.clock.Now()
+			if firstEventAt.IsZero() {
+				firstEventAt = now
 			}
+			d.recordPassed(req, promptblame.StageAt(now.Sub(firstEventAt)))
 		}
 		if len(output) > 0 && !bound {
 			bound = true
@@ -169,6 +173,7 @@
 		case errors.Is(err, io.EOF) && len(stream.Incomplete()) == 0:
 			release(true)
 			d.balancer.RecordOutcome(u, false)
+			d.recordPassed(req, promptblame.Answered)
 			req.response.sendHeader(resp.StatusCode, resp.Header)
 			req.runs++
 			return attemptResult{responded: true}
@@ -200,13 +205,6 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
-// recordBegun records that an upstream began to answer the request's prompt.
-func (d *dispatchFilter) recordBegun(req *Request) {
-	if segments := req.segmentHashes(); len(segments) > 0 {
-		d.prompts.RecordBegun(segments)
-	}
-}
-
 // sendHeader sends the status and the headers, once.
 func (c *callerResponse) sendHeader(status int, header http.Header) {
 	if c.headerSent {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -16,6 +16,7 @@
 	"github.com/orioleusher/orioleusher/internal/events"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/origin"
+	"github.com/orioleusher/orioleusher/internal/promptblame"
 )
 
 // Request is one request of a caller, with the state that the filters attach to it. A retry by the caller is a new
@@ -62,8 +63,8 @@
 	reserved int64
 	// origin is the service and version of the upstream that began the stream; nil before its first byte.
 	origin *origin.Origin
-	// begunBefore is set if a host recorded that the stream began with an earlier request.
-	begunBefore bool
+	// passed is the stage to which an upstream's answer to the prompt has come without a crash.
+	passed promptblame.Stage
 	// outcomeUnknown is set if an earlier send may have been executed.
 	outcomeUnknown bool
 
--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -18,9 +18,9 @@
 
 const (
 	// deadlySegment crashes each engine that begins to answer a prompt with it.
-	deadlySegment = 1
+	deadlySegment = 1 << 8
 	// commonSegment is in all prompts.
-	commonSegment = 2
+	commonSegment = 2 << 8
 	// Engines begin to answer after 50 to 250 ms and answer for another second.
 	minBeginTime, beginTimeSpan, answerTime = 50 * time.Millisecond, 200 * time.Millisecond, time.Second
 	// deadlyStart is when the first deadly requests come.
@@ -35,6 +35,9 @@
 	networkDelay  = time.Millisecond
 )
 
+// answerSteps are the times of some events after the first one.
+var answerSteps = []time.Duration{0, 110 * time.Millisecond, 620 * time.Millisecond}
+
 // deadlyFleet is a fleet of which some requests crash engines. Its hosts use the real tables and gossip; time is virtual
 // and there is no network.
 type deadlyFleet struct {
@@ -44,6 +47,8 @@
 	byName  map[string]*deadlyHost
 	engines []*deadlyEngine
 	things  int
+	// crashDelay is the time from the first event of an answer to a deadly prompt to the crash; 0 if it has no event.
+	crashDelay time.Duration
 
 	nextRequest uint64
 	// crashes are the times of crashes by deadly requests; lateSends counts the deadly requests that reached an engine
@@ -69,6 +74,7 @@
 	*deadlyRequest
 	engine *deadlyEngine
 	begun  bool
+	passed promptblame.Stage
 	ended  bool
 }
 
@@ -141,7 +147,7 @@
 // from deadlyStart on.
 func (f *deadlyFleet) arrive(perSecond, deadlyShare float64) {
 	f.nextRequest++
-	segments := []uint64{commonSegment, 100 + uint64(f.rand.IntN(f.things))}
+	segments := []uint64{commonSegment, (100 + uint64(f.rand.IntN(f.things))) << 8}
 	if f.clock.Since(f.start) >= deadlyStart && f.rand.Float64() < deadlyShare {
 		segments = append(segments, deadlySegment)
 	}
@@ -159,7 +165,7 @@
 
 // send sends the request to a random engine that is up.
 func (f *deadlyFleet) send(req *deadlyRequest) {
-	if req.host.prompts.Check(req.segments) > 0 {
+	if req.host.prompts.Check(req.segments, promptblame.Beginning) > 0 {
 		if !req.deadly() {
 			f.refused[req.second]++
 		}
@@ -188,17 +194,37 @@
 	if a.ended {
 		return
 	}
-	if a.deadly() {
+	if a.deadly() && f.crashDelay == 0 {
 		f.crashes = append(f.crashes, f.clock.Now())
 		f.crash(a.engine)
 		return
 	}
 	a.begun = true
+	for _, after := range answerSteps {
+		f.after(after, func() { f.pass(a, promptblame.StageAt(after)) })
+	}
+	f.after(answerTime, func() { f.pass(a, promptblame.Answered) })
+	if a.deadly() {
+		f.after(f.crashDelay, func() {
+			if !a.ended {
+				f.crashes = append(f.crashes, f.clock.Now())
+				f.crash(a.engine)
+			}
+		})
+		return
+	}
 	f.begun[a.second]++
-	a.host.prompts.RecordBegun(a.segments)
 	f.after(answerTime, func() { a.ended = true })
 }
 
+// pass records that the answer has come to the stage.
+func (f *deadlyFleet) pass(a *deadlyAttempt, stage promptblame.Stage) {
+	if !a.ended {
+		a.host.prompts.RecordPassed(a.segments, a.passed, stage)
+		a.passed = stage
+	}
+}
+
 // crash ends the engine and all requests that run on it. Those that may be sent again are.
 func (f *deadlyFleet) crash(e *deadlyEngine) {
 	now := f.clock.Now()
@@ -210,13 +236,12 @@
 			continue
 		}
 		a.ended = true
-		if a.begun {
-			continue
-		}
 		f.after(detectionTime, func() {
-			a.host.prompts.RecordCrash(promptblame.Attempt{Segments: a.segments, Request: a.id, Upstream: e.id, CrashedAt: now})
+			a.host.prompts.RecordCrash(promptblame.Attempt{Segments: a.segments, Request: a.id, Upstream: e.id, CrashedAt: now}, a.passed)
 		})
-		f.send(a.deadlyRequest)
+		if !a.begun || a.deadly() {
+			f.send(a.deadlyRequest)
+		}
 	}
 }
 
@@ -232,13 +257,15 @@
 type deadlyPattern struct {
 	hosts, engines, things int
 	perSecond, deadlyShare float64
+	crashDelay             time.Duration
 }
 
 // play plays the pattern and checks that few deadly requests reach engines and that sound ones are served.
 func (p deadlyPattern) play(t *testing.T, seed uint64) {
-	t.Run(fmt.Sprintf("%d hosts, share %.2f, seed %d", p.hosts, p.deadlyShare, seed), func(t *testing.T) {
+	t.Run(fmt.Sprintf("%d hosts, share %.2f, crash after %s, seed %d", p.hosts, p.deadlyShare, p.crashDelay, seed), func(t *testing.T) {
 		is := is.New(t)
 		f := newDeadlyFleet(p.hosts, p.engines, p.things, seed)
+		f.crashDelay = p.crashDelay
 		f.arrive(p.perSecond, p.deadlyShare)
 		f.runFor(30 * time.Second)
 		is.True(len(f.crashes) >= crashesNeeded-1)
@@ -252,9 +279,13 @@
 // the traffic, in fleets in which each host sees few of them.
 func TestDeadlySegmentIsRefusedAfterFewCrashes(t *testing.T) {
 	for _, p := range []deadlyPattern{
-		{7, 9, 60, 70, 0.02}, {7, 9, 60, 70, 0.1}, {88, 60, 140, 400, 0.01}, {88, 60, 140, 400, 0.2}, {295, 160, 500, 1000, 0.02},
+		{7, 9, 60, 70, 0.02, 0}, {7, 9, 60, 70, 0.1, 0}, {88, 60, 140, 400, 0.01, 0}, {88, 60, 140, 400, 0.2, 0}, {295, 160, 500, 1000, 0.02, 0},
+		{7, 9, 60, 35, 0.04, 5 * time.Millisecond}, {7, 9, 60, 35, 0.04, 50 * time.Millisecond}, {7, 9, 60, 35, 0.04, 500 * time.Millisecond},
+		{7, 9, 60, 70, 0.02, 5 * time.Millisecond}, {7, 9, 60, 70, 0.02, 50 * time.Millisecond}, {7, 9, 60, 15, 0.05, 5 * time.Millisecond},
+		{7, 9, 60, 15, 0.05, 500 * time.Millisecond},
+		{88, 60, 140, 400, 0.01, 5 * time.Millisecond}, {88, 60, 140, 400, 0.01, 300 * time.Millisecond},
 	} {
-		if testing.Short() && p.hosts > 88 {
+		if testing.Short() && (p.hosts > 88 || p.hosts > 7 && p.crashDelay > 0) {
 			continue // takes half a minute
 		}
 		for seed := range seeds(3, p.hosts) {
@@ -274,7 +305,7 @@
 // Guards against the same if almost a third of the traffic is deadly and the whole pool is down at once.
 func TestDeadlySegmentInThirdOfTrafficIsRefused(t *testing.T) {
 	for seed := range uint64(10) {
-		deadlyPattern{7, 9, 60, 70, 0.3}.play(t, seed)
+		deadlyPattern{7, 9, 60, 70, 0.3, 0}.play(t, seed)
 	}
 }
 
--- a/internal/fleet/prompts_test.go
+++ b/internal/fleet/prompts_test.go
@@ -44,7 +44,7 @@
 		{Segments: segments, Since: now, Until: now.Add(time.Minute), Duration: time.Minute},
 	}})
 	for _, h := range hosts {
-		for h.prompts.Check(segments) == 0 {
+		for h.prompts.Check(segments, promptblame.Beginning) == 0 {
 			time.Sleep(time.Millisecond) // until it arrives, or the test times out
 		}
 	}
--- a/internal/promptblame/answers.go
+++ b/internal/promptblame/answers.go
@@ -9,7 +9,7 @@
 	answerGeneration = 30 * time.Second
 )
 
-// answerLog remembers when upstreams last began to answer this host's prompts with a segment. When the current
+// answerLog remembers when upstreams last answered this host's prompts with a segment. When the current
 // generation is full or old, it becomes the previous one, whose entries are dropped.
 type answerLog struct {
 	current, previous map[uint64]time.Time
--- a/internal/promptblame/judge.go
+++ b/internal/promptblame/judge.go
@@ -17,8 +17,15 @@
 	// maxChance is the probability of a run, if its segment has nothing to do with crashes, up to which the segment is
 	// blamed.
 	maxChance = 1e-5
+	// maxLateChance is the same after the first event, where crashes beside an answer are much more frequent, and
+	// maxExplainedChance if the run explains most of the crashes that this host has seen meanwhile.
+	maxLateChance, maxExplainedChance = 1e-7, 2e-5
+	// minLateRunLength is the minRunLength after the first event.
+	minLateRunLength = 4
 	// minCrashGap is the time from which on two crashes count as two. Upstreams that crash together have one cause.
 	minCrashGap = 100 * time.Millisecond
+	// minAnswersBeside is the least number of answers to other prompts during a run of crashes after the first event.
+	minAnswersBeside = 3
 	// minOwnCrashes is the number of this host's own attempts from which on it joins in the blame of a segment that it
 	// has seen answered lately.
 	minOwnCrashes = 2
@@ -30,14 +37,14 @@
 
 func probation(b Blame) time.Duration { return b.Duration }
 
-// run is the attempts with one segment since an answer to a prompt with it last began.
+// run is the attempts with one segment since a prompt with it was last answered.
 type run struct {
 	// segments are the segments that at least half of its attempts have: any of them may be the cause.
 	segments []uint64
 	// length is the number of its crashes, of which those that happened together count once.
 	length int
-	// attempts and requests count the attempts and the different requests.
-	attempts, requests int
+	// attempts and requests count the attempts and the different requests, own the attempts of this host.
+	attempts, requests, own int
 	// since is when its first attempt crashed.
 	since time.Time
 	// crashes are its crashes.
@@ -50,17 +57,21 @@
 // do not count: they may have seen answers of which this host does not know yet. The caller holds mu.
 func (t *Table) findRun(segment uint64) run {
 	r := run{answeredLately: t.answeredLately(segment)}
+	now := t.clock.Now()
 	var lastCrash time.Time
 	requests, occurrences := map[uint64]bool{}, map[uint64]int{}
 	for i := range t.attempts {
 		a := &t.attempts[i]
-		if r.answeredLately && !a.own || !slices.Contains(a.Segments, segment) {
+		if r.answeredLately && !a.own || !a.counts(now) || !slices.Contains(a.Segments, segment) {
 			continue
 		}
 		if r.attempts == 0 {
 			r.since = a.CrashedAt
 		}
 		r.attempts++
+		if a.own {
+			r.own++
+		}
 		requests[a.Request] = true
 		for _, s := range a.Segments {
 			occurrences[s]++
@@ -88,23 +99,62 @@
 // verdict is a run with what decides about it.
 type verdict struct {
 	run
-	// begun and crashed count the other attempts of this host meanwhile, crashShare is the probability of a crash.
-	begun, crashed int
-	crashShare     float64
+	counted
+	// crashShare is the probability of a crash.
+	crashShare float64
 	// needed is the length from which on the run is no chance.
 	needed int
+	stage  Stage
 }
 
-func (v verdict) blamed() bool { return v.length >= v.needed && v.requests >= minRequests }
+// blamed reports whether the run founds a blame. After the first event it needs answers to other prompts beside it: where
+// none comes so far, upstreams crash for another reason.
+func (v verdict) blamed() bool {
+	return v.length >= v.needed && v.requests >= minRequests && (v.stage == Beginning || v.answeredSince >= minAnswersBeside)
+}
+
+// maxChance returns the probability by chance up to which the run founds a blame.
+func (v verdict) maxChance() float64 {
+	switch {
+	case v.stage == Beginning:
+		return maxChance
+	case v.explained && v.stage != FirstSecond:
+		return maxExplainedChance
+	default:
+		return maxLateChance
+	}
+}
 
 func (t *Table) assess(segment uint64) verdict {
 	v := verdict{run: t.findRun(segment)}
-	v.begun, v.crashed = t.outcomes.counts(t.clock.Now(), v.run)
-	v.crashShare = crashShare(v.begun, v.crashed)
-	v.needed = requiredLength(v.crashShare)
+	v.stage = stageOf(segment)
+	v.counted = t.outcomes[v.stage].count(t.clock.Now(), v.run, v.stage)
+	v.crashShare = crashShare(v.answered, v.crashed)
+	v.needed = requiredLength(v.crashShare, v.maxChance())
+	if v.stage != Beginning {
+		v.needed = max(v.needed, minLateRunLength)
+	}
 	return v
 }
 
+// judgeDue judges the attempts that count by now and reports whether one of them leads to a new blame. The caller holds mu.
+func (t *Table) judgeDue() bool {
+	now, blamed := t.clock.Now(), false
+	for i := 0; i < len(t.unjudged); {
+		a := t.unjudged[i]
+		if !a.counts(now) {
+			i++
+			continue
+		}
+		t.unjudged = slices.Delete(t.unjudged, i, i+1)
+		a.Segments = t.uncleared(a.Segments, a.CrashedAt)
+		if t.attribute(&a, t.explainedCrashes()) {
+			blamed = t.judge(a) || blamed
+		}
+	}
+	return blamed
+}
+
 // judge decides whether the attempt completes a run that founds a blame, and reports whether it does. The caller holds
 // mu.
 func (t *Table) judge(a Attempt) bool {
@@ -129,9 +179,9 @@
 }
 
 func (t *Table) logVerdict(v verdict, a Attempt) {
-	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatList(v.segments)).Int("run", v.length).Int("needed", v.needed).
-		Int("requests", v.requests).Int("attempts", v.attempts).Int("begun", v.begun).Int("crashed", v.crashed).
-		Float64("crash_share", v.crashShare).Dur("run_age_ms", t.clock.Since(v.since)).Dur("age_ms", t.clock.Since(a.CrashedAt)).
+	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatList(v.segments)).Int("stage", int(v.stage)).Int("run", v.length).Int("needed", v.needed).
+		Int("requests", v.requests).Int("attempts", v.attempts).Int("answered", v.answered).Int("crashed", v.crashed).
+		Float64("crash_share", v.crashShare).Bool("explained", v.explained).Dur("run_age_ms", t.clock.Since(v.since)).Dur("age_ms", t.clock.Since(a.CrashedAt)).
 		Bool("own", a.own).Bool("blamed", v.blamed()).Send()
 }
 
@@ -156,9 +206,10 @@
 	if len(t.blames) > maxBlames {
 		t.blames = slices.Delete(t.blames, 0, 1)
 	}
+	explained := t.explainedCrashes()
 	var kept []Attempt
 	for _, a := range t.attempts {
-		if t.attribute(&a) {
+		if t.attribute(&a, explained) {
 			kept = append(kept, a)
 		}
 	}
@@ -167,12 +218,14 @@
 
 // crashShare estimates the probability that an attempt crashes its upstream by chance. The fewer attempts there are, the
 // nearer it is to one half.
-func crashShare(begun, crashed int) float64 { return float64(crashed+1) / float64(begun+crashed+2) }
+func crashShare(answered, crashed int) float64 {
+	return float64(crashed+1) / float64(answered+crashed+2)
+}
 
 // requiredLength returns the length from which on a run of crashes is no chance.
-func requiredLength(share float64) int {
+func requiredLength(share, chance float64) int {
 	const rounding = 1e-9
-	return max(minRunLength, int(math.Ceil(math.Log(maxChance)/math.Log(share)-rounding)))
+	return max(minRunLength, int(math.Ceil(math.Log(chance)/math.Log(share)-rounding)))
 }
 
 // format returns the segment's hash as it appears in logs and in the state dump.
--- a/internal/promptblame/outcomes.go
+++ b/internal/promptblame/outcomes.go
@@ -25,15 +25,15 @@
 	return c.upstream == other.upstream && c.at.Sub(other.at).Abs() < duplicateWindow
 }
 
-// outcomes counts how the attempts of this host ended: the upstream began to answer, or it crashed.
+// outcomes counts how the attempts of this host ended: they were answered, or the upstream crashed.
 type outcomes struct {
-	begun [outcomeSeconds]begunCount
+	answered [outcomeSeconds]answeredCount
 	// crashes is ordered by time, oldest first.
 	crashes []crashCount
 }
 
-// begunCount is the number of attempts that began to be answered in a second.
-type begunCount struct {
+// answeredCount is the number of attempts that were answered in a second.
+type answeredCount struct {
 	second int64
 	n      int
 }
@@ -44,11 +44,11 @@
 	n int
 }
 
-func (o *outcomes) addBegun(now time.Time) {
+func (o *outcomes) addAnswered(now time.Time) {
 	second := now.Unix()
-	b := &o.begun[second%outcomeSeconds]
+	b := &o.answered[second%outcomeSeconds]
 	if b.second != second {
-		*b = begunCount{second: second}
+		*b = answeredCount{second: second}
 	}
 	b.n++
 }
@@ -62,26 +62,52 @@
 	o.crashes = o.crashes[max(0, len(o.crashes)-maxCrashes):]
 }
 
-// counts returns how the attempts ended since the run began, or in the last minOutcomeTime if that is longer, without those
-// of the run. If this host has not seen the run's segment answered lately, its crashes are left out altogether: either the
-// segment caused them, or it is so rare that it was beside few of them.
-func (o *outcomes) counts(now time.Time, r run) (begun, crashed int) {
+// counted is how the attempts of this host ended since a run began, or in the last minOutcomeTime if that is longer, without
+// those of the run.
+type counted struct {
+	answered, crashed int
+	// answeredSince is how many were answered since the run began.
+	answeredSince int
+	// explained is set if at least half of the crashes since the run began ended attempts of the run.
+	explained bool
+}
+
+// count counts the outcomes beside the run.
+//
+// If this host has not seen the run's segment answered lately, its crashes before the first event are left out altogether:
+// either the segment caused them, or it is so rare that it was beside few of them. At later stages an answer is beside more
+// crashes, so that only the attempts of the run are left out.
+func (o *outcomes) count(now time.Time, r run, stage Stage) counted {
 	since := now.Add(-minOutcomeTime)
 	if r.since.Before(since) {
 		since = r.since
 	}
-	for _, b := range o.begun {
+	var n counted
+	for _, b := range o.answered {
 		if b.second >= since.Unix() {
-			begun += b.n
+			n.answered += b.n
+		}
+		if b.second > r.since.Unix() {
+			n.answeredSince += b.n
 		}
 	}
+	leavesOutCrashes := stage == Beginning && !r.answeredLately
+	sinceRun, ofRun := 0, 0
 	for _, c := range o.crashes {
-		if !c.at.Before(since) && (r.answeredLately || !slices.ContainsFunc(r.crashes, c.is)) {
-			crashed += c.n
+		isOfRun := slices.ContainsFunc(r.crashes, c.is)
+		if !c.at.Before(r.since) {
+			sinceRun++
+			if isOfRun {
+				ofRun++
+			}
+		}
+		if !c.at.Before(since) && (!leavesOutCrashes || !isOfRun) {
+			n.crashed += c.n
 		}
 	}
-	if r.answeredLately {
-		crashed = max(0, crashed-r.attempts)
+	if !leavesOutCrashes {
+		n.crashed = max(0, n.crashed-r.own)
 	}
-	return begun, crashed
+	n.explained = ofRun > 0 && 2*ofRun >= sinceRun
+	return n
 }
--- a/internal/promptblame/records.go
+++ b/internal/promptblame/records.go
@@ -8,8 +8,8 @@
 
 // maxRecordAttempts, maxRecordClearances and maxRecordBlames bound the records in one message.
 const (
-	maxRecordAttempts   = 24
-	maxRecordClearances = 32
+	maxRecordAttempts   = 64
+	maxRecordClearances = 96
 	maxRecordBlames     = 16
 )
 
--- a/internal/promptblame/table.go
+++ b/internal/promptblame/table.go
@@ -6,8 +6,8 @@
 // answered, and chance does not explain that. Requests with the blamed segments are then refused by all hosts, for a
 // limited time.
 //
-// The first event of an answer clears the segments of its prompt. Hosts exchange attempts, clearances and blames in
-// gossip digests.
+// An answer clears the segments of its prompt once it is complete or has gone on for so long that a crash is no longer one of
+// its beginning. Hosts exchange attempts, clearances and blames in gossip digests.
 package promptblame
 
 import (
@@ -32,9 +32,9 @@
 	maxSegments = 16
 )
 
-// Attempt is a send of a request whose upstream crashed before it began to answer.
+// Attempt is a send of a request whose upstream crashed before it had answered.
 type Attempt struct {
-	// Segments are the hashes of the prompt segments that may have caused the crash.
+	// Segments are the hashes of the prompt segments that may have caused the crash, at one stage.
 	Segments []uint64
 	// Request is the fingerprint of the request's content.
 	Request uint64
@@ -47,6 +47,14 @@
 
 func (a Attempt) time() time.Time { return a.CrashedAt }
 
+// stage returns the stage at which the attempt counts against its segments.
+func (a Attempt) stage() Stage {
+	if len(a.Segments) == 0 {
+		return Answered
+	}
+	return stageOf(a.Segments[0])
+}
+
 // crash returns the crash that ended the attempt.
 func (a Attempt) crash() crash { return crash{a.Upstream, a.CrashedAt} }
 
@@ -62,7 +70,7 @@
 	Duration time.Duration
 }
 
-// Clearance says that an upstream began to answer a prompt with the segment.
+// Clearance says that an upstream answered a prompt with the segment.
 type Clearance struct {
 	Segment uint64
 	At      time.Time
@@ -94,55 +102,81 @@
 	mu sync.Mutex
 	// attempts is ordered by the time of the crash, oldest first.
 	attempts []Attempt
+	// unjudged are the attempts that do not count yet, in the same order.
+	unjudged []Attempt
 	// clearances is ordered by time, oldest first, with one entry for each segment.
 	clearances []Clearance
-	blames     []Blame
-	answers    answerLog
-	outcomes   outcomes
+	// clearedAt holds the times of clearances by segment.
+	clearedAt map[uint64]time.Time
+	blames    []Blame
+	answers   answerLog
+	outcomes  [stageCount]outcomes
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, onBlame: func() {}}
+	return &Table{clock: clock, log: log, onBlame: func() {}, clearedAt: map[uint64]time.Time{}}
 }
 
 // OnBlame sets the function that is called after each blame that is new to this host. It is called before the table is
 // used.
 func (t *Table) OnBlame(f func()) { t.onBlame = f }
 
-// Check returns how long requests with these segments are still refused, or 0 if they are not.
-func (t *Table) Check(segments []uint64) time.Duration {
+// Check returns how long requests with these segments are still refused, or 0 if they are not. An answer to the request itself
+// may have passed some stages before.
+func (t *Table) Check(segments []uint64, passed Stage) time.Duration {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	blamed := t.judgeDue()
+	left := t.blameLeft(segments, passed)
+	t.mu.Unlock()
+	if blamed {
+		t.onBlame()
+	}
+	return left
+}
+
+// blameLeft returns the longest time left of the blames of these segments. The caller holds mu.
+func (t *Table) blameLeft(segments []uint64, passed Stage) time.Duration {
+	if len(t.blames) == 0 {
+		return 0
+	}
 	now := t.clock.Now()
 	var left time.Duration
-	for _, b := range t.blames {
-		if containsAll(segments, b.Segments) {
-			left = max(left, b.Until.Sub(now))
+	for stage := passed; stage < Answered; stage++ {
+		at := stage.ofAll(segments)
+		for _, b := range t.blames {
+			if containsAll(at, b.Segments) {
+				left = max(left, b.Until.Sub(now))
+			}
 		}
 	}
 	return left
 }
 
-// RecordBegun records that an upstream began to answer a prompt with these segments, which clears them.
-func (t *Table) RecordBegun(segments []uint64) {
+// RecordPassed records that the answer to a prompt with these segments has come from one stage to another without a crash,
+// which clears the segments at the stages in between.
+func (t *Table) RecordPassed(segments []uint64, from, to Stage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	t.outcomes.addBegun(now)
-	for _, segment := range segments {
-		t.answers.record(segment, now)
-		if t.isSuspect(segment) {
-			t.clear(Clearance{Segment: segment, At: now})
+	for stage := from; stage < to; stage++ {
+		t.outcomes[stage].addAnswered(now)
+		for _, segment := range stage.ofAll(segments) {
+			t.answers.record(segment, now)
+			if t.isSuspect(segment) {
+				t.clear(Clearance{Segment: segment, At: now})
+			}
 		}
 	}
 }
 
-// Lift clears the segment on behalf of an operator, on all hosts.
+// Lift clears the segment on behalf of an operator, at all stages and on all hosts.
 func (t *Table) Lift(segment uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(Clearance{Segment: segment, At: t.clock.Now()})
+	for stage := Beginning; stage < Answered; stage++ {
+		t.clear(Clearance{Segment: stage.of(segment), At: t.clock.Now()})
+	}
 }
 
 // isSuspect reports whether the table holds an attempt or a blame with the segment. The caller holds mu.
@@ -155,15 +189,19 @@
 	return slices.ContainsFunc(t.blames, func(b Blame) bool { return slices.Contains(b.Segments, segment) })
 }
 
-// RecordCrash records an attempt of this host.
-func (t *Table) RecordCrash(a Attempt) {
+// RecordCrash records an attempt of this host, whose answer had passed the stages before the given one.
+func (t *Table) RecordCrash(a Attempt, stage Stage) {
 	t.mu.Lock()
 	t.expire()
-	a.own = true
-	if t.blameOf(a) < 0 && !t.isBesideBlamed(a) {
-		t.outcomes.addCrashed(a.crash())
+	blamed, isExplained := false, slices.ContainsFunc(t.explainedCrashes(), a.crash().is)
+	for ; stage < Answered; stage++ {
+		at := a
+		at.Segments, at.own = stage.ofAll(a.Segments), true
+		if t.blameOf(at) < 0 && !isExplained {
+			t.outcomes[stage].addCrashed(at.crash())
+		}
+		blamed = t.add(at) || blamed
 	}
-	blamed := t.add(a)
 	t.mu.Unlock()
 	if blamed {
 		t.onBlame()
@@ -172,39 +210,49 @@
 
 // add inserts the attempt and reports whether it leads to a new blame. The caller holds mu.
 func (t *Table) add(a Attempt) bool {
+	t.tellAnswers(a)
 	a.Segments = t.uncleared(a.Segments[:min(len(a.Segments), maxSegments)], a.CrashedAt)
-	if t.clock.Since(a.CrashedAt) >= attemptLifetime || t.isKnown(a) || !t.attribute(&a) {
+	if t.clock.Since(a.CrashedAt) >= attemptLifetime || t.isKnown(a) || !t.attribute(&a, t.explainedCrashes()) {
 		return false
 	}
 	t.attempts = insertByTime(t.attempts, a, maxAttempts)
-	return t.judge(a)
+	t.unjudged = insertByTime(t.unjudged, a, maxAttempts)
+	return t.judgeDue()
+}
+
+// tellAnswers clears the segments of an attempt that this host has seen answered since, so that others hear of it. An answer
+// clears only segments that were suspect when it came. The caller holds mu.
+func (t *Table) tellAnswers(a Attempt) {
+	for _, segment := range a.Segments[:min(len(a.Segments), maxSegments)] {
+		if at := t.answers.last(segment); !at.Before(a.CrashedAt) {
+			t.clear(Clearance{Segment: segment, At: at})
+		}
+	}
 }
 
 // uncleared returns the segments that no answer has cleared since then. The caller holds mu.
 func (t *Table) uncleared(segments []uint64, since time.Time) []uint64 {
 	return slices.DeleteFunc(slices.Clone(segments), func(segment uint64) bool {
-		i := t.clearanceIndex(segment)
-		return i >= 0 && !t.clearances[i].At.Before(since) || !t.answers.last(segment).Before(since)
+		at, ok := t.clearedAt[segment]
+		return ok && !at.Before(since) || !t.answers.last(segment).Before(since)
 	})
 }
 
-func (t *Table) clearanceIndex(segment uint64) int {
-	return slices.IndexFunc(t.clearances, func(c Clearance) bool { return c.Segment == segment })
-}
-
 // isKnown reports whether the table holds the same attempt already. The caller holds mu.
 func (t *Table) isKnown(a Attempt) bool {
-	return slices.ContainsFunc(t.attempts, func(known Attempt) bool { return known.Request == a.Request && known.crash().is(a.crash()) })
+	return slices.ContainsFunc(t.attempts, func(known Attempt) bool {
+		return known.Request == a.Request && known.stage() == a.stage() && known.crash().is(a.crash())
+	})
 }
 
 // attribute removes the segments that are not suspect because a blame explains the crash. It reports whether any
 // segments are left. The caller holds mu.
-func (t *Table) attribute(a *Attempt) bool {
+func (t *Table) attribute(a *Attempt, explained []crash) bool {
 	if i := t.blameOf(*a); i >= 0 {
 		a.Segments = slices.Clone(t.blames[i].Segments)
 		return true
 	}
-	return len(a.Segments) > 0 && !t.isBesideBlamed(*a)
+	return len(a.Segments) > 0 && !slices.ContainsFunc(explained, a.crash().is)
 }
 
 // blameOf returns the index of a blame whose segments the attempt has, or -1. The caller holds mu.
@@ -212,26 +260,43 @@
 	return slices.IndexFunc(t.blames, func(b Blame) bool { return containsAll(a.Segments, b.Segments) })
 }
 
-// isBesideBlamed reports whether an attempt with blamed segments ended with the same crash. The caller holds mu.
-func (t *Table) isBesideBlamed(a Attempt) bool {
-	return slices.ContainsFunc(t.attempts, func(other Attempt) bool { return other.crash().is(a.crash()) && t.blameOf(other) >= 0 })
+// explainedCrashes returns the crashes that ended attempts with blamed segments. The caller holds mu.
+func (t *Table) explainedCrashes() []crash {
+	var list []crash
+	if len(t.blames) == 0 {
+		return list
+	}
+	for _, a := range t.attempts {
+		if t.blameOf(a) >= 0 {
+			list = append(list, a.crash())
+		}
+	}
+	return list
 }
 
 // clear removes the segment from all older attempts and blames. The caller holds mu.
 func (t *Table) clear(c Clearance) {
-	if i := t.clearanceIndex(c.Segment); i >= 0 {
-		if !t.clearances[i].At.Before(c.At) {
+	if at, ok := t.clearedAt[c.Segment]; ok {
+		if !at.Before(c.At) {
 			return
 		}
-		t.clearances = slices.Delete(t.clearances, i, i+1)
+		t.clearances = slices.DeleteFunc(t.clearances, func(known Clearance) bool { return known.Segment == c.Segment })
+	}
+	if len(t.clearances) == maxClearances {
+		delete(t.clearedAt, t.clearances[0].Segment)
+		t.clearances = slices.Delete(t.clearances, 0, 1)
 	}
-	t.clearances = insertByTime(t.clearances, c, maxClearances)
+	t.clearances, t.clearedAt[c.Segment] = insertByTime(t.clearances, c, maxClearances), c.At
+	emptied := false
 	for i := range t.attempts {
-		if a := &t.attempts[i]; !a.CrashedAt.After(c.At) {
+		if a := &t.attempts[i]; !a.CrashedAt.After(c.At) && slices.Contains(a.Segments, c.Segment) {
 			a.Segments = without(a.Segments, c.Segment)
+			emptied = emptied || len(a.Segments) == 0
 		}
 	}
-	t.attempts = slices.DeleteFunc(t.attempts, func(a Attempt) bool { return len(a.Segments) == 0 })
+	if emptied {
+		t.attempts = slices.DeleteFunc(t.attempts, func(a Attempt) bool { return len(a.Segments) == 0 })
+	}
 	t.clearBlames(c)
 }
 
@@ -253,7 +318,13 @@
 func (t *Table) expire() {
 	now := t.clock.Now()
 	t.attempts = slices.DeleteFunc(t.attempts, func(a Attempt) bool { return now.Sub(a.CrashedAt) >= attemptLifetime })
-	t.clearances = slices.DeleteFunc(t.clearances, func(c Clearance) bool { return now.Sub(c.At) >= attemptLifetime })
+	t.clearances = slices.DeleteFunc(t.clearances, func(c Clearance) bool {
+		expired := now.Sub(c.At) >= attemptLifetime
+		if expired {
+			delete(t.clearedAt, c.Segment)
+		}
+		return expired
+	})
 	t.blames = slices.DeleteFunc(t.blames, func(b Blame) bool { return now.Sub(b.Until) >= probation(b) })
 }
 
--- a/internal/promptblame/table_test.go
+++ b/internal/promptblame/table_test.go
@@ -12,11 +12,12 @@
 	"pgregory.net/rapid"
 )
 
-// The segments of the tests: deadly crashes upstreams, sound and rare are in the same prompts.
+// The segments of the tests: deadly crashes upstreams, sound and rare are in the same prompts. The lowest bits of a segment hold
+// a stage.
 const (
-	deadly = 1
-	sound  = 2
-	rare   = 3
+	deadly = 1 << 2
+	sound  = 2 << 2
+	rare   = 3 << 2
 )
 
 // fixture is a table with a fake clock.
@@ -34,7 +35,7 @@
 	f.Table = NewTable(f.clock, zerolog.Nop())
 	f.OnBlame(func() { f.blamed++ })
 	for range 200 {
-		f.RecordBegun([]uint64{1000})
+		f.RecordPassed([]uint64{1000}, Beginning, Answered)
 	}
 	f.clock.Advance(time.Second)
 	return f
@@ -46,6 +47,12 @@
 	return Attempt{Segments: segments, Request: request, Upstream: f.attempts, CrashedAt: f.clock.Now()}
 }
 
+// RecordCrash records an attempt whose answer had not begun.
+func (f *fixture) RecordCrash(a Attempt) { f.Table.RecordCrash(a, Beginning) }
+
+// Check returns how long prompts with the segments are refused.
+func (f *fixture) Check(segments []uint64) time.Duration { return f.Table.Check(segments, Beginning) }
+
 // crash records an attempt, and then lets time pass.
 func (f *fixture) crash(request uint64, segments ...uint64) {
 	f.RecordCrash(f.attempt(request, segments...))
@@ -90,7 +97,7 @@
 		{"answer within the run", func(f *fixture) {
 			f.crash(1, deadly)
 			f.crash(2, deadly)
-			f.RecordBegun([]uint64{deadly})
+			f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 			f.crash(3, deadly)
 			f.crash(4, deadly)
 		}, false},
@@ -110,19 +117,19 @@
 		}, false},
 		{"half of the other attempts crash", func(f *fixture) {
 			for i := range uint64(200) {
-				f.RecordCrash(f.attempt(100+i, 1000+i))
+				f.RecordCrash(f.attempt(100+i, (1000+i)<<2))
 			}
 			f.crashRun(deadly)
 		}, false},
 		{"segment that this host has seen answered, by attempts of others", func(f *fixture) {
-			f.RecordBegun([]uint64{deadly})
+			f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 			for i := range uint64(3 * minRunLength) {
 				f.clock.Advance(300 * time.Millisecond)
 				f.Merge(Records{Attempts: []Attempt{f.attempt(i, deadly)}})
 			}
 		}, false},
 		{"segment that this host has seen answered, by its own attempts", func(f *fixture) {
-			f.RecordBegun([]uint64{deadly})
+			f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 			f.clock.Advance(time.Second)
 			f.crashRun(deadly)
 		}, true},
@@ -154,7 +161,7 @@
 	is.True(f.Check([]uint64{sound, deadly}) > 0)
 	is.Equal(f.Check([]uint64{sound}), time.Duration(0)) // either of the two may be the cause
 	is.Equal(f.Check([]uint64{deadly}), time.Duration(0))
-	f.RecordBegun([]uint64{sound})
+	f.RecordPassed([]uint64{sound}, Beginning, Answered)
 	is.True(f.Check([]uint64{deadly}) > 0)
 	is.Equal(f.Check([]uint64{sound}), time.Duration(0))
 
@@ -182,7 +189,7 @@
 	is.True(f.Check([]uint64{sound, deadly}) > 0)
 	// The deadly one is found as soon as it crashes upstreams beside other segments.
 	for i := range uint64(minRunLength) {
-		f.crash(200+i, 300+i, deadly)
+		f.crash(200+i, (300+i)<<2, deadly)
 	}
 	is.True(f.Check([]uint64{deadly}) > 0)
 	is.Equal(f.Check([]uint64{sound}), time.Duration(0))
@@ -210,7 +217,7 @@
 	is := is.New(t)
 	f := newFixture()
 	f.crashRun(deadly)
-	f.RecordBegun([]uint64{deadly})
+	f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 	is.Equal(f.Check([]uint64{deadly}), time.Duration(0))
 	is.Equal(len(f.State().Blames), 0)
 }
@@ -232,7 +239,7 @@
 func TestManyAttemptsOfRunDoNotRaiseItsChance(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.RecordBegun([]uint64{deadly})
+	f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 	f.clock.Advance(time.Second)
 	for i := range uint64(minRunLength) {
 		a := f.attempt(0, deadly)
@@ -257,7 +264,7 @@
 	is := is.New(t)
 	f := newFixture()
 	f.crash(1, deadly)
-	f.RecordBegun([]uint64{sound})
+	f.RecordPassed([]uint64{sound}, Beginning, Answered)
 	is.Equal(f.State().Clearances, 0) // nothing is held against the segment
 
 	early := Clearance{Segment: rare, At: f.clock.Now()}
@@ -286,7 +293,7 @@
 	f.Lift(deadly)
 	other.Merge(f.Records())
 	is.Equal(f.Check([]uint64{deadly}), time.Duration(0))
-	is.Equal(other.Check([]uint64{deadly}), time.Duration(0))
+	is.Equal(other.Check([]uint64{deadly}, Beginning), time.Duration(0))
 }
 
 // Guards against a blame or a clearance that stays with one host.
@@ -296,13 +303,13 @@
 	other := NewTable(f.clock, zerolog.Nop())
 	f.crashRun(sound, deadly)
 	other.Merge(f.Records())
-	is.True(other.Check([]uint64{sound, deadly}) > 0)
-	f.RecordBegun([]uint64{sound})
+	is.True(other.Check([]uint64{sound, deadly}, Beginning) > 0)
+	f.RecordPassed([]uint64{sound}, Beginning, Answered)
 	other.Merge(f.Records())
-	is.True(other.Check([]uint64{deadly}) > 0)
-	f.RecordBegun([]uint64{deadly})
+	is.True(other.Check([]uint64{deadly}, Beginning) > 0)
+	f.RecordPassed([]uint64{deadly}, Beginning, Answered)
 	other.Merge(f.Records())
-	is.Equal(other.Check([]uint64{deadly}), time.Duration(0))
+	is.Equal(other.Check([]uint64{deadly}, Beginning), time.Duration(0))
 }
 
 func TestBlameOfAnotherHostIsDisputedByAnswers(t *testing.T) {
@@ -311,7 +318,7 @@
 	f.crashRun(rare)
 	other := &fixture{clock: f.clock, Table: NewTable(f.clock, zerolog.Nop())}
 	f.clock.Advance(-2 * time.Second)
-	other.RecordBegun([]uint64{rare}) // before the first crash
+	other.RecordPassed([]uint64{rare}, Beginning, Answered) // before the first crash
 	f.clock.Advance(2 * time.Second)
 	other.Merge(f.Records())
 	is.Equal(other.Check([]uint64{rare}), time.Duration(0))
@@ -329,23 +336,23 @@
 	is := is.New(t)
 	f := newFixture()
 	for i := range uint64(2 * maxClearances) {
-		f.RecordCrash(f.attempt(i, 5000+i))
-		f.RecordBegun([]uint64{5000 + i})
+		f.RecordCrash(f.attempt(i, (5000+i)<<2))
+		f.RecordPassed([]uint64{(5000 + i) << 2}, Beginning, Answered)
 	}
 	for i := range uint64(2 * maxAttempts) {
-		f.RecordCrash(f.attempt(i, 20000+i))
+		f.RecordCrash(f.attempt(i, (20000+i)<<2))
 	}
 	for i := range uint64(3 * answersPerGeneration) {
-		f.RecordBegun([]uint64{50000 + i})
+		f.RecordPassed([]uint64{(50000 + i) << 2}, Beginning, Answered)
 	}
 	var many []uint64
 	for i := range uint64(10 * maxSegments) {
-		many = append(many, 100000+i)
+		many = append(many, (100000+i)<<2)
 	}
 	f.RecordCrash(f.attempt(1, many...))
 	for i := range uint64(2 * maxBlames) {
 		now := f.clock.Now()
-		f.Merge(Records{Blames: []Blame{{Segments: []uint64{200000 + i}, Since: now, Until: now.Add(time.Minute), Duration: time.Minute}}})
+		f.Merge(Records{Blames: []Blame{{Segments: []uint64{(200000 + i) << 2}, Since: now, Until: now.Add(time.Minute), Duration: time.Minute}}})
 	}
 	state := f.State()
 	is.Equal(state.Attempts, maxAttempts)
@@ -377,11 +384,13 @@
 	f.crash(1, deadly)
 	f.crash(2, deadly)
 	for i := range uint64(3 * maxRecordAttempts) {
-		f.crash(10+i, 500+i)
+		f.crash(10+i, (500+i)<<2)
 	}
 	r := f.Records()
-	is.Equal(r.Attempts[0].Segments, []uint64{deadly})
-	is.Equal(r.Attempts[1].Segments, []uint64{deadly})
+	for i := range 2 * stageCount { // both attempts, at each stage
+		is.Equal(len(r.Attempts[i].Segments), 1)
+		is.Equal(r.Attempts[i].Segments[0]&^stageMask, uint64(deadly))
+	}
 }
 
 // Guards against records that arrive out of order and count as newer than they are, and against lists without bound.
