A stream's version is concluded only from data of after its take-up

Callers would see: a stream that goes on at another software version (ORDER), at a host that is out of step for a moment while upstreams of a new version join.

Change: before that, it reads the changes that it has not received yet, in a call that begins after the request arrived and that waiting requests share. If the store does not respond, the request is refused as not run.

Evidence: TestVersionIsNotConcludedBeforeHostHasCaughtUp failed on (3 of 3 cases); TestRefreshFindsVersionsThatReaderHasNotReceived.

--- a/internal/fleet/origin_simulation_test.go
+++ b/internal/fleet/origin_simulation_test.go
@@ -72,9 +72,11 @@
 	listed   time.Duration // time of the first list
 	interval time.Duration // between two lists
 	extended time.Duration // when the history was read; 0 if it was not
-	table    *origin.Table
-	resolver *origin.Resolver
-	sharer   *origin.Sharer
+	// refreshed is when the changes that no list has told yet were last read; 0 if they were not.
+	refreshed time.Duration
+	table     *origin.Table
+	resolver  *origin.Resolver
+	sharer    *origin.Sharer
 }
 
 func newStory(size int) *story {
@@ -95,7 +97,7 @@
 // start starts the host, which lists the store a moment later and knows nothing of before.
 func (h *storyHost) start(at time.Duration) {
 	s := h.story
-	h.alive, h.extended = true, 0
+	h.alive, h.extended, h.refreshed = true, 0, 0
 	h.listed = at + time.Duration(s.random.Int64N(int64(300*time.Millisecond)))
 	h.interval = time.Duration(s.random.Int64N(int64(storyStaleness)-1)) + 1
 	h.table = origin.NewTable(s.clock)
@@ -136,7 +138,8 @@
 	for _, v := range storyVersions {
 		followed := v.from <= h.asOf() && v.to > h.listed && (v.to > h.asOf() || h.listAt(v.to) >= from)
 		told := h.extended != 0 && h.extended >= from && v.from <= h.extended && v.to > h.extended-storyWindow
-		if followed || told {
+		refreshed := h.refreshed != 0 && v.from <= h.refreshed && v.to > h.refreshed
+		if followed || told || refreshed {
 			list = append(list, v.name)
 		}
 	}
@@ -162,6 +165,11 @@
 	return h.story.now() - h.extended + storyWindow, nil
 }
 
+func (h *storyHost) Refresh(context.Context, time.Time) error {
+	h.refreshed = h.story.now()
+	return nil
+}
+
 // WriteTo delivers a datagram.
 func (h *storyHost) WriteTo(datagram []byte, to net.Addr) (int, error) {
 	other := h.story.address[to.String()]
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -32,6 +32,10 @@
 	mu sync.Mutex // held while the history is read
 	// failedAt is when the history could last not be read.
 	failedAt time.Time
+
+	refreshMu sync.Mutex // held while the changes are read
+	// refreshedAt is when the last successful reading of the changes began.
+	refreshedAt time.Time
 }
 
 // versionHistory says for which time versions are known from the source's history.
@@ -105,6 +109,28 @@
 	return v.clock.Since(h.since), nil
 }
 
+// Refresh implements origin.History. It reads the changes that the reader has not received yet. Callers that wait share a call.
+func (v *publishedVersions) Refresh(ctx context.Context, since time.Time) error {
+	v.refreshMu.Lock()
+	defer v.refreshMu.Unlock()
+	if !v.refreshedAt.Before(since) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	began, after := v.clock.Now(), v.mirror.Complete()
+	b, err := v.source.Changes(ctx, v.mirror.Prefix, after.Revision, 0)
+	if err == nil && b.Era != after.Era {
+		err = errors.Errorf("the source has begun era %d", b.Era)
+	}
+	if err != nil {
+		return errors.Wrapf(err, "read changes after revision %d", after.Revision)
+	}
+	v.mirror.Merge(after.Revision, b)
+	v.refreshedAt = began
+	return nil
+}
+
 // readHistory reads the history. The caller holds mu.
 func (v *publishedVersions) readHistory(ctx context.Context, start published.FollowStart) (*versionHistory, error) {
 	now := v.clock.Now()
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -466,3 +466,29 @@
 	known, err := vt.extend(vt.ctx)
 	is.True(err != nil || known <= 5*time.Second) // the history does not tell of the gap
 }
+
+// Guards against a version that upstreams began to publish after the host last heard from the store, and that counts as not
+// there when a caller takes up a stream that began at it.
+func TestRefreshFindsVersionsThatReaderHasNotReceived(t *testing.T) {
+	is := is.New(t)
+	source := &historyStore{}
+	source.write("u1", "1")
+	vt := startVersions(t, source)
+	source.write("u2", "2")
+	is.Equal(vt.versions(), "1")
+	arrived := vt.clock.Now()
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			if err := vt.Refresh(vt.ctx, arrived); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(vt.versions(), "1 2")
+	is.Equal(source.calls, 1) // callers share the call
+	source.err = errors.New("down")
+	vt.clock.Advance(time.Millisecond)
+	is.True(vt.Refresh(vt.ctx, vt.clock.Now()) != nil)
+}
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -57,6 +57,8 @@
 	// Extend reads the versions that were published before this host began to follow, as far back as the window if it can,
 	// and returns for how long before now they are known.
 	Extend(ctx context.Context, window time.Duration) (time.Duration, error)
+	// Refresh reads the versions that have been published up to the given time or later.
+	Refresh(ctx context.Context, since time.Time) error
 }
 
 // Options configures NewResolver.
@@ -129,6 +131,7 @@
 // Resolve returns the origin of the stream, and whether a record of it exists. The error is ErrUnknown if there is no record
 // and upstreams of more than one version, or of an unknown one, may have begun the stream.
 func (r *Resolver) Resolve(ctx context.Context, q Query) (o Origin, recorded bool, err error) {
+	arrived := r.Clock.Now()
 	own := r.Known(q)
 	e := &evidence{age: own.Age}
 	e.add(own, r.MaxDataAge)
@@ -148,7 +151,7 @@
 	if len(e.versions) == 1 && e.followed < q.Window && e.age <= r.MaxDataAge {
 		r.readHistory(ctx, q, e)
 	}
-	if len(e.versions) != 1 || e.followed < q.Window || e.age > r.MaxDataAge {
+	if !r.concludes(q, e) || !r.refresh(ctx, q, e, arrived) {
 		r.log(q, Origin{}, sourceUnknown, e)
 		return Origin{}, false, ErrUnknown
 	}
@@ -157,6 +160,22 @@
 	return o, false, nil
 }
 
+// concludes reports whether a single version can have begun the stream, as far as is known.
+func (r *Resolver) concludes(q Query, e *evidence) bool {
+	return len(e.versions) == 1 && e.followed >= q.Window && e.age <= r.MaxDataAge
+}
+
+// refresh adds the versions that were published before the request arrived and that this host and those that it asked may not
+// have heard of, and reports whether there is still a single one. The stream may have begun at the newest upstream.
+func (r *Resolver) refresh(ctx context.Context, q Query, e *evidence, arrived time.Time) bool {
+	if err := r.History.Refresh(ctx, arrived); err != nil {
+		r.Log.Warn().Str("event", "versions-not-refreshed").Str("service", q.Service).Err(err).Send()
+		return false
+	}
+	e.add(Answer{Versions: r.Versions.VersionsSince(q.Service, r.Clock.Now().Add(-q.Window)), Age: e.age}, r.MaxDataAge)
+	return r.concludes(q, e)
+}
+
 // readHistory adds what the history of the published items tells.
 func (r *Resolver) readHistory(ctx context.Context, q Query, e *evidence) {
 	followed, err := r.History.Extend(ctx, q.Window)
--- a/internal/origin/resolver_test.go
+++ b/internal/origin/resolver_test.go
@@ -60,10 +60,14 @@
 // fakeHistory extends what a fakeVersions knows.
 type fakeHistory struct {
 	versions *fakeVersions
-	add      []string
-	followed time.Duration
-	err      error
-	reads    int
+	// unseen are versions that a refresh finds, and refreshErr is its error.
+	unseen     []string
+	refreshErr error
+	refreshed  []time.Time
+	add        []string
+	followed   time.Duration
+	err        error
+	reads      int
 }
 
 func (h *fakeHistory) Extend(context.Context, time.Duration) (time.Duration, error) {
@@ -74,6 +78,12 @@
 	return h.followed, h.err
 }
 
+func (h *fakeHistory) Refresh(_ context.Context, since time.Time) error {
+	h.refreshed = append(h.refreshed, since)
+	h.versions.versions = append(h.versions.versions, h.unseen...)
+	return h.refreshErr
+}
+
 type resolverTest struct {
 	*Resolver
 	clock    *clockwork.FakeClock
@@ -224,3 +234,28 @@
 	is.True(len(a.Versions) == 2 || a.Followed < testWindow)
 	is.True(len(a.Versions) == 2 || a.Age > testMaxAge)
 }
+
+// Guards against streams that go on at another version at a host that is out of step for a moment: cut off from the others, or
+// frozen, while upstreams of a new version joined, one of which began the stream.
+func TestVersionIsNotConcludedBeforeHostHasCaughtUp(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		unseen     []string
+		refreshErr error
+		known      bool
+	}{
+		{"no other version", nil, nil, true}, {"a new version", []string{"2"}, nil, false},
+		{"the store does not respond", nil, errors.New("down"), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			rt := newResolverTest()
+			rt.versions.age = fresh
+			rt.history.unseen, rt.history.refreshErr = tt.unseen, tt.refreshErr
+			_, _, err := rt.resolve()
+			is.Equal(err == nil, tt.known)
+			is.Equal(len(rt.history.refreshed), 1)
+			is.True(!rt.history.refreshed[0].Before(rt.clock.Now())) // not before the request arrived
+		})
+	}
+}
