--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -309,6 +309,14 @@
 	}
 }
 
+// Guards against the same if upstreams crash most of a second after the first event, when many sound answers are beside each
+// crash.
+func TestDeadlySegmentThatCrashesLateIsRefused(t *testing.T) {
+	for seed := range uint64(6) {
+		deadlyPattern{7, 9, 60, 35, 0.04, 800 * time.Millisecond}.play(t, seed)
+	}
+}
+
 // Guards against blame that is not earned: sound requests must be served beside crashes that have other causes. Pattern:
 // single crashes in quick succession, and a pool that crashes as a whole again and again.
 func TestSoundRequestsAreServedBesideOtherCrashes(t *testing.T) {
