--- a/internal/promptblame/judge.go
+++ b/internal/promptblame/judge.go
@@ -24,6 +24,8 @@
 	minLateRunLength = 4
 	// minCrashGap is the time from which on two crashes count as two. Upstreams that crash together have one cause.
 	minCrashGap = 100 * time.Millisecond
+	// minOwnLateCrashes is the least number of this host's own attempts in a run after the first event.
+	minOwnLateCrashes = 2
 	// minAnswersBeside is the least number of answers to other prompts during a run of crashes after the first event.
 	minAnswersBeside = 3
 	// minOwnCrashes is the number of this host's own attempts from which on it joins in the blame of a segment that it
@@ -107,10 +109,15 @@
 	stage  Stage
 }
 
-// blamed reports whether the run founds a blame. After the first event it needs answers to other prompts beside it: where
-// none comes so far, upstreams crash for another reason.
+// blamed reports whether the run founds a blame.
+//
+// After the first event it needs answers to other prompts beside it: where none comes so far, upstreams crash for another
+// reason. It also needs attempts of this host, as another one may have seen the segment answered since.
 func (v verdict) blamed() bool {
-	return v.length >= v.needed && v.requests >= minRequests && (v.stage == Beginning || v.answeredSince >= minAnswersBeside)
+	if v.length < v.needed || v.requests < minRequests {
+		return false
+	}
+	return v.stage == Beginning || v.answeredSince >= minAnswersBeside && v.own >= minOwnLateCrashes
 }
 
 // maxChance returns the probability by chance up to which the run founds a blame.
