--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -160,7 +160,7 @@
 		h.part.span.Add(explained)
 		h.since = v.sinceOf(h)
 	}
-	v.logHistory("version-history-read", h, len(items))
+	v.logHistory(v.log.Info().Str("event", "version-history-read"), h, len(items))
 	return h, nil
 }
 
@@ -187,7 +187,7 @@
 	if since := v.sinceOf(next); since.Before(next.since) {
 		next.since = since
 	}
-	v.logHistory("version-history-counted", next, len(b.Items))
+	v.logHistory(v.log.Info().Str("event", "version-history-counted"), next, len(b.Items))
 	return next, nil
 }
 
@@ -204,8 +204,8 @@
 	return h.start.Since
 }
 
-func (v *publishedVersions) logHistory(event string, h *versionHistory, changes int) {
-	v.log.Info().Str("event", event).Int("changes", changes).Bool("whole", h.part == nil).Dur("known_ms", v.clock.Since(h.since)).Send()
+func (v *publishedVersions) logHistory(event *zerolog.Event, h *versionHistory, changes int) {
+	event.Int("changes", changes).Bool("whole", h.part == nil).Dur("known_ms", v.clock.Since(h.since)).Send()
 }
 
 // recordVersions records the software versions of the upstreams in the changes, which count as published until now. It returns
