--- a/internal/fleet/origin_simulation_test.go
+++ b/internal/fleet/origin_simulation_test.go
@@ -159,13 +159,18 @@
 	if h.story.noHistory {
 		return 0, errors.New("no history")
 	}
+	h.story.mu.Lock()
+	defer h.story.mu.Unlock()
 	if h.extended == 0 {
 		h.extended = h.story.now()
 	}
 	return h.story.now() - h.extended + storyWindow, nil
 }
 
+// Refresh and Extend write under the lock, since calls that were given up may still be answered from what the host knows.
 func (h *storyHost) Refresh(context.Context, time.Time) error {
+	h.story.mu.Lock()
+	defer h.story.mu.Unlock()
 	h.refreshed = h.story.now()
 	return nil
 }
