The tests with crashing upstreams share their set-up

TestCrashAfterFirstEventsCountsAgainstPrompt repeated the seven lines with which TestRequestsWithDeadlySegmentAreRefusedAndSoundOnesServed starts; serveCrashingPool serves both. No assertion changed; both pass under -race.

--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -57,6 +57,16 @@
 	return p
 }
 
+// serveCrashingPool returns a host that sends all requests to a pool of three upstreams.
+func serveCrashingPool(t *testing.T) (*harness, *crashingPool) {
+	h := newHarness(t, catalog.Stream, true)
+	for i, l := range h.listeners {
+		h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
+	}
+	h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 1000}, 1<<20)
+	return h, newCrashingPool(h, 3)
+}
+
 func (p *crashingPool) start(address string) string {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -175,12 +185,7 @@
 // (BUDGET), and against sound requests with the same other segments that are refused for it (LOST).
 func TestRequestsWithDeadlySegmentAreRefusedAndSoundOnesServed(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(t, catalog.Stream, true)
-	for i, l := range h.listeners {
-		h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
-	}
-	h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 1000}, 1<<20)
-	p := newCrashingPool(h, 3)
+	h, p := serveCrashingPool(t)
 	const (
 		requests     = 20
 		maxCrashes   = 5 + 3*2 // after five crashes three requests may still come, each of which is sent twice
@@ -274,12 +279,7 @@
 	for _, events := range []int{1, 2, 10} {
 		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
 			is := is.New(t)
-			h := newHarness(t, catalog.Stream, true)
-			for i, l := range h.listeners {
-				h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
-			}
-			h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 1000}, 1<<20)
-			p := newCrashingPool(h, 3)
+			h, p := serveCrashingPool(t)
 			p.eventsBeforeCrash = events
 			const requests, step, window, maxLate = 24, 250 * time.Millisecond, 3 * time.Second, 3
 			refused, late := 0, 0
