Trails and the state dump tell how long an upstream has been silent

The time for which this host has waited without hearing anything is now in the trail (silence) and in the state dump (silence_ns). No decision uses it.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -61,6 +61,8 @@
 	// recently.
 	Load      float64
 	LoadKnown bool
+	// Silence is how long this host has waited for any response, and nothing was heard of the upstream.
+	Silence time.Duration
 	// Tier is the priority tier; 0 is the most preferred.
 	Tier   int
 	limits []allowance.RateLimit
@@ -81,6 +83,7 @@
 	load     float64
 	mean     float64
 	known    bool
+	silence  time.Duration
 	score    uint64
 	limits   []allowance.RateLimit
 }
@@ -110,7 +113,7 @@
 	first := selectFirst(buffer[:0], list, less)
 	order := make([]Choice, len(first))
 	for i, c := range first {
-		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Tier: c.tier, limits: c.limits, target: c.member.target()}
+		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Silence: c.silence, Tier: c.tier, limits: c.limits, target: c.member.target()}
 	}
 	return order
 }
@@ -137,7 +140,7 @@
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now),
+			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: st.silence(now),
 			score: loadbalancer.ScoreHashed(criteria.AffinityHash, m.hash),
 		})
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -63,6 +63,9 @@
 	// pool holds what the upstreams of a service have in common.
 	pool     *poolStats
 	inFlight int
+	// waitingSince is when this host began to wait for responses of the upstream, and heardAt when it last received data
+	// of one.
+	waitingSince, heardAt time.Time
 	// avgLoad is the moving average of the loads that responses reported to this host and others, as of avgLoadAt.
 	// sentSince counts the requests that this host sent since then.
 	avgLoad   float64
@@ -235,7 +238,11 @@
 func (t *Table) RecordRequestStart(key catalog.UpstreamKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.stats(key, t.clock.Now())
+	now := t.clock.Now()
+	s := t.stats(key, now)
+	if s.inFlight == 0 {
+		s.waitingSince = now
+	}
 	s.inFlight++
 	s.sentSince++
 }
@@ -288,7 +295,7 @@
 	if s.consecutiveFailures > 0 {
 		t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", s.consecutiveFailures).Send()
 	}
-	s.consecutiveFailures, s.suspectUntil = 0, time.Time{}
+	s.consecutiveFailures, s.suspectUntil, s.heardAt = 0, time.Time{}, now
 	t.path(u.DataCentre).responded(now)
 }
 
@@ -384,13 +391,15 @@
 
 // UpstreamState is an upstream's entry in the state dump.
 type UpstreamState struct {
-	ID           string  `json:"id"`
-	Address      string  `json:"address"`
-	InFlight     int     `json:"in_flight"`
-	Load         float64 `json:"load"`
-	Failures     int     `json:"failures"`
-	FailureShare float64 `json:"failure_share"`
-	Suspect      bool    `json:"suspect"`
+	ID       string  `json:"id"`
+	Address  string  `json:"address"`
+	InFlight int     `json:"in_flight"`
+	Load     float64 `json:"load"`
+	// Silence is how long this host has waited for any response, and nothing was heard of the upstream.
+	Silence      time.Duration `json:"silence_ns,omitempty"`
+	Failures     int           `json:"failures"`
+	FailureShare float64       `json:"failure_share"`
+	Suspect      bool          `json:"suspect"`
 	// RequestLimit is the limit that the upstream names, in requests per second, and RequestLimitAge the time since it was
 	// last reported; both are absent if it names none.
 	RequestLimit       *float64      `json:"request_limit,omitempty"`
@@ -414,7 +423,7 @@
 	states := make([]UpstreamState, 0, len(t.statsByKey))
 	for key, s := range t.statsByKey {
 		state := UpstreamState{
-			ID: key.ID, Address: key.Address, InFlight: s.inFlight, Load: s.load(now), Failures: s.consecutiveFailures,
+			ID: key.ID, Address: key.Address, InFlight: s.inFlight, Load: s.load(now), Silence: s.silence(now), Failures: s.consecutiveFailures,
 			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil),
 		}
 		s.said.fill(&state, now)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -167,6 +167,7 @@
 	}
 	meta := d.codec.DecodeResponse(resp.StatusCode, resp.Header)
 	d.balancer.RecordResponseStart(u)
+	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(key) }}
 	if !meta.WrongInstance {
 		d.recordSelfReport(u, meta)
 	}
--- a/internal/direct/attempt_log.go
+++ b/internal/direct/attempt_log.go
@@ -28,6 +28,7 @@
 	version    string
 	load       float64
 	loadKnown  bool
+	silence    time.Duration
 	tier       int
 	// startOffset is the time from the request's start to the attempt's, duration the time that the attempt took.
 	startOffset, duration time.Duration
@@ -36,7 +37,7 @@
 
 func newAttemptRecord(req *Request, c *balance.Choice, start, end time.Time, res attemptResult) attemptRecord {
 	rec := attemptRecord{
-		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, load: c.Load, loadKnown: c.LoadKnown, tier: c.Tier, startOffset: start.Sub(req.Start),
+		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, load: c.Load, loadKnown: c.LoadKnown, silence: c.Silence, tier: c.Tier, startOffset: start.Sub(req.Start),
 		duration: end.Sub(start), result: "answered",
 	}
 	if !res.responded {
@@ -49,7 +50,8 @@
 }
 
 // formatAttempts returns the attempts as one text: upstream@data centre, its software version, the load on which the selection was based
-// (with ? if it was not reported recently), the tier, the start offset, the duration and the result.
+// (with ? if it was not reported recently), how long nothing had been heard of the upstream, the tier, the start offset, the duration and the
+// result.
 func (req *Request) formatAttempts() string {
 	var b strings.Builder
 	for i, a := range req.attempts {
@@ -60,8 +62,8 @@
 		if !a.loadKnown {
 			unknownMark = "?"
 		}
-		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,tier:%d,at:%dms,took:%dms,%s", a.upstream, a.dataCentre, a.version, a.load, unknownMark, a.tier,
-			a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result)
+		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,silence:%dms,tier:%d,at:%dms,took:%dms,%s", a.upstream, a.dataCentre, a.version, a.load, unknownMark,
+			a.silence.Milliseconds(), a.tier, a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result)
 	}
 	return b.String()
 }
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -129,6 +129,21 @@
 	return n, err
 }
 
+// dataRecorder calls record whenever data is read.
+type dataRecorder struct {
+	io.ReadCloser
+	record func()
+}
+
+// Read implements io.Reader.
+func (r *dataRecorder) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if n > 0 {
+		r.record()
+	}
+	return n, err
+}
+
 // relayStream relays the stream as it arrives, in complete events. If it breaks off, the stream may be resumed at
 // another upstream.
 func (d *dispatchFilter) relayStream(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, inactivity *inactivityTimer, release func(bool)) attemptResult {
