A test shows requests piling up at engines that stand still

In the simulated fleet engines now send the events of their streams, and may stand still for 0.7 to 1.9 s: what they would do then happens when they go on.

--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -32,6 +33,10 @@
 	snap    *catalog.Snapshot
 	running map[string]int
 	total   int
+	// rate is the usual number of requests per second for each engine, and factor the one by which teams surge.
+	rate, factor float64
+	// silentUntil is when an engine that stands still goes on.
+	silentUntil map[string]time.Time
 	// arrivals and overfull count, by second, the requests that reached an engine, and those that reached one beyond
 	// the bound.
 	arrivals, overfull map[int]int
@@ -66,18 +71,23 @@
 	surgeLength   = 11 * time.Second
 	surgeFactor   = 20
 	responseDelay = 60 * time.Millisecond
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 25 * time.Millisecond
 	// Requests may reach an engine beyond surgeBoundFactor times the mean load plus surgeBoundSlack only rarely.
 	surgeBoundFactor = 2
 	surgeBoundSlack  = 3
 	surgeWindow      = 5 // seconds
+	minOverfull      = 20
 	maxOverfull      = 0.03
+	// stallPause is the time between two stalls of engines.
+	stallPause = 200 * time.Millisecond
 )
 
 // newSurge returns a fleet whose hosts know each other.
 func newSurge(hosts, dataCentres, engines int, seed uint64) *surge {
 	s := &surge{
 		simulation: newSimulation(), rand: rand.New(rand.NewPCG(seed, 0)), byName: map[string]*surgeHost{},
-		running: map[string]int{}, arrivals: map[int]int{}, overfull: map[int]int{},
+		rate: surgeRate, factor: surgeFactor, silentUntil: map[string]time.Time{}, running: map[string]int{}, arrivals: map[int]int{}, overfull: map[int]int{},
 		snap: &catalog.Snapshot{DisabledDataCentres: map[string]bool{}, Upstreams: map[string][]*catalog.Upstream{}},
 	}
 	for i := range engines {
@@ -133,12 +143,17 @@
 		for i := range class.keys {
 			w := class.share * math.Pow(float64(i+1), -0.3) / sum
 			k := surgeKey{hash: s.rand.Uint64(), duration: class.duration, hot: s.rand.Float64() < 0.05}
-			s.keys = append(s.keys, k)
-			hot := w
-			if k.hot {
-				hot *= surgeFactor
-			}
-			s.usual, s.surging = append(s.usual, w), append(s.surging, hot)
+			s.keys, s.usual = append(s.keys, k), append(s.usual, w)
+		}
+	}
+}
+
+// addUp makes the weights of the keys cumulative.
+func (s *surge) addUp() {
+	s.surging = slices.Clone(s.usual)
+	for i, k := range s.keys {
+		if k.hot {
+			s.surging[i] *= s.factor
 		}
 	}
 	for i := 1; i < len(s.keys); i++ {
@@ -185,6 +200,7 @@
 
 // run plays the surge.
 func (s *surge) run() {
+	s.addUp()
 	s.arrive()
 	s.runFor(surgeLength)
 }
@@ -197,7 +213,7 @@
 		weights = s.surging
 	}
 	sum := weights[len(weights)-1]
-	rate := surgeRate * float64(len(s.snap.Upstreams["s"])) * sum
+	rate := s.rate * float64(len(s.snap.Upstreams["s"])) * sum
 	point := s.rand.Float64() * sum
 	s.send(s.hosts[s.rand.IntN(len(s.hosts))], s.keys[sort.SearchFloat64s(weights, point)])
 	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), s.arrive)
@@ -211,20 +227,54 @@
 	}
 	second := int(s.clock.Since(s.start) / time.Second)
 	s.arrivals[second]++
-	if float64(s.running[u.ID]) > surgeBoundFactor*float64(s.total)/surgeEngines+surgeBoundSlack {
+	if float64(s.running[u.ID]) > surgeBoundFactor*float64(s.total)/float64(len(s.snap.Upstreams["s"]))+surgeBoundSlack {
 		s.overfull[second]++
 	}
 	s.running[u.ID]++
 	s.total++
 	h.table.RecordRequestStart(u.Key())
-	s.after(responseDelay, func() { h.table.RecordLoad(u.Key(), s.running[u.ID]) })
-	s.after(k.duration, func() {
+	s.work(u, responseDelay, func() {
+		h.table.RecordResponseStart(u)
+		h.table.RecordLoad(u.Key(), s.running[u.ID])
+		s.stream(h, u, k.duration-responseDelay)
+	})
+}
+
+// stream makes the engine send the events of a response and then end it.
+func (s *surge) stream(h *surgeHost, u *catalog.Upstream, left time.Duration) {
+	step := min(eventInterval, left)
+	s.work(u, step, func() {
+		h.table.RecordData(u.Key())
+		if left > step {
+			s.stream(h, u, left-step)
+			return
+		}
 		s.running[u.ID]--
 		s.total--
 		h.table.RecordRequestEnd(u.Key())
 	})
 }
 
+// work schedules what the engine does after a time, or when it goes on if it stands still then.
+func (s *surge) work(u *catalog.Upstream, d time.Duration, do func()) {
+	s.after(d, func() {
+		if wait := s.silentUntil[u.ID].Sub(s.clock.Now()); wait > 0 {
+			s.after(wait, do)
+			return
+		}
+		do()
+	})
+}
+
+// stall makes some engines at a time stand still for a random time, with pauses in between.
+func (s *surge) stall(count int, shortest, longest time.Duration) {
+	engines := s.snap.Upstreams["s"]
+	for _, i := range s.rand.Perm(len(engines))[:count] {
+		s.silentUntil[engines[i].ID] = s.clock.Now().Add(shortest + s.upTo(longest-shortest))
+	}
+	s.after(longest+stallPause, func() { s.stall(count, shortest, longest) })
+}
+
 // preferred returns the engine that the prompt alone chooses.
 func (s *surge) preferred(key uint64) string {
 	best, bestScore := "", uint64(0)
@@ -240,16 +290,31 @@
 func (s *surge) worstWindow() float64 {
 	worst := 0.0
 	for from := range s.arrivals {
-		all, over := 0, 0
-		for second := from; second < from+surgeWindow; second++ {
-			all += s.arrivals[second]
-			over += s.overfull[second]
-		}
+		all, over := s.window(from)
 		worst = max(worst, float64(over)/float64(max(all, 1)))
 	}
 	return worst
 }
 
+// window returns the requests of a window of the bound, and those of them beyond it.
+func (s *surge) window(from int) (all, over int) {
+	for second := from; second < from+surgeWindow; second++ {
+		all += s.arrivals[second]
+		over += s.overfull[second]
+	}
+	return all, over
+}
+
+// breaksBound reports whether too many requests reached engines beyond the bound in some window.
+func (s *surge) breaksBound() bool {
+	for from := range s.arrivals {
+		if all, over := s.window(from); over >= minOverfull && float64(over) > maxOverfull*float64(all) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pattern: teams that send twenty times their usual, in fleets in which each host sees few of an engine's requests.
 func TestLoadBoundHoldsWhenTeamsSurge(t *testing.T) {
 	for _, tt := range []struct{ hosts, dataCentres int }{{7, 3}, {30, 6}, {295, 6}, {300, 6}, {1000, 17}} {
@@ -269,3 +334,26 @@
 		})
 	}
 }
+
+// Guards against requests that pile up at engines that stand still for a second and cannot tell their load meanwhile.
+func TestLoadBoundHoldsWhileEnginesStandStill(t *testing.T) {
+	for _, tt := range []struct {
+		hosts, dataCentres, engines, stalled int
+		rate, factor                         float64
+		seeds                                uint64
+	}{
+		{6, 4, 9, 1, 15.5, 1, 10}, {6, 4, 9, 1, 8.7, 5, 10}, {6, 4, 9, 3, 8.7, 1, 10}, {7, 4, 9, 2, 15.5, 20, 10},
+		{80, 5, 60, 6, 8.4, 5, 2}, {295, 6, 160, 16, 7.4, 5, 1},
+	} {
+		for seed := range tt.seeds {
+			t.Run(fmt.Sprintf("%d hosts, %d of %d engines, %v a second, surge %v, seed %d", tt.hosts, tt.stalled, tt.engines, tt.rate, tt.factor, seed), func(t *testing.T) {
+				s := newSurge(tt.hosts, tt.dataCentres, tt.engines, seed)
+				s.rate, s.factor = tt.rate, tt.factor
+				s.after(time.Second, func() { s.stall(tt.stalled, 700*time.Millisecond, 1900*time.Millisecond) })
+				s.run()
+				t.Logf("worst window %.4f, beyond the bound by second %v", s.worstWindow(), s.overfull)
+				is.New(t).True(!s.breaksBound())
+			})
+		}
+	}
+}
