--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -130,6 +130,7 @@
 	u := choice.Upstream
 	p.received[u.ID] = append(p.received[u.ID], arrival{p.clock.Now(), h})
 	p.running[u.ID]++
+	p.total++
 	h.table.RecordRequestStart(u.Key())
 	p.after(responseDelay, func() {
 		h.table.RecordLoad(u.Key(), p.running[u.ID])
@@ -140,10 +141,7 @@
 		if _, told := p.told[h][u.ID]; !told && (p.limits[u.ID] != nil || p.leaving[u.ID]) {
 			p.told[h][u.ID] = p.clock.Now()
 		}
-	})
-	p.after(k.duration, func() {
-		p.running[u.ID]--
-		h.table.RecordRequestEnd(u.Key())
+		p.stream(h, u, k.duration-responseDelay)
 	})
 }
 
--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -33,8 +32,8 @@
 	snap    *catalog.Snapshot
 	running map[string]int
 	total   int
-	// rate is the usual number of requests per second for each engine, and factor the one by which teams surge.
-	rate, factor float64
+	// rate is the usual number of requests per second for each engine.
+	rate float64
 	// silentUntil is when an engine that stands still goes on.
 	silentUntil map[string]time.Time
 	// arrivals and overfull count, by second, the requests that reached an engine, and those that reached one beyond
@@ -58,6 +57,7 @@
 // surgeKey is a shared prompt prefix.
 type surgeKey struct {
 	hash     uint64
+	weight   float64
 	duration time.Duration
 	hot      bool
 }
@@ -87,7 +87,7 @@
 func newSurge(hosts, dataCentres, engines int, seed uint64) *surge {
 	s := &surge{
 		simulation: newSimulation(), rand: rand.New(rand.NewPCG(seed, 0)), byName: map[string]*surgeHost{},
-		rate: surgeRate, factor: surgeFactor, silentUntil: map[string]time.Time{}, running: map[string]int{}, arrivals: map[int]int{}, overfull: map[int]int{},
+		rate: surgeRate, silentUntil: map[string]time.Time{}, running: map[string]int{}, arrivals: map[int]int{}, overfull: map[int]int{},
 		snap: &catalog.Snapshot{DisabledDataCentres: map[string]bool{}, Upstreams: map[string][]*catalog.Upstream{}},
 	}
 	for i := range engines {
@@ -120,6 +120,7 @@
 		s.share(h, h.LocalPeers(), s.upTo(shareInterval))
 	}
 	s.addKeys()
+	s.weighKeys(surgeFactor)
 	return s
 }
 
@@ -142,23 +143,22 @@
 		}
 		for i := range class.keys {
 			w := class.share * math.Pow(float64(i+1), -0.3) / sum
-			k := surgeKey{hash: s.rand.Uint64(), duration: class.duration, hot: s.rand.Float64() < 0.05}
-			s.keys, s.usual = append(s.keys, k), append(s.usual, w)
+			k := surgeKey{hash: s.rand.Uint64(), weight: w, duration: class.duration, hot: s.rand.Float64() < 0.05}
+			s.keys = append(s.keys, k)
 		}
 	}
 }
 
-// addUp makes the weights of the keys cumulative.
-func (s *surge) addUp() {
-	s.surging = slices.Clone(s.usual)
-	for i, k := range s.keys {
-		if k.hot {
-			s.surging[i] *= s.factor
+// weighKeys sets the weights of the keys, with hot keys requested more often by the factor during a surge.
+func (s *surge) weighKeys(factor float64) {
+	s.usual, s.surging = nil, nil
+	var usual, surging float64
+	for _, k := range s.keys {
+		usual += k.weight
+		if surging += k.weight; k.hot {
+			surging += (factor - 1) * k.weight
 		}
-	}
-	for i := 1; i < len(s.keys); i++ {
-		s.usual[i] += s.usual[i-1]
-		s.surging[i] += s.surging[i-1]
+		s.usual, s.surging = append(s.usual, usual), append(s.surging, surging)
 	}
 }
 
@@ -200,7 +200,6 @@
 
 // run plays the surge.
 func (s *surge) run() {
-	s.addUp()
 	s.arrive()
 	s.runFor(surgeLength)
 }
@@ -348,7 +347,8 @@
 		for seed := range tt.seeds {
 			t.Run(fmt.Sprintf("%d hosts, %d of %d engines, %v a second, surge %v, seed %d", tt.hosts, tt.stalled, tt.engines, tt.rate, tt.factor, seed), func(t *testing.T) {
 				s := newSurge(tt.hosts, tt.dataCentres, tt.engines, seed)
-				s.rate, s.factor = tt.rate, tt.factor
+				s.rate = tt.rate
+				s.weighKeys(tt.factor)
 				s.after(time.Second, func() { s.stall(tt.stalled, 700*time.Millisecond, 1900*time.Millisecond) })
 				s.run()
 				t.Logf("worst window %.4f, beyond the bound by second %v", s.worstWindow(), s.overfull)
