Upstreams that stand still are chosen after all others

An upstream tells its load in its responses. One that stands still sends none, so that all hosts went on believing what it told last, and even let it decay: the longer it was silent, the emptier it looked. A host that waited for several responses took that for no sign either.

Now an upstream from which a host awaits responses and hears nothing, neither data of any response nor a report of another host, for 300 ms, for the longest gap between events or for half of the shortest objective of its service's routes, whichever is longest, is chosen only after all others, those over the load bound too. Any data takes it back; so does the end of the last request there.

TestSilentUpstreamIsDeferred fails without the change in the cases in which nothing is heard.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -54,6 +54,17 @@
 	tierTried
 )
 
+// deferral orders upstreams of a tier: those with a higher one are chosen only after all others.
+type deferral int
+
+const (
+	notDeferred deferral = iota
+	// deferredByLoad are upstreams over the load bound, upstreams in another data centre, and busy local upstreams.
+	deferredByLoad
+	// deferredBySilence are upstreams that have been silent, so that nobody knows their load.
+	deferredBySilence
+)
+
 // Choice is an upstream with the values that determined its position in the order.
 type Choice struct {
 	*catalog.Upstream
@@ -77,9 +88,8 @@
 type candidate struct {
 	member *member
 	tier   int
-	// deferred is 1 for upstreams that follow all others of their tier: upstreams over the load bound, upstreams in
-	// another data centre, and busy local upstreams.
-	deferred int
+	// deferred orders the upstreams of a tier.
+	deferred deferral
 	load     float64
 	mean     float64
 	known    bool
@@ -109,6 +119,7 @@
 	} else {
 		t.deferRemote(list)
 	}
+	t.deferSilent(list)
 	var buffer [maxChoices]*candidate
 	first := selectFirst(buffer[:0], list, less)
 	order := make([]Choice, len(first))
@@ -190,7 +201,7 @@
 	if order := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.deferred, b.deferred)); order != 0 {
 		return order < 0
 	}
-	if a.deferred == 1 {
+	if a.deferred != notDeferred {
 		return a.load < b.load
 	}
 	return a.score > b.score
@@ -202,7 +213,7 @@
 		c := &list[i]
 		u := c.member.upstream
 		if u.DataCentre != t.local || u.Slots > 0 && c.load >= localLoadShare*float64(u.Slots) {
-			c.deferred = 1
+			c.deferred = deferredByLoad
 		}
 	}
 }
@@ -212,7 +223,7 @@
 	bound := loadFactor*mean + loadSlack
 	for i := range list {
 		if list[i].load+1 > bound {
-			list[i].deferred = 1
+			list[i].deferred = deferredByLoad
 		}
 	}
 }
--- /dev/null
+++ b/internal/balance/silence_test.go
@@ -0,0 +1,73 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// Guards against requests that pile up at an upstream that stands still and cannot tell its load.
+func TestSilentUpstreamIsDeferred(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// then happens after the first choice received a request and 250 ms passed, 50 ms before the next choice.
+		then     func(*Table, *catalog.Upstream)
+		deferred bool
+	}{
+		{"nothing is heard", func(*Table, *catalog.Upstream) {}, true},
+		{"a response starts", func(t *Table, u *catalog.Upstream) { t.RecordResponseStart(u) }, false},
+		{"data of a response", func(t *Table, u *catalog.Upstream) { t.RecordData(u.Key()) }, false},
+		{"the request ends", func(t *Table, u *catalog.Upstream) { t.RecordRequestEnd(u.Key()) }, false},
+		{"another host heard of it", func(t *Table, u *catalog.Upstream) {
+			t.MergeReports([]LoadReport{{IncarnationID: IncarnationID(u.Key()), Load: 1}})
+		}, false},
+		{"another host tells of before", func(t *Table, u *catalog.Upstream) {
+			t.MergeReports([]LoadReport{{IncarnationID: IncarnationID(u.Key()), Load: 1, Age: 300 * time.Millisecond}})
+		}, true},
+		{"another request", func(t *Table, u *catalog.Upstream) { t.RecordRequestStart(u.Key()) }, true},
+	} {
+		for _, criteria := range []Criteria{engineCriteria, {}} {
+			t.Run(tt.name, func(t *testing.T) {
+				is := is.New(t)
+				table, clock := newTable()
+				snap := snapshotOf(9, "a")
+				first := table.Order(snap, "s", criteria)[0].Upstream
+				for _, u := range snap.Upstreams["s"] {
+					if u != first {
+						table.RecordLoad(u.Key(), 5)
+					}
+				}
+				table.RecordRequestStart(first.Key())
+				clock.Advance(250 * time.Millisecond)
+				tt.then(table, first)
+				clock.Advance(50 * time.Millisecond)
+				is.Equal(table.Order(snap, "s", criteria)[0].ID != first.ID, tt.deferred)
+			})
+		}
+	}
+}
+
+// Guards against upstreams that count as silent while their streams keep to the gaps that their routes allow.
+func TestSilentTimeFollowsRoutesOfService(t *testing.T) {
+	to := func(service string, objective, gap time.Duration) catalog.Route {
+		return catalog.Route{LatencyObjective: objective, MaxEventGap: gap, WeightedServices: []catalog.WeightedService{{Service: service, Weight: 1}}}
+	}
+	for _, tt := range []struct {
+		name   string
+		routes []catalog.Route
+		want   time.Duration
+	}{
+		{"no route", nil, 300 * time.Millisecond},
+		{"quick responses", []catalog.Route{to("s", 100*time.Millisecond, 0)}, 300 * time.Millisecond},
+		{"the longest gap", []catalog.Route{to("s", 600*time.Millisecond, 400*time.Millisecond), to("s", 800*time.Millisecond, time.Second)}, time.Second},
+		{"half of the shortest objective", []catalog.Route{to("s", 5*time.Second, 0), to("s", 2*time.Second, 0)}, time.Second},
+		{"routes to other services", []catalog.Route{to("other", 5*time.Second, 2*time.Second)}, 300 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(silentTime(&catalog.Config{Routes: tt.routes}, "s"), tt.want)
+		})
+	}
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -53,6 +53,8 @@
 	meanLoad float64
 	// waiting counts the requests that wait for an upstream of a certain software version.
 	waiting map[string]int
+	// silentTime is the silence from which on an upstream is deferred.
+	silentTime time.Duration
 }
 
 // stats are this host's statistics of one incarnation of an upstream.
@@ -195,6 +197,7 @@
 		if t.poolStats[service] == nil {
 			t.poolStats[service] = &poolStats{waiting: map[string]int{}}
 		}
+		t.poolStats[service].silentTime = silentTime(snap.Config, service)
 		for _, m := range members {
 			m.stats.pool = t.poolStats[service]
 		}
