Hosts tell each other at once which upstreams are silent

Datagrams to the hosts of the data centre now name the upstreams that the sender finds silent, and for how long it has heard nothing; they are repeated every 100 ms while that lasts. A report counts for 300 ms, and only as far as the receiver has heard nothing either; it is not passed on. The log says upstream-silent and upstream-heard. Older hosts ignore the two new fields.

TestReportedSilenceCountsUntilUpstreamIsHeard and TestDatagramHoldsSilentUpstreams are new.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -72,7 +72,7 @@
 	// recently.
 	Load      float64
 	LoadKnown bool
-	// Silence is how long this host has waited for any response, and nothing was heard of the upstream.
+	// Silence is how long a host has waited for any response, and nothing was heard of the upstream.
 	Silence time.Duration
 	// Tier is the priority tier; 0 is the most preferred.
 	Tier   int
--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -71,3 +72,52 @@
 		})
 	}
 }
+
+// Guards against hosts that wait in vain one after another for an upstream of which another host knows that it is silent.
+func TestReportedSilenceCountsUntilUpstreamIsHeard(t *testing.T) {
+	const silence = 350 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// before happens 200 ms before the report, after happens after it.
+		before, after func(*Table, *clockwork.FakeClock, *catalog.Upstream)
+		deferred      bool
+	}{
+		{name: "nothing is awaited", deferred: true},
+		{name: "a request was just sent", after: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordRequestStart(u.Key()) }, deferred: true},
+		{name: "heard since", after: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u.Key()) }},
+		{name: "heard within the silence", before: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u.Key()) }},
+		{name: "not told again", after: func(_ *Table, c *clockwork.FakeClock, _ *catalog.Upstream) { c.Advance(300 * time.Millisecond) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := newTable()
+			snap := snapshotOf(9, "a")
+			first := table.Order(snap, "s", engineCriteria)[0].Upstream
+			if tt.before != nil {
+				tt.before(table, clock, first)
+			}
+			clock.Advance(200 * time.Millisecond)
+			table.MergeSilenceReports([]SilenceReport{{IncarnationID: IncarnationID(first.Key()), Silence: silence}, {IncarnationID: 1, Silence: silence}})
+			if tt.after != nil {
+				tt.after(table, clock, first)
+			}
+			is.Equal(table.Order(snap, "s", engineCriteria)[0].ID != first.ID, tt.deferred)
+			is.Equal(len(table.SilenceReports()), 0) // what others told is not passed on
+		})
+	}
+}
+
+// Guards against silence that no other host is told.
+func TestHostReportsUpstreamsThatItFindsSilent(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOf(9, "a")
+	first := table.Order(snap, "s", engineCriteria)[0].Upstream
+	table.RecordRequestStart(first.Key())
+	clock.Advance(299 * time.Millisecond)
+	is.Equal(len(table.SilenceReports()), 0)
+	clock.Advance(time.Millisecond)
+	is.Equal(table.SilenceReports(), []SilenceReport{{IncarnationID: IncarnationID(first.Key()), Silence: 300 * time.Millisecond}})
+	table.RecordData(first.Key())
+	is.Equal(len(table.SilenceReports()), 0)
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -68,6 +68,10 @@
 	// waitingSince is when this host began to wait for responses of the upstream, and heardAt when it last received data
 	// of one.
 	waitingSince, heardAt time.Time
+	// toldSilentSince is since when another host has heard nothing of the upstream, as told at toldSilentAt.
+	toldSilentSince, toldSilentAt time.Time
+	// loggedSilent is set while the latest log line about the upstream's silence says that it is silent.
+	loggedSilent bool
 	// avgLoad is the moving average of the loads that responses reported to this host and others, as of avgLoadAt.
 	// sentSince counts the requests that this host sent since then.
 	avgLoad   float64
@@ -398,7 +402,7 @@
 	Address  string  `json:"address"`
 	InFlight int     `json:"in_flight"`
 	Load     float64 `json:"load"`
-	// Silence is how long this host has waited for any response, and nothing was heard of the upstream.
+	// Silence is how long a host has waited for any response, and nothing was heard of the upstream.
 	Silence      time.Duration `json:"silence_ns,omitempty"`
 	Failures     int           `json:"failures"`
 	FailureShare float64       `json:"failure_share"`
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,5 +1,5 @@
-// Package loadshare passes the loads and the request limits that upstreams report with their responses to the other hosts
-// of the data centre within a tenth of a second.
+// Package loadshare passes the loads and the request limits that upstreams report with their responses, and which upstreams
+// are silent, to the other hosts of the data centre within a tenth of a second.
 //
 // In a fleet of hundreds of hosts an upstream reports its load to the same host only once in many seconds, and gossip
 // takes seconds to reach all hosts. A sudden surge would fill upstreams meanwhile that every host believes to be idle.
@@ -37,12 +37,15 @@
 	errorLogInterval = 10 * time.Second
 )
 
-// Observations holds the loads that responses reported, and the request limits that they changed.
+// Observations holds the loads that responses reported, the request limits that they changed, and the upstreams that are
+// silent.
 type Observations interface {
 	TakeObservations() []balance.LoadReport
 	MergeObservations([]balance.LoadReport)
 	TakeChangedLimits() []balance.LimitReport
 	MergeLimitReports([]balance.LimitReport)
+	SilenceReports() []balance.SilenceReport
+	MergeSilenceReports([]balance.SilenceReport)
 }
 
 // Peers lists the other hosts of the data centre.
@@ -136,10 +139,11 @@
 	return peers[:maxPeers]
 }
 
-// Datagram returns the message with what was observed since the last call, or nil if that is nothing.
+// Datagram returns the message with what was observed since the last call and with the upstreams that are silent, or nil if
+// that is nothing.
 func (s *Sharer) Datagram() ([]byte, error) {
-	reports, limits := s.Loads.TakeObservations(), s.Loads.TakeChangedLimits()
-	if len(reports) == 0 && len(limits) == 0 {
+	reports, limits, silences := s.Loads.TakeObservations(), s.Loads.TakeChangedLimits(), s.Loads.SilenceReports()
+	if len(reports) == 0 && len(limits) == 0 && len(silences) == 0 {
 		return nil, nil
 	}
 	loads := &fleetpb.Loads{Limits: EncodeLimits(limits)}
@@ -148,6 +152,10 @@
 		loads.LoadTenths = append(loads.LoadTenths, uint32(max(0, r.Load*tenths)))
 		loads.AgeMs = append(loads.AgeMs, uint32(r.Age.Milliseconds()))
 	}
+	for _, r := range silences {
+		loads.Silent = append(loads.Silent, r.IncarnationID)
+		loads.SilenceMs = append(loads.SilenceMs, uint32(r.Silence.Milliseconds()))
+	}
 	raw, err := proto.Marshal(loads)
 	return raw, errors.Wrap(err, "encode observed loads")
 }
@@ -172,6 +180,7 @@
 		}
 	}
 	s.Loads.MergeObservations(reports)
+	s.Loads.MergeSilenceReports(decodeSilences(loads))
 	s.Loads.MergeLimitReports(DecodeLimits(loads.GetLimits()))
 	for _, o := range loads.GetOrigins() {
 		s.Origins.Add(origin.Decode(o, s.Clock.Now()))
@@ -179,6 +188,17 @@
 	return nil
 }
 
+func decodeSilences(loads *fleetpb.Loads) []balance.SilenceReport {
+	n := min(len(loads.GetSilent()), len(loads.GetSilenceMs()))
+	reports := make([]balance.SilenceReport, 0, n)
+	for i := range n {
+		reports = append(reports, balance.SilenceReport{
+			IncarnationID: loads.GetSilent()[i], Silence: time.Duration(loads.GetSilenceMs()[i]) * time.Millisecond,
+		})
+	}
+	return reports
+}
+
 // EncodeLimits returns the message with the request limits.
 func EncodeLimits(reports []balance.LimitReport) []*fleetpb.RequestLimit {
 	limits := make([]*fleetpb.RequestLimit, len(reports))
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -26,6 +26,8 @@
 	merged       chan []balance.LoadReport
 	limits       []balance.LimitReport
 	mergedLimits []balance.LimitReport
+
+	silences, mergedSilences []balance.SilenceReport
 }
 
 func (l *fakeLoads) TakeObservations() []balance.LoadReport {
@@ -44,6 +46,10 @@
 
 func (l *fakeLoads) MergeObservations(reports []balance.LoadReport) { l.merged <- reports }
 
+func (l *fakeLoads) SilenceReports() []balance.SilenceReport { return l.silences }
+
+func (l *fakeLoads) MergeSilenceReports(reports []balance.SilenceReport) { l.mergedSilences = reports }
+
 type peerList []string
 
 func (p peerList) LocalPeers() []string { return append([]string(nil), p...) }
@@ -176,6 +182,22 @@
 	is.True(datagram == nil) // nothing changed since
 }
 
+func TestDatagramHoldsSilentUpstreams(t *testing.T) {
+	is := is.New(t)
+	sender, loads := newSharer(t)
+	defer sender.Conn.Close()
+	receiver, received := newSharer(t)
+	defer receiver.Conn.Close()
+	loads.silences = []balance.SilenceReport{{IncarnationID: 7, Silence: 350 * time.Millisecond}, {IncarnationID: 8, Silence: time.Minute}}
+	for range 2 { // repeated while they are silent
+		datagram, err := sender.Datagram()
+		is.NoErr(err)
+		is.NoErr(receiver.Merge(datagram))
+		<-received.merged
+		is.Equal(received.mergedSilences, loads.silences)
+	}
+}
+
 // A datagram with as much as a host sends at once must fit the receiver's buffer.
 func TestLargestDatagramFitsBuffer(t *testing.T) {
 	is := is.New(t)
@@ -187,6 +209,9 @@
 	for i := range 64 {
 		loads.limits = append(loads.limits, balance.LimitReport{IncarnationID: math.MaxUint32 - uint32(i), Named: true, PerSecond: 1e6 / 3, Age: time.Hour})
 	}
+	for i := range 64 {
+		loads.silences = append(loads.silences, balance.SilenceReport{IncarnationID: math.MaxUint32 - uint32(i), Silence: time.Hour})
+	}
 	datagram, err := s.Datagram()
 	is.NoErr(err)
 	is.True(len(datagram) <= maxDatagramBytes)
