No prompt waits for the cache of an engine that stands still

The same cause as the requests that piled up at silent engines, found when looking for it elsewhere: a request that is sent to another engine, since the preferred one is silent, names that one as the holder of its prompt's cache, and the other engine fetches from it first and waits as well. LikelyCacheHolder passes over silent engines like suspected ones.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -246,6 +246,11 @@
 	return known / float64(n)
 }
 
+// reachable reports whether the upstream probably responds at once, as far as this host knows.
+func (s *stats) reachable(now time.Time) bool {
+	return !s.replaced && !now.Before(s.suspectUntil) && !s.silent(now)
+}
+
 // LikelyCacheHolder returns the engine, other than the target, that most likely has the shared prompt prefix in its
 // cache: the first in rendezvous order among all engines that seem reachable, including those that are leaving. It
 // returns nil if there is none.
@@ -257,7 +262,7 @@
 	var best *catalog.Upstream
 	var bestScore uint64
 	for _, m := range t.poolMembers(snap, service, now) {
-		if m.upstream.ID == target.ID || m.stats.replaced || now.Before(m.stats.suspectUntil) || pathDown(m.upstream.DataCentre) {
+		if m.upstream.ID == target.ID || !m.stats.reachable(now) || pathDown(m.upstream.DataCentre) {
 			continue
 		}
 		if score := loadbalancer.ScoreHashed(affinity, m.hash); best == nil || score > bestScore {
--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -121,3 +121,18 @@
 	table.RecordData(first.Key())
 	is.Equal(len(table.SilenceReports()), 0)
 }
+
+// Guards against a prompt that waits for the cache of an engine that stands still, which is why it was sent elsewhere.
+func TestSilentEngineIsNoCacheHolder(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOf(9, "a")
+	order := table.Order(snap, "s", engineCriteria)
+	holder := func() string { return table.LikelyCacheHolder(snap, "s", engineCriteria.AffinityHash, order[1].Upstream).ID }
+	table.RecordRequestStart(order[0].Key())
+	is.Equal(holder(), order[0].ID)
+	clock.Advance(300 * time.Millisecond)
+	is.Equal(holder(), order[2].ID)
+	table.RecordData(order[0].Key())
+	is.Equal(holder(), order[0].ID)
+}
