A host that stood still does not report others as silent

Found by looking for the same cause elsewhere (conclusions from the time since something was last heard): a host that wakes after a pause of its own has not read yet what upstreams sent meanwhile, and would tell its data centre that all of them are silent. It reports nothing if it could not for more than 250 ms.

--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -13,6 +13,9 @@
 // this time.
 const silenceReportTime = 300 * time.Millisecond
 
+// maxSilenceReportGap is the time between two calls of SilenceReports above which this process probably stood still itself.
+const maxSilenceReportGap = 250 * time.Millisecond
+
 // maxSilenceReports is the maximum number of silent upstreams in one message.
 const maxSilenceReports = 64
 
@@ -111,11 +114,18 @@
 		Int("in_flight", s.inFlight).Float64("load", c.load).Send()
 }
 
-// SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports.
+// SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports. It is called at short
+// intervals. After a pause of this process, what upstreams sent meanwhile may not have been read yet, and nothing is
+// reported.
 func (t *Table) SilenceReports() []SilenceReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	paused := now.Sub(t.silenceReportedAt) > maxSilenceReportGap
+	t.silenceReportedAt = now
+	if paused {
+		return nil
+	}
 	var reports []SilenceReport
 	for id, s := range t.statsByID {
 		if s.pool == nil || len(reports) == maxSilenceReports {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -134,8 +134,10 @@
 	// changedLimits are the statistics of the upstreams whose request limit a response to this host changed since the last
 	// call of TakeChangedLimits.
 	changedLimits []*stats
-	paths         map[string]*path
-	lastSweep     time.Time
+	// silenceReportedAt is when SilenceReports was last called.
+	silenceReportedAt time.Time
+	paths             map[string]*path
+	lastSweep         time.Time
 	// pools are the members of each service in poolsSnapshot. They are built once for each snapshot.
 	pools         map[string][]member
 	poolStats     map[string]*poolStats
