A silent send is given up only once the next one is reserved

All that have logs end alike: code=silent, then outcome=no reason=budget.

Cause: a send was given up after a check that the budget has a retry and that an untried upstream may receive the request. The retry and the upstream's limit were taken later, in two further steps. All streams of a silent upstream expire at the same time, so that several pass the check with the same last retry or the same last place, and all but one of them have given up their upstream for nothing.

Now the timer reserves the upstream, with its place within its limits, and the retry, and gives the send up only if it has both. The next send uses the reservation and withdraws nothing more. It is given back if the request ends otherwise, and the place alone if the upstream may no longer receive the request. Of the records of an upstream's requests the oldest is deleted then, so that the rest never counts for less than what was sent. SelectUntried and Release replace HasUntried; the test that asking uses up no limit now releases what it got, and checks the upstream's ID as well.

TestSilentSendsAreGivenUpOnlyForReservedNextSend: eight streams at one silent upstream, with one retry left, and with one place below a named limit and at a cold upstream.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -61,8 +61,13 @@
 func (r *RetryBudget) RecordRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.deposit(service, r.limits.Ratio)
+}
+
+// deposit adds to the balance of the service. The caller holds mu.
+func (r *RetryBudget) deposit(service string, retries float64) {
 	b := r.balance(service)
-	*b = min(max(1, r.share()), *b+r.limits.Ratio) // The balance can reach one retry even if the share is smaller.
+	*b = min(max(1, r.share()), *b+retries) // The balance can reach one retry even if the share is smaller.
 }
 
 // Available reports whether the balance of the service allows a retry.
@@ -83,3 +88,10 @@
 	*b--
 	return true
 }
+
+// Return gives back a retry that was withdrawn and is not sent.
+func (r *RetryBudget) Return(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deposit(service, 1)
+}
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -76,6 +76,38 @@
 	is.True(!r.TryWithdraw("s"))
 }
 
+// Guards against retries that are withdrawn, not sent and lost, and against returned ones that exceed the cap.
+func TestReturnedRetryMayBeWithdrawnAgain(t *testing.T) {
+	is := is.New(t)
+	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 2}, &testView{minShares: 1}) // a share of 1.5
+	is.True(r.TryWithdraw("s"))
+	is.True(!r.TryWithdraw("s"))
+	r.Return("s")
+	r.Return("s")
+	is.True(r.TryWithdraw("s"))
+	is.True(!r.TryWithdraw("s"))
+}
+
+// Guards against an upstream that receives more than its limit, or less for good, because a counted request was not sent.
+func TestReleasedRequestIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := NewUpstreamLimiter(&testView{self: "a", known: []string{"a"}}, clock)
+	target, limit := Target{Service: "s", ID: "u"}, RateLimit{Requests: 2, Max: 2, Window: time.Second}
+	is.True(l.TryAcquire(target, limit))
+	clock.Advance(600 * time.Millisecond)
+	is.True(l.TryAcquire(target, limit))
+	is.True(!l.TryAcquire(target, limit))
+	l.Release(target)
+	is.True(l.TryAcquire(target, limit))
+	clock.Advance(600 * time.Millisecond)
+	is.True(!l.TryAcquire(target, limit)) // two records of the last second are left
+	l.Release(target)
+	l.Release(target)
+	l.Release(target) // nothing is left to release
+	is.True(l.TryAcquire(target, limit))
+}
+
 // The record of a cold upstream ends some time after its last request, so that upstreams that are gone do not add up.
 func TestUpstreamLimiterForgetsUpstreams(t *testing.T) {
 	is := is.New(t)
--- a/internal/allowance/upstream.go
+++ b/internal/allowance/upstream.go
@@ -119,6 +119,18 @@
 	return true
 }
 
+// Release takes back one request that was counted and is not sent. The oldest record is deleted, so that those that are
+// left never count for less than what was sent.
+func (l *UpstreamLimiter) Release(target Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sent := l.sent[target.ID]; len(sent) > 1 {
+		l.sent[target.ID] = sent[1:]
+	} else {
+		delete(l.sent, target.ID)
+	}
+}
+
 // available reports whether the host's requests are below its share of each limit. The caller holds mu.
 func (l *UpstreamLimiter) available(target Target, limits []RateLimit, now time.Time) bool {
 	d := l.division(target.Service, now)
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -67,9 +67,10 @@
 	snap := snapshotOf(1, "a")
 	s := newSelector(table, clock)
 	table.RecordRequestLimit(snap.Upstreams["s"][0], perSecond(2.5))
-	is.True(s.HasUntried(snap, "s", engineCriteria))
-	is.Equal(selectable(s, snap), 10) // asking has not used up any of the limit
-	is.True(!s.HasUntried(snap, "s", engineCriteria))
+	s.Release(s.SelectUntried(snap, "s", engineCriteria))
+	is.True(s.SelectUntried(snap, "s", engineCriteria) != nil)
+	is.Equal(selectable(s, snap), 9) // what was released has not used up any of the limit
+	is.True(s.SelectUntried(snap, "s", engineCriteria) == nil)
 }
 
 // Guards against requests that are refused because all places in the order are taken by upstreams at their limits.
@@ -143,7 +144,9 @@
 			tt.change(table, snap, other)
 			criteria := engineCriteria
 			criteria.Tried = []catalog.UpstreamKey{tried.Key()}
-			is.Equal(newSelector(table, clock).HasUntried(snap, "s", criteria), tt.want)
+			choice := newSelector(table, clock).SelectUntried(snap, "s", criteria)
+			is.Equal(choice != nil, tt.want)
+			is.True(choice == nil || choice.ID == other.ID)
 		})
 	}
 }
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -26,16 +26,31 @@
 // Select returns the first upstream in the order of preference that may receive a request now, or nil. The request
 // counts against the limits of that upstream.
 func (s *Selector) Select(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
-	now := s.clock.Now()
-	order := s.order(snap, service, criteria, now)
+	return s.selectUpTo(tierTried, snap, service, criteria)
+}
+
+// SelectUntried is Select among the upstreams that were not tried for the request.
+func (s *Selector) SelectUntried(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
+	return s.selectUpTo(tierTried-1, snap, service, criteria)
+}
+
+func (s *Selector) selectUpTo(maxTier int, snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
+	order := s.order(snap, service, criteria, s.clock.Now())
 	for i := range order {
-		if u := &order[i]; len(u.limits) == 0 || s.limiter.TryAcquire(u.target, u.limits...) {
+		if u := &order[i]; u.Tier <= maxTier && (len(u.limits) == 0 || s.limiter.TryAcquire(u.target, u.limits...)) {
 			return u
 		}
 	}
 	return nil
 }
 
+// Release takes back the request that was counted against the limits of the selected upstream, and is not sent.
+func (s *Selector) Release(c *Choice) {
+	if len(c.limits) > 0 {
+		s.limiter.Release(c.target)
+	}
+}
+
 // availableFunc returns the limits on requests to an upstream, and whether they allow one now. It is called with the
 // table's lock held.
 type availableFunc func(*member) (limits []allowance.RateLimit, ok bool)
@@ -56,11 +71,6 @@
 	return kept
 }
 
-// HasUntried reports whether an upstream that was not tried for the request may receive it now.
-func (s *Selector) HasUntried(snap *catalog.Snapshot, service string, criteria Criteria) bool {
-	return slices.ContainsFunc(s.order(snap, service, criteria, s.clock.Now()), func(c Choice) bool { return c.Tier < tierTried })
-}
-
 // order returns the upstreams that their limits allow to receive a request, in the order of preference.
 func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
 	return s.table.order(snap, service, criteria, func(m *member) ([]allowance.RateLimit, bool) {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -155,7 +155,7 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	inactivity := d.newInactivityTimer(req, cancel)
-	defer inactivity.stop()
+	defer func() { req.next = inactivity.stop() }()
 	//nolint:bodyclose // release closes the connection under the body, or gives it back after the body's end
 	resp, err := conn.RoundTrip(d.newUpstreamRequest(req, u), req.Body, func(_ int, h http.Header) bool {
 		id := d.codec.DecodeResponse(0, h).ID
@@ -274,12 +274,12 @@
 	return notRunResult(true, "upstream-full", "the upstream did not take the request", key, nil)
 }
 
-// inactivityTimer gives up a send whose upstream sends no data for too long, if the request can be sent to another
-// upstream at that moment. The response to a safe request must be complete within half of the remaining time.
+// inactivityTimer gives up a send whose upstream sends no data for too long, once it has reserved what sending the
+// request to another upstream needs. The response to a safe request must be complete within half of the remaining time.
 type inactivityTimer struct {
 	gapTimeout time.Duration
-	// canMove reports whether another upstream, of the software version unless it is nil, may receive the request now.
-	canMove func(version *string) bool
+	// reserve reserves the next send, to an upstream of the software version unless it is nil.
+	reserve func(version *string) *balance.Choice
 	giveUp  context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -287,6 +287,8 @@
 	version *string
 	// timer is nil if the send must not be given up, and after the send.
 	timer *time.Timer
+	// next is the upstream of the reserved next send; nil unless the send was given up.
+	next *balance.Choice
 }
 
 func (d *dispatchFilter) newInactivityTimer(req *Request, giveUp context.CancelCauseFunc) *inactivityTimer {
@@ -298,7 +300,7 @@
 		first = d.stop.bound(req.Deadline).Sub(d.clock.Now()) / 2
 	}
 	t := &inactivityTimer{
-		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), canMove: d.newMoveCheck(req), giveUp: giveUp,
+		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), reserve: d.newReserveFunc(req), giveUp: giveUp,
 		version: req.version(),
 	}
 	t.mu.Lock()
@@ -307,26 +309,37 @@
 	return t
 }
 
-// newMoveCheck returns a function that reports whether another upstream may receive the request now. It may run
-// concurrently with a send, which changes the request.
-func (d *dispatchFilter) newMoveCheck(req *Request) func(version *string) bool {
+// newReserveFunc returns a function that reserves what the next send of the request needs: an upstream that was not tried,
+// within its limits, and a retry of the budget. It returns nil if one of them is missing now. It may run concurrently with
+// a send, which changes the request.
+func (d *dispatchFilter) newReserveFunc(req *Request) func(version *string) *balance.Choice {
 	service, criteria := req.Service, req.criteria(d.store.Current())
-	return func(version *string) bool {
+	return func(version *string) *balance.Choice {
+		if !d.retryBudget.Available(service) {
+			return nil
+		}
 		criteria.Version = version
-		return d.retryBudget.Available(service) && d.selector.HasUntried(d.store.Current(), service, criteria)
+		next := d.selector.SelectUntried(d.store.Current(), service, criteria)
+		if next != nil && !d.retryBudget.TryWithdraw(service) {
+			d.selector.Release(next)
+			return nil
+		}
+		return next
 	}
 }
 
 func (t *inactivityTimer) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case t.timer == nil:
-	case t.canMove(t.version):
-		t.giveUp(balance.ErrResponseTimeout)
-	default:
+	if t.timer == nil {
+		return
+	}
+	if t.next = t.reserve(t.version); t.next == nil {
 		t.timer.Reset(moveCheckInterval)
+		return
 	}
+	t.timer = nil
+	t.giveUp(balance.ErrResponseTimeout)
 }
 
 // bind records the software version to which the stream is bound.
@@ -344,11 +357,13 @@
 	}
 }
 
-func (t *inactivityTimer) stop() {
+// stop returns the upstream that is reserved for the next send, if the send was given up.
+func (t *inactivityTimer) stop() *balance.Choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
 	}
+	return t.next
 }
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -76,6 +76,7 @@
 // Handle implements Filter.
 func (d *dispatchFilter) Handle(ctx context.Context, req *Request, _ Next) error {
 	defer func() { d.responses.Release(req.reserved) }()
+	defer d.releaseNext(req)
 	d.retryBudget.RecordRequest(req.Service)
 	req.receivedAt = d.clock.Now()
 	for {
@@ -101,7 +102,7 @@
 	if ctx.Err() != nil {
 		reason = "over"
 	}
-	if reason == "" && res.sent && !d.retryBudget.TryWithdraw(req.Service) {
+	if reason == "" && res.sent && req.next == nil && !d.retryBudget.TryWithdraw(req.Service) {
 		reason = "budget"
 		d.metrics.refused.Inc(1)
 	}
@@ -225,11 +226,28 @@
 	}
 }
 
-// selectUpstream returns the first upstream in the request's order of preference that may receive it now, or nil.
+// selectUpstream returns the upstream that is reserved for the request, or else the first one in its order of preference
+// that may receive it now, or nil.
 func (d *dispatchFilter) selectUpstream(snap *catalog.Snapshot, req *Request) *balance.Choice {
+	if next := req.next; next != nil {
+		req.next = nil
+		if isUsable(snap, next.Upstream) && req.accepts(next.Upstream) {
+			return next
+		}
+		d.selector.Release(next) // the configuration or the stream's version has changed since
+	}
 	return d.selector.Select(snap, req.Service, req.criteria(snap))
 }
 
+// releaseNext gives back what is reserved for a next send that is not needed.
+func (d *dispatchFilter) releaseNext(req *Request) {
+	if req.next != nil {
+		d.selector.Release(req.next)
+		d.retryBudget.Return(req.next.Service)
+		req.next = nil
+	}
+}
+
 // criteria returns what determines the choice of the request's next upstream.
 func (req *Request) criteria(snap *catalog.Snapshot) balance.Criteria {
 	return balance.Criteria{
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
 	"github.com/orioleusher/orioleusher/internal/events"
@@ -57,6 +58,8 @@
 	// sends counts the sends that reached, or may have reached, an upstream; runs counts those that were or may have
 	// been executed.
 	sends, runs int
+	// next is the upstream that is reserved for the next send, with a retry of the budget; nil if none is.
+	next *balance.Choice
 	// attempts holds the upstream selections and their results, for the log.
 	attempts []attemptRecord
 	// reserved is the number of bytes reserved for the bodies of responses.
@@ -182,6 +185,11 @@
 	return &req.origin.Version
 }
 
+// accepts reports whether the upstream has the service of the request, and the software version to which it is bound.
+func (req *Request) accepts(u *catalog.Upstream) bool {
+	return u.Service == req.Service && (req.origin == nil || u.Version == req.origin.Version)
+}
+
 // lastEventID returns the last event of a stream that the caller has received.
 func (req *Request) lastEventID() int64 { return max(req.LastEventID, req.response.stream.LastID) }
 
