A caller's Connection header removes no header of the platform

Cause: newUpstreamRequest removed hop-by-hop headers, and with them all that the caller's Connection names, after the router had set its own. On responses, sendHeader removed the request's ID and the stamp when an upstream's Connection named them.

Ruled out: a tenant that is taken from the headers (the key had been found, and the forged value was gone), and net/http (the headers arrive once the removal comes first).

Now the removal comes first, so that a caller's Connection acts on the caller's headers only.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -217,11 +217,13 @@
 			holder = h.Address
 		}
 	}
-	header := d.codec.ForwardHeader(in.Header, ForwardMetadata{
+	callers := in.Header.Clone()
+	// Must precede ForwardHeader, since a Connection header may name any header that the router sets.
+	hopheader.DropExcept(callers, d.codec.IsEndToEnd)
+	header := d.codec.ForwardHeader(callers, ForwardMetadata{
 		Upstream: u.Key(), Team: req.team(), RemainingTime: d.stop.bound(req.Deadline).Sub(d.clock.Now()), Priority: req.priority(),
 		LastEventID: req.lastEventID(), Engine: engine, LikelyCacheHolder: holder,
 	})
-	hopheader.Drop(header)
 	header.Del("Content-Length") // the length of the buffered body is sent instead
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // a missing key would make net/http send its default
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -81,8 +81,11 @@
 type Codec interface {
 	// DecodeRequest decodes the metadata of a caller's request.
 	DecodeRequest(r *http.Request) RequestMetadata
-	// ForwardHeader returns the headers for the upstream: the caller's without credentials and without those that only
-	// the router sets, with the metadata added.
+	// IsEndToEnd reports whether the platform defines the header, in canonical form, for all recipients of a message. A
+	// Connection header that names it does not make it hop-by-hop.
+	IsEndToEnd(name string) bool
+	// ForwardHeader returns the headers for the upstream: the caller's, which contain no hop-by-hop headers, without
+	// credentials and without those that only the router sets, with the metadata added.
 	ForwardHeader(caller http.Header, meta ForwardMetadata) http.Header
 	// DecodeResponse decodes the metadata of an upstream's response.
 	DecodeResponse(status int, header http.Header) ResponseMetadata
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,10 @@
 	return h
 }
 
+func (testCodec) IsEndToEnd(name string) bool {
+	return slices.Contains([]string{"X-Id", "X-Key", "X-Last", "X-Resumes", "X-Signed"}, name)
+}
+
 func (testCodec) DecodeResponse(status int, h http.Header) ResponseMetadata {
 	meta := ResponseMetadata{
 		ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -228,7 +228,7 @@
 	c.headerSent, c.status, c.firstByteAfter, c.mediaType = true, status, c.clock.Since(c.start), mediaType(header)
 	to := c.writer.Header()
 	from := header.Clone()
-	hopheader.Drop(from)
+	hopheader.DropExcept(from, c.isEndToEnd)
 	from.Del("Content-Length")
 	for name, values := range from {
 		to[name] = values
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -79,6 +79,8 @@
 	writer http.ResponseWriter
 	clock  clockwork.Clock
 	start  time.Time
+	// isEndToEnd is the Codec's.
+	isEndToEnd func(name string) bool
 	// headerSent is set once the status has been sent; firstByteAfter is the time from the request's start to then.
 	headerSent     bool
 	firstByteAfter time.Duration
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -124,8 +124,8 @@
 	if s.stop.schedule.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now(), response: callerResponse{writer: w, clock: s.Clock}}
-	req.response.start = req.Start
+	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now()}
+	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd}
 	defer s.logPanic(req)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
--- a/internal/hopheader/hopheader.go
+++ b/internal/hopheader/hopheader.go
@@ -12,10 +12,16 @@
 }
 
 // Drop removes the hop-by-hop headers, including those that the Connection header names.
-func Drop(header http.Header) {
+func Drop(header http.Header) { DropExcept(header, func(string) bool { return false }) }
+
+// DropExcept removes the hop-by-hop headers. A name in the Connection header, in canonical form, is ignored if isEndToEnd
+// reports that its header is intended for all recipients.
+func DropExcept(header http.Header, isEndToEnd func(name string) bool) {
 	for _, line := range header["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !isEndToEnd(name) {
+				header.Del(name)
+			}
 		}
 	}
 	for _, name := range hopByHopHeaders {
--- a/internal/hopheader/hopheader_test.go
+++ b/internal/hopheader/hopheader_test.go
@@ -16,3 +16,10 @@
 	Drop(h)
 	is.Equal(h, http.Header{"Content-Length": {"3"}, "X-End": {"1"}})
 }
+
+func TestDropExceptKeepsEndToEndHeaders(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{"Connection": {" x-own ,X-Hop", "keep-alive"}, "X-Own": {"1"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}}
+	DropExcept(h, func(name string) bool { return name == "X-Own" || name == "Keep-Alive" })
+	is.Equal(h, http.Header{"X-Own": {"1"}})
+}
