The upstream reads the target that its caller sent

Callers saw: on a route with the prefix "/", a request for //x/y reached the upstream as http://x/y, that is as the path /y of another host, and //x:y/z ended with a 502 of unknown outcome.

Cause: the target was sent as url.URL.Opaque, which URL.RequestURI prefixes with the scheme if it begins with two slashes.

Ruled out: a target that net/http changes while it reads it (Request.RequestURI is the text that was read), and cleaning by the router of paths (empty and dot segments in the middle arrived unchanged).

Now such a target is sent as a path, and a target that net/http would not send byte for byte, or that has no path, is refused with 400 before it is routed. "OPTIONS *", which net/http answered itself with 200, and targets without a path, which gorilla/mux answered outside the log, are refused in the same way.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 FUZZ_TIME ?= 10s
 
-.PHONY: fuzz build test lint demo up down console soak bench measures prove proofs-page capacity generate
+.PHONY: fuzz fuzz-target build test lint demo up down console soak bench measures prove proofs-page capacity generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -73,9 +73,13 @@
 			--twirp_out=. --twirp_opt=paths=source_relative $$file || exit 1; \
 	done
 
-# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items and headers for a short time each; go test runs the kept
-# corpus in testdata/fuzz.
-fuzz:
+# Fuzzes the targets of requests over real connections; CI runs it for a few seconds.
+fuzz-target:
+	go test ./internal/direct -run NONE -fuzz FuzzTarget -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x -parallel 2
+
+# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items, headers and targets for a short time each; go test runs
+# the kept corpus in testdata/fuzz.
+fuzz: fuzz-target
 	go test ./internal/idempotency -run NONE -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/document -run NONE -fuzz FuzzParse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/hop -run NONE -fuzz FuzzEnvelope -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -69,6 +69,9 @@
 
 // Handle implements Filter.
 func (f *admissionFilter) Handle(ctx context.Context, req *Request, next Next) error {
+	if err := checkTarget(req.HTTP); err != nil {
+		return err
+	}
 	config, err := f.awaitConfig(ctx, req)
 	if err != nil {
 		return err
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -230,7 +229,7 @@
 	}
 	out := &http.Request{
 		Method: in.Method, Host: in.Host, Header: header, ContentLength: int64(len(req.Body)), ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{Scheme: "http", Host: in.Host, Opaque: in.RequestURI},
+		URL: upstreamURL(in),
 	}
 	if len(req.Body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(req.Body))
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -179,7 +179,7 @@
 
 // upstreams is a set of three upstreams that share one script of behaviours. Each request consumes the next behaviour.
 type upstreams struct {
-	t         *testing.T
+	t         testing.TB
 	mu        sync.Mutex
 	script    []behaviour
 	seen      []*http.Request
@@ -314,7 +314,7 @@
 }
 
 // newHarness serves one route "/r/" of the kind; its streams may be resumed if resumable is set.
-func newHarness(t *testing.T, kind catalog.Kind, resumable bool, script ...behaviour) *harness {
+func newHarness(t testing.TB, kind catalog.Kind, resumable bool, script ...behaviour) *harness {
 	t.Helper()
 	h := &harness{upstreams: &upstreams{t: t, script: script}}
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -29,7 +29,7 @@
 // crashingPool is a pool of upstreams that crash when they begin to answer a prompt with deadlySegment: the head of the
 // answer and part of an event are sent, and then all connections and the listener are closed.
 type crashingPool struct {
-	t         *testing.T
+	t         testing.TB
 	mu        sync.Mutex
 	addresses []string
 	listeners map[string]net.Listener
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -109,7 +109,11 @@
 func (s *Server) HTTPServer() *http.Server {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").Handler(s)
-	return &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idleConns.onStateChange}
+	router.NotFoundHandler = s // refuses targets without a path
+	return &http.Server{
+		Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idleConns.onStateChange,
+		DisableGeneralOptionsHandler: true, // it answers "OPTIONS *" without asking the handler
+	}
 }
 
 // InFlight returns the number of requests in flight.
