A host out of step and a release, played with the parts of a whole host

Reported by operators: a host that was out of step for a few seconds during a release took up streams of other hosts at servers of another software version. The change that keeps this host from it (it reads the changes that it has not received before it concludes a version) had a test of the resolver and one of the reading, and none of both with the mirror, the reader and the store.

TestHostOutOfStepDoesNotTakeUpStreamAtAnotherVersion passes, so the report does not show here.

--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/published"
 )
 
@@ -100,6 +101,8 @@
 	clock  *clockwork.FakeClock
 	source *historyStore
 	ctx    context.Context
+	// stop ends the reader, so that this host hears of nothing more by itself.
+	stop func()
 }
 
 // testRetention is how long the store of the tests keeps changes.
@@ -118,14 +121,17 @@
 		Clock: clock, Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	reading, stopReading := context.WithCancel(ctx)
 	ended := make(chan struct{})
-	go func() { reader.Run(ctx); close(ended) }()
-	t.Cleanup(func() { cancel(); <-ended })
+	go func() { reader.Run(reading); close(ended) }()
+	stop := func() { stopReading(); <-ended }
+	t.Cleanup(stop)
 	vt := &versionsTest{
 		publishedVersions: &publishedVersions{
 			store: store, reader: reader, mirror: mirror, source: source, decode: decodeVersion, retention: testRetention, clock: clock,
 			log: zerolog.Nop(),
-		}, t: t, clock: clock, source: source, ctx: ctx,
+		}, t: t, clock: clock, source: source, ctx: ctx, stop: stop,
 	}
 	vt.waitForReader()
 	return vt
@@ -492,3 +498,58 @@
 	vt.clock.Advance(time.Millisecond)
 	is.True(vt.Refresh(vt.ctx, vt.clock.Now()) != nil)
 }
+
+// silentPeers are other hosts that this one does not reach.
+type silentPeers struct{}
+
+func (silentPeers) AskOrigin(context.Context, origin.Query) []origin.Answer { return nil }
+
+// Guards against a stream that goes on at another software version, because its caller takes it up during a release at a host
+// that is out of step: the host reaches no other one, has stood still, or does not reach the store.
+func TestHostOutOfStepDoesNotTakeUpStreamAtAnotherVersion(t *testing.T) {
+	const window = 20 * time.Second
+	release := func(s *historyStore) { s.write("u2", "2") }
+	for _, tt := range []struct {
+		name string
+		// outOfStep is what happens after the host last heard from the store, and for how long it stands still.
+		outOfStep func(s *historyStore)
+		still     time.Duration
+		found     bool
+	}{
+		{"no release", func(*historyStore) {}, 0, true},
+		{"no release, stood still", func(*historyStore) {}, time.Second, true},
+		{"another server of the version", func(s *historyStore) { s.write("u2", "1") }, 0, true},
+		{"a new version joined", release, 0, false},
+		{"a new version joined, stood still", release, time.Second, false},
+		{"a new version joined, stood still for long", release, 10 * time.Second, false},
+		{"a new version joined and left", func(s *historyStore) { release(s); s.write("u2", "") }, time.Second, false},
+		{"a new version took the place of the old one", func(s *historyStore) { release(s); s.write("u1", "") }, time.Second, false},
+		{"a server changed its version", func(s *historyStore) { s.write("u1", "2") }, time.Second, false},
+		{"a server changed its version back", func(s *historyStore) { s.write("u1", "2"); s.write("u1", "1") }, time.Second, false},
+		{"the changes are gone", func(s *historyStore) { release(s); s.discard() }, time.Second, false},
+		{"the store was restored", func(s *historyStore) { s.era++ }, time.Second, false},
+		{"the store does not respond", func(s *historyStore) { release(s); s.err = errors.New("down") }, time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			source := &historyStore{era: 1}
+			source.write("u1", "1")
+			vt := startVersions(t, source)
+			vt.run(testRetention) // longer than the window
+			resolver := origin.NewResolver(origin.Options{
+				Table: origin.NewTable(vt.clock), Versions: vt, Peers: silentPeers{}, History: vt, MaxDataAge: 2 * time.Second,
+				Clock: vt.clock, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			})
+			vt.stop()
+			tt.outOfStep(source)
+			vt.clock.Advance(tt.still)
+			o, _, err := resolver.Resolve(vt.ctx, origin.Query{Stream: 7, Service: "s", Window: window})
+			is.Equal(err == nil, tt.found)
+			if tt.found {
+				is.Equal(o, origin.Origin{Service: "s", Version: "1"})
+			} else {
+				is.True(errors.Is(err, origin.ErrUnknown))
+			}
+		})
+	}
+}
