The log keeps no more of a faulty server's bytes than it can hold

Reported by operators: a faulty server sent bytes that were no answer, and the machine that kept them ran out of memory.

Cause here: net/http quotes what it cannot parse, so that a head of 60 KB that is no HTTP made an error of 123 to 246 KB; each send logs one, and the log's queue was bounded in lines (4,096) but not in bytes while its reader is slow.

Ruled out: reading without a bound; heads, informational responses, chunk extensions, trailers, events, held and discarded bodies have limits, whose tests pass.

Evidence: before, TestErrorDoesNotQuoteAllThatUpstreamSent failed for 5 of 5 heads with "not true: len(err.Error()) <= line", and TestQueueIsBoundedInBytes with "not true: written > 0 && written*len(long) <= bound".

--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -149,7 +149,7 @@
 func (d *dispatchFilter) relayStream(ctx context.Context, req *Request, u *catalog.Upstream, resp *http.Response, inactivity *inactivityTimer, release func(bool)) attemptResult {
 	if got := mediaType(resp.Header); req.response.headerSent && got != req.response.mediaType && got != eventStreamType {
 		release(false)
-		return d.notContinued(req, u, errors.Errorf("content type %q after %q", got, req.response.mediaType))
+		return d.notContinued(req, u, errors.Errorf("content type %.100q after %.100q", got, req.response.mediaType))
 	}
 	stream := &req.response.stream
 	stream.Resume()
--- a/internal/logging/queue_test.go
+++ b/internal/logging/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -52,3 +53,34 @@
 type discard struct{}
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Guards against long lines, with what a faulty upstream sent, that fill the memory while the log destination is slow.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{released: make(chan struct{}), entered: make(chan struct{})}
+	q := NewQueue(out)
+	fmt.Fprintln(q, "first")
+	<-out.entered
+	long := strings.Repeat("x", 256<<10) + "\n"
+	const lines = 256
+	for range lines {
+		fmt.Fprint(q, long)
+	}
+	close(out.released)
+	q.Close()
+	const bound = 16 << 20
+	written := strings.Count(out.String(), long)
+	is.True(written > 0 && written*len(long) <= bound)
+	is.True(strings.Contains(out.String(), fmt.Sprintf("event=log-dropped count=%d\n", lines-written)))
+	// Lines that were written free their bytes.
+	q = NewQueue(out)
+	for range lines {
+		fmt.Fprint(q, long)
+		for len(q.lines) > 0 {
+			runtime.Gosched()
+		}
+	}
+	q.Close()
+	is.Equal(q.dropped.Load(), uint64(0))
+	is.Equal(strings.Count(out.String(), long), written+lines)
+}
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -165,7 +165,7 @@
 		resp, err := http.ReadResponse(c.br, req)
 		c.head.end()
 		if err != nil {
-			return nil, errors.Wrapf(err, "read response from %s", c.address)
+			return nil, errors.Wrapf(shortError(err), "read response from %s", c.address)
 		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
--- a/internal/upconn/flood_test.go
+++ b/internal/upconn/flood_test.go
@@ -150,3 +150,29 @@
 		})
 	}
 }
+
+// Guards against a faulty upstream that fills the memory with the texts of errors, which quote what it sent and wait in the
+// log's queue.
+func TestErrorDoesNotQuoteAllThatUpstreamSent(t *testing.T) {
+	long := strings.Repeat("\xff", maxHeadBytes-1<<10)
+	for _, tt := range []struct{ name, head string }{
+		{"status line", long},
+		{"status code", "HTTP/1.1 2" + long},
+		{"header line", "HTTP/1.1 200 OK\r\n" + long},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: " + strings.ReplaceAll(long, "\xff", `"`)},
+		{"transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.ReplaceAll(long, "\xff", `"`)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool(nil, clockwork.NewRealClock())
+			c, err := p.Get(context.Background(), startServer(t, respondWith(tt.head+"\r\n\r\n")))
+			is.NoErr(err)
+			defer c.Close()
+			_, err = c.RoundTrip(request(nil), nil, matchesID)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.address))
+			const line = 1 << 10
+			is.True(len(err.Error()) <= line)
+		})
+	}
+}
--- a/internal/upconn/limits.go
+++ b/internal/upconn/limits.go
@@ -12,6 +12,8 @@
 const (
 	// maxHeadBytes limits the status line and the headers of one response, and of an informational one.
 	maxHeadBytes = 64 << 10
+	// maxErrorBytes limits the text of an error that quotes the upstream.
+	maxErrorBytes = 512
 	// maxUnmatchedBytes limits the bytes that are read and discarded of one response that belongs to another request.
 	maxUnmatchedBytes = 1 << 20
 	// maxUnmatchedResponses limits how many responses are read in search of the one that belongs to the request.
@@ -26,6 +28,15 @@
 // request is unknown.
 var ErrResponseTooLarge = errors.New("response exceeds a size limit")
 
+// shortError returns the error, or one with the beginning of its text if that is long. net/http quotes whole lines of what it
+// cannot parse.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.Errorf("%s... (%d bytes)", text[:maxErrorBytes], len(text))
+	}
+	return err
+}
+
 // headLimiter is a reader that fails once more than maxHeadBytes have been read since begin, until end is called.
 type headLimiter struct {
 	io.Reader
