Data that arrives as a send's time expires keeps the send

A stream could be taken from an upstream that had just sent an event: the timer expires, the relay resets it and holds the lock meanwhile, and the expiry then gives the send up all the same. Found by reading; no run is known that shows it.

The time at which the timer is due is kept beside it, and an expiry that comes before it does nothing.

TestDataThatArrivesAsTimeExpiresKeepsSend lets the expiry come right after the reset. Before: "err: context canceled".

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -288,6 +288,8 @@
 	version *string
 	// timer is nil if the send must not be given up, and after the send.
 	timer *time.Timer
+	// due is when the timer expires.
+	due time.Time
 	// next is the upstream of the reserved next send; nil unless the send was given up.
 	next *balance.Choice
 }
@@ -307,6 +309,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(first, t.expire)
+	t.wait(first)
 	return t
 }
 
@@ -329,14 +332,20 @@
 	}
 }
 
+// wait lets the timer expire after the time. The caller holds mu.
+func (t *inactivityTimer) wait(d time.Duration) {
+	t.due = time.Now().Add(d)
+	t.timer.Reset(d)
+}
+
 func (t *inactivityTimer) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil {
+	if t.timer == nil || time.Now().Before(t.due) { // data has arrived since the timer expired
 		return
 	}
 	if t.next = t.reserve(t.version); t.next == nil {
-		t.timer.Reset(moveCheckInterval)
+		t.wait(moveCheckInterval)
 		return
 	}
 	t.timer = nil
@@ -354,7 +363,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil {
-		t.timer.Reset(t.gapTimeout)
+		t.wait(t.gapTimeout)
 	}
 }
 
--- a/internal/direct/reserve_test.go
+++ b/internal/direct/reserve_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -179,3 +180,16 @@
 	is.True(d.Handle(t.Context(), s.req, nil) != nil)
 	is.True(d.retryBudget.Available("s"))
 }
+
+// Guards against a send that is given up although data has arrived between the expiry of its time and the lock.
+func TestDataThatArrivesAsTimeExpiresKeepsSend(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true)
+	h.config.Routes[0].MaxEventGap = time.Second
+	ctx, cancel := context.WithCancelCause(t.Context())
+	timer := h.dispatch().newInactivityTimer(h.newStream().req, cancel)
+	timer.reset()
+	timer.expire()
+	is.NoErr(ctx.Err())
+	is.True(timer.stop() == nil)
+}
