Streams stay at an upstream that stands still and accepts connections

Cause: silence alone was taken for the end of an upstream. 1.2 s without an event (1.5 s before the first one) moved a stream, while a sound process may stand still for a second or so, and the silence of a process looks on its connection like that of a machine without power.

Now the upstream is probed with a connection 0.2 s before that time is over. If it accepts one, it has until 2 s, or five sixths of the callers' patience if that is less; if not, the stream moves at the same time as before. The streams of one upstream share a probe and its result for 0.5 s; the probe's connection is kept for later requests. Each decision is logged (send-silent).

Ruled out: waiting for 2 s without a probe, which would move the streams of dead machines 0.5 to 0.8 s later. A queue of connections that is full looks like a dark machine and moves streams as before. An upstream that is silent for good and accepts connections is left 0.5 to 0.8 s later than before.

Three tests of silent upstreams slept just longer than the old limit. They now sleep as much longer than the new one, so that the send would still be given up if it could be.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -20,10 +20,19 @@
 // Limits on the time without events from the upstream during one send.
 const (
 	// firstEventTimeout and eventGapTimeout limit the time without events on a stream that can be resumed at another
-	// upstream: before its first event and between events. Callers give up after about twice that time. Both are longer
-	// on routes whose objectives allow more.
+	// upstream: before its first event and between events. Both are longer on routes whose objectives allow more.
 	firstEventTimeout = 1500 * time.Millisecond
 	eventGapTimeout   = 1200 * time.Millisecond
+	// silenceTimeout limits that time if the upstream accepts connections: a sound one may stand still for a moment and go
+	// on, and would then work on a stream that has been resumed elsewhere.
+	silenceTimeout = 2 * time.Second
+	// Callers abandon a stream that is silent for minPatience, patienceFactor times the objective of its route or
+	// patienceGapFactor times the objective for gaps, whichever is longest. The last 1/nextSendDivisor of that time is left
+	// to the next send.
+	minPatience       = 2 * time.Second
+	patienceFactor    = 4
+	patienceGapFactor = 8
+	nextSendDivisor   = 6
 	// eventGapFactor is how many times longer than the route's objective for gaps a stream may stay without events.
 	eventGapFactor = 3
 	// moveCheckInterval is how often a silent send is checked for another upstream that may receive its request.
@@ -153,7 +162,7 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	inactivity := d.newInactivityTimer(req, cancel)
+	inactivity := d.newInactivityTimer(req, u, cancel)
 	defer func() { req.next = inactivity.stop() }()
 	//nolint:bodyclose // release closes the connection under the body, or gives it back after the body's end
 	resp, err := conn.RoundTrip(d.newUpstreamRequest(req, u), req.Body, func(_ int, h http.Header) bool {
@@ -277,42 +286,75 @@
 
 // inactivityTimer gives up a send whose upstream sends no data for too long, once it has reserved what sending the
 // request to another upstream needs. The response to a safe request must be complete within half of the remaining time.
+// The upstream of a stream is probed shortly before its time is over, and has more time if it accepts connections.
 type inactivityTimer struct {
-	gapTimeout time.Duration
+	gapLimits silenceLimits
 	// reserve reserves the next send, to an upstream of the software version unless it is nil.
 	reserve func(version *string) *balance.Choice
 	giveUp  context.CancelCauseFunc
+	// address is the upstream's.
+	address      string
+	reachability *reachability
+	// logSilence logs what follows from a probe.
+	logSilence func(limits silenceLimits, accepts bool, outcome string)
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	limits silenceLimits
 	// version is the software version that began the stream; nil before its first byte.
 	version *string
 	// timer is nil if the send must not be given up, and after the send.
 	timer *time.Timer
-	// due is when the timer expires.
-	due time.Time
+	// step is called when the timer expires, which is due at the time.
+	step func()
+	due  time.Time
 	// next is the upstream of the reserved next send; nil unless the send was given up.
 	next *balance.Choice
 }
 
-func (d *dispatchFilter) newInactivityTimer(req *Request, giveUp context.CancelCauseFunc) *inactivityTimer {
+// silenceLimits are how long an upstream may send no data: one that accepts no connections, and one that does.
+type silenceLimits struct{ unreachable, reachable time.Duration }
+
+// newSilenceLimits returns the limits for a caller with the patience.
+func newSilenceLimits(limit, patience time.Duration) silenceLimits {
+	return silenceLimits{unreachable: limit, reachable: max(limit, min(silenceTimeout, patience))}
+}
+
+// callersPatience returns for how long the callers of a stream wait for data, less the part that is left to the next send.
+func callersPatience(route *catalog.Route) time.Duration {
+	patience := max(minPatience, patienceFactor*route.LatencyObjective, patienceGapFactor*route.MaxEventGap)
+	return patience - patience/nextSendDivisor
+}
+
+func (d *dispatchFilter) newInactivityTimer(req *Request, u *catalog.Upstream, giveUp context.CancelCauseFunc) *inactivityTimer {
 	if !req.Route.Repeatable() || req.runs+1 >= req.Route.MaxAttempts || req.sendsExhausted() {
 		return &inactivityTimer{}
 	}
-	first := max(firstEventTimeout, req.Route.LatencyObjective)
+	now, patience := d.clock.Now(), callersPatience(req.Route)
+	first := newSilenceLimits(max(firstEventTimeout, req.Route.LatencyObjective), patience-now.Sub(req.response.lastSentAt()))
 	if req.Route.Kind == catalog.Safe {
-		first = d.stop.bound(req.Deadline).Sub(d.clock.Now()) / 2
+		first = newSilenceLimits(d.stop.bound(req.Deadline).Sub(now)/2, 0)
 	}
 	t := &inactivityTimer{
-		gapTimeout: max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), reserve: d.newReserveFunc(req), giveUp: giveUp,
+		gapLimits: newSilenceLimits(max(eventGapTimeout, eventGapFactor*req.Route.MaxEventGap), patience),
+		reserve:   d.newReserveFunc(req), giveUp: giveUp, address: u.Address, reachability: d.reachability, logSilence: d.newSilenceLog(req, u),
 		version: req.version(),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(first, t.expire)
-	t.wait(first)
+	t.timer = time.AfterFunc(first.unreachable, t.expire)
+	t.begin(first)
 	return t
 }
 
+// newSilenceLog returns a function that logs what follows from a probe of the silent upstream.
+func (d *dispatchFilter) newSilenceLog(req *Request, u *catalog.Upstream) func(limits silenceLimits, accepts bool, outcome string) {
+	id, route := req.ID, req.Route.Name
+	return func(limits silenceLimits, accepts bool, outcome string) {
+		d.log.Info().Str("event", "send-silent").Str("request", id).Str("route", route).Str("upstream", u.ID).Str("peer", u.Address).
+			Bool("accepts", accepts).Dur("silent_ms", limits.unreachable).Dur("limit_ms", limits.reachable).Str("outcome", outcome).Send()
+	}
+}
+
 // newReserveFunc returns a function that reserves what the next send of the request needs: an upstream that was not tried,
 // within its limits, and a retry of the budget. It returns nil if one of them is missing now. It may run concurrently with
 // a send, which changes the request.
@@ -332,9 +374,19 @@
 	}
 }
 
-// wait lets the timer expire after the time. The caller holds mu.
-func (t *inactivityTimer) wait(d time.Duration) {
-	t.due = time.Now().Add(d)
+// begin begins to wait for data. The caller holds mu.
+func (t *inactivityTimer) begin(limits silenceLimits) {
+	t.limits = limits
+	if limits.reachable > limits.unreachable {
+		t.wait(limits.unreachable-probeTimeout, t.probe)
+	} else {
+		t.wait(limits.unreachable, t.tryGiveUp)
+	}
+}
+
+// wait calls the step after the time. The caller holds mu.
+func (t *inactivityTimer) wait(d time.Duration, step func()) {
+	t.due, t.step = time.Now().Add(d), step
 	t.timer.Reset(d)
 }
 
@@ -344,8 +396,30 @@
 	if t.timer == nil || time.Now().Before(t.due) { // data has arrived since the timer expired
 		return
 	}
+	t.step()
+}
+
+// probe begins to probe the upstream. The caller holds mu.
+func (t *inactivityTimer) probe() {
+	t.reachability.probe(t.address)
+	t.wait(probeTimeout, t.checkProbe)
+}
+
+// checkProbe lets the upstream have more time if it accepts connections. The caller holds mu.
+func (t *inactivityTimer) checkProbe() {
+	if t.reachability.accepts(t.address) {
+		t.logSilence(t.limits, true, "wait")
+		t.wait(t.limits.reachable-t.limits.unreachable, t.tryGiveUp)
+		return
+	}
+	t.logSilence(t.limits, false, "move")
+	t.tryGiveUp()
+}
+
+// tryGiveUp gives up the send if the next one can be reserved, or else asks again later. The caller holds mu.
+func (t *inactivityTimer) tryGiveUp() {
 	if t.next = t.reserve(t.version); t.next == nil {
-		t.wait(moveCheckInterval)
+		t.wait(moveCheckInterval, t.tryGiveUp)
 		return
 	}
 	t.timer = nil
@@ -363,7 +437,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil {
-		t.wait(t.gapTimeout)
+		t.begin(t.gapLimits)
 	}
 }
 
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -52,8 +52,10 @@
 	log         zerolog.Logger
 	metrics     dispatchMetrics
 	crashes     *crashDetector
-	prompts     *promptblame.Table
-	shareOrigin func(origin.Record)
+	// reachability tells whether silent upstreams accept connections.
+	reachability *reachability
+	prompts      *promptblame.Table
+	shareOrigin  func(origin.Record)
 	// responses limits the memory for the bodies of responses that are held.
 	responses *inbound.BodyBudget
 }
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -191,7 +191,7 @@
 	is := is.New(t)
 	silent := behaviour{"silent in the middle", func(c net.Conn, r *http.Request) bool {
 		streamFrom(c, r, 2)
-		time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+		time.Sleep(silenceTimeout + 3*moveCheckInterval) // longer than a stream may be silent
 		for id := 3; id <= streamEvents; id++ {
 			writeText(c, chunk(event(id)))
 		}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -244,6 +244,7 @@
 func (c *callerResponse) writeAndFlush(p []byte) error {
 	n, err := c.writer.Write(p)
 	c.bytes += int64(n)
+	c.writtenAt = c.clock.Now()
 	if err != nil {
 		return err
 	}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -87,6 +87,8 @@
 	status         int
 	// bytes counts the body bytes that were written to the caller.
 	bytes int64
+	// writtenAt is when the latest event was written.
+	writtenAt time.Time
 	// mediaType is that of the response that was begun.
 	mediaType string
 	// callerGone is set once a write to the caller has failed.
@@ -103,6 +105,14 @@
 // response that is relayed as it arrives.
 func (c *callerResponse) begun() bool { return c.stream.DataEvents > 0 || c.unresumable }
 
+// lastSentAt returns when the caller was last sent something, or else the request's start.
+func (c *callerResponse) lastSentAt() time.Time {
+	if c.writtenAt.IsZero() {
+		return c.start
+	}
+	return c.writtenAt
+}
+
 // bufferedResponse is a complete response.
 type bufferedResponse struct {
 	status int
--- a/internal/direct/reserve_test.go
+++ b/internal/direct/reserve_test.go
@@ -187,7 +187,7 @@
 	h := newHarness(t, catalog.Stream, true)
 	h.config.Routes[0].MaxEventGap = time.Second
 	ctx, cancel := context.WithCancelCause(t.Context())
-	timer := h.dispatch().newInactivityTimer(h.newStream().req, cancel)
+	timer := h.dispatch().newInactivityTimer(h.newStream().req, h.store.Current().Upstreams["s"][0], cancel)
 	timer.reset()
 	timer.expire()
 	is.NoErr(ctx.Err())
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -128,7 +128,7 @@
 			silent := behaviour{"silent in the middle", func(c net.Conn, r *http.Request) bool {
 				streamFrom(c, r, 2)
 				close(begun)
-				time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+				time.Sleep(silenceTimeout + 3*moveCheckInterval) // longer than a stream may be silent
 				for id := 3; id <= streamEvents; id++ {
 					writeText(c, chunk(event(id)))
 				}
@@ -165,7 +165,7 @@
 	for i, l := range h.listeners {
 		h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
 	}
-	time.Sleep(eventGapTimeout + 3*moveCheckInterval) // longer than a stream may be silent
+	time.Sleep(silenceTimeout + 3*moveCheckInterval) // longer than a stream may be silent
 	for i, l := range h.listeners {
 		h.publish(fmt.Sprintf("up/u%d/%s", i+1, l.Addr()))
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -102,6 +102,18 @@
 	return newConn(raw, address), nil
 }
 
+// Open opens a connection to the address and keeps it for reuse.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	raw, err := p.Dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	c := newConn(raw, address)
+	c.reusable = true
+	p.Put(c)
+	return nil
+}
+
 func newConn(raw net.Conn, address string) *Conn {
 	head, out := &headLimiter{Reader: raw}, &errorRecorder{Writer: raw}
 	return &Conn{
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -121,6 +121,15 @@
 	}
 }
 
+func TestOpenedConnectionIsKeptForNextRequest(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil, clockwork.NewRealClock())
+	address := startServer(t, respondWith(okResponse("")))
+	is.NoErr(p.Open(context.Background(), address))
+	is.Equal(p.idleCount(address), 1)
+	is.True(roundTrip(t, p, address, nil)) // reused
+}
+
 func TestConnectionClosedByPeerIsNotReused(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
