An evacuation written as a restored store returns is in force

Cause: a restored store gives out revisions again, and an item whose key a host did not know counted as removed before the host's first list if its revision was covered by that list. Servers write their items again; operators don't.

Ruled out: a late list, and a loss after the five seconds for what the copy lacks; the failing cases depend on the evacuation's revision alone.

Now an operator's item that the restored store lists is in force unless this host knew its removal, also after the tombstone has expired, or another host tells of it. A host that starts at that moment did the same before.

--- a/internal/published/era_test.go
+++ b/internal/published/era_test.go
@@ -255,6 +255,79 @@
 	}
 }
 
+// Guards against an evacuation that is acknowledged before any host has seen the restored store, and that is never in force
+// because its revision is one that was given out between the copy and the start of all hosts.
+func TestEvacuationBesideReturnOfRestoredStoreIsInForce(t *testing.T) {
+	for beforeStart := range 4 {
+		for beforeOrder := range 3 {
+			for afterOrder := range 3 {
+				t.Run(fmt.Sprintf("%d writes before the start, %d before the evacuation, %d after it", beforeStart, beforeOrder, afterOrder), func(t *testing.T) {
+					is := is.New(t)
+					s, clock := newRestorableStore(), clockwork.NewFakeClock()
+					heartbeats := func(n int) {
+						for range n {
+							s.write("s1", "ready")
+						}
+					}
+					heartbeats(1)
+					s.backUp()
+					heartbeats(beforeStart)
+					hosts := []*follower{newFollower(s, clock), newFollower(s, clock)}
+					for _, host := range hosts {
+						host.read()
+					}
+					s.restore()
+					heartbeats(beforeOrder)
+					s.write("op/evacuate/z", "{}")
+					heartbeats(afterOrder)
+					hosts = append(hosts, newFollower(s, clock)) // a host that starts now
+					for _, pause := range []time.Duration{0, lostGrace, 2 * tombstoneTTL} {
+						clock.Advance(pause)
+						for i, host := range hosts {
+							host.read()
+							host.hear(hosts[(i+1)%len(hosts)])
+							is.Equal(host.values["op/evacuate/z"], "{}")
+						}
+					}
+					s.remove("op/evacuate/z")
+					for _, host := range hosts {
+						host.read()
+						is.Equal(host.values["op/evacuate/z"], "")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an evacuation that a host saw taken back, and that is in force again because the removal's tombstone had
+// expired when the store came back from a copy of before.
+func TestExpiredRemovalOfEvacuationStaysInEffect(t *testing.T) {
+	is := is.New(t)
+	s, clock := newRestorableStore(), clockwork.NewFakeClock()
+	f := newFollower(s, clock)
+	s.write("op/evacuate/z", "{}")
+	s.backUp()
+	f.read()
+	s.remove("op/evacuate/z")
+	f.read()
+	for range 3 {
+		clock.Advance(tombstoneTTL)
+		s.write("s1", "ready")
+		f.read()
+	}
+	_, known := f.Mirror.items["op/evacuate/z"]
+	is.True(!known) // the tombstone has expired
+	s.restore()
+	f.read()
+	is.Equal(f.values["op/evacuate/z"], "")
+	s.write("op/evacuate/y", "{}") // of which nothing is known
+	s.write("op/evacuate/z", "{}")
+	f.read()
+	is.Equal(f.values["op/evacuate/y"], "{}")
+	is.Equal(f.values["op/evacuate/z"], "{}")
+}
+
 func put(key, value string) func(*restorableStore) {
 	return func(s *restorableStore) { s.write(key, value) }
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -108,7 +108,9 @@
 	// compacted was removed.
 	tombstones []tombstone
 	compacted  Version
-	writes     writeLog
+	// forgotten is the version of the newest removal of a lasting item whose tombstone has expired.
+	forgotten Version
+	writes    writeLog
 }
 
 // tombstone records a removed item and when this mirror received the removal.
@@ -290,7 +292,8 @@
 }
 
 // acceptsUnknown reports whether an item is taken over whose key is unknown. An item that was removed before is not; if the
-// restored store has it, it is kept as outdated. The caller holds mu.
+// restored store has it, it is kept as outdated. A lasting item, which is written only once, must have been removed to this
+// mirror's knowledge: it may have been written since the restoration. The caller holds mu.
 func (m *Mirror) acceptsUnknown(item Item, b Batch) bool {
 	if item.Lost {
 		// The sender must know of every removal that this mirror may have missed.
@@ -300,6 +303,9 @@
 		return true
 	}
 	if m.compacted.Era < b.Era && !item.Removed {
+		if m.Lasting(item.Key) && item.Version().Compare(m.forgotten) > 0 {
+			return true
+		}
 		removal := Item{Key: item.Key, Era: m.compacted.Era, Revision: m.compacted.Revision, Removed: true}
 		m.set(entry{Item: removal, equivalentSince: m.compacted, listedEra: b.Era, outdated: &item})
 	}
@@ -364,6 +370,9 @@
 			delete(m.items, t.key)
 			delete(m.kept, t.key)
 			m.compacted = latest(m.compacted, t.version)
+			if m.Lasting(t.key) {
+				m.forgotten = latest(m.forgotten, t.version)
+			}
 		}
 	}
 	m.tombstones = m.tombstones[n:]
