Streams go on after the death of all hosts if the list accounts for every change

Cause: since a history of which a part is missing counts only for the time that repeated entries prove. Where an entry that stays the same is no change of the store, nothing is ever repeated: one change was read, known for 55 ms of 12 s.

Ruled out: a second version in the list or in another host's answer (versions=["v1"]), and changes that could not be read before the conclusion (no versions-not-refreshed).

Change: where the history does not begin with the first change, the list may tell the rest. The store gives each change a revision of its own, and items name the revision of their creation. If every revision since the first configuration is that of a published item or of a known change, nothing was overwritten or removed unseen, and no stream began before.

Evidence: TestListThatTellsAllChangesProvesSingleVersion failed before ("0s != 1h0m0s", and "read history of prefix "" before revision 13: no earlier changes are available"). TestListIsNoProofOfVersionsThatItLacks plays 3,000 random histories against an oracle, and fails without the check of unknown revisions (seed 231) or of preceding states (seed 50).

Remains: a configuration that was overwritten before the history begins looks like an upstream that left, and take-ups are refused as before.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -137,23 +137,40 @@
 	if now.Sub(v.failedAt) < historyRetryInterval {
 		return nil, errHistoryInsufficient
 	}
+	h, err := v.interpretHistory(ctx, start, now)
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) { // otherwise the caller has given up, which says nothing of the source
+		v.failedAt = v.clock.Now()
+	}
+	return h, err
+}
+
+// interpretHistory reads the history and finds out for which time it tells all versions. The caller holds mu.
+func (v *publishedVersions) interpretHistory(ctx context.Context, start published.FollowStart, now time.Time) (*versionHistory, error) {
 	complete := v.mirror.Complete()
-	items, whole, err := published.ReadHistory(ctx, v.source, v.mirror.Prefix, complete)
 	switch {
-	case err == nil && complete.Era > 1:
-		err = errors.Wrap(errHistoryInsufficient, "the source was restored and lacks the writes that were lost")
-	case err == nil && start.Version.Era != complete.Era:
-		err = errors.Wrapf(errHistoryInsufficient, "the source has begun era %d", complete.Era)
+	case complete.Era > 1:
+		return nil, errors.Wrap(errHistoryInsufficient, "the source was restored and lacks the writes that were lost")
+	case start.Version.Era != complete.Era:
+		return nil, errors.Wrapf(errHistoryInsufficient, "the source has begun era %d", complete.Era)
 	}
-	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) { // otherwise the caller has given up, which says nothing of the source
-			v.failedAt = v.clock.Now()
-		}
-		return nil, err
+	items, whole, historyErr := published.ReadHistory(ctx, v.source, v.mirror.Prefix, complete)
+	if historyErr != nil && !errors.Is(historyErr, published.ErrNoHistory) {
+		return nil, historyErr
 	}
 	explained := v.recordVersions(items, now)
 	h := &versionHistory{since: now.Add(-wholeHistory), start: start}
-	if !whole || len(explained) < len(items) {
+	all := whole && len(explained) == len(items)
+	if !all {
+		var err error
+		if all, err = v.listTellsRest(ctx, items, start.Version, now); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case all:
+	case historyErr != nil:
+		return nil, historyErr
+	default:
 		h.part = &partialHistory{
 			span: published.NewHistorySpan(start.Version.Revision, v.mirror.Equivalent), after: items[len(items)-1].Revision, countedAt: now,
 		}
@@ -164,6 +181,56 @@
 	return h, nil
 }
 
+// listTellsRest reports whether the history and the items that are published now tell of every upstream that was published
+// since the first configuration was, without which no stream begins: the revision of each later change up to the version is
+// that of a known one, so that none has been overwritten or removed unseen. It records the versions that they tell.
+func (v *publishedVersions) listTellsRest(ctx context.Context, history []published.Item, until published.Version, now time.Time) (bool, error) {
+	listed, err := published.ReadItems(ctx, v.source, v.mirror.Prefix, until.Era)
+	if errors.Is(err, published.ErrNoHistory) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	changes := published.MergeChanges(history, listed)
+	configured := v.configuredAt(changes, now)
+	if configured == 0 || published.LastUnknown(changes, until.Revision) > configured || !v.tellPrecedingStates(changes, configured, now) {
+		return false, nil
+	}
+	v.recordVersions(changes, now)
+	return true, nil
+}
+
+// configuredAt returns the revision at which the first configuration was written, or 0 if the changes do not tell it.
+func (v *publishedVersions) configuredAt(changes []published.Item, now time.Time) uint64 {
+	for _, c := range changes {
+		if c.Removed || c.Created == 0 || c.Created > c.Revision {
+			continue
+		}
+		if entry, err := v.decode(c, now); err == nil && entry.Kind == catalog.ItemConfig {
+			return c.Created
+		}
+	}
+	return 0
+}
+
+// tellPrecedingStates reports whether each change of an upstream after the revision either created its entry or follows a
+// known state of it.
+func (v *publishedVersions) tellPrecedingStates(changes []published.Item, after uint64, now time.Time) bool {
+	known := map[string]bool{}
+	for _, c := range changes {
+		entry, _ := v.decode(c, now) // an entry that cannot be read names no upstream that could have received a request
+		if entry.Kind != catalog.ItemUpstream {
+			continue
+		}
+		if c.Revision > after && !known[entry.Name] && c.Created != c.Revision {
+			return false
+		}
+		known[entry.Name] = true
+	}
+	return true
+}
+
 // shouldCount reports whether counting more changes may prove that the history is long enough.
 func (v *publishedVersions) shouldCount(h *versionHistory, window time.Duration) bool {
 	return h.part != nil && v.clock.Since(h.since) < window && v.clock.Since(h.part.countedAt) >= historyCountInterval
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -35,17 +35,26 @@
 }
 
 // write publishes an upstream of the version, or removes it if the version is empty.
-func (s *historyStore) write(id, version string) {
+func (s *historyStore) write(id, version string) { s.put("up/"+id, version) }
+
+// configure writes the configuration.
+func (s *historyStore) configure() { s.put(testConfigKey, "configuration") }
+
+// put writes a value, or removes the key if the value is empty.
+func (s *historyStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changes = append(s.changes, published.Item{
-		Key: "up/" + id, Value: []byte(version), Removed: version == "", Revision: uint64(len(s.changes) + 1),
-	})
+	item := published.Item{Key: key, Value: []byte(value), Removed: value == "", Revision: uint64(len(s.changes) + 1)}
+	if before, ok := s.current()[key]; ok && !item.Removed {
+		item.Created = before.Created
+	} else if !item.Removed {
+		item.Created = item.Revision
+	}
+	s.changes = append(s.changes, item)
 }
 
-func (s *historyStore) Page(context.Context, string, string) (published.Batch, string, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// current returns the items that the store has. The caller holds mu.
+func (s *historyStore) current() map[string]published.Item {
 	current := map[string]published.Item{}
 	for _, item := range s.changes {
 		current[item.Key] = item
@@ -53,8 +62,14 @@
 			delete(current, item.Key)
 		}
 	}
+	return current
+}
+
+func (s *historyStore) Page(context.Context, string, string) (published.Batch, string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	b := published.Batch{Revision: uint64(len(s.changes)), Era: s.era}
-	for _, item := range current {
+	for _, item := range s.current() {
 		b.Items = append(b.Items, item)
 	}
 	return b, "", nil
@@ -87,7 +102,13 @@
 	s.lost = uint64(len(s.changes))
 }
 
+// testConfigKey is the key of the tests' configuration.
+const testConfigKey = "config"
+
 func decodeVersion(item published.Item, _ time.Time) (catalog.Entry, error) {
+	if item.Key == testConfigKey {
+		return catalog.Entry{Kind: catalog.ItemConfig}, nil
+	}
 	e := catalog.Entry{Kind: catalog.ItemUpstream, Name: strings.TrimPrefix(item.Key, "up/")}
 	if !item.Removed {
 		e.Upstream = &catalog.Upstream{ID: e.Name, Service: "s", Version: string(item.Value), StartedAtMs: 1}
@@ -356,6 +377,83 @@
 	}
 }
 
+// Guards against take-ups that are all refused after the death of all hosts although no upstream has ever left: upstreams whose
+// entries stay the same write no changes, so that the history holds almost none and has no repetitions.
+func TestListThatTellsAllChangesProvesSingleVersion(t *testing.T) {
+	for name, kept := range map[string]uint64{"one change is kept": 1, "no change is kept": 0, "upstreams were added lately": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			source := &historyStore{}
+			source.write("leftover", "0")
+			source.write("leftover", "") // before the first configuration, without which no stream begins
+			source.configure()
+			for n := range 9 {
+				source.write(fmt.Sprintf("u%d", n), "1")
+			}
+			source.configure()
+			if name == "upstreams were added lately" {
+				source.write("u9", "1")
+				source.write("u10", "1")
+			}
+			source.lost = uint64(len(source.changes)) - kept
+			vt := startVersions(t, source)
+			known, err := vt.extend(vt.ctx)
+			is.NoErr(err)
+			is.Equal(known, wholeHistory)
+			is.Equal(vt.followed(), wholeHistory)
+			is.Equal(vt.versions(), "1")
+		})
+	}
+}
+
+// Guards against a list that is taken for all that was ever published, although an upstream of another version was removed,
+// replaced under its ID or written again in between: whatever order changes come in, and whatever the store discards.
+func TestListIsNoProofOfVersionsThatItLacks(t *testing.T) {
+	const window, histories, changes = 12 * time.Second, 3000, 12
+	proven := 0
+	for seed := range uint64(histories) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		source, served := &historyStore{}, map[string]bool{}
+		current, configured := map[string]string{}, false
+		for range 1 + random.IntN(changes) {
+			id, version := fmt.Sprintf("u%d", random.IntN(5)), fmt.Sprint(1+random.IntN(6)/5)
+			switch random.IntN(6) {
+			case 0:
+				source.configure()
+				configured = true
+			case 1:
+				if current[id] == "" {
+					continue
+				}
+				source.write(id, "")
+				delete(current, id)
+			default:
+				source.write(id, version)
+				current[id] = version
+			}
+			for _, v := range current {
+				served[v] = served[v] || configured
+			}
+		}
+		source.lost = random.Uint64N(uint64(len(source.changes)) + 1)
+		vt := startVersions(t, source)
+		if known, err := vt.Extend(vt.ctx, window); err != nil || known < window {
+			continue
+		}
+		proven++
+		versions := vt.VersionsSince("s", vt.clock.Now().Add(-window))
+		for v := range served {
+			if served[v] && !slices.Contains(versions, v) {
+				t.Fatalf("seed %d: version %s served, known are %q; %d of %d changes lost: %v", seed, v, versions, source.lost, len(source.changes), source.changes)
+			}
+		}
+	}
+	t.Logf("%d of %d histories are proof", proven, histories)
+	if proven < histories/10 {
+		t.Errorf("only %d of %d histories are proof", proven, histories)
+	}
+}
+
 // Guards against take-ups that each read the history of the store.
 func TestHistoryIsReadOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -25,7 +25,9 @@
 	Value    []byte
 	Era      uint64
 	Revision uint64
-	Removed  bool
+	// Created is the revision at which the store created the item, if it is told; 0 if not.
+	Created uint64
+	Removed bool
 	// Lost is set if the restored store does not have this state of the item, which stays in force.
 	Lost bool
 }
