--- a/internal/direct/standstill_test.go
+++ b/internal/direct/standstill_test.go
@@ -77,7 +77,7 @@
 		is.Equal(got.body, wholeStream())
 	}
 	is.Equal(h.connCount(), count+1)
-	is.Equal(strings.Count(log.buf.String(), `"event":"upstream-silent"`), count)
+	is.Equal(strings.Count(log.buf.String(), `"event":"send-silent"`), count)
 	is.Equal(strings.Count(log.buf.String(), `"accepts":true,"silent_ms":1200,"limit_ms":2000,"outcome":"wait"`), count)
 }
 
