Data of a stream shows that the path to its data centre works

Found by looking for the same cause elsewhere: two upstreams of a data centre that stand still for 1.2 s or more made the path to all of it count as down for a second, its idle connections were closed and its other upstreams passed over, although one of them sent the data of streams that had begun before. Only the start of a response counted as a sign of the path. TestPathThatDeliversDataIsUp failed before (true, path down, where false is expected).

--- a/internal/balance/path_test.go
+++ b/internal/balance/path_test.go
@@ -56,6 +56,22 @@
 	is.Equal(tiers(table, snap, b[:3]...)["b"], tierHealthy) // it is tried again
 }
 
+// Guards against a data centre that counts as unreachable since two of its upstreams stand still, while another one sends
+// the data of streams that began before.
+func TestPathThatDeliversDataIsUp(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable()
+	snap := snapshotOf(12, "a", "b", "c")
+	b := in(snap, "b")
+	is.True(!table.RecordBrokenResponse(b[0], ErrResponseTimeout))
+	table.RecordData(b[2])
+	is.True(!table.RecordBrokenResponse(b[1], ErrResponseTimeout))
+	is.Equal(tiers(table, snap, b[:2]...)["b"], tierHealthy)
+	is.True(table.RecordBrokenResponse(b[3], ErrResponseTimeout)) // the second one since the data
+	table.RecordData(b[2])
+	is.Equal(tiers(table, snap, b[0], b[1], b[3])["b"], tierHealthy)
+}
+
 func TestIsolatedDataCentreKeepsToItself(t *testing.T) {
 	is := is.New(t)
 	table, clock := newTable()
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -46,12 +46,13 @@
 	return max(minSilentTime, gap, objective/2)
 }
 
-// RecordData records that this host received data of a response of the upstream.
-func (t *Table) RecordData(key catalog.UpstreamKey) {
+// RecordData records that this host received data of a response of the upstream, which shows that the path to it works.
+func (t *Table) RecordData(u *catalog.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	t.stats(key, now).heardAt = now
+	t.stats(u.Key(), now).heardAt = now
+	t.path(u.DataCentre).responded(now)
 }
 
 // silence returns how long this host, or one that told it so lately, has waited for any response of the upstream, and nothing
--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -20,7 +20,7 @@
 	}{
 		{"nothing is heard", func(*Table, *catalog.Upstream) {}, true},
 		{"a response starts", func(t *Table, u *catalog.Upstream) { t.RecordResponseStart(u) }, false},
-		{"data of a response", func(t *Table, u *catalog.Upstream) { t.RecordData(u.Key()) }, false},
+		{"data of a response", func(t *Table, u *catalog.Upstream) { t.RecordData(u) }, false},
 		{"the request ends", func(t *Table, u *catalog.Upstream) { t.RecordRequestEnd(u.Key()) }, false},
 		{"another host heard of it", func(t *Table, u *catalog.Upstream) {
 			t.MergeReports([]LoadReport{{IncarnationID: IncarnationID(u.Key()), Load: 1}})
@@ -84,8 +84,8 @@
 	}{
 		{name: "nothing is awaited", deferred: true},
 		{name: "a request was just sent", after: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordRequestStart(u.Key()) }, deferred: true},
-		{name: "heard since", after: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u.Key()) }},
-		{name: "heard within the silence", before: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u.Key()) }},
+		{name: "heard since", after: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u) }},
+		{name: "heard within the silence", before: func(t *Table, _ *clockwork.FakeClock, u *catalog.Upstream) { t.RecordData(u) }},
 		{name: "not told again", after: func(_ *Table, c *clockwork.FakeClock, _ *catalog.Upstream) { c.Advance(300 * time.Millisecond) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -120,7 +120,7 @@
 	}
 	clock.Advance(2 * time.Millisecond)
 	is.Equal(table.SilenceReports(), []SilenceReport{{IncarnationID: IncarnationID(first.Key()), Silence: 300 * time.Millisecond}})
-	table.RecordData(first.Key())
+	table.RecordData(first)
 	is.Equal(len(table.SilenceReports()), 0)
 }
 
@@ -137,7 +137,7 @@
 	is.Equal(holder(), order[0].ID)
 	clock.Advance(300 * time.Millisecond)
 	is.Equal(holder(), order[2].ID)
-	table.RecordData(order[0].Key())
+	table.RecordData(order[0].Upstream)
 	is.Equal(holder(), order[0].ID)
 }
 
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -175,7 +175,7 @@
 	}
 	meta := d.codec.DecodeResponse(resp.StatusCode, resp.Header)
 	d.balancer.RecordResponseStart(u)
-	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(key) }}
+	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(u) }}
 	if !meta.WrongInstance {
 		d.recordSelfReport(u, meta)
 	}
--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -243,7 +243,7 @@
 func (s *surge) stream(h *surgeHost, u *catalog.Upstream, left time.Duration) {
 	step := min(eventInterval, left)
 	s.work(u, step, func() {
-		h.table.RecordData(u.Key())
+		h.table.RecordData(u)
 		if left > step {
 			s.stream(h, u, left-step)
 			return
