One response that takes long to begin is no silence of an upstream

A host that has received no data yet of what it awaits finds the upstream silent after the shortest objective of the service's routes, for itself only; one that has, after 300 ms or the longest gap that the routes allow, as before, and tells others. After a pause of this process, which the sharing of reports every 100 ms shows, silence counts anew, for its own choices too and not only for what it tells others.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -151,7 +151,7 @@
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: st.silence(now),
+			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: t.silence(st, now),
 			score: loadbalancer.ScoreHashed(criteria.AffinityHash, m.hash),
 		})
 	}
@@ -246,9 +246,9 @@
 	return known / float64(n)
 }
 
-// reachable reports whether the upstream probably responds at once, as far as this host knows.
-func (s *stats) reachable(now time.Time) bool {
-	return !s.replaced && !now.Before(s.suspectUntil) && !s.silent(now)
+// responsive reports whether the upstream probably responds at once, as far as this host knows. The caller holds mu.
+func (t *Table) responsive(s *stats, now time.Time) bool {
+	return !s.replaced && !now.Before(s.suspectUntil) && !t.silent(s, now)
 }
 
 // LikelyCacheHolder returns the engine, other than the target, that most likely has the shared prompt prefix in its
@@ -262,7 +262,7 @@
 	var best *catalog.Upstream
 	var bestScore uint64
 	for _, m := range t.poolMembers(snap, service, now) {
-		if m.upstream.ID == target.ID || !m.stats.reachable(now) || pathDown(m.upstream.DataCentre) {
+		if m.upstream.ID == target.ID || !t.responsive(m.stats, now) || pathDown(m.upstream.DataCentre) {
 			continue
 		}
 		if score := loadbalancer.ScoreHashed(affinity, m.hash); best == nil || score > bestScore {
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -26,12 +26,18 @@
 	Silence       time.Duration
 }
 
-// silentTime returns the time without any data after which an upstream of the service that owes responses counts as silent:
-// longer than the time between the events of its streams, and a part of the time in which its responses are expected.
-func silentTime(config *catalog.Config, service string) time.Duration {
+// silenceLimits are how long an upstream of a service that owes responses may send nothing before it counts as silent.
+type silenceLimits struct {
+	// first applies to a host that has received no data yet of the responses that it awaits, and next to the others.
+	first, next time.Duration
+}
+
+// newSilenceLimits returns the limits of the service. A stream's data follows within the longest gap between events that a
+// route of the service allows, and a first response within the shortest objective.
+func newSilenceLimits(config *catalog.Config, service string) silenceLimits {
 	var gap, objective time.Duration
 	if config == nil {
-		return minSilentTime
+		return silenceLimits{first: minSilentTime, next: minSilentTime}
 	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
@@ -43,7 +49,8 @@
 			objective = r.LatencyObjective
 		}
 	}
-	return max(minSilentTime, gap, objective/2)
+	next := max(minSilentTime, gap)
+	return silenceLimits{first: max(next, objective), next: next}
 }
 
 // RecordData records that this host received data of a response of the upstream, which shows that the path to it works.
@@ -56,21 +63,29 @@
 }
 
 // silence returns how long this host, or one that told it so lately, has waited for any response of the upstream, and nothing
-// was heard of it; zero while nothing is awaited.
-func (s *stats) silence(now time.Time) time.Duration {
-	own, told := s.ownSilence(now), time.Duration(0)
-	if now.Sub(s.toldSilentAt) < silenceReportTime {
-		told = now.Sub(s.lastHeard(s.toldSilentSince))
-	}
-	return max(own, told)
+// was heard of it; zero while nothing is awaited. The caller holds mu.
+func (t *Table) silence(s *stats, now time.Time) time.Duration {
+	return max(t.ownSilence(s, now), s.toldSilence(now))
 }
 
-// ownSilence is the part of silence that this host knows by itself.
-func (s *stats) ownSilence(now time.Time) time.Duration {
+// ownSilence is the part of silence that this host knows by itself. The caller holds mu.
+func (t *Table) ownSilence(s *stats, now time.Time) time.Duration {
 	if s.inFlight == 0 {
 		return 0
 	}
-	return now.Sub(s.lastHeard(s.waitingSince))
+	since := s.waitingSince
+	if t.resumedAt.After(since) {
+		since = t.resumedAt
+	}
+	return now.Sub(s.lastHeard(since))
+}
+
+// toldSilence is the part of silence that this host knows from others.
+func (s *stats) toldSilence(now time.Time) time.Duration {
+	if now.Sub(s.toldSilentAt) >= silenceReportTime {
+		return 0
+	}
+	return now.Sub(s.lastHeard(s.toldSilentSince))
 }
 
 // lastHeard returns when something was last heard of the upstream, or the given time if that is later.
@@ -83,16 +98,26 @@
 	return since
 }
 
+// begun reports whether this host has received data of the responses that it awaits.
+func (s *stats) begun() bool { return s.inFlight > 0 && !s.heardAt.Before(s.waitingSince) }
+
 // silent reports whether the upstream has been silent for so long that what it told of its load says little. Its requests
-// do not end, so that each one adds to its load until it goes on.
-func (s *stats) silent(now time.Time) bool { return s.silence(now) >= s.pool.silentTime }
+// do not end, so that each one adds to its load until it goes on. The caller holds mu.
+func (t *Table) silent(s *stats, now time.Time) bool {
+	limits := s.pool.silence
+	own := limits.first
+	if s.begun() {
+		own = limits.next
+	}
+	return t.ownSilence(s, now) >= own || s.toldSilence(now) >= limits.next
+}
 
 // deferSilent defers the upstreams that are silent. The caller holds mu.
 func (t *Table) deferSilent(list []candidate) {
 	now := t.clock.Now()
 	for i := range list {
 		c := &list[i]
-		silent := c.member.stats.silent(now)
+		silent := t.silent(c.member.stats, now)
 		if silent {
 			c.deferred = deferredBySilence
 		}
@@ -115,24 +140,23 @@
 		Int("in_flight", s.inFlight).Float64("load", c.load).Send()
 }
 
-// SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports. It is called at short
-// intervals. After a pause of this process, what upstreams sent meanwhile may not have been read yet, and nothing is
-// reported.
+// SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports, as far as data of them was
+// received before: one request whose response takes long to begin says too little for other hosts. It is called at short
+// intervals, which also shows a pause of this process, after which all upstreams have time to be heard again.
 func (t *Table) SilenceReports() []SilenceReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	paused := now.Sub(t.silenceReportedAt) > maxSilenceReportGap
-	t.silenceReportedAt = now
-	if paused {
-		return nil
+	if now.Sub(t.silenceReportedAt) > maxSilenceReportGap {
+		t.resumedAt = now
 	}
+	t.silenceReportedAt = now
 	var reports []SilenceReport
 	for id, s := range t.statsByID {
-		if s.pool == nil || len(reports) == maxSilenceReports {
+		if s.pool == nil || !s.begun() || len(reports) == maxSilenceReports {
 			continue
 		}
-		if silence := s.ownSilence(now); silence >= s.pool.silentTime {
+		if silence := t.ownSilence(s, now); silence >= s.pool.silence.next {
 			reports = append(reports, SilenceReport{IncarnationID: id, Silence: silence})
 		}
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -53,8 +53,7 @@
 	meanLoad float64
 	// waiting counts the requests that wait for an upstream of a certain software version.
 	waiting map[string]int
-	// silentTime is the silence from which on an upstream is deferred.
-	silentTime time.Duration
+	silence silenceLimits
 }
 
 // stats are this host's statistics of one incarnation of an upstream.
@@ -134,10 +133,10 @@
 	// changedLimits are the statistics of the upstreams whose request limit a response to this host changed since the last
 	// call of TakeChangedLimits.
 	changedLimits []*stats
-	// silenceReportedAt is when SilenceReports was last called.
-	silenceReportedAt time.Time
-	paths             map[string]*path
-	lastSweep         time.Time
+	// silenceReportedAt is when SilenceReports was last called, and resumedAt when this process last went on after a pause.
+	silenceReportedAt, resumedAt time.Time
+	paths                        map[string]*path
+	lastSweep                    time.Time
 	// pools are the members of each service in poolsSnapshot. They are built once for each snapshot.
 	pools         map[string][]member
 	poolStats     map[string]*poolStats
@@ -203,7 +202,7 @@
 		if t.poolStats[service] == nil {
 			t.poolStats[service] = &poolStats{waiting: map[string]int{}}
 		}
-		t.poolStats[service].silentTime = silentTime(snap.Config, service)
+		t.poolStats[service].silence = newSilenceLimits(snap.Config, service)
 		for _, m := range members {
 			m.stats.pool = t.poolStats[service]
 		}
@@ -432,7 +431,7 @@
 	states := make([]UpstreamState, 0, len(t.statsByKey))
 	for key, s := range t.statsByKey {
 		state := UpstreamState{
-			ID: key.ID, Address: key.Address, InFlight: s.inFlight, Load: s.load(now), Silence: s.silence(now), Failures: s.consecutiveFailures,
+			ID: key.ID, Address: key.Address, InFlight: s.inFlight, Load: s.load(now), Silence: t.silence(s, now), Failures: s.consecutiveFailures,
 			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil),
 		}
 		s.said.fill(&state, now)
