A silent upstream is not preferred to one that just refused a request

Found in review: silence ordered the upstreams within their tier only. While the others were full for 150 ms or failed at times, all requests went to the silent one, whose kernel takes everything. A silent upstream is now at least degraded, and within that tier it comes last. TestSilentUpstreamIsNotPreferredToBusyOnes failed before in both cases.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -46,7 +46,7 @@
 // Priority tiers; upstreams of a higher tier are chosen only after all upstreams of lower tiers.
 const (
 	tierHealthy = iota
-	// tierDegraded upstreams are at capacity or have a high failure share.
+	// tierDegraded upstreams are at capacity or silent, or have a high failure share.
 	tierDegraded
 	// tierSuspect upstreams failed recently, or the network path to them is down.
 	tierSuspect
@@ -72,8 +72,10 @@
 	// recently.
 	Load      float64
 	LoadKnown bool
-	// Silence is how long a host has waited for any response, and nothing was heard of the upstream.
+	// Silence is how long a host has waited for any response, and nothing was heard of the upstream. Silent is set if that is
+	// too long.
 	Silence time.Duration
+	Silent  bool
 	// Tier is the priority tier; 0 is the most preferred.
 	Tier   int
 	limits []allowance.RateLimit
@@ -94,6 +96,7 @@
 	mean     float64
 	known    bool
 	silence  time.Duration
+	silent   bool
 	score    uint64
 	limits   []allowance.RateLimit
 }
@@ -124,7 +127,7 @@
 	first := selectFirst(buffer[:0], list, less)
 	order := make([]Choice, len(first))
 	for i, c := range first {
-		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Silence: c.silence, Tier: c.tier, limits: c.limits, target: c.member.target()}
+		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Silence: c.silence, Silent: c.silent, Tier: c.tier, limits: c.limits, target: c.member.target()}
 	}
 	return order
 }
@@ -141,7 +144,10 @@
 		if st.replaced || !st.acceptsWork(now) || !snap.AcceptsNewWork(m.upstream) {
 			continue
 		}
-		tier := st.tier(now)
+		tier, silent := st.tier(now), t.silent(st, now)
+		if silent {
+			tier = max(tier, tierDegraded)
+		}
 		if slices.Contains(criteria.Tried, m.key) {
 			if criteria.Version != nil && tier == tierSuspect {
 				continue // the few other upstreams of the version are worth a wait
@@ -151,7 +157,7 @@
 			tier = max(tier, tierSuspect)
 		}
 		list = append(list, candidate{
-			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: t.silence(st, now),
+			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: t.silence(st, now), silent: silent,
 			score: loadbalancer.ScoreHashed(criteria.AffinityHash, m.hash),
 		})
 	}
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -114,26 +114,24 @@
 
 // deferSilent defers the upstreams that are silent. The caller holds mu.
 func (t *Table) deferSilent(list []candidate) {
-	now := t.clock.Now()
 	for i := range list {
 		c := &list[i]
-		silent := t.silent(c.member.stats, now)
-		if silent {
+		if c.silent {
 			c.deferred = deferredBySilence
 		}
-		t.logSilence(c, silent)
+		t.logSilence(c)
 	}
 }
 
 // logSilence logs that the upstream has become silent, or was heard again. The caller holds mu.
-func (t *Table) logSilence(c *candidate, silent bool) {
+func (t *Table) logSilence(c *candidate) {
 	s := c.member.stats
-	if silent == s.loggedSilent {
+	if c.silent == s.loggedSilent {
 		return
 	}
-	s.loggedSilent = silent
+	s.loggedSilent = c.silent
 	event := "upstream-heard"
-	if silent {
+	if c.silent {
 		event = "upstream-silent"
 	}
 	t.log.Info().Str("event", event).Str("upstream", s.key.ID).Str("peer", s.key.Address).Dur("silence_ms", c.silence).
--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -180,3 +180,33 @@
 	}
 	is.Equal(len(table.SilenceReports()), 1) // still nothing heard
 }
+
+// Guards against requests that pile up at a silent upstream since the others have just refused one, or fail at times.
+func TestSilentUpstreamIsNotPreferredToBusyOnes(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		record func(*Table, *catalog.Upstream)
+	}{
+		{"full", func(t *Table, u *catalog.Upstream) { t.MarkFull(u.Key()) }},
+		{"failing at times", func(t *Table, u *catalog.Upstream) {
+			for range 8 {
+				t.RecordOutcome(u, true)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := newTable()
+			snap := snapshotOf(9, "a")
+			first := table.Order(snap, "s", engineCriteria)[0].Upstream
+			table.RecordRequestStart(first.Key())
+			clock.Advance(time.Second)
+			for _, u := range snap.Upstreams["s"] {
+				if u != first {
+					tt.record(table, u)
+				}
+			}
+			is.True(table.Order(snap, "s", engineCriteria)[0].ID != first.ID)
+		})
+	}
+}
