A stream is not given up for another silent upstream

Found in review: with several upstreams silent at once, or one software version, the next send of a stream was reserved at an upstream that was silent as well. That spent a retry and the last attempt, added to the load of the other silent one, and left two upstreams at work on the stream. The new case of TestUntriedUpstreamMayReceiveRequest failed before (true != false).

--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -134,6 +134,9 @@
 		{"it is suspected", func(table *Table, _ *catalog.Snapshot, other *catalog.Upstream) {
 			table.RecordBrokenResponse(other, ErrResponseTimeout)
 		}, true},
+		{"it is silent as well", func(table *Table, _ *catalog.Snapshot, other *catalog.Upstream) {
+			table.MergeSilenceReports([]SilenceReport{{IncarnationID: IncarnationID(other.Key()), Silence: time.Second}})
+		}, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -26,18 +26,19 @@
 // Select returns the first upstream in the order of preference that may receive a request now, or nil. The request
 // counts against the limits of that upstream.
 func (s *Selector) Select(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
-	return s.selectUpTo(tierTried, snap, service, criteria)
+	return s.selectFrom(snap, service, criteria, func(*Choice) bool { return true })
 }
 
-// SelectUntried is Select among the upstreams that were not tried for the request.
+// SelectUntried is Select among the upstreams that were not tried for the request and are not silent: a send is given up only
+// for one that promises more.
 func (s *Selector) SelectUntried(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
-	return s.selectUpTo(tierTried-1, snap, service, criteria)
+	return s.selectFrom(snap, service, criteria, func(c *Choice) bool { return c.Tier < tierTried && !c.Silent })
 }
 
-func (s *Selector) selectUpTo(maxTier int, snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
+func (s *Selector) selectFrom(snap *catalog.Snapshot, service string, criteria Criteria, accepts func(*Choice) bool) *Choice {
 	order := s.order(snap, service, criteria, s.clock.Now())
 	for i := range order {
-		if u := &order[i]; u.Tier <= maxTier && (len(u.limits) == 0 || s.limiter.TryAcquire(u.target, u.limits...)) {
+		if u := &order[i]; accepts(u) && (len(u.limits) == 0 || s.limiter.TryAcquire(u.target, u.limits...)) {
 			return u
 		}
 	}
