A long response is not begun once its send is given up

A response that is too long to be held could be cut off in its first part, at half of the caller's time: the relay stops the timer of a safe send and begins to relay, also if the timer has just given the send up and closed the connection.

Stopping the timer tells whether the send was given up. Then nothing is relayed, and the request goes to the upstream that is reserved for it.

TestLongResponseIsNotBegunOnceItsSendIsGivenUp, before: "not true: !s.req.response.headerSent".

--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -40,7 +40,11 @@
 		return d.connectionFailed(ctx, req, u, err)
 	}
 	if !whole && !failed && !req.response.headerSent {
-		inactivity.stop() // nothing else can be tried once a part has been relayed
+		// Nothing else can be tried once a part has been relayed.
+		if inactivity.stop() != nil {
+			release(false)
+			return d.connectionFailed(ctx, req, u, context.Cause(ctx))
+		}
 		return d.relayLong(ctx, req, u, resp, body, release)
 	}
 	release(whole)
--- a/internal/direct/reserve_test.go
+++ b/internal/direct/reserve_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -193,3 +196,22 @@
 	is.NoErr(ctx.Err())
 	is.True(timer.stop() == nil)
 }
+
+// Guards against a long response that is cut off because its send was given up just before its first part is relayed.
+func TestLongResponseIsNotBegunOnceItsSendIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false)
+	d, s, u := h.dispatch(), h.newStream(), h.store.Current().Upstreams["s"][0]
+	s.req.tried = []catalog.UpstreamKey{u.Key()}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	timer := d.newInactivityTimer(s.req, u, cancel)
+	timer.mu.Lock()
+	timer.tryGiveUp()
+	timer.mu.Unlock()
+	closed := iotest.ErrReader(net.ErrClosed)
+	resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(io.MultiReader(strings.NewReader(unheldBody), closed))}
+	s.res = d.relayBuffered(ctx, s.req, u, resp, timer, func(bool) {})
+	s.req.next = timer.stop()
+	is.True(!s.req.response.headerSent)
+	is.True(d.shouldRetry(t.Context(), s.req, s.res))
+}
