Silence is remembered when the last request at an upstream ends

What it found silent now counts for 300 ms more, as if another host had told it, or until something is heard. TestSilenceIsRememberedAfterRequestEnds failed before.

--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -210,3 +210,19 @@
 		})
 	}
 }
+
+// Guards against requests that are sent one after another to an upstream that responded to none of them.
+func TestSilenceIsRememberedAfterRequestEnds(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOf(9, "a")
+	first := table.Order(snap, "s", engineCriteria)[0].Upstream
+	table.RecordRequestStart(first.Key())
+	clock.Advance(500 * time.Millisecond)
+	table.RecordRequestEnd(first.Key()) // its caller left
+	is.True(table.Order(snap, "s", engineCriteria)[0].ID != first.ID)
+	clock.Advance(299 * time.Millisecond)
+	is.True(table.Order(snap, "s", engineCriteria)[0].ID != first.ID)
+	clock.Advance(time.Millisecond)
+	is.Equal(table.Order(snap, "s", engineCriteria)[0].ID, first.ID) // one request may find out
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -67,7 +67,8 @@
 	// waitingSince is when this host began to wait for responses of the upstream, and heardAt when it last received data
 	// of one.
 	waitingSince, heardAt time.Time
-	// toldSilentSince is since when another host has heard nothing of the upstream, as told at toldSilentAt.
+	// toldSilentSince is since when another host has heard nothing of the upstream, as told at toldSilentAt, or this one when
+	// its last request there ended.
 	toldSilentSince, toldSilentAt time.Time
 	// loggedSilent is set while the latest log line about the upstream's silence says that it is silent.
 	loggedSilent bool
@@ -259,7 +260,12 @@
 func (t *Table) RecordRequestEnd(key catalog.UpstreamKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stats(key, t.clock.Now()).inFlight--
+	now := t.clock.Now()
+	s := t.stats(key, now)
+	if s.inFlight == 1 && s.pool != nil && t.silent(s, now) {
+		s.toldSilentAt, s.toldSilentSince = now, s.lastHeard(s.waitingSince)
+	}
+	s.inFlight--
 }
 
 // RecordLoad records the load that a response reported: the number of running and waiting requests.
