An older report does not hide the requests that were sent since

Found in review: a report of another host, with a load of before this host's last requests, set the count of requests since then to zero, so that the estimate of a silent upstream fell from 10 to 6. The count now starts anew only if nothing was sent after the time of the report. TestOlderReportDoesNotHideRequestsSentSince failed before in both cases.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -358,3 +358,35 @@
 	is.Equal(len(table.statsByKey), 3)
 	is.Equal(len(table.statsByID), 3)
 }
+
+// Guards against requests that no longer count since another host reports a load of before they were sent.
+func TestOlderReportDoesNotHideRequestsSentSince(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		merge func(*Table, LoadReport)
+	}{
+		{"average", func(t *Table, r LoadReport) { t.MergeReports([]LoadReport{r}) }},
+		{"observation", func(t *Table, r LoadReport) { t.MergeObservations([]LoadReport{r}) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := newTable()
+			u := snapshotOf(1, "a").Upstreams["s"][0]
+			load := func() float64 { return table.State()[0].Load }
+			table.RecordLoad(u.Key(), 4)
+			clock.Advance(500 * time.Millisecond)
+			for range 6 {
+				table.RecordRequestStart(u.Key())
+			}
+			report := LoadReport{IncarnationID: IncarnationID(u.Key()), Load: 4}
+			clock.Advance(100 * time.Millisecond)
+			report.Age = 150 * time.Millisecond
+			tt.merge(table, report)
+			is.True(load() >= 9.5) // some of the older load has decayed
+			clock.Advance(100 * time.Millisecond)
+			report.Age = 150 * time.Millisecond
+			tt.merge(table, report)
+			is.True(load() < 7) // the six requests in flight are the minimum
+		})
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -57,7 +57,8 @@
 	for _, r := range reports {
 		s := t.statsByID[r.IncarnationID]
 		if at := now.Add(-r.Age); s != nil && at.After(s.avgLoadAt) {
-			s.avgLoad, s.avgLoadAt, s.sentSince = r.Load, at, 0
+			s.avgLoad = r.Load
+			s.recordLoadTime(at)
 			if at.After(s.failedAt) {
 				s.avgFailureShare, s.failedAt = r.FailureShare, at
 			}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -73,10 +73,11 @@
 	// loggedSilent is set while the latest log line about the upstream's silence says that it is silent.
 	loggedSilent bool
 	// avgLoad is the moving average of the loads that responses reported to this host and others, as of avgLoadAt.
-	// sentSince counts the requests that this host sent since then.
-	avgLoad   float64
-	avgLoadAt time.Time
-	sentSince int
+	// sentSince counts the requests that this host sent since then, the last one at lastSentAt.
+	avgLoad    float64
+	avgLoadAt  time.Time
+	sentSince  int
+	lastSentAt time.Time
 	// lastLoad is the load in the latest response to this host that reported one, received at lastLoadAt.
 	lastLoad   int
 	lastLoadAt time.Time
@@ -254,6 +255,7 @@
 	}
 	s.inFlight++
 	s.sentSince++
+	s.lastSentAt = now
 }
 
 // RecordRequestEnd counts the end of a request.
@@ -295,10 +297,18 @@
 	} else {
 		s.avgLoad = float64(load)
 	}
-	s.avgLoadAt, s.sentSince = at, 0
+	s.recordLoadTime(at)
 	s.lastLoad, s.lastLoadAt = load, at
 }
 
+// recordLoadTime sets the time of the moving average. Requests that this host has sent since then still count.
+func (s *stats) recordLoadTime(at time.Time) {
+	s.avgLoadAt = at
+	if !at.Before(s.lastSentAt) {
+		s.sentSince = 0
+	}
+}
+
 // RecordResponseStart records that a response of the upstream has started, which shows that the upstream is up and the
 // path to it works.
 func (t *Table) RecordResponseStart(u *catalog.Upstream) {
