Streams are not given up right after a pause of this process

Found in review: a router that stood still for 1.2 s or more gave up the streams of sound upstreams when it went on, since its timers expired before it had read what the upstreams had sent meanwhile (4 of 4 streams of an upstream that sent an event every 50 ms, with the limits of before; its upstream counted as suspect). A timer that expires more than 100 ms late gives the reading another 100 ms. TestSendIsNotGivenUpRightAfterPauseOfProcess failed before (context canceled).

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -37,6 +37,9 @@
 	eventGapFactor = 3
 	// moveCheckInterval is how often a silent send is checked for another upstream that may receive its request.
 	moveCheckInterval = 100 * time.Millisecond
+	// maxTimerDelay is the delay of a timer above which this process probably stood still itself. What upstreams sent
+	// meanwhile may not have been read yet.
+	maxTimerDelay = 100 * time.Millisecond
 )
 
 // minConnectTimeout and maxConnectTimeout bound the connect timeout. Hosts of one region are milliseconds apart, and a
@@ -393,10 +396,13 @@
 func (t *inactivityTimer) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || time.Now().Before(t.due) { // data has arrived since the timer expired
-		return
+	switch delay := time.Since(t.due); {
+	case t.timer == nil || delay < 0: // data has arrived since the timer expired
+	case delay > maxTimerDelay:
+		t.wait(moveCheckInterval, t.step)
+	default:
+		t.step()
 	}
-	t.step()
 }
 
 // probe begins to probe the upstream. The caller holds mu.
--- a/internal/direct/reserve_test.go
+++ b/internal/direct/reserve_test.go
@@ -215,3 +215,23 @@
 	is.True(!s.req.response.headerSent)
 	is.True(d.shouldRetry(t.Context(), s.req, s.res))
 }
+
+// Guards against sound streams that are given up when this process goes on after a pause, before their data is read.
+func TestSendIsNotGivenUpRightAfterPauseOfProcess(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	req := h.newStream().req
+	pool := h.store.Current().Upstreams["s"]
+	req.tried = []catalog.UpstreamKey{pool[0].Key()}
+	timer := h.dispatch().newInactivityTimer(req, pool[0], cancel)
+	timer.mu.Lock()
+	timer.step, timer.due = timer.tryGiveUp, time.Now().Add(-time.Second)
+	timer.mu.Unlock()
+	timer.expire()
+	is.NoErr(ctx.Err())
+	timer.reset() // the data is read
+	time.Sleep(3 * moveCheckInterval)
+	is.NoErr(ctx.Err())
+	is.True(timer.stop() == nil)
+}
