A list that names an item as lost does not hide its removal

Operators would see: the store is restored with an evacuation, which is then taken back, and one host keeps the zone out for good.

Cause: that host hears of the removal through a host that never saw the restored store with the evacuation and holds it as lost for five seconds. Its full list names the evacuation as lost, and Mirror.missing counted it as listed, so that the removal was missed.

Ruled out: a late or lost removal; the history shows that the host is complete up to a revision after it.

Now an item that the sender of a full list holds as lost, and that this host has seen in the restored store, counts as removed in between.

Evidence: TestRemovalIsInListOfHostThatHoldsItemAsLost failed before with "{} != ".

--- a/internal/published/era_test.go
+++ b/internal/published/era_test.go
@@ -300,6 +300,31 @@
 	}
 }
 
+// Guards against an evacuation that was taken back after a restoration, and that stays in force on a host that catches up with
+// another one, which has never seen the restored store with it and holds it as lost.
+func TestRemovalIsInListOfHostThatHoldsItemAsLost(t *testing.T) {
+	is := is.New(t)
+	s, clock := newRestorableStore(), clockwork.NewFakeClock()
+	early, late := newFollower(s, clock), newFollower(s, clock)
+	s.write("op/evacuate/z", "{}")
+	s.backUp()
+	early.read()
+	late.read()
+	s.restore()
+	early.read()
+	is.Equal(early.values["op/evacuate/z"], "{}")
+	s.remove("op/evacuate/z")
+	late.read()
+	early.hear(late)
+	is.Equal(early.Mirror.Complete(), late.Mirror.Complete())
+	is.Equal(early.values["op/evacuate/z"], "")
+	clock.Advance(lostGrace)
+	for _, host := range []*follower{early, late} {
+		host.read()
+		is.Equal(host.values["op/evacuate/z"], "")
+	}
+}
+
 // Guards against an evacuation that a host saw taken back, and that is in force again because the removal's tombstone had
 // expired when the store came back from a copy of before.
 func TestExpiredRemovalOfEvacuationStaysInEffect(t *testing.T) {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -235,6 +235,10 @@
 func (m *Mirror) missing(b Batch) []Item {
 	listed := make(map[string]bool, len(b.Items))
 	for _, item := range b.Items {
+		// If the list's sender has not seen the store with the item in this era, and this mirror has, it was removed since.
+		if e, ok := m.items[item.Key]; ok && item.Lost && !item.Removed && !e.Removed && e.listedEra == b.Era {
+			continue
+		}
 		listed[item.Key] = true
 	}
 	var removals []Item
