What the store had after an earlier restoration is forgotten

Operators would see: the store is restored several times within seconds, an evacuation is taken back meanwhile, and one host puts it in force again for good.

Cause: the state that a restored store has beside a newer one was kept across the next restoration. When the host then learned from another one that the copy ends earlier, that state took effect as if it had been written in the current era.

Ruled out: a store or a host that still tells of the evacuation; the list of the era lacks it, and its version joins the last era with a revision of an earlier one.

Now a mirror drops these states as it enters an era; the list of the era tells what the store has.

Evidence: TestStateOfEarlierRestorationIsNotTakenForCurrentOne failed before with "{} != ".

--- a/internal/published/era.go
+++ b/internal/published/era.go
@@ -78,7 +78,7 @@
 	m.complete, m.restoredAt = Version{Era: era}, restoredAt
 	m.eraEnteredAt = m.Clock.Now()
 	m.writes = newWriteLog() // the store gives out revisions again
-	m.indexKept()
+	m.resetKept()
 }
 
 // beginEra prepares the mirror for a full list of the current era, or of the first era that it knows. It returns the items
@@ -252,9 +252,10 @@
 	return e.outdated != nil || m.Lasting(e.Key) && (e.Removed || m.isLost(e))
 }
 
-// indexKept finds the kept items anew after a change of the era. The caller holds mu.
-func (m *Mirror) indexKept() {
+// resetKept drops the states that the store had in the previous era, and finds the kept items anew. The caller holds mu.
+func (m *Mirror) resetKept() {
 	for _, e := range m.items {
+		e.outdated = nil
 		m.set(e)
 	}
 }
--- a/internal/published/era_test.go
+++ b/internal/published/era_test.go
@@ -325,6 +325,40 @@
 	}
 }
 
+// Guards against an evacuation that was taken back, and that is in force again because a host takes what the store had after
+// an earlier restoration for what it has now.
+func TestStateOfEarlierRestorationIsNotTakenForCurrentOne(t *testing.T) {
+	is := is.New(t)
+	s, clock := newRestorableStore(), clockwork.NewFakeClock()
+	early, late := newFollower(s, clock), newFollower(s, clock)
+	s.write("op/config", "0")
+	s.backUp()
+	for _, change := range []func(*restorableStore){put("op/evacuate/z", "{}"), drop("op/evacuate/z"), put("op/evacuate/z", "{}")} {
+		change(s)
+		early.read()
+		late.read()
+	}
+	s.restore()
+	s.write("op/evacuate/z", "{}") // with the same revision as the first time
+	late.read()
+	s.remove("op/evacuate/z")
+	s.restore()
+	s.write("op/config", "1")
+	s.write("op/config", "2")
+	late.read()
+	s.restore()
+	early.read()
+	s.write("s1", "ready")
+	late.read()
+	early.read()
+	late.hear(early) // which knows that the copy ends earlier
+	clock.Advance(lostGrace)
+	for _, host := range []*follower{early, late} {
+		host.read()
+		is.Equal(host.values["op/evacuate/z"], "")
+	}
+}
+
 // Guards against an evacuation that a host saw taken back, and that is in force again because the removal's tombstone had
 // expired when the store came back from a copy of before.
 func TestExpiredRemovalOfEvacuationStaysInEffect(t *testing.T) {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -198,7 +198,7 @@
 func (m *Mirror) sameEra(b Batch) bool {
 	if m.complete.Revision == 0 && b.Era > m.complete.Era {
 		m.complete.Era, m.restoredAt = b.Era, 0
-		m.indexKept()
+		m.resetKept()
 	}
 	return b.Era == m.complete.Era
 }
