The servers of the soak can stand still

A server in the soak crashed, left or refused, but was never silent and sound. stallServer is a further random action of TestSoak: for 0.7 to 1.9 s a server writes nothing, doesn't renew its entry and doesn't see that connections are closed, while the kernel takes connections and bytes; then it goes on where it was. Servers count the requests that they hold and record when they are done with each. Routes and the fleet of a run are data, so that other fleets share the stand-ins and the checks; the checks of TestSoak ask the same as before of its three routes.

--- a/internal/proofs/soak/check_test.go
+++ b/internal/proofs/soak/check_test.go
@@ -89,7 +89,7 @@
 	checkComplete(c, writers, add)
 	checkKey(c, ran, f, add)
 	ip, _, _ := strings.Cut(c.router, ":")
-	if took := c.ended.Sub(c.started); took > requestTimeout+responseSlack && f.undisturbed(ip, c.started) && f.undisturbed(ip, c.ended) {
+	if took := c.ended.Sub(c.started); took > routes[c.path].timeout+responseSlack && f.undisturbed(ip, c.started) && f.undisturbed(ip, c.ended) {
 		add("request %s got its final response after %v", c.id, took)
 	}
 }
@@ -97,7 +97,7 @@
 // checkOnce checks that an unsafe request ran at most once. Neither an unsafe request nor one that takes a stream up may have
 // run if its status says so.
 func checkOnce(c *call, ran int, add func(string, ...any)) {
-	unsafe, takeUp := c.path == "/unsafe/", c.resumes != ""
+	unsafe, takeUp := routes[c.path].kind == "unsafe", c.resumes != ""
 	if unsafe && ran > 1 {
 		add("unsafe request %s ran %d times", c.id, ran)
 	}
@@ -113,7 +113,7 @@
 	if c.status != 200 {
 		return
 	}
-	stream := c.path == "/stream/"
+	stream := isStream(c.path)
 	switch {
 	case c.stamp == "":
 		add("request %s got a successful response without a stamp", c.id)
--- a/internal/proofs/soak/client_test.go
+++ b/internal/proofs/soak/client_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// requestTimeout is the timeout of the routes and the deadline that the clients send.
+// requestTimeout is the timeout of the routes on which closed-loop clients send.
 const requestTimeout = 2 * time.Second
 
 // call is one request and its result as observed by the client.
@@ -35,7 +35,7 @@
 	// event received.
 	resumes string
 	after   int
-	// timeLeft is the deadline that the request names; requestTimeout if it is 0.
+	// timeLeft is the deadline that the request names; the timeout of its route if it is 0.
 	timeLeft time.Duration
 	// dropAfter is the number of events after which the client closes the connection; 0 for never.
 	dropAfter  int
@@ -55,6 +55,34 @@
 	paths     []string
 }
 
+// route is a route, by its path, and the shape of its responses.
+type route struct {
+	kind, service string
+	attempts      int
+	// events is the number of events of a stream; 0 for a plain response.
+	events int
+	// timeout is also the deadline that clients send.
+	timeout, objective time.Duration
+	// gap is the longest pause between two events of a stream that is on time.
+	gap      time.Duration
+	priority int
+}
+
+var routes = map[string]route{
+	"/safe/":   {kind: "safe", service: "s", attempts: 2, timeout: requestTimeout, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+	"/unsafe/": {kind: "unsafe", service: "s", attempts: 2, timeout: requestTimeout, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+	"/stream/": {kind: "streaming", service: "s", attempts: 3, events: streamLength, timeout: requestTimeout, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+
+	"/diagnosis/": {kind: "streaming", service: "engines", attempts: 2, events: 55, timeout: 12 * time.Second, objective: 600 * time.Millisecond, gap: 300 * time.Millisecond},
+	"/question/":  {kind: "streaming", service: "engines", attempts: 2, events: 42, timeout: 10 * time.Second, objective: 800 * time.Millisecond, gap: 300 * time.Millisecond, priority: 1},
+	"/tag/":       {kind: "streaming", service: "engines", attempts: 2, events: 3, timeout: 3 * time.Second, objective: 1200 * time.Millisecond, gap: 300 * time.Millisecond, priority: 2},
+	"/charge/":    {kind: "unsafe", service: "billing", attempts: 1, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
+	"/lookup/":    {kind: "safe", service: "billing", attempts: 2, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
+	"/added/":     {kind: "safe", service: "billing", attempts: 2, timeout: requestTimeout, objective: 100 * time.Millisecond},
+}
+
+func isStream(path string) bool { return routes[path].events > 0 }
+
 var paths = []string{"/safe/", "/unsafe/", "/stream/"}
 
 // run sends requests in a loop from one client, which reuses its connections.
@@ -102,7 +130,7 @@
 	}
 	req.Host = "soak.example"
 	req.Header.Set("Orioleusher-Request-Id", v.id)
-	req.Header.Set("Orioleusher-Deadline-Ms", fmt.Sprint(cmp.Or(v.timeLeft, requestTimeout).Milliseconds()))
+	req.Header.Set("Orioleusher-Deadline-Ms", fmt.Sprint(cmp.Or(v.timeLeft, routes[v.path].timeout).Milliseconds()))
 	req.Header.Set("Api-Key", v.key)
 	if v.prompt != "" {
 		req.Header.Set("Orioleusher-Prefix-Hash", v.prompt)
--- a/internal/proofs/soak/notice_test.go
+++ b/internal/proofs/soak/notice_test.go
@@ -38,17 +38,17 @@
 	s.mu.Unlock()
 }
 
-// route is a server's instance and a router that sends to it.
-type route struct{ instance, routerIP string }
+// link is a server's instance and a router that sends to it.
+type link struct{ instance, routerIP string }
 
 // noticeViolations returns the requests that reached a server from a router that the server had told that it is leaving, or
 // that it wants nothing for a time. runs are in the order of their arrival.
 func noticeViolations(runs []arrival, f *faultLog) (violations []string) {
-	leftAt := map[route]time.Time{}
-	paused := map[route]arrival{}
-	inPause := map[route]int{}
+	leftAt := map[link]time.Time{}
+	paused := map[link]arrival{}
+	inPause := map[link]int{}
 	for _, r := range runs {
-		key := route{r.instance, r.routerIP}
+		key := link{r.instance, r.routerIP}
 		if at, ok := leftAt[key]; ok && r.at.Sub(at) > drainLimit && f.undisturbed(r.routerIP, r.at) {
 			violations = append(violations, fmt.Sprintf("request %s reached %s from %s %v after an answer that said that it leaves", r.request, r.instance, r.routerIP, r.at.Sub(at)))
 		} else if r.leaving && !ok {
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -28,6 +28,13 @@
 	// leaving is set if the response said that the server is leaving, pause is the time that it asked for when it refused.
 	leaving bool
 	pause   time.Duration
+	// held is the number of requests that the server held when this one arrived, and meanHeld its mean over the service.
+	held     int
+	meanHeld float64
+	// stalled is set if the server stood still then.
+	stalled bool
+	// ended is the time at which the server was done with the request; zero until then.
+	ended time.Time
 }
 
 // servers are all stand-in servers of a run, and the requests that they received.
@@ -40,18 +47,33 @@
 	// cutShare is the share of streams that are cut, and eventInterval the time between two events of a stream.
 	cutShare      float64
 	eventInterval time.Duration
+	// firstEvent is the time before the head of a stream, and slowdown what each request that a server holds adds to its
+	// eventInterval.
+	firstEvent, slowdown time.Duration
 	// serving lists the periods in which instances were published as ready.
 	serving []servingPeriod
 	store   *store
 	list    []*server
 }
 
+// serverSpec is what a server is.
+type serverSpec struct {
+	service, zone string
+	slots         int
+	// tellsLoad is set if the server's responses tell its load.
+	tellsLoad bool
+}
+
 // server is one address at which instances run one after another.
 type server struct {
-	all     *servers
-	listen  string // the address that it listens on
-	public  string // the proxy address that routers connect to
-	service string
+	serverSpec
+	all    *servers
+	listen string // the address that it listens on
+	public string // the proxy address that routers connect to
+
+	// held is the number of requests that the server holds. It stands still until stalledUntil. all.mu guards both.
+	held         int
+	stalledUntil time.Time
 
 	mu          sync.Mutex
 	instance    string
@@ -127,7 +149,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": s.service, "address": s.public, "zone": "z", "slots": 8, "state": state, "cold_remaining_ms": 0,
+		"service": s.service, "address": s.public, "zone": s.zone, "slots": s.slots, "state": state, "cold_remaining_ms": 0,
 		"sequence": s.seq, "born": s.startNumber, "version": s.version,
 	}
 	key := "servers/" + s.instance
@@ -206,31 +228,33 @@
 	if faulty && kind == 0 {
 		return s.refuse(c, v, "503 Busy", head+"Orioleusher-Not-Executed: 1\r\n")
 	}
-	s.all.record(v)
+	defer s.finish(s.record(v))
 	head += "Orioleusher-Response-Stamp: " + instance + "\r\n"
 	if strings.Contains(r.Header.Get("Orioleusher-Prefix-Hash"), deadlySegment) {
 		s.crashAndRestart(instance)
 		return false
 	}
 	if ms, err := strconv.Atoi(r.Header.Get(headerWorkMS)); err == nil {
-		time.Sleep(time.Duration(ms) * time.Millisecond)
+		s.work(time.Duration(ms) * time.Millisecond)
 	}
 	if faulty && kind >= 5 {
 		flood(c, floods[kind-5].prefix, floods[kind-5].text)
 		return false
 	}
-	if r.URL.Path == "/stream/" {
+	if isStream(r.URL.Path) {
+		s.work(s.all.firstEvent)
 		return s.stream(c, head, v, s.all.drawCut(faulty))
 	}
 	if !faulty {
 		kind = 0
 	}
-	return plain(c, head, id, instance, kind)
+	return s.plain(c, head, id, instance, kind)
 }
 
 // plain sends a plain response with a fault of the kind, or without one if the kind is 0.
-func plain(c net.Conn, head, id, instance string, kind int) bool {
-	time.Sleep(5 * time.Millisecond)
+func (s *server) plain(c net.Conn, head, id, instance string, kind int) bool {
+	s.work(5 * time.Millisecond)
+	head += s.load()
 	body := responseBody(id, instance)
 	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	switch kind {
@@ -265,15 +289,17 @@
 
 func (s *server) refuse(c net.Conn, v arrival, status, head string) bool {
 	v.executed = false
-	s.all.record(v)
+	s.record(v)
+	s.work(0)
 	_, err := io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"Content-Length: 0\r\n\r\n")
 	return err == nil
 }
 
 func (s *server) stream(c net.Conn, head string, v arrival, cut cut) bool {
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for n := v.resumedAfter + 1; n <= streamLength; n++ {
-		time.Sleep(s.all.eventInterval)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+s.load()+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	at := time.Now()
+	for n := v.resumedAfter + 1; n <= routes[v.path].events; n++ {
+		at = s.workUntil(at.Add(s.interval()))
 		event := streamEvent(v.request, n, writer{v.instance, v.version})
 		if n == cut.event {
 			event = event[:cut.length(event)]
@@ -323,12 +349,6 @@
 	return cut{}
 }
 
-func (a *servers) record(v arrival) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.arrivals = append(a.arrivals, v)
-}
-
 // drawFault decides at random whether a request is answered with a fault, and with which kind.
 func (a *servers) drawFault() (faulty bool, kind int) {
 	a.mu.Lock()
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,8 +42,6 @@
 	teams       = 3
 	// routerMemoryMB is the memory of the smallest hosts.
 	routerMemoryMB = 184
-	// heartbeatInterval is the interval at which servers publish their entries.
-	heartbeatInterval = 400 * time.Millisecond
 )
 
 func TestSoak(t *testing.T) {
@@ -72,12 +72,32 @@
 	version int
 	// releases counts the software versions that were released.
 	releases int
-	// routeTimeout is the timeout of the routes.
+	// routeTimeout is the timeout of all routes; 0 if each has its own.
 	routeTimeout time.Duration
+	fleet        fleet
 	// keys are the API keys in the configuration by team.
 	keys map[string][]string
 }
 
+// fleet is what a run consists of.
+type fleet struct {
+	hosts   []string // the data centre of each router
+	servers []serverSpec
+	// services and the routes at paths are published.
+	services []map[string]any
+	paths    []string
+	// heartbeat is the interval at which servers publish their entries.
+	heartbeat  time.Duration
+	retrySlack int
+	// unproxied is set if routers connect to servers themselves, so that no link can be cut.
+	unproxied bool
+}
+
+var smallFleet = fleet{
+	hosts: slices.Repeat([]string{"z"}, routerCount), servers: slices.Repeat([]serverSpec{{service: "s", zone: "z", slots: 8}}, serverCount),
+	services: []map[string]any{{"name": "s", "max_connections": 100}}, paths: paths, heartbeat: 400 * time.Millisecond, retrySlack: 60,
+}
+
 func routerIP(n int) string { return fmt.Sprintf("127.%d.1.%d", block, n+1) }
 func serverIP(n int) string { return fmt.Sprintf("127.%d.2.%d", block, n+1) }
 func storeIP() string       { return fmt.Sprintf("127.%d.3.1", block) }
@@ -101,13 +121,17 @@
 	f.checkResults()
 }
 
-// startRun starts the store, the servers, a share of whose responses are faults, and the routers.
 func startRun(t *testing.T, seed uint64, faultShare float64) *soakRun {
+	return startFleet(t, smallFleet, seed, faultShare)
+}
+
+// startFleet starts the store, the servers, a share of whose responses are faults, and the routers.
+func startFleet(t *testing.T, fleet fleet, seed uint64, faultShare float64) *soakRun {
 	testfleet.LockBlock(t, block)
 	f := &soakRun{
-		t: t, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
-		faults: faultLog{drainStarted: map[string]time.Time{}}, routeTimeout: requestTimeout,
-		keys: map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
+		t: t, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
+		faults: faultLog{drainStarted: map[string]time.Time{}},
+		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
 	}
 	f.store = newStore(t, storeIP()+":8000")
 	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
@@ -173,9 +197,13 @@
 
 func (f *soakRun) startServers(seed uint64, faultShare float64) {
 	f.servers = &servers{rand: rand.New(rand.NewPCG(seed, 1)), faultShare: faultShare, eventInterval: 10 * time.Millisecond, store: f.store}
-	for n := range serverCount {
-		s := &server{all: f.servers, listen: serverIP(n) + ":8000", public: serverIP(n) + ":9000", service: "s", version: "v1"}
-		f.network.Proxy(s.public, s.listen)
+	for n, spec := range f.fleet.servers {
+		s := &server{serverSpec: spec, all: f.servers, listen: serverIP(n) + ":8000", public: serverIP(n) + ":9000", version: "v1"}
+		if f.fleet.unproxied {
+			s.public = s.listen
+		} else {
+			f.network.Proxy(s.public, s.listen)
+		}
 		f.servers.list = append(f.servers.list, s)
 		if err := s.start(); err != nil {
 			f.t.Fatal(err)
@@ -184,19 +212,20 @@
 	}
 }
 
-// publishHeartbeats publishes the entry of every server that is not draining at each heartbeat, until the run ends.
+// publishHeartbeats publishes the entry of every server that neither is draining nor stands still at each heartbeat, until the
+// run ends.
 func (f *soakRun) publishHeartbeats(stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(heartbeatInterval):
+		case <-time.After(f.fleet.heartbeat):
 		}
 		for _, s := range f.servers.list {
 			s.mu.Lock()
 			quiet := s.draining
 			s.mu.Unlock()
-			if !quiet {
+			if !quiet && s.stalledFor() == 0 {
 				s.publish()
 			}
 		}
@@ -205,12 +234,14 @@
 
 func (f *soakRun) publishConfig() {
 	f.version++
-	route := func(path, kind string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": strings.Trim(path, "/"), "host": "soak.example", "prefix": path, "kind": kind, "service": "s",
-			"timeout_ms": f.routeTimeout.Milliseconds(), "target_latency_ms": 500, "max_attempts": attempts,
-			"resume_streams": resume, "gap_aim_ms": 200,
-		}
+	var published []map[string]any
+	for _, path := range f.fleet.paths {
+		r := routes[path]
+		published = append(published, map[string]any{
+			"name": strings.Trim(path, "/"), "host": "soak.example", "prefix": path, "kind": r.kind, "service": r.service,
+			"timeout_ms": cmp.Or(f.routeTimeout, r.timeout).Milliseconds(), "target_latency_ms": r.objective.Milliseconds(),
+			"max_attempts": r.attempts, "resume_streams": r.events > 0, "gap_aim_ms": r.gap.Milliseconds(), "priority": r.priority,
+		})
 	}
 	var tenants []map[string]any
 	for n := range teams {
@@ -222,23 +253,22 @@
 		tenants = append(tenants, map[string]any{"name": team, "api_keys": f.keys[team]})
 	}
 	f.store.put("op/config", map[string]any{
-		"version": f.version, "tenants": tenants, "services": []map[string]any{{"name": "s", "max_connections": 100}},
-		"routes": []map[string]any{
-			route("/safe/", "safe", 2, false), route("/unsafe/", "unsafe", 2, false), route("/stream/", "streaming", 3, true),
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 5000},
+		"version": f.version, "tenants": tenants, "routes": published,
+		"services": f.fleet.services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 5000},
 	})
 }
 
 func (f *soakRun) startRouters() {
 	dir := f.t.TempDir()
-	for n := range routerCount {
+	dataCentres := slices.Compact(slices.Clone(f.fleet.hosts))
+	for n, zone := range f.fleet.hosts {
 		ip := routerIP(n)
 		raw, err := json.Marshal(map[string]any{
-			"name": fmt.Sprintf("r%d", n), "data_centre": "z", "data_centres": []string{"z"}, "caller_address": ip + ":8080",
+			"name": fmt.Sprintf("r%d", n), "data_centre": zone, "data_centres": dataCentres, "caller_address": ip + ":8080",
 			"ready_address": ip + ":8081", "peer_address": ip + ":7080", "admin_address": ip + ":9080",
 			"store_address": storeIP() + ":9000", "seed_peers": []string{routerIP(0) + ":7080", routerIP(1) + ":7080"},
-			"memory_mb": routerMemoryMB, "retry": map[string]any{"ratio": 0.2, "slack": 60},
+			"memory_mb": routerMemoryMB, "retry": map[string]any{"ratio": 0.2, "slack": f.fleet.retrySlack},
 			"cold": map[string]any{"overage": 1.5, "slack": 5}, "timeouts": map[string]any{"drain": "1s", "stop": "6s"},
 		})
 		if err != nil {
@@ -251,7 +281,7 @@
 		f.routers = append(f.routers, testfleet.StartProcess(f.t, dir, fmt.Sprintf("r%d", n),
 			filepath.Join(testfleet.Binaries(f.t), "oriole-router"), "--direct", "--settings", file))
 	}
-	for n := range routerCount {
+	for n := range f.routers {
 		f.waitReady(n)
 	}
 }
@@ -291,7 +321,7 @@
 // concurrently with one on the servers or the store.
 func (f *soakRun) injectFaults(end time.Time) {
 	routers := []func(){f.freeze, f.killAndRestart, f.killAll, f.restart, f.sendSIGHUP, f.cutStore, f.cutServer}
-	others := []func(){f.failStore, f.restoreStore, f.dropHistory, f.crashServer, f.drainServer, f.leaveUnpublished, f.pauseServer, f.limitServer, f.rotateKey, f.release, f.idle}
+	others := []func(){f.failStore, f.restoreStore, f.dropHistory, f.crashServer, f.drainServer, f.leaveUnpublished, f.pauseServer, f.stallServer, f.limitServer, f.rotateKey, f.release, f.idle}
 	for time.Now().Before(end) {
 		router, other := routers[f.randomInt(len(routers))], others[f.randomInt(len(others))]
 		var wg sync.WaitGroup
--- a/internal/proofs/soak/stream_check_test.go
+++ b/internal/proofs/soak/stream_check_test.go
@@ -66,7 +66,7 @@
 // a server that ran the request.
 func readEvents(c *call, writers []writer) (by []writer, rest string) {
 	rest = c.body
-	for n := c.after + 1; n <= streamLength; n++ {
+	for n := c.after + 1; n <= routes[c.path].events; n++ {
 		i := slices.IndexFunc(writers, func(w writer) bool { return strings.HasPrefix(rest, streamEvent(c.id, n, w)) })
 		if i < 0 {
 			break
@@ -79,14 +79,14 @@
 // isCompleteStream reports whether the response is every event that was missing, in order, and nothing else.
 func isCompleteStream(c *call, writers []writer) bool {
 	by, rest := readEvents(c, writers)
-	return c.after+len(by) == streamLength && rest == ""
+	return c.after+len(by) == routes[c.path].events && rest == ""
 }
 
 // isPartOfStream reports whether the response is the first of the events that were missing, the last of which may be cut.
 func isPartOfStream(c *call, writers []writer) bool {
 	by, rest := readEvents(c, writers)
 	next := c.after + len(by) + 1
-	return rest == "" || next <= streamLength && slices.ContainsFunc(writers, func(w writer) bool {
+	return rest == "" || next <= routes[c.path].events && slices.ContainsFunc(writers, func(w writer) bool {
 		return strings.HasPrefix(streamEvent(c.id, next, w), rest)
 	})
 }
@@ -114,7 +114,7 @@
 	byFirst := map[string]*clientStream{}
 	for i := range calls {
 		c := &calls[i]
-		if c.path != "/stream/" {
+		if !isStream(c.path) {
 			continue
 		}
 		first := cmp.Or(c.resumes, c.id)
--- a/internal/proofs/soak/takeup_test.go
+++ b/internal/proofs/soak/takeup_test.go
@@ -30,7 +30,7 @@
 
 // brokeOff reports whether the response is a stream that began and then broke off.
 func (c *call) brokeOff() bool {
-	return c.path == "/stream/" && c.status == http.StatusOK && !c.complete && c.lastEvent() > 0
+	return isStream(c.path) && c.status == http.StatusOK && !c.complete && c.lastEvent() > 0
 }
 
 // mayTryAgain reports whether a client that takes a stream up may send once more after this response.
