--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -199,6 +199,7 @@
 // host whose store calls fail.
 func (f *Fleet) Exchange(_ context.Context, d *fleetpb.Digest) (*fleetpb.Digest, error) {
 	f.merge(d)
+	f.recordReachable(d.GetSender().GetAddress())
 	reply := f.digest(d.GetSender().GetDataCentre(), int(d.GetKnown()))
 	theirs, ours := f.completeVersion(d.GetMirror().GetEra(), d.GetMirror().GetComplete()), f.Mirror.Complete()
 	if theirs.Compare(ours) < 0 {
@@ -268,7 +269,8 @@
 	m.lastSeen, m.incarnation, m.leaving, m.dataCentreHash = at, h.GetIncarnation(), h.GetLeaving(), h.GetDataCentre()
 }
 
-// recordReachable marks a host that responded to this one as reachable. Digests of other hosts that list it do not.
+// recordReachable marks a host that responded to this one, or called it, as reachable. Digests of other hosts that list it do
+// not.
 func (f *Fleet) recordReachable(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -201,6 +201,20 @@
 	is.Equal(h.ShareCount(), 1)
 }
 
+// Guards against a host that stood still for a second, and is told no loads, limits and silent upstreams for long afterwards.
+func TestHostThatCallsAgainIsReachable(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	other := startHost(t, clock)
+	h := startHost(t, clock, other.Self)
+	h.GossipRound(context.Background())
+	is.Equal(h.LocalPeers(), []string{other.Self})
+	h.recordUnreachable(other.Self, context.DeadlineExceeded)
+	is.Equal(len(h.LocalPeers()), 0)
+	other.GossipRound(context.Background())
+	is.Equal(h.LocalPeers(), []string{other.Self})
+}
+
 // Request limits are told both ways and between data centres, unlike loads.
 func TestRequestLimitsReachHostsOfOtherDataCentres(t *testing.T) {
 	is := is.New(t)
