Long requests to an upstream that stands still are not broken off

Found in review and by looking for the same cause elsewhere: a request of 256 KiB or more to a server that stands still for 1.6 s or longer broke after 1.5 s (connection timed out, or unexpected EOF), so that an order ended with a 502 of unknown outcome though its server was sound. Once the buffers of the peer are full, the kernel counts the time in which it takes no more bytes as unacknowledged, and TCP_USER_TIMEOUT is 1 s.

A request with a body over 64 KiB, which may not fit into these buffers, now has 3 s; others keep 1 s, and so does the next request on the connection.

--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -27,6 +27,8 @@
 	// WriteStarted is set once a byte of the current request may have been sent.
 	WriteStarted bool
 	reusable     bool
+	// unackedTimeout is the connection's present TCP_USER_TIMEOUT.
+	unackedTimeout time.Duration
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -72,6 +74,9 @@
 // RoundTrip sends the request and returns the first response that belongs to it. The response's body must be read to
 // its end before Put. After an error, WriteStarted shows whether any byte may have been sent.
 func (c *Conn) RoundTrip(req *http.Request, body []byte, matches ResponseMatcher) (*http.Response, error) {
+	if err := c.adjustTimeout(len(body)); err != nil {
+		return nil, err
+	}
 	c.WriteStarted, c.reusable = true, false
 	w := &requestWrite{done: make(chan struct{})}
 	if len(body) <= maxInlineBodyBytes {
@@ -97,6 +102,27 @@
 	return resp, nil
 }
 
+// adjustTimeout sets the TCP_USER_TIMEOUT that a request with a body of the size needs.
+func (c *Conn) adjustTimeout(size int) error {
+	timeout := unackedTimeout
+	if size > maxShortBodyBytes {
+		timeout = longBodyTimeout
+	}
+	conn, ok := c.raw.(syscall.Conn)
+	if !ok || timeout == c.unackedTimeout {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		err = setUserTimeout(raw, timeout)
+	}
+	if err != nil {
+		return errors.Wrapf(err, "prepare request to %s", c.address)
+	}
+	c.unackedTimeout = timeout
+	return nil
+}
+
 // requestWrite is the writing of a request, which may go on while the response is read.
 type requestWrite struct {
 	done chan struct{}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -25,6 +25,11 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection is closed. Retransmission
 	// recovers from two consecutive packet losses after 600 ms.
 	unackedTimeout = time.Second
+	// longBodyTimeout is the same while a request is sent that may not fit into the peer's buffers. A peer whose process
+	// stands still for a moment takes no more bytes then, and the kernel counts this time as well.
+	longBodyTimeout = 3 * time.Second
+	// maxShortBodyBytes is the largest body of a request to which longBodyTimeout does not apply.
+	maxShortBodyBytes = 64 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive probes, which detect connections
 	// whose peer no longer responds.
 	keepAliveIdle     = time.Second
@@ -59,16 +64,16 @@
 	return &Pool{
 		clock: clock, idle: map[string][]*Conn{},
 		dialer: net.Dialer{
-			Timeout: connectTimeout, LocalAddr: local, Control: setUserTimeout,
+			Timeout: connectTimeout, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err == nil {
 		err = optErr
@@ -119,6 +124,7 @@
 	return &Conn{
 		raw: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
 		out: out, bw: bufio.NewWriterSize(out, writeBufferBytes), idleTimeout: defaultIdleTimeout,
+		unackedTimeout: unackedTimeout,
 	}
 }
 
