Forwarding routers bound the heads of responses

Reported by operators: a faulty server sent a head without end, and the machine that had called it ran out of memory.

Cause here: the transports of routers that forward to owners set no limit, so that each call, probe and load report kept up to the 10 MB that net/http allows. Direct sending and its calls to the store and other hosts have a limit of 64 KB.

Now upstreams' heads are bounded by 64 KB there too, with those of probes, load reports and the platform, and heads between routers by 128 KB, since a peer adds headers to an upstream's.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -76,11 +76,16 @@
 	firstCallDone chan struct{}
 }
 
+// maxHeadBytes limits the status line and the headers of a response.
+const maxHeadBytes = 64 << 10
+
 // NewClient returns a client of the platform.
 func NewClient(o Options) *Client {
 	return &Client{
 		Options: o, firstCallDone: make(chan struct{}),
-		http:  &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableCompression: true}},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: o.Dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
 		calls: o.Scope.Counter("platform_calls"), failedCalls: o.Scope.Counter("platform_calls_failed"),
 	}
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/orioleusher/orioleusher/internal/peertls"
 	"github.com/orioleusher/orioleusher/internal/platform"
 	"github.com/orioleusher/orioleusher/internal/quota"
+	"github.com/orioleusher/orioleusher/internal/transport"
 )
 
 const (
@@ -80,6 +81,7 @@
 func (r *Router) peerTransport(dial peers.DialFunc, idlePerHost int) *http.Transport {
 	t := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: 2 * transport.MaxResponseHeadBytes, // an upstream's and what the peer adds
 	}
 	if r.peerTLS != nil {
 		t.DialTLSContext = r.peerTLS.Dial(dial)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,7 +93,10 @@
 
 // newUpstreams creates the set of upstreams that this host may own.
 func (r *Router) newUpstreams() *upstreams.Set {
-	reportTransport := &http.Transport{DialContext: r.dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}
+	reportTransport := &http.Transport{
+		DialContext: r.dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
+	}
 	return upstreams.NewSet(upstreams.Options{
 		Self: r.settings.Name, Policy: r.settings.RoutingPolicy, Liveness: r.members, Configuration: r.store,
 		LoadReader: upstreams.HTTPLoadReader{Transport: reportTransport}, Clock: r.clock, Log: r.log, Scope: r.scope,
--- a/internal/transport/probe.go
+++ b/internal/transport/probe.go
@@ -31,8 +31,10 @@
 func NewProber(dialer *net.Dialer) *Prober {
 	return &Prober{
 		client: &http.Client{
-			Timeout:   probeTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+			Timeout: probeTimeout,
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxResponseHeadBytes,
+			},
 		},
 		bootIDs: map[string]string{},
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -33,6 +33,9 @@
 // detected when a new connection is opened.
 const maxIdleConnTime = 30 * time.Second
 
+// MaxResponseHeadBytes limits the status line and the headers of an upstream's response.
+const MaxResponseHeadBytes = 64 << 10
+
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
 	// pooled reuses connections.
@@ -48,11 +51,12 @@
 // response to the prober.
 func NewClient(t settings.Timeouts, dialer *net.Dialer, prober *Prober, scope tally.Scope) *Client {
 	pooled := &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: t.FirstByte.Std(),
-		IdleConnTimeout:       maxIdleConnTime,
-		MaxIdleConnsPerHost:   64,
-		DisableCompression:    true,
+		DialContext:            dialer.DialContext,
+		ResponseHeaderTimeout:  t.FirstByte.Std(),
+		IdleConnTimeout:        maxIdleConnTime,
+		MaxIdleConnsPerHost:    64,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxResponseHeadBytes,
 	}
 	fresh := pooled.Clone()
 	fresh.DisableKeepAlives = true
