--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # Runs real routers with direct sending under faults from outside; CI runs one seed.
 soak:
-	go test ./internal/proofs/soak -v -count=1 -timeout 60m -soak.seed $(SOAK_SEED) -soak.seeds $(SOAK_SEEDS)
+	go test ./internal/proofs/soak -v -count=1 -timeout 3h -soak.seed $(SOAK_SEED) -soak.seeds $(SOAK_SEEDS)
 
 # Runs every proof, those with real processes too, and prints which promise is shown under which fault.
 prove:
