The result of a shared probe counts for all who rely on it

Cause: a stream that asks for a probe within 0.5 s of another one relies on that result, reads it 0.2 s later, and the result was forgotten 0.5 s after it came. Results now count for 1 s; a new probe still begins 0.5 s after the last one.

--- a/internal/direct/reachability.go
+++ b/internal/direct/reachability.go
@@ -11,8 +11,10 @@
 const (
 	// probeTimeout limits the connection attempt of a probe.
 	probeTimeout = maxConnectTimeout
-	// probeTTL is how long the result of a probe is kept. It is shorter than any silence after which it is asked for.
-	probeTTL = 500 * time.Millisecond
+	// probeInterval is the time after a probe of an address until the next one.
+	probeInterval = 500 * time.Millisecond
+	// probeTTL is how long the result of a probe counts: long enough for all who rely on it instead of a probe of their own.
+	probeTTL = 2 * probeInterval
 )
 
 // reachability finds out whether silent upstreams accept connections. The kernel of a machine does so also while the
@@ -22,41 +24,57 @@
 	open  func(ctx context.Context, address string) error
 	clock clockwork.Clock
 
-	mu sync.Mutex
-	// probes holds the recent results by address; false also while a probe is under way.
-	probes map[string]bool
+	mu     sync.Mutex
+	probes map[string]*probe
+}
+
+// probe is the state of an address that is probed.
+type probe struct {
+	running bool
+	// accepted and at are the latest result and its time.
+	accepted bool
+	at       time.Time
 }
 
 // probe begins to probe the address, unless there is a recent result or a probe is under way.
 func (r *reachability) probe(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.probes[address]; ok {
+	p := r.probes[address]
+	if p == nil {
+		p = &probe{}
+		r.probes[address] = p
+	}
+	if p.running || r.clock.Since(p.at) < probeInterval {
 		return
 	}
-	r.probes[address] = false
-	go r.run(address)
+	p.running = true
+	go r.run(address, p)
 }
 
-func (r *reachability) run(address string) {
+func (r *reachability) run(address string, p *probe) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := r.open(ctx, address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.probes[address] = err == nil
-	r.clock.AfterFunc(probeTTL, func() { r.forget(address) })
+	p.running, p.accepted, p.at = false, err == nil, r.clock.Now()
+	r.clock.AfterFunc(probeTTL, func() { r.forget(address, p) })
 }
 
-func (r *reachability) forget(address string) {
+// forget deletes the state of the address unless it was probed again.
+func (r *reachability) forget(address string, p *probe) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.probes, address)
+	if !p.running && r.clock.Since(p.at) >= probeTTL {
+		delete(r.probes, address)
+	}
 }
 
 // accepts reports whether a recent probe of the address has succeeded.
 func (r *reachability) accepts(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.probes[address]
+	p := r.probes[address]
+	return p != nil && p.accepted && r.clock.Since(p.at) < probeTTL
 }
