A stream goes on only where the process is proven to have its version

Cause: the version of an upstream came from the list, which is older than the process that accepts a connection. Streams went on at the next incarnation, and streams that began there were recorded under the version of the one before.

Ruled out: a request without the check of the ID; the ID is the same.

Change: a connection leads to one process for as long as it lives. What is published under the ID 0.3 s or more after that process is known to have served is its version. An older connection that was heard of after a newer one was established leads to the same process, so that busy upstreams are proven within an event or two. Streams go on only over proven connections. Those that begin over others are recorded, and told to other hosts, as uncertain until a time, and whoever continues them reads first what was published until then. If the upstream has published another version, the stream is refused; with the same version nothing is.

Remains: a server whose first entry is in the store more than 0.3 s after it accepts connections.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -178,6 +178,16 @@
 	return false
 }
 
+// UpstreamVersion returns the software version of the service's upstream with the ID, and whether it is published.
+func (s *Snapshot) UpstreamVersion(service, id string) (version string, ok bool) {
+	for _, u := range s.Upstreams[service] {
+		if u.ID == id {
+			return u.Version, true
+		}
+	}
+	return "", false
+}
+
 // ColdRequestsPerSecond returns the number of requests a second that a cold upstream of the service can handle, or 0 if
 // its upstreams are never cold.
 func (s *Snapshot) ColdRequestsPerSecond(service string) float64 {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -60,7 +60,9 @@
 	sent bool
 	// notRun is set if it is certain that the upstream did not execute the request.
 	notRun bool
-	err    error
+	// unproven is set if nothing was sent since it is not proven which incarnation of the upstream would receive it.
+	unproven bool
+	err      error
 }
 
 // attemptSend sends the request to the upstream once.
@@ -88,6 +90,10 @@
 		d.keep(conn, key)
 		return attemptResult{notRun: true, err: err}
 	}
+	if !d.mayContinue(ctx, req, u, conn) {
+		return attemptResult{unproven: true}
+	}
+	req.conn = conn
 	d.balancer.RecordRequestStart(key)
 	defer d.balancer.RecordRequestEnd(key)
 	req.tried = append(req.tried, key)
@@ -362,7 +368,7 @@
 // within its limits, and a retry of the budget. It returns nil if one of them is missing now. It may run concurrently with
 // a send, which changes the request.
 func (d *dispatchFilter) newReserveFunc(req *Request) func(version *string) *balance.Choice {
-	service, criteria := req.Service, req.criteria(d.store.Current())
+	service, criteria := req.Service, req.criteria(d.store.Current(), d.clock.Now())
 	return func(version *string) *balance.Choice {
 		if !d.retryBudget.Available(service) {
 			return nil
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -19,8 +19,9 @@
 		&quarantineFilter{quarantine: s.Quarantine},
 		&originFilter{store: s.Store, resolver: s.Origins},
 		&dispatchFilter{
-			shareOrigin: s.ShareOrigin,
-			store:       s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
+			shareOrigin:  s.ShareOrigin,
+			incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
+			store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
 			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock, stop: s.stop,
 			reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
 			responses:    inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -41,17 +41,18 @@
 
 // dispatchFilter sends the request to an upstream, and retries it at others where that is allowed.
 type dispatchFilter struct {
-	store       *catalog.Store
-	balancer    *balance.Table
-	retryBudget *allowance.RetryBudget
-	selector    *balance.Selector
-	pool        *upconn.Pool
-	codec       Codec
-	clock       clockwork.Clock
-	stop        *plannedStop
-	log         zerolog.Logger
-	metrics     dispatchMetrics
-	crashes     *crashDetector
+	store        *catalog.Store
+	balancer     *balance.Table
+	retryBudget  *allowance.RetryBudget
+	selector     *balance.Selector
+	pool         *upconn.Pool
+	codec        Codec
+	clock        clockwork.Clock
+	stop         *plannedStop
+	log          zerolog.Logger
+	metrics      dispatchMetrics
+	crashes      *crashDetector
+	incarnations *incarnationCheck
 	// reachability tells whether silent upstreams accept connections.
 	reachability *reachability
 	prompts      *promptblame.Table
@@ -88,6 +89,9 @@
 		}
 		start := d.clock.Now()
 		res := d.attemptSend(ctx, req, choice.Upstream)
+		if res.unproven {
+			continue
+		}
 		req.attempts = append(req.attempts, newAttemptRecord(req, choice, start, d.clock.Now(), res))
 		if res.responded {
 			return nil
@@ -201,14 +205,13 @@
 		if left := req.Deadline.Sub(d.clock.Now()); left < minRemainingTime {
 			return nil, outcome.Unavailable(stepDispatch, "no-time", "no time is left")
 		}
-		if u := d.selectUpstream(snap, req); u != nil {
-			return u, nil
+		if u, err := d.selectUpstream(ctx, snap, req); u != nil || err != nil {
+			return u, err
 		}
 		now := d.clock.Now()
 		if waitUntil.IsZero() {
-			waitUntil = now.Add(req.Route.LatencyObjective / upstreamWaitDivisor)
+			waitUntil = req.waitLimit(now)
 			if req.origin != nil {
-				waitUntil = now.Add(req.Deadline.Sub(now) / boundWaitDivisor)
 				endWait = d.balancer.WaitForVersion(snap, req.Service, req.origin.Version)
 			}
 		}
@@ -228,17 +231,43 @@
 	}
 }
 
-// selectUpstream returns the upstream that is reserved for the request, or else the first one in its order of preference
-// that may receive it now, or nil.
-func (d *dispatchFilter) selectUpstream(snap *catalog.Snapshot, req *Request) *balance.Choice {
-	if next := req.next; next != nil {
-		req.next = nil
-		if isUsable(snap, next.Upstream) && req.accepts(next.Upstream) {
-			return next
+// waitLimit returns the time until which the request, which begins to wait now, waits for an upstream.
+func (req *Request) waitLimit(now time.Time) time.Time {
+	switch {
+	case !req.provenUntil.IsZero():
+		return req.provenUntil
+	case req.origin != nil:
+		return now.Add(req.Deadline.Sub(now) / boundWaitDivisor)
+	default:
+		return now.Add(req.Route.LatencyObjective / upstreamWaitDivisor)
+	}
+}
+
+// selectUpstream returns the upstream that is reserved for the request, or else the first one in its order of preference that
+// may receive it now, or nil. While it is open which version began the request's stream, that is none.
+func (d *dispatchFilter) selectUpstream(ctx context.Context, snap *catalog.Snapshot, req *Request) (*balance.Choice, error) {
+	switch d.proveOrigin(ctx, req) {
+	case proven:
+		if next := d.takeNext(snap, req); next != nil {
+			return next, nil
 		}
+		return d.selector.Select(snap, req.Service, req.criteria(snap, d.clock.Now())), nil
+	case replaced:
+		return nil, outcome.Unavailable(stepDispatch, "stream-version-unproven", "it is not known which software version began the stream")
+	default:
+		return nil, nil
+	}
+}
+
+// takeNext returns the upstream that is reserved for the request if it may still receive it, or nil.
+func (d *dispatchFilter) takeNext(snap *catalog.Snapshot, req *Request) *balance.Choice {
+	next := req.next
+	req.next = nil
+	if next != nil && !(isUsable(snap, next.Upstream) && req.accepts(next.Upstream)) {
 		d.selector.Release(next) // the configuration or the stream's version has changed since
+		return nil
 	}
-	return d.selector.Select(snap, req.Service, req.criteria(snap))
+	return next
 }
 
 // releaseNext gives back what is reserved for a next send that is not needed.
@@ -251,9 +280,9 @@
 }
 
 // criteria returns what determines the choice of the request's next upstream.
-func (req *Request) criteria(snap *catalog.Snapshot) balance.Criteria {
+func (req *Request) criteria(snap *catalog.Snapshot, now time.Time) balance.Criteria {
 	return balance.Criteria{
-		Engine: snap.Config.Services[req.Service].Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Rejected: req.rejectedBy,
+		Engine: snap.Config.Services[req.Service].Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Rejected: req.excluded(now),
 		Unreached: req.unreached, Version: req.version(),
 	}
 }
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -283,6 +283,9 @@
 
 // harness is a server with three upstreams and one caller.
 type harness struct {
+	// listing tells how recent the published upstreams are, which have published themselves within the registration time.
+	listing      Listing
+	registration time.Duration
 	*upstreams
 	store    *catalog.Store
 	revision uint64
@@ -322,6 +325,7 @@
 	h.quarantine = quarantine.NewTable(QuarantineLimits, clock, nil)
 	h.prompts = promptblame.NewTable(clock, log)
 	h.origins, h.soleVersion = origin.NewTable(clock), new(string)
+	h.listing = freshListing{}
 	h.config = &catalog.Config{
 		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
 		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
@@ -347,7 +351,7 @@
 		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
 		Origins:     h,
-		ShareOrigin: h.origins.AddOwn,
+		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}), Selector: balance.NewSelector(
 			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
 		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
@@ -428,3 +432,9 @@
 	raw, err := io.ReadAll(resp.Body)
 	return reply{status: resp.StatusCode, body: string(raw), header: resp.Header, err: err}
 }
+
+// freshListing is a Listing that is always up to date.
+type freshListing struct{}
+
+func (freshListing) DataAge() time.Duration                   { return 0 }
+func (freshListing) Refresh(context.Context, time.Time) error { return nil }
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -45,12 +45,20 @@
 func (d *dispatchFilter) bindStream(req *Request, u *catalog.Upstream) {
 	if req.origin == nil {
 		req.origin = &origin.Origin{Service: u.Service, Version: u.Version}
+		if d.incarnations.known(u, req.conn) != proven {
+			req.provisional = &provisionalOrigin{upstream: u, conn: req.conn}
+		}
 	}
 	if !req.Route.Repeatable() || req.firstID() == "" {
 		return
 	}
 	lifetime := max(req.Route.Timeout, req.CallerTimeout)
-	d.shareOrigin(origin.Record{Stream: req.streamID(), Origin: *req.origin, Expires: req.Start.Add(lifetime)})
+	r := origin.Record{Stream: req.streamID(), Origin: *req.origin, Expires: req.Start.Add(lifetime)}
+	if req.provisional != nil {
+		d.shareProvisional(r, *req.provisional)
+		return
+	}
+	d.shareOrigin(r)
 }
 
 // checkOrigin refuses a request whose stream cannot be continued, since no upstream has the software version that began it.
--- a/internal/direct/reserve_test.go
+++ b/internal/direct/reserve_test.go
@@ -159,7 +159,8 @@
 			s.req.next = next
 			is.True(!d.retryBudget.Available("s"))
 			tt.change(h, s, pool[1])
-			got := d.selectUpstream(h.store.Current(), s.req)
+			got, err := d.selectUpstream(t.Context(), h.store.Current(), s.req)
+			is.NoErr(err)
 			is.Equal(got != nil && got.ID == "u2", tt.used)
 			is.True(s.req.next == nil)
 			criteria := balance.Criteria{Tried: []catalog.UpstreamKey{pool[0].Key()}}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -44,6 +44,10 @@
 	Origins OriginResolver
 	// ShareOrigin records which software version began a stream of this host, and tells other hosts if they need it.
 	ShareOrigin func(origin.Record)
+	// Listing tells how recent the published upstreams in the store are, and RegistrationTime is the time within which an upstream
+	// that listens has published itself.
+	Listing          Listing
+	RegistrationTime time.Duration
 	// BodyBytes limits the body bytes of all requests in flight together.
 	BodyBytes int64
 	// ResponseBytes limits the bytes of upstreams' responses that are held together. Beyond it, responses are relayed as
--- a/internal/fleet/origin_simulation_test.go
+++ b/internal/fleet/origin_simulation_test.go
@@ -153,6 +153,9 @@
 	return h.story.start.Add(h.listed)
 }
 
+// UpstreamVersion is not asked: no upstream of the story starts again under its ID.
+func (h *storyHost) UpstreamVersion(string, string) (string, bool) { return "", false }
+
 func (h *storyHost) DataAge() time.Duration { return h.story.now() - h.asOf() }
 
 func (h *storyHost) Extend(context.Context, time.Duration) (time.Duration, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
-		Origins: origins, ShareOrigin: g.originSharer.Record,
+		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
@@ -204,6 +204,9 @@
 	})
 }
 
+// registrationTime is the time within which an upstream that listens has published itself.
+const registrationTime = 300 * time.Millisecond
+
 // startDelay returns how long a process asks other hosts for all published items before it lists the store. When all
 // hosts start together, the cubic distribution makes one in a thousand list the store in the first tenth of the time and
 // one in eight in the first half, so that the others find a host to read from.
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -74,6 +74,11 @@
 	return v.store.VersionsSince(service, since)
 }
 
+// UpstreamVersion implements origin.Versions.
+func (v *publishedVersions) UpstreamVersion(service, id string) (string, bool) {
+	return v.store.Current().UpstreamVersion(service, id)
+}
+
 // FollowedSince implements origin.Versions.
 func (v *publishedVersions) FollowedSince() time.Time {
 	followed := v.reader.FollowedSince()
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -32,6 +32,10 @@
 	Origin
 	// Expires is when the stream can no longer be continued.
 	Expires time.Time
+	// Upstream is the ID of the upstream that was to begin the stream, if another incarnation of it may have begun it; empty if
+	// the origin is certain. The origin holds unless the upstream has published another version at the time Due.
+	Upstream string
+	Due      time.Time
 }
 
 const (
@@ -96,11 +100,15 @@
 		r.Expires = latest
 	}
 	t.expire(now)
-	if known, ok := t.records[r.Stream]; !ok {
+	known, ok := t.records[r.Stream]
+	if !ok {
 		t.order = append(t.order, r.Stream)
 	} else if known.Expires.After(r.Expires) {
 		r.Expires = known.Expires
 	}
+	if ok && known.Upstream == "" && r.Upstream != "" {
+		r.Origin, r.Upstream = known.Origin, ""
+	}
 	t.records[r.Stream] = r
 }
 
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -23,6 +23,8 @@
 	// old its knowledge is.
 	FollowedSince() time.Time
 	DataAge() time.Duration
+	// UpstreamVersion returns the version of the service's upstream with the ID, and whether it is published.
+	UpstreamVersion(service, id string) (version string, ok bool)
 }
 
 // Answer is what another host knows of a stream.
@@ -92,6 +94,8 @@
 	sourcePeer    = "peer"
 	sourceVersion = "single-version"
 	sourceUnknown = "unknown"
+	// sourceUnproven is a record of an upstream that has published another version since.
+	sourceUnproven = "unproven"
 )
 
 // evidence is what is known of the versions that can have begun a stream.
@@ -136,14 +140,11 @@
 	e := &evidence{age: own.Age}
 	e.add(own, r.MaxDataAge)
 	if own.Origin != nil {
-		r.log(q, own.Origin.Origin, sourceOwn, e)
-		return own.Origin.Origin, true, nil
+		return r.resolveRecord(ctx, q, *own.Origin, sourceOwn, e)
 	}
 	for _, a := range r.Peers.AskOrigin(ctx, q) {
 		if a.Origin != nil {
-			r.Table.Add(*a.Origin)
-			r.log(q, a.Origin.Origin, sourcePeer, e)
-			return a.Origin.Origin, true, nil
+			return r.resolveRecord(ctx, q, *a.Origin, sourcePeer, e)
 		}
 		e.add(a, r.MaxDataAge)
 		e.peers++
@@ -160,6 +161,34 @@
 	return o, false, nil
 }
 
+// resolveRecord returns the origin in the record. If another incarnation of the upstream may have begun the stream, it waits until
+// that has been published, so that its version is known.
+func (r *Resolver) resolveRecord(ctx context.Context, q Query, rec Record, source string, e *evidence) (Origin, bool, error) {
+	if rec.Upstream != "" && !r.isCertain(ctx, rec) {
+		r.log(q, Origin{}, sourceUnproven, e)
+		return Origin{}, true, ErrUnknown
+	}
+	rec.Upstream = ""
+	r.Table.Add(rec)
+	r.log(q, rec.Origin, source, e)
+	return rec.Origin, true, nil
+}
+
+// isCertain waits until the record's origin is certain, and reports whether it is.
+func (r *Resolver) isCertain(ctx context.Context, rec Record) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.Clock.After(rec.Due.Sub(r.Clock.Now())):
+	}
+	if err := r.History.Refresh(ctx, rec.Due); err != nil {
+		r.Log.Warn().Str("event", "versions-not-refreshed").Str("service", rec.Service).Err(err).Send()
+		return false
+	}
+	version, ok := r.Versions.UpstreamVersion(rec.Service, rec.Upstream)
+	return !ok || version == rec.Version
+}
+
 // concludes reports whether a single version can have begun the stream, as far as is known.
 func (r *Resolver) concludes(q Query, e *evidence) bool {
 	return len(e.versions) == 1 && e.followed >= q.Window && e.age <= r.MaxDataAge
--- a/internal/origin/resolver_test.go
+++ b/internal/origin/resolver_test.go
@@ -26,6 +26,8 @@
 
 // fakeVersions is what this host knows of published versions.
 type fakeVersions struct {
+	// upstreams holds the published versions by ID.
+	upstreams     map[string]string
 	clock         clockwork.Clock
 	versions      []string
 	followed, age time.Duration
@@ -46,6 +48,11 @@
 func (v *fakeVersions) FollowedSince() time.Time { return v.clock.Now().Add(-v.followed) }
 func (v *fakeVersions) DataAge() time.Duration   { return v.age }
 
+func (v *fakeVersions) UpstreamVersion(_, id string) (string, bool) {
+	version, ok := v.upstreams[id]
+	return version, ok
+}
+
 // fakePeers answers with its list and counts the questions.
 type fakePeers struct {
 	answers []Answer
@@ -259,3 +266,72 @@
 		})
 	}
 }
+
+// Guards against streams that go on at the version that an upstream had before it started again under its ID, although the new
+// incarnation, of another version, may have begun them; and against refusals where it has the same version.
+func TestUncertainOriginIsResolvedOnceUpstreamIsPublished(t *testing.T) {
+	const registration = 300 * time.Millisecond
+	for _, tt := range []struct {
+		name       string
+		published  map[string]string // after the registration time
+		refreshErr error
+		known      bool
+	}{
+		{"same version", map[string]string{"i-1": "9", "i-2": "8"}, nil, true},
+		{"gone", map[string]string{"i-2": "8"}, nil, true},
+		{"another version", map[string]string{"i-1": "8"}, nil, false},
+		{"the store does not respond", map[string]string{"i-1": "9"}, errors.New("down"), false},
+	} {
+		for _, source := range []string{"own", "peer"} {
+			t.Run(tt.name+", "+source, func(t *testing.T) {
+				is := is.New(t)
+				rt := newResolverTest()
+				rt.versions.upstreams, rt.history.refreshErr = map[string]string{"i-1": "9"}, tt.refreshErr
+				rec := record(rt.clock, testStream, "9", time.Minute)
+				rec.Upstream, rec.Due = "i-1", rt.clock.Now().Add(registration)
+				if source == "own" {
+					rt.Table.AddOwn(rec)
+				} else {
+					rt.peers.answers = []Answer{{Host: "h", Origin: &rec}}
+				}
+				resolved := make(chan error, 1)
+				var o Origin
+				go func() {
+					var err error
+					o, _, err = rt.resolve()
+					resolved <- err
+				}()
+				is.NoErr(rt.clock.BlockUntilContext(t.Context(), 1))
+				is.Equal(len(rt.history.refreshed), 0)
+				rt.versions.upstreams = tt.published
+				rt.clock.Advance(registration)
+				err := <-resolved
+				is.Equal(err == nil, tt.known)
+				is.Equal(errors.Is(err, ErrUnknown), !tt.known)
+				is.Equal(rt.history.refreshed, []time.Time{rec.Due}) // what was published until then is read
+				if !tt.known {
+					return
+				}
+				is.Equal(o.Version, "9")
+				rt.versions.upstreams = map[string]string{"i-1": "8"} // a later change does not matter
+				o, recorded, err := rt.resolve()
+				is.NoErr(err)
+				is.True(recorded)
+				is.Equal(o.Version, "9")
+			})
+		}
+	}
+}
+
+// Guards against a request that waits for a stream's origin after its caller has left.
+func TestUncertainOriginIsNotAwaitedForever(t *testing.T) {
+	is := is.New(t)
+	rt := newResolverTest()
+	rec := record(rt.clock, testStream, "9", time.Minute)
+	rec.Upstream, rec.Due = "i-1", rt.clock.Now().Add(time.Second)
+	rt.Table.AddOwn(rec)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _, err := rt.Resolve(ctx, Query{Stream: testStream, Service: testService, Window: testWindow})
+	is.True(errors.Is(err, ErrUnknown))
+}
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -132,13 +132,21 @@
 // Encode returns the message with the record.
 func Encode(r Record, now time.Time) *fleetpb.StreamOrigin {
 	left := min(max(0, r.Expires.Sub(now).Milliseconds()), math.MaxUint32)
-	return &fleetpb.StreamOrigin{Stream: uint64(r.Stream), Service: r.Service, Version: r.Version, LeftMs: uint32(left)}
+	m := &fleetpb.StreamOrigin{Stream: uint64(r.Stream), Service: r.Service, Version: r.Version, LeftMs: uint32(left)}
+	if r.Upstream != "" {
+		m.Upstream, m.OpenMs = r.Upstream, uint32(min(max(0, r.Due.Sub(now).Milliseconds()+1), math.MaxUint32))
+	}
+	return m
 }
 
 // Decode returns the record in the message.
 func Decode(m *fleetpb.StreamOrigin, now time.Time) Record {
-	return Record{
+	r := Record{
 		Stream: StreamID(m.GetStream()), Origin: Origin{Service: m.GetService(), Version: m.GetVersion()},
-		Expires: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond),
+		Expires: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond), Upstream: m.GetUpstream(),
+	}
+	if r.Upstream != "" {
+		r.Due = now.Add(time.Duration(m.GetOpenMs()) * time.Millisecond)
 	}
+	return r
 }
--- a/internal/origin/share_test.go
+++ b/internal/origin/share_test.go
@@ -201,3 +201,34 @@
 		})
 	}
 }
+
+// Guards against an origin that is not certain and that another host takes for certain.
+func TestUncertainRecordSurvivesEncoding(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := record(clock, HashRequestID("id"), "v1.1", time.Minute)
+	r.Upstream, r.Due = "i-1", clock.Now().Add(200*time.Millisecond)
+	got := Decode(Encode(r, clock.Now()), clock.Now())
+	is.Equal(got.Upstream, r.Upstream)
+	is.True(!got.Due.Before(r.Due)) // the message has milliseconds
+	is.True(got.Due.Sub(r.Due) <= time.Millisecond)
+	late := Decode(Encode(r, clock.Now().Add(time.Second)), clock.Now().Add(time.Second))
+	is.Equal(late.Upstream, r.Upstream)
+}
+
+// Guards against a certain origin that is forgotten because a message that is older comes later.
+func TestCertainOriginIsKept(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	certain := record(clock, testStream, "1", time.Minute)
+	open := certain
+	open.Upstream, open.Due, open.Version = "i-1", clock.Now().Add(time.Second), "2"
+	for _, r := range []Record{open, certain, open} {
+		table.Add(r)
+	}
+	got, ok := table.Find(testStream)
+	is.True(ok)
+	is.Equal(got.Upstream, "")
+	is.Equal(got.Version, "1")
+}
--- a/internal/proofs/soak/version_test.go
+++ b/internal/proofs/soak/version_test.go
@@ -30,6 +30,20 @@
 	})
 }
 
+// Guards against streams that are joined from two versions because a server comes back under its ID with another version after
+// some downtime: its entry of before is still published then, and streams that it wrote are waiting for it.
+func TestStreamsAtServersThatChangeVersionAfterDowntime(t *testing.T) {
+	f := startRun(t, *firstSeed, 0)
+	f.replace(f.servers.list[3:], "v2", 0)
+	f.runVersions(func() {
+		for i, ms := range []time.Duration{200, 500, 1000, 2000, 4000} {
+			time.Sleep(time.Second)
+			f.replace(f.servers.list[:2], fmt.Sprintf("v%d", 3+i), ms*time.Millisecond)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // runVersions runs clients that take their streams up while play runs, and checks the promises.
 func (f *soakRun) runVersions(play func()) {
 	f.servers.cutShare, f.servers.eventInterval = 0.15, 30*time.Millisecond
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -32,6 +32,11 @@
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// pool is nil outside a pool. It guards servedSince.
+	pool *Pool
+	// establishedAt is when the connection had been established, and servedSince a time since which the process at its other end
+	// has served.
+	establishedAt, servedSince time.Time
 }
 
 // maxInlineBodyBytes is the largest body that is written before the response is read. It fits into the socket's send
@@ -39,7 +44,12 @@
 const maxInlineBodyBytes = 8 << 10
 
 // Close closes the connection; pending reads and writes fail.
-func (c *Conn) Close() { _ = c.raw.Close() }
+func (c *Conn) Close() {
+	_ = c.raw.Close()
+	if c.pool != nil {
+		c.pool.remove(c)
+	}
+}
 
 // expired reports whether the connection has been idle for longer than its idle timeout.
 func (c *Conn) expired(now time.Time) bool { return now.Sub(c.idleSince) > c.idleTimeout }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -57,12 +57,14 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// open holds the connections that are not closed, idle or not.
+	open map[string]map[*Conn]struct{}
 }
 
 // NewPool returns an empty pool whose connections are bound to the local address, or to any if it is nil.
 func NewPool(local net.Addr, clock clockwork.Clock) *Pool {
 	return &Pool{
-		clock: clock, idle: map[string][]*Conn{},
+		clock: clock, idle: map[string][]*Conn{}, open: map[string]map[*Conn]struct{}{},
 		dialer: net.Dialer{
 			Timeout: connectTimeout, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -95,7 +97,7 @@
 			break
 		}
 		if c.healthy(p.clock.Now()) {
-			c.Reused = true
+			c.Reused = c.WriteStarted
 			return c, nil
 		}
 		c.Close()
@@ -104,7 +106,68 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, address), nil
+	c := newConn(raw, address)
+	p.add(c)
+	return c, nil
+}
+
+// add records an open connection, until it is closed.
+func (p *Pool) add(c *Conn) {
+	c.pool, c.establishedAt = p, p.clock.Now()
+	c.servedSince = c.establishedAt
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c.address] == nil {
+		p.open[c.address] = map[*Conn]struct{}{}
+	}
+	p.open[c.address][c] = struct{}{}
+}
+
+// remove forgets a connection that is closed.
+func (p *Pool) remove(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open[c.address], c)
+	if len(p.open[c.address]) == 0 {
+		delete(p.open, c.address)
+	}
+}
+
+// maxElders limits the connections that are asked how long their process has served.
+const maxElders = 8
+
+// elders returns some open connections to the same address whose process has served for longer than is known of the
+// connection's.
+func (p *Pool) elders(c *Conn) []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*Conn
+	for other := range p.open[c.address] {
+		if other.servedSince.Before(c.servedSince) {
+			list = append(list, other)
+		}
+		if len(list) == maxElders {
+			break
+		}
+	}
+	return list
+}
+
+// inherit records that the processes behind both connections are the same.
+func (p *Pool) inherit(c, elder *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if elder.servedSince.Before(c.servedSince) {
+		c.servedSince = elder.servedSince
+	}
+}
+
+// PutUnused returns a connection on which nothing was sent to the pool.
+func (p *Pool) PutUnused(c *Conn) {
+	if !c.WriteStarted {
+		c.reusable = true
+	}
+	p.Put(c)
 }
 
 // Open opens a connection to the address and keeps it for reuse.
