Opened connections are known to the pool

The connections that probes open were not recorded like those of requests, so that the process behind them counted as serving since ever, and a stream could go on over them without a proof of its version. TestOpenedConnectionIsKeptForNextRequest checks that the pool knows the connection and that Get returns this one; whether it was reused no longer tells that, since a connection on which nothing was sent does not count as reused.

--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -102,6 +102,11 @@
 		}
 		c.Close()
 	}
+	return p.connect(ctx, address)
+}
+
+// connect opens a connection to the address.
+func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -172,13 +177,11 @@
 
 // Open opens a connection to the address and keeps it for reuse.
 func (p *Pool) Open(ctx context.Context, address string) error {
-	raw, err := p.Dial(ctx, "tcp", address)
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return err
 	}
-	c := newConn(raw, address)
-	c.reusable = true
-	p.Put(c)
+	p.PutUnused(c)
 	return nil
 }
 
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -128,7 +128,18 @@
 	address := startServer(t, respondWith(okResponse("")))
 	is.NoErr(p.Open(context.Background(), address))
 	is.Equal(p.idleCount(address), 1)
-	is.True(roundTrip(t, p, address, nil)) // reused
+	c, err := p.Get(context.Background(), address)
+	is.NoErr(err)
+	is.Equal(p.idleCount(address), 0)
+	is.Equal(len(p.open[address]), 1) // the opened one
+	is.True(!c.ServedSince().IsZero())
+	is.True(!c.Reused) // it has not carried a request
+	resp, err := c.RoundTrip(request(nil), nil, matchesID)
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	c.Close()
+	is.Equal(len(p.open[address]), 0)
 }
 
 func TestConnectionClosedByPeerIsNotReused(t *testing.T) {
