--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -263,11 +263,11 @@
 func (d *dispatchFilter) takeNext(snap *catalog.Snapshot, req *Request) *balance.Choice {
 	next := req.next
 	req.next = nil
-	if next != nil && !(isUsable(snap, next.Upstream) && req.accepts(next.Upstream)) {
-		d.selector.Release(next) // the configuration or the stream's version has changed since
-		return nil
+	if next == nil || isUsable(snap, next.Upstream) && req.accepts(next.Upstream) {
+		return next
 	}
-	return next
+	d.selector.Release(next) // the configuration or the stream's version has changed since
+	return nil
 }
 
 // releaseNext gives back what is reserved for a next send that is not needed.
