--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -72,7 +72,7 @@
 	surgeFactor   = 20
 	responseDelay = 60 * time.Millisecond
 	// eventInterval is the time between two events of a stream.
-	eventInterval = 25 * time.Millisecond
+	eventInterval = 100 * time.Millisecond
 	// Requests may reach an engine beyond surgeBoundFactor times the mean load plus surgeBoundSlack only rarely.
 	surgeBoundFactor = 2
 	surgeBoundSlack  = 3
