--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -278,6 +278,7 @@
 // against sound requests that are refused beside them (LOST). Pattern: deadly requests at a small and at a large part of
 // the traffic, in fleets in which each host sees few of them.
 func TestDeadlySegmentIsRefusedAfterFewCrashes(t *testing.T) {
+	t.Parallel()
 	for _, p := range []deadlyPattern{
 		{7, 9, 60, 70, 0.02, 0}, {7, 9, 60, 70, 0.1, 0}, {88, 60, 140, 400, 0.01, 0}, {88, 60, 140, 400, 0.2, 0}, {295, 160, 500, 1000, 0.02, 0},
 		{7, 9, 60, 35, 0.04, 5 * time.Millisecond}, {7, 9, 60, 35, 0.04, 50 * time.Millisecond}, {7, 9, 60, 35, 0.04, 500 * time.Millisecond},
@@ -304,6 +305,7 @@
 
 // Guards against the same if almost a third of the traffic is deadly and the whole pool is down at once.
 func TestDeadlySegmentInThirdOfTrafficIsRefused(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		deadlyPattern{7, 9, 60, 70, 0.3, 0}.play(t, seed)
 	}
@@ -312,6 +314,7 @@
 // Guards against the same if upstreams crash most of a second after the first event, when many sound answers are beside each
 // crash.
 func TestDeadlySegmentThatCrashesLateIsRefused(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		deadlyPattern{7, 9, 60, 35, 0.04, 800 * time.Millisecond}.play(t, seed)
 	}
@@ -320,6 +323,7 @@
 // Guards against blame that is not earned: sound requests must be served beside crashes that have other causes. Pattern:
 // single crashes in quick succession, and a pool that crashes as a whole again and again.
 func TestSoundRequestsAreServedBesideOtherCrashes(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		name          string
 		hosts         int
--- a/internal/fleet/origin_simulation_test.go
+++ b/internal/fleet/origin_simulation_test.go
@@ -274,6 +274,7 @@
 // and against take-ups that are refused although their version serves. The hosts' lists are up to two seconds old. Once all
 // hosts were killed, nobody knows an origin; then streams must go on if the store's history tells of one version only.
 func TestStreamsAreNotJoinedAroundRelease(t *testing.T) {
+	t.Parallel()
 	const longAfterRelease = 40_000
 	for _, size := range []int{7, 90, 295} {
 		for _, share := range []float64{1. / 3, 1} {
--- a/internal/fleet/surge_test.go
+++ b/internal/fleet/surge_test.go
@@ -323,6 +323,7 @@
 			if testing.Short() && tt.hosts > 295 {
 				t.Skip("takes half a minute")
 			}
+			t.Parallel()
 			s := newSurge(tt.hosts, tt.dataCentres, surgeEngines, 1)
 			s.run()
 			all := 0
@@ -348,6 +349,7 @@
 	} {
 		for seed := range tt.seeds {
 			t.Run(fmt.Sprintf("%d hosts, %d of %d engines, %v a second, surge %v, seed %d", tt.hosts, tt.stalled, tt.engines, tt.rate, tt.factor, seed), func(t *testing.T) {
+				t.Parallel()
 				s := newSurge(tt.hosts, tt.dataCentres, tt.engines, seed)
 				s.rate = tt.rate
 				s.weighKeys(tt.factor)
