Heads of requests that get no response are logged and counted

The event head-not-answered has the bytes of the head, the times since its first byte and since the previous response, both limits, and whether this router ended the connection; heads_not_answered counts them. No decision has changed.

--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -358,6 +358,7 @@
 	})
 	h.front = httptest.NewUnstartedServer(nil)
 	h.front.Config = h.server.HTTPServer()
+	h.front.Listener = h.server.Listen(h.front.Listener)
 	h.front.Start()
 	h.t.Cleanup(h.front.Close)
 }
--- /dev/null
+++ b/internal/direct/head_test.go
@@ -0,0 +1,80 @@
+package direct
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// rawCaller is a caller that writes its requests in parts.
+type rawCaller struct {
+	t  *testing.T
+	c  net.Conn
+	br *bufio.Reader
+}
+
+func newRawCaller(t *testing.T, h *harness) *rawCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &rawCaller{t: t, c: c, br: bufio.NewReader(c)}
+}
+
+func (r *rawCaller) write(text string) {
+	r.t.Helper()
+	if _, err := io.WriteString(r.c, text); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// status reads one response and returns its status, or 0 if the connection ends without one.
+func (r *rawCaller) status() int {
+	r.t.Helper()
+	if err := r.c.SetReadDeadline(time.Now().Add(responseTimeout)); err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(r.br, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Guards against a connection that ends in the midst of a head without a trace in the log and the metrics.
+func TestHeadWithoutResponseIsLogged(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok)
+	var logged strings.Builder
+	lines := make(chan unansweredHead, 1)
+	h.server.Log = zerolog.New(&logged)
+	h.server.idleConns.onUnansweredHead = func(u unansweredHead) {
+		h.server.logUnansweredHead(u)
+		lines <- u
+	}
+	c := newRawCaller(t, h)
+	c.write("GET /r/first" + rawHead + "\r\n")
+	is.Equal(c.status(), http.StatusOK)
+	c.write("GET /r/")
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(c.c.Close())
+	u := <-lines
+	is.Equal(u.bytes, int64(len("GET /r/")))
+	is.True(u.sinceIdle >= u.sinceByte)
+	is.True(!u.interrupted)
+	is.True(strings.Contains(logged.String(), "head-not-answered"))
+}
--- a/internal/direct/idle.go
+++ b/internal/direct/idle.go
@@ -31,11 +31,82 @@
 	interrupted map[net.Conn]bool
 	// open is the number of connections.
 	open int
+	// onUnansweredHead is called when a connection has ended after a part of a request's head had arrived.
+	onUnansweredHead func(unansweredHead)
+}
+
+// unansweredHead describes a part of a request's head that got no response of the handler.
+type unansweredHead struct {
+	peer  net.Addr
+	bytes int64
+	// sinceIdle is the time since the connection became idle, and sinceByte the time since the first byte of the head.
+	sinceIdle, sinceByte time.Duration
+	// interrupted is set if the idle timeout or a planned stop ended the connection.
+	interrupted bool
 }
 
 func newIdleConns(clock clockwork.Clock, timeout func() time.Duration, onRace func(c net.Conn, idle time.Duration)) *idleConns {
 	return &idleConns{
 		clock: clock, timeout: timeout, onRace: onRace, idleSince: map[net.Conn]time.Time{}, interrupted: map[net.Conn]bool{},
+		onUnansweredHead: func(unansweredHead) {},
+	}
+}
+
+// listener accepts callers' connections that count the bytes they receive.
+type listener struct {
+	net.Listener
+	clock clockwork.Clock
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, errors.Wrap(err, "accept caller's connection")
+	}
+	return &callerConn{Conn: c, clock: l.clock}, nil
+}
+
+// callerConn is a caller's connection. It counts the bytes received since the last request was read.
+type callerConn struct {
+	net.Conn
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	received  int64
+	firstByte time.Time
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.received == 0 {
+			c.firstByte = c.clock.Now()
+		}
+		c.received += int64(n)
+	}
+	return n, err
+}
+
+// reset begins to count for the next request.
+func (c *callerConn) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = 0
+}
+
+// reportUnansweredHead reports the part of a head that has been received on the connection, if there is one.
+func (i *idleConns) reportUnansweredHead(c *callerConn, idleSince time.Time, interrupted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.received > 0 {
+		i.onUnansweredHead(unansweredHead{
+			peer: c.RemoteAddr(), bytes: c.received, sinceIdle: i.clock.Since(idleSince), sinceByte: i.clock.Since(c.firstByte),
+			interrupted: interrupted,
+		})
 	}
 }
 
@@ -47,6 +118,12 @@
 	wasInterrupted := i.interrupted[c]
 	delete(i.idleSince, c)
 	delete(i.interrupted, c)
+	if tracked, ok := c.(*callerConn); ok {
+		if connState == http.StateClosed && wasIdle {
+			i.reportUnansweredHead(tracked, since, wasInterrupted)
+		}
+		tracked.reset()
+	}
 	switch {
 	case connState == http.StateNew:
 		i.open++
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -95,6 +95,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.idleConns = newIdleConns(o.Clock, s.idleTimeout, s.logRequestAtIdleTimeout)
+	s.idleConns.onUnansweredHead = s.logUnansweredHead
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
 	return s
@@ -109,6 +110,9 @@
 	}
 }
 
+// Listen returns the listener for callers with which the HTTP server must be run.
+func (s *Server) Listen(l net.Listener) net.Listener { return &listener{Listener: l, clock: s.Clock} }
+
 // HTTPServer returns the HTTP server for the callers' address.
 func (s *Server) HTTPServer() *http.Server {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
@@ -229,16 +233,23 @@
 	s.Log.Info().Str("event", "request-at-idle-timeout").Stringer("peer", c.RemoteAddr()).Dur("idle_ms", idle).Send()
 }
 
+func (s *Server) logUnansweredHead(h unansweredHead) {
+	s.responses.unansweredHeads.Inc(1)
+	s.Log.Warn().Str("event", "head-not-answered").Stringer("peer", h.peer).Int64("bytes", h.bytes).Dur("since_idle_ms", h.sinceIdle).
+		Dur("since_byte_ms", h.sinceByte).Dur("idle_limit_ms", s.idleTimeout()).Dur("header_limit_ms", headerTimeout).
+		Bool("interrupted", h.interrupted).Send()
+}
+
 // responseCounters counts responses by result.
 type responseCounters struct {
-	scope                          tally.Scope
-	relayed, panics, atIdleTimeout tally.Counter
+	scope                                           tally.Scope
+	relayed, panics, atIdleTimeout, unansweredHeads tally.Counter
 }
 
 func newResponseCounters(scope tally.Scope) *responseCounters {
 	return &responseCounters{
 		scope: scope, relayed: scope.Counter("answers_relayed"), panics: scope.Counter("requests_panicked"),
-		atIdleTimeout: scope.Counter("requests_at_idle_timeout"),
+		atIdleTimeout: scope.Counter("requests_at_idle_timeout"), unansweredHeads: scope.Counter("heads_not_answered"),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,7 +232,7 @@
 		return errors.Wrapf(err, "run router: serve caller address %s", g.settings.CallerAddress)
 	}
 	go func() {
-		if err := g.server.HTTPServer().Serve(callers); !g.stopping.Load() {
+		if err := g.server.HTTPServer().Serve(g.server.Listen(callers)); !g.stopping.Load() {
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
 	}()
