--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -55,6 +56,65 @@
 	return resp.StatusCode
 }
 
+// headCuts are places at which a request arrives in two parts.
+var headCuts = []struct {
+	name        string
+	first, rest string
+}{
+	{"after the first byte", "G", "ET /r/second" + rawHead + "\r\n"},
+	{"after the fourth byte", "GET ", "/r/second" + rawHead + "\r\n"},
+	{"in the Host field", "GET /r/second HTTP/1.1\r\nHost: h.ex", "ample\r\nX-Id: 1\r\nX-Key: key\r\n\r\n"},
+	{"before the last byte", "GET /r/second" + rawHead + "\r", "\n"},
+	{"in the body", "POST /r/second" + rawHead + "Content-Length: 4\r\n\r\nbo", "dy"},
+}
+
+// Guards against a request that ends without a response because its connection counts as idle until the whole head has
+// arrived.
+func TestHeadThatBeganBeforeIdleTimeoutIsAnswered(t *testing.T) {
+	const idleTimeout = 400 * time.Millisecond
+	for _, tt := range headCuts {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, catalog.Unsafe, false, ok, ok)
+			h.config.Limits.IdleTimeout = idleTimeout
+			c := newRawCaller(t, h)
+			c.write("GET /r/first" + rawHead + "\r\n")
+			is := is.New(t)
+			is.Equal(c.status(), http.StatusOK)
+			time.Sleep(idleTimeout / 2)
+			c.write(tt.first)
+			time.Sleep(idleTimeout)
+			c.write(tt.rest)
+			is.Equal(c.status(), http.StatusOK)
+		})
+	}
+}
+
+// Guards against a request that ends without a response because its head arrives in parts while the router stops.
+func TestHeadThatBeganBeforePlannedStopIsAnswered(t *testing.T) {
+	for _, tt := range headCuts {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, catalog.Unsafe, false, ok, ok)
+			c := newRawCaller(t, h)
+			c.write("GET /r/first" + rawHead + "\r\n")
+			is.Equal(c.status(), http.StatusOK)
+			c.write(tt.first)
+			time.Sleep(50 * time.Millisecond) // until the first part has been received
+			ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- h.server.AwaitConns(ctx) }()
+			time.Sleep(200 * time.Millisecond) // longer than an idle connection lasts in a planned stop
+			c.write(tt.rest)
+			is.Equal(c.status(), http.StatusOK)
+			is.NoErr(c.c.Close())
+			is.NoErr(<-stopped)
+		})
+	}
+}
+
 // Guards against a connection that ends in the midst of a head without a trace in the log and the metrics.
 func TestHeadWithoutResponseIsLogged(t *testing.T) {
 	is := is.New(t)
