A head that does not arrive whole in time is refused as not run

What callers saw: a head that took longer than its limit ended without a response, or with 400 for a proper request; at the end of a planned stop it ended with the process.

Cause: net/http closes a connection whose head is late without a response, and takes what has arrived of a line for a malformed one. Nothing answered heads at the end of a stop.

Change: the tracked connection responds itself, 408 head-incomplete, or 503 stopping with Retry-After at the end of a stop; both are true, as the connection takes nothing more. Nothing else is written after it, and the connection is closed only once the caller has had time to read.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -40,6 +40,7 @@
 }
 
 func (c *fakeConn) Write(p []byte) (int, error)       { return len(p), nil }
+func (c *fakeConn) SetWriteDeadline(time.Time) error  { return nil }
 func (c *fakeConn) SetReadDeadline(t time.Time) error { c.deadline = t; return nil }
 func (c *fakeConn) Close() error                      { c.closed = true; return nil }
 func (c *fakeConn) RemoteAddr() net.Addr              { return &net.TCPAddr{} }
@@ -59,7 +60,7 @@
 func newFixture() *fixture {
 	f := &fixture{raw: &fakeConn{}, clock: clockwork.NewFakeClock(), limits: Limits{Idle: idleLimit, Header: headerLimit}}
 	f.tracker = New(Options{
-		Clock: f.clock, Limits: f.currentLimits,
+		Clock: f.clock, Limits: f.currentLimits, Refusal: refusal,
 		OnLateBytes:      func(_ net.Addr, cause Cause, _ time.Duration) { f.late = append(f.late, cause) },
 		OnUnansweredHead: func(h UnansweredHead) { f.heads = append(f.heads, h) },
 	})
@@ -83,6 +84,10 @@
 	f.limits = Limits{Idle: time.Duration(idle * float64(idleLimit)), Header: time.Duration(header * float64(headerLimit))}
 }
 
+func refusal(Cause) *http.Response {
+	return &http.Response{StatusCode: http.StatusRequestTimeout, ProtoMajor: 1, ProtoMinor: 1, Close: true, Body: http.NoBody}
+}
+
 // reconnect replaces the connection by a new one.
 func (f *fixture) reconnect() {
 	f.tracker.remove(f.conn)
@@ -252,7 +257,7 @@
 func startServer(t *testing.T, limits Limits) (*Tracker, string) {
 	t.Helper()
 	tracker := New(Options{
-		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits },
+		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
 		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnUnansweredHead: func(UnansweredHead) {},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,6 +1,8 @@
 package callerconn
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -15,6 +17,9 @@
 	lastReadTime = time.Millisecond
 	// lateBytesTime limits the time after an interrupt in which bytes are still looked for, so that a head that trickles ends.
 	lateBytesTime = time.Second
+	// refusalWriteTime and lingerTime limit the writing of a refusal, and the wait for a caller that still sends after it.
+	refusalWriteTime = 300 * time.Millisecond
+	lingerTime       = 500 * time.Millisecond
 )
 
 // phase is what a connection is doing.
@@ -42,6 +47,8 @@
 	interruptedAt time.Time
 	// failed is set once a read between requests has returned an error, after which net/http ends the connection.
 	failed bool
+	// refused is set once a head that is not whole has got a response, after which nothing else may be written.
+	refused bool
 	// served is set once a request has been read.
 	served bool
 	// headBytes is the number of bytes of the head that have been read.
@@ -59,7 +66,9 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveLateBytes() {
 		n, err = c.readLateBytes(p)
 	}
-	c.recordRead(n, err)
+	if cause := c.recordRead(n, err); cause != "" {
+		c.refuse(cause)
+	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
@@ -87,18 +96,22 @@
 	return c.Conn.Read(p) //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
-// recordRead records the result of a read.
-func (c *conn) recordRead(n int, err error) {
+// recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
+func (c *conn) recordRead(n int, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
 	switch {
 	case c.phase == inRequest:
 		c.readAfterWrite = c.readAfterWrite || n > 0
-		return
+		return ""
 	case n == 0:
 		c.failed = c.failed || err != nil
-		return
+		c.refused = c.phase == readHead && errors.Is(err, os.ErrDeadlineExceeded)
+		if c.refused {
+			return cause
+		}
+		return ""
 	case c.phase == waitFirstByte:
 		c.begin(readHead)
 	}
@@ -107,13 +120,34 @@
 		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
 		c.setDeadline(c.interruptDeadline())
 	}
+	return ""
+}
+
+// refuse responds to a head that is not whole. net/http would close the connection without a response, or take what has
+// arrived for a malformed request.
+func (c *conn) refuse(cause Cause) {
+	var text bytes.Buffer
+	if err := c.tracker.Refusal(cause).Write(&text); err != nil {
+		return // a bytes.Buffer takes everything
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	if _, err := c.Conn.Write(text.Bytes()); err != nil || c.CloseWrite() != nil {
+		return // the caller has left
+	}
+	// Bytes that arrive at a closed connection would reset it, and the caller might lose the response.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	refused := c.refused
 	c.readAfterWrite = false
 	c.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(p) //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
@@ -241,6 +275,15 @@
 	}
 }
 
+// interruptHead ends the wait for the rest of a head at the end of a stop.
+func (c *conn) interruptHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == readHead {
+		c.interrupt(CauseStop)
+	}
+}
+
 // interrupt ends the present wait. The caller holds mu.
 func (c *conn) interrupt(cause Cause) {
 	if c.interrupted == "" {
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -58,7 +58,9 @@
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
-	// OnUnansweredHead is called for each connection that ends in the midst of a head.
+	// Refusal returns the response to a head that is not whole when its wait ends.
+	Refusal func(Cause) *http.Response
+	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
 	OnUnansweredHead func(UnansweredHead)
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
@@ -146,6 +148,13 @@
 	return len(conns)
 }
 
+// CutOff ends the waits for the rest of heads that have begun.
+func (t *Tracker) CutOff() {
+	for _, c := range t.open() {
+		c.interruptHead()
+	}
+}
+
 func (t *Tracker) open() []*conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,6 +83,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout is how long the head of a request may take to arrive.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for a request.
 	IdleTimeout time.Duration
 }
 
--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -21,6 +21,8 @@
 	t  *testing.T
 	c  net.Conn
 	br *bufio.Reader
+	// wait is how long status waits.
+	wait time.Duration
 }
 
 func newRawCaller(t *testing.T, h *harness) *rawCaller {
@@ -30,7 +32,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &rawCaller{t: t, c: c, br: bufio.NewReader(c)}
+	return &rawCaller{t: t, c: c, br: bufio.NewReader(c), wait: responseTimeout}
 }
 
 func (r *rawCaller) write(text string) {
@@ -43,7 +45,7 @@
 // status reads one response and returns its status, or 0 if the connection ends without one.
 func (r *rawCaller) status() int {
 	r.t.Helper()
-	if err := r.c.SetReadDeadline(time.Now().Add(responseTimeout)); err != nil {
+	if err := r.c.SetReadDeadline(time.Now().Add(r.wait)); err != nil {
 		r.t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(r.br, nil)
@@ -124,6 +126,43 @@
 	}
 }
 
+// Guards against a head that does not arrive whole in time and is ended without a response, or with one that calls a proper
+// request malformed.
+func TestLateHeadIsRefused(t *testing.T) {
+	for _, tt := range headCuts[:4] {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, catalog.Safe, false, ok)
+			c := newRawCaller(t, h)
+			c.write(tt.first)
+			c.wait = headerTimeout + responseTimeout
+			is.Equal(c.status(), http.StatusRequestTimeout)
+			is.Equal(c.status(), 0) // one response only, and the end of the connection
+		})
+	}
+}
+
+// Guards against a request that ends without a response because its head is still arriving at the end of a stop.
+func TestRequestThatArrivesAtEndOfStopIsRefused(t *testing.T) {
+	for _, tt := range headCuts[:4] {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, catalog.Safe, false, ok)
+			c := newRawCaller(t, h)
+			c.write(tt.first)
+			for h.server.Conns().ReadingHead == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			h.server.BeginStop(time.Now(), time.Now())
+			h.server.CutOff()
+			is.Equal(c.status(), http.StatusServiceUnavailable)
+			is.Equal(c.status(), 0)
+		})
+	}
+}
+
 // Guards against a connection that ends in the midst of a head without a trace in the log.
 func TestHeadWithoutResponseIsLogged(t *testing.T) {
 	is := is.New(t)
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -265,16 +266,22 @@
 
 // sendRefusal responds with a refusal by the router.
 func (c *callerResponse) sendRefusal(r *outcome.Refusal) {
+	header, body := encodeRefusal(r)
+	maps.Copy(c.writer.Header(), header)
+	c.headerSent = true
+	c.writer.WriteHeader(r.Status)
+	_, _ = c.writer.Write(body)
+}
+
+// encodeRefusal returns the headers and the body of the response to a refused request.
+func encodeRefusal(r *outcome.Refusal) (http.Header, []byte) {
 	body, err := json.Marshal(r)
 	if err != nil {
 		body = []byte(`{}`)
 	}
-	h := c.writer.Header()
-	h.Set("Content-Type", "application/json")
+	header := http.Header{"Content-Type": {"application/json"}}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	c.headerSent = true
-	c.writer.WriteHeader(r.Status)
-	_, _ = c.writer.Write(body)
+	return header, body
 }
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -1,9 +1,11 @@
 package direct
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -97,7 +99,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
+		Clock: o.Clock, Limits: s.connLimits, Refusal: headRefusal, OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -235,6 +237,22 @@
 	return limits
 }
 
+// headRefusal returns the response to a request whose head has not arrived whole.
+func headRefusal(cause callerconn.Cause) *http.Response {
+	refusal := &outcome.Refusal{
+		Status: http.StatusRequestTimeout, Code: "head-incomplete", Message: "the head of the request did not arrive whole",
+		Step: stepReceive, Outcome: outcome.NotRun,
+	}
+	if cause == callerconn.CauseStop {
+		refusal = outcome.Unavailable(stepStop, "stopping", "the router stops before the head has arrived").WithRetryAfter(defaultRetryAfter)
+	}
+	header, body := encodeRefusal(refusal)
+	return &http.Response{
+		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
+
 func (s *Server) logLateBytes(peer net.Addr, cause callerconn.Cause, waited time.Duration) {
 	s.responses.lateBytes.Inc(1)
 	s.Log.Info().Str("event", "bytes-at-timeout").Stringer("peer", peer).Str("cause", string(cause)).Dur("waited_ms", waited).Send()
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -63,9 +63,12 @@
 	s.stop.schedule.Store(&stopSchedule{refuseFrom: refuseFrom, cutOff: cutOff})
 }
 
-// CutOff ends the requests in flight. Callers whose response has not begun are told that the outcome is unknown, or that
-// the request was not run.
-func (s *Server) CutOff() { s.stop.end() }
+// CutOff ends the requests in flight and those whose head is still arriving. Callers whose response has not begun are told
+// that the outcome is unknown, or that the request was not run.
+func (s *Server) CutOff() {
+	s.stop.end()
+	s.conns.CutOff()
+}
 
 // AwaitConns ends callers' connections that wait for a request, and waits until all connections have ended or the context is
 // done, in which case it returns an error.
