The configured limit for a request's head is obeyed

What callers saw: with a configuration that allows 12 s for a head, a head in two parts 6 s apart was ended; with a shorter limit a slow head held its connection for 5 s all the same.

Cause: the limit was a constant of 5 s.

Change: the limit of the configuration in force, plus a second for packets that are sent again; 5 s if it names none.

--- a/internal/direct/edge_test.go
+++ b/internal/direct/edge_test.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}()
-	is.NoErr(c.SetReadDeadline(time.Now().Add(headerTimeout)))
+	is.NoErr(c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -136,7 +136,7 @@
 			h := newHarness(t, catalog.Safe, false, ok)
 			c := newRawCaller(t, h)
 			c.write(tt.first)
-			c.wait = headerTimeout + responseTimeout
+			c.wait = defaultHeaderTimeout + responseTimeout
 			is.Equal(c.status(), http.StatusRequestTimeout)
 			is.Equal(c.status(), 0) // one response only, and the end of the connection
 		})
@@ -163,6 +163,37 @@
 	}
 }
 
+// Guards against a head that is ended by another limit than the one that the configuration names.
+func TestConfiguredHeaderTimeoutIsObeyed(t *testing.T) {
+	const pause = defaultHeaderTimeout + 200*time.Millisecond // longer than a head may take without a configured limit
+	for _, tt := range []struct {
+		name  string
+		limit time.Duration
+		first bool // the head is the first of its connection
+		want  int
+	}{
+		{"first head within a long limit", 2 * pause, true, http.StatusOK},
+		{"later head within a long limit", 2 * pause, false, http.StatusOK},
+		{"head beyond a short limit", time.Millisecond, false, http.StatusRequestTimeout},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, catalog.Safe, false, ok, ok)
+			h.setLimits(catalog.Limits{HeaderTimeout: tt.limit})
+			c := newRawCaller(t, h)
+			if !tt.first {
+				c.write("GET /r/first" + rawHead + "\r\n")
+				is.Equal(c.status(), http.StatusOK)
+			}
+			c.write("GET /r/second")
+			time.Sleep(pause)
+			_, _ = io.WriteString(c.c, rawHead+"\r\n") // fails if the connection has ended
+			is.Equal(c.status(), tt.want)
+		})
+	}
+}
+
 // Guards against a connection that ends in the midst of a head without a trace in the log.
 func TestHeadWithoutResponseIsLogged(t *testing.T) {
 	is := is.New(t)
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -76,8 +76,11 @@
 
 // Timeouts of callers' connections where the configuration does not set them.
 const (
-	// headerTimeout limits the time for reading a request's headers.
-	headerTimeout = 5 * time.Second
+	// defaultHeaderTimeout limits the time for reading a request's headers if the configuration sets no limit.
+	defaultHeaderTimeout = 5 * time.Second
+	// headerMargin is added to the configured limit, which callers count from when they send: a lost packet is sent again
+	// within a second.
+	headerMargin = time.Second
 	// defaultIdleTimeout is how long an idle connection stays open if the configuration sets no limit.
 	defaultIdleTimeout = 15 * time.Second
 	// writeGrace is the time after its deadline within which a response must have been written to the caller.
@@ -124,7 +127,7 @@
 	router.PathPrefix("/").Handler(s)
 	router.NotFoundHandler = s // refuses targets without a path
 	return &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.conns.OnStateChange,
+		Handler: router, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.conns.OnStateChange,
 		DisableGeneralOptionsHandler: true, // it answers "OPTIONS *" without asking the handler
 	}
 }
@@ -230,10 +233,17 @@
 
 // connLimits returns how long callers' connections may wait.
 func (s *Server) connLimits() callerconn.Limits {
-	limits := callerconn.Limits{Idle: defaultIdleTimeout, Header: headerTimeout}
-	if config := s.Store.Current().Config; config != nil && config.Limits.IdleTimeout > 0 {
+	limits := callerconn.Limits{Idle: defaultIdleTimeout, Header: defaultHeaderTimeout}
+	config := s.Store.Current().Config
+	if config == nil {
+		return limits
+	}
+	if config.Limits.IdleTimeout > 0 {
 		limits.Idle = config.Limits.IdleTimeout
 	}
+	if config.Limits.HeaderTimeout > 0 {
+		limits.Header = config.Limits.HeaderTimeout + headerMargin
+	}
 	return limits
 }
 
