Lack of file descriptors does not end the router

What callers would see: a router that had no descriptor for one more connection ended, with all its requests.

Cause: the tracked listener wrapped the error of Accept, and net/http retries only errors whose own type says that they are temporary. Change: the error is returned as it is. Evidence: TestServerSurvivesLackOfDescriptors failed before (the connection was reset, as the server had ended).

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -254,7 +256,7 @@
 }
 
 // startServer serves an empty response to each request and returns the tracker and the server's address.
-func startServer(t *testing.T, limits Limits) (*Tracker, string) {
+func startServer(t *testing.T, limits Limits, wrap ...func(net.Listener) net.Listener) (*Tracker, string) {
 	t.Helper()
 	tracker := New(Options{
 		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
@@ -264,10 +266,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	inner := l
+	for _, f := range wrap {
+		inner = f(inner)
+	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: tracker.OnStateChange, ReadHeaderTimeout: time.Minute,
 	}
-	go func() { _ = server.Serve(tracker.Listen(l)) }()
+	go func() { _ = server.Serve(tracker.Listen(inner)) }()
 	t.Cleanup(func() { server.Close() })
 	return tracker, l.Addr().String()
 }
@@ -325,3 +331,25 @@
 	defer cancel()
 	is.NoErr(tracker.Drain(ctx))
 }
+
+// fullListener fails once as a listener does when the process has no more file descriptors.
+type fullListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a router that ends because it once had no file descriptor for a caller's connection.
+func TestServerSurvivesLackOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, Limits{Idle: time.Minute, Header: time.Minute}, func(l net.Listener) net.Listener { return &fullListener{Listener: l} })
+	resp, err := http.Get("http://" + address)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -89,7 +89,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Wrap(err, "accept caller's connection")
+		return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type and goes on
 	}
 	return l.tracker.newConn(c), nil
 }
