Bytes that arrived before an interrupt are read whatever the process does meanwhile

Cause: the look for late bytes was a read with a deadline of 1 ms. A goroutine that was not scheduled for so long found the deadline passed and the socket was not read at all. A process that stood still for a second between the interrupt and the read did not look either.

Change: one read of the socket that does not wait and has no deadline. The second in which a trickling head may go on begins with the first such read.

Evidence: TestBytesThatArrivedBeforeInterruptAreRead (now on real sockets, with a pause of the process after each deadline and long ones before the read) failed in 4 of 4 cases on the code before; TestTricklingHeadEndsAfterItsLimit passed before too.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -60,16 +60,23 @@
 }
 
 func newFixture() *fixture {
-	f := &fixture{raw: &fakeConn{}, clock: clockwork.NewFakeClock(), limits: Limits{Idle: idleLimit, Header: headerLimit}}
+	raw := &fakeConn{}
+	f := newFixtureOn(raw)
+	f.raw = raw
+	f.receive("GET / HTTP/1.1\r\n\r\n")
+	f.tracker.OnStateChange(f.conn, http.StateActive)
+	f.tracker.OnStateChange(f.conn, http.StateIdle)
+	return f
+}
+
+func newFixtureOn(raw net.Conn) *fixture {
+	f := &fixture{clock: clockwork.NewFakeClock(), limits: Limits{Idle: idleLimit, Header: headerLimit}}
 	f.tracker = New(Options{
 		Clock: f.clock, Limits: f.currentLimits, Refusal: refusal,
 		OnLateBytes:      func(_ net.Addr, cause Cause, _ time.Duration) { f.late = append(f.late, cause) },
 		OnUnansweredHead: func(h UnansweredHead) { f.heads = append(f.heads, h) },
 	})
-	f.conn = f.tracker.newConn(f.raw)
-	f.receive("GET / HTTP/1.1\r\n\r\n")
-	f.tracker.OnStateChange(f.conn, http.StateActive)
-	f.tracker.OnStateChange(f.conn, http.StateIdle)
+	f.conn = f.tracker.newConn(raw)
 	return f
 }
 
@@ -208,39 +215,94 @@
 	}
 }
 
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (caller, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	server, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	return caller, server
+}
+
+// pausedConn stands for a process that is not scheduled for a while after each deadline that it sets.
+type pausedConn struct{ *net.TCPConn }
+
+func (c pausedConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	time.Sleep(10 * time.Millisecond)
+	return err
+}
+
 // Guards against requests that are lost because the deadline that ends a wait hides the bytes that arrived before it.
 func TestBytesThatArrivedBeforeInterruptAreRead(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\n\r\n"
 	for _, tt := range []struct {
-		name   string
-		phase  string // what has arrived of the head before
-		pause  time.Duration
-		cause  Cause
-		read   bool
-		ranOut bool // the wait is still over afterwards
+		name  string
+		begun string // what has been read of the head
+		// pause is how long the process stands still after the interrupt.
+		pause time.Duration
+		cause Cause
+		over  bool // the wait is still over afterwards
 	}{
-		{"first byte", "", 0, CauseIdle, true, false},
-		{"rest of the head", "GET / ", 0, CauseHeader, true, true},
-		{"trickling head", "GET / ", lateBytesTime, CauseHeader, false, true},
+		{"first byte", "", 0, CauseIdle, false},
+		{"first byte, read much later", "", time.Hour, CauseIdle, false},
+		{"rest of the head", "GET / ", 0, CauseHeader, true},
+		{"rest of the head, read much later", "GET / ", time.Hour, CauseHeader, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture()
-			if tt.phase != "" {
-				f.receive(tt.phase)
+			caller, server := tcpPair(t)
+			f := newFixtureOn(pausedConn{server.(*net.TCPConn)})
+			_, err := io.WriteString(caller, tt.begun)
+			is.NoErr(err)
+			if tt.begun != "" {
+				_, err = f.read()
+				is.NoErr(err)
 			}
 			f.advance(idleLimit)
 			is.Equal(f.interruptedBy(), tt.cause)
-			f.raw.pending = []byte("HTTP/1.1\r\n\r\n")
+			_, err = io.WriteString(caller, request[len(tt.begun):])
+			is.NoErr(err)
 			f.clock.Advance(tt.pause)
 			n, err := f.read()
-			is.Equal(n > 0, tt.read)
-			is.Equal(err == nil, tt.read)
-			is.Equal(len(f.late) > 0, tt.read)
-			is.Equal(f.interruptedBy() != "", tt.ranOut)
+			is.NoErr(err)
+			is.Equal(n, len(request)-len(tt.begun))
+			is.Equal(f.late, []Cause{tt.cause})
+			is.Equal(f.interruptedBy() != "", tt.over)
 		})
 	}
 }
 
+// Guards against a head that holds its connection for ever because bytes of it still trickle in after its limit.
+func TestTricklingHeadEndsAfterItsLimit(t *testing.T) {
+	is := is.New(t)
+	caller, server := tcpPair(t)
+	f := newFixtureOn(server)
+	trickle := func() error {
+		_, err := io.WriteString(caller, "G")
+		is.NoErr(err)
+		_, err = f.read()
+		return err
+	}
+	is.NoErr(trickle())
+	f.advance(headerLimit)
+	is.NoErr(trickle())
+	f.clock.Advance(lateBytesTime)
+	is.True(trickle() != nil)
+}
+
 func TestUnansweredHeadIsReported(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,16 +6,16 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
-	// lastReadTime is how long a read takes that looks for bytes received before an interrupt.
-	lastReadTime = time.Millisecond
-	// lateBytesTime limits the time after an interrupt in which bytes are still looked for, so that a head that trickles ends.
+	// lateBytesTime limits how long bytes are looked for after an interrupt, so that a head that trickles ends.
 	lateBytesTime = time.Second
 	// refusalWriteTime and lingerTime limit the writing of a refusal, and the wait for a caller that still sends after it.
 	refusalWriteTime = 300 * time.Millisecond
@@ -42,9 +42,10 @@
 	phase phase
 	since time.Time
 	timer clockwork.Timer
-	// interrupted is why the phase was interrupted, at interruptedAt; empty if it was not.
-	interrupted   Cause
-	interruptedAt time.Time
+	// interrupted is why the phase was interrupted; empty if it was not. lateSince is when bytes were first looked for after
+	// that.
+	interrupted Cause
+	lateSince   time.Time
 	// failed is set once a read between requests has returned an error, after which net/http ends the connection.
 	failed bool
 	// refused is set once a head that is not whole has got a response, after which nothing else may be written.
@@ -86,14 +87,54 @@
 func (c *conn) mayHaveLateBytes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.interrupted != "" && !c.failed && c.tracker.Clock.Since(c.interruptedAt) < lateBytesTime
+	if c.interrupted == "" || c.failed {
+		return false
+	}
+	now := c.tracker.Clock.Now()
+	if c.lateSince.IsZero() {
+		c.lateSince = now
+	}
+	return now.Sub(c.lateSince) < lateBytesTime
 }
 
+// readLateBytes reads what has arrived, without waiting.
 func (c *conn) readLateBytes(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
+	c.setDeadline(time.Time{})
+	defer c.resetDeadline()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
 		return 0, errors.Wrap(err, "read from interrupted connection")
 	}
-	return c.Conn.Read(p) //nolint:wrapcheck // net/http compares the errors of a connection
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = ignoreInterrupts(func() (int, error) { return unix.Read(int(fd), p) })
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, errors.Wrap(err, "read from interrupted connection")
+	case errors.Is(readErr, unix.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case readErr != nil:
+		return 0, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// ignoreInterrupts repeats a system call while a signal interrupts it.
+func ignoreInterrupts(call func() (int, error)) (int, error) {
+	for {
+		if n, err := call(); !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
 }
 
 // recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
@@ -216,7 +257,9 @@
 // begin enters a phase. The caller holds mu, or has the only reference.
 func (c *conn) begin(p phase) {
 	c.stopTimer()
-	c.phase, c.since, c.interrupted, c.headBytes, c.readAfterWrite = p, c.tracker.Clock.Now(), "", 0, false
+	c.phase, c.since = p, c.tracker.Clock.Now()
+	c.interrupted, c.lateSince = "", time.Time{}
+	c.headBytes, c.readAfterWrite = 0, false
 	if p == waitFirstByte {
 		c.startTimer(c.limit())
 	}
@@ -287,7 +330,7 @@
 // interrupt ends the present wait. The caller holds mu.
 func (c *conn) interrupt(cause Cause) {
 	if c.interrupted == "" {
-		c.interrupted, c.interruptedAt = cause, c.tracker.Clock.Now()
+		c.interrupted = cause
 		c.setDeadline(c.interruptDeadline())
 	}
 }
@@ -300,5 +343,12 @@
 	return time.Unix(1, 0)
 }
 
+// resetDeadline sets the deadline of the present phase between requests.
+func (c *conn) resetDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setDeadline(c.interruptDeadline())
+}
+
 // setDeadline sets the deadline of the socket. Connections without deadlines, as in tests, end when the caller closes them.
 func (c *conn) setDeadline(t time.Time) { _ = c.Conn.SetReadDeadline(t) }
