Line ends between requests begin no head

What callers would see: one that sends CRLF after a POST, as old clients do and net/http tolerates, got an unasked 408 after the limit for heads instead of the idle limit, and held up a planned stop.

Cause: any byte counted as the first of a head. Change: line ends do not. Evidence: the case 'drain, line end after a body' of TestWaitIsLimitedByWhatItWaitsFor failed before.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -177,6 +177,15 @@
 			f.tracker.OnStateChange(f.conn, http.StateIdle)
 			f.tracker.interruptIdle()
 		}, ""},
+		{"drain, line end after a body", func(f *fixture) {
+			f.receive("POST / HTTP/1.1\r\n\r\n")
+			f.tracker.OnStateChange(f.conn, http.StateActive)
+			_, _ = f.conn.Write([]byte("response"))
+			f.receive("\r") // by the background read of net/http
+			f.tracker.OnStateChange(f.conn, http.StateIdle)
+			f.receive("\n")
+			f.tracker.interruptIdle()
+		}, CauseStop},
 		{"drain, body read before the response", func(f *fixture) {
 			f.receive("POST / HTTP/1.1\r\n\r\n")
 			f.tracker.OnStateChange(f.conn, http.StateActive)
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -67,7 +67,7 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveLateBytes() {
 		n, err = c.readLateBytes(p)
 	}
-	if cause := c.recordRead(n, err); cause != "" {
+	if cause := c.recordRead(p[:n], err); cause != "" {
 		c.refuse(cause)
 	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
@@ -138,15 +138,17 @@
 }
 
 // recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
-func (c *conn) recordRead(n int, err error) Cause {
+func (c *conn) recordRead(read []byte, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
 	switch {
 	case c.phase == inRequest:
-		c.readAfterWrite = c.readAfterWrite || n > 0
+		c.readAfterWrite = c.readAfterWrite || beginsHead(read)
 		return ""
-	case n == 0:
+	case c.phase == waitFirstByte && len(read) > 0 && !beginsHead(read):
+		return ""
+	case len(read) == 0:
 		c.failed = c.failed || err != nil
 		c.refused = c.phase == readHead && errors.Is(err, os.ErrDeadlineExceeded)
 		if c.refused {
@@ -156,7 +158,7 @@
 	case c.phase == waitFirstByte:
 		c.begin(readHead)
 	}
-	c.headBytes += int64(n)
+	c.headBytes += int64(len(read))
 	if cause != "" {
 		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
 		c.setDeadline(c.interruptDeadline())
@@ -164,6 +166,9 @@
 	return ""
 }
 
+// beginsHead reports whether a head begins with the bytes. Line ends before a request are part of none.
+func beginsHead(read []byte) bool { return len(bytes.Trim(read, "\r\n")) > 0 }
+
 // refuse responds to a head that is not whole. net/http would close the connection without a response, or take what has
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
