The idle limit allows for packets that are sent again

What callers would see: at an idle limit of 0.7 s a request sent at four fifths of it has 140 ms to arrive; with one lost packet it met a closed connection.

Cause: callers count the limit from when they receive and send. The head's limit had a margin for the way, the idle limit had none. Change: the same margin of a second for both. Holding a connection for a second longer costs no caller anything. Evidence: TestRequestDelayedPastIdleTimeoutIsAnswered got no response before.

--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -78,9 +78,9 @@
 const (
 	// defaultHeaderTimeout limits the time for reading a request's headers if the configuration sets no limit.
 	defaultHeaderTimeout = 5 * time.Second
-	// headerMargin is added to the configured limit, which callers count from when they send: a lost packet is sent again
-	// within a second.
-	headerMargin = time.Second
+	// transitMargin is added to the configured limits, which callers count from when they send or receive: a lost packet is sent
+	// again within a second.
+	transitMargin = time.Second
 	// defaultIdleTimeout is how long an idle connection stays open if the configuration sets no limit.
 	defaultIdleTimeout = 15 * time.Second
 	// writeGrace is the time after its deadline within which a response must have been written to the caller.
@@ -239,10 +239,10 @@
 		return limits
 	}
 	if config.Limits.IdleTimeout > 0 {
-		limits.Idle = config.Limits.IdleTimeout
+		limits.Idle = config.Limits.IdleTimeout + transitMargin
 	}
 	if config.Limits.HeaderTimeout > 0 {
-		limits.Header = config.Limits.HeaderTimeout + headerMargin
+		limits.Header = config.Limits.HeaderTimeout + transitMargin
 	}
 	return limits
 }
