A head is refused once

net/http reads again after the first error if a part of a line has arrived, and each such read wrote the refusal again. On TCP the connection was closed for writing by then, so that callers saw one; found by review.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +30,7 @@
 type fakeConn struct {
 	net.Conn
 	pending  []byte
+	written  bytes.Buffer
 	deadline time.Time
 	closed   bool
 }
@@ -41,7 +45,7 @@
 	return n, nil
 }
 
-func (c *fakeConn) Write(p []byte) (int, error)       { return len(p), nil }
+func (c *fakeConn) Write(p []byte) (int, error)       { return c.written.Write(p) }
 func (c *fakeConn) SetWriteDeadline(time.Time) error  { return nil }
 func (c *fakeConn) SetReadDeadline(t time.Time) error { c.deadline = t; return nil }
 func (c *fakeConn) Close() error                      { c.closed = true; return nil }
@@ -312,6 +316,22 @@
 	is.True(trickle() != nil)
 }
 
+// Guards against more than one response to a head: net/http reads again after the first error if a part of a line has arrived.
+func TestHeadIsRefusedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.receive("GET / HTTP/1.1\r\nHo")
+	f.advance(headerLimit)
+	for range 3 {
+		_, err := f.read()
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	}
+	_, err := f.conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+	is.True(err != nil)
+	is.Equal(strings.Count(f.raw.written.String(), "HTTP/1.1 408"), 1)
+	is.True(!strings.Contains(f.raw.written.String(), "400"))
+}
+
 func TestUnansweredHeadIsReported(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -48,7 +48,7 @@
 	lateSince   time.Time
 	// failed is set once a read between requests has returned an error, after which net/http ends the connection.
 	failed bool
-	// refused is set once a head that is not whole has got a response, after which nothing else may be written.
+	// refused is set once a head that is not whole is refused, after which nothing else may be written.
 	refused bool
 	// served is set once a request has been read.
 	served bool
@@ -150,11 +150,11 @@
 		return ""
 	case len(read) == 0:
 		c.failed = c.failed || err != nil
-		c.refused = c.phase == readHead && errors.Is(err, os.ErrDeadlineExceeded)
-		if c.refused {
-			return cause
+		if c.refused || c.phase != readHead || cause == "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return ""
 		}
-		return ""
+		c.refused = true
+		return cause
 	case c.phase == waitFirstByte:
 		c.begin(readHead)
 	}
