Heads that begin after the cut-off of a stop are refused as well

Cause: the cut-off ended the heads that were arriving at that moment. One that began after it got no response. Beside it, a refused connection lingered for 500 ms, longer than the 300 ms that the process waits after the cut-off, so that the stop was logged as one that cut callers off.

Evidence: the case 'cut off, head begun later' failed before. Found by review; nearly out of reach with the times of the gateway.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -181,6 +181,14 @@
 			f.tracker.OnStateChange(f.conn, http.StateIdle)
 			f.tracker.interruptIdle()
 		}, ""},
+		{"cut off, head begun", func(f *fixture) {
+			f.receive("G")
+			f.tracker.CutOff()
+		}, CauseStop},
+		{"cut off, head begun later", func(f *fixture) {
+			f.tracker.CutOff()
+			f.receive("G")
+		}, CauseStop},
 		{"drain, line end after a body", func(f *fixture) {
 			f.receive("POST / HTTP/1.1\r\n\r\n")
 			f.tracker.OnStateChange(f.conn, http.StateActive)
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -19,7 +19,7 @@
 	lateBytesTime = time.Second
 	// refusalWriteTime and lingerTime limit the writing of a refusal, and the wait for a caller that still sends after it.
 	refusalWriteTime = 300 * time.Millisecond
-	lingerTime       = 500 * time.Millisecond
+	lingerTime       = 200 * time.Millisecond
 )
 
 // phase is what a connection is doing.
@@ -156,7 +156,7 @@
 		c.refused = true
 		return cause
 	case c.phase == waitFirstByte:
-		c.begin(readHead)
+		c.beginHead()
 	}
 	c.headBytes += int64(len(read))
 	if cause != "" {
@@ -233,12 +233,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readAfterWrite {
-		c.begin(readHead)
+		c.beginHead()
 		c.headBytes = 1 // net/http reads one byte ahead
 	} else {
 		c.begin(waitFirstByte)
 	}
-	c.setDeadline(time.Time{})
+	c.setDeadline(c.interruptDeadline())
+}
+
+// beginHead records that the first byte of a head has been read. The caller holds mu.
+func (c *conn) beginHead() {
+	c.begin(readHead)
+	if c.tracker.cutOff.Load() {
+		c.interrupt(CauseStop)
+	}
 }
 
 // closed reports a head that was not read to its end.
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -70,6 +71,9 @@
 type Tracker struct {
 	Options
 
+	// cutOff is set once heads that have not arrived whole are refused.
+	cutOff atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -148,8 +152,9 @@
 	return len(conns)
 }
 
-// CutOff ends the waits for the rest of heads that have begun.
+// CutOff ends the waits for the rest of heads, also of those that begin later.
 func (t *Tracker) CutOff() {
+	t.cutOff.Store(true)
 	for _, c := range t.open() {
 		c.interruptHead()
 	}
