A body that is still arriving at the end of a stop is refused as not run

What callers saw: a request whose body was arriving when a planned stop ended got no response; its connection ended with the process.

Cause: the end of a stop cancels the contexts of requests in flight. A read of a body doesn't watch the context; it goes on until the request's deadline, which may be long after the process has ended.

Ruled out: the write of the response (a request that waits for an upstream gets its 502 or 503 in time); the time left for it (0.3 s).

Change: the end of a stop interrupts the read, and the response is 503 stopping, not run, with Retry-After. A body that ends just then is not taken for that of a caller that has left, although net/http cancels the context if the interrupt meets its read for the next request.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -148,8 +148,12 @@
 type bodyFilter struct {
 	store  *catalog.Store
 	bodies *inbound.BodyBudget
+	stop   *plannedStop
 }
 
+// passed is a deadline that interrupts a read at once.
+var passed = time.Unix(1, 0)
+
 // defaultMaxBodyBytes limits a body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -171,29 +175,35 @@
 	req.receiving = true
 	body := f.bodies.NewReader(io.LimitReader(req.HTTP.Body, limit+1))
 	defer body.Release()
-	if err := readBody(req, body, limit); err != nil {
+	if err := f.read(req, body, limit); err != nil {
 		return err
 	}
 	return next(ctx, req)
 }
 
-// readBody sets the request's body. It reads no more than one byte past the limit.
-func readBody(req *Request, body *inbound.BudgetedReader, limit int64) error {
+// read sets the request's body. It reads no more than one byte past the limit, and no longer than until the deadline or the
+// end of a planned stop.
+func (f *bodyFilter) read(req *Request, body *inbound.BudgetedReader, limit int64) error {
 	control := http.NewResponseController(req.response.writer)
 	// Some connections do not support deadlines; there the caller's own timeout bounds the read.
 	_ = control.SetReadDeadline(req.Deadline)
+	release := f.stop.onEnd(func() { _ = control.SetReadDeadline(passed) })
 	raw, err := io.ReadAll(body)
-	req.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+	stopped := release()
+	// The interrupt may come just after the end of the body.
+	req.bodyLate = stopped || errors.Is(err, os.ErrDeadlineExceeded)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
 		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
 		// net/http reads on to notice a disconnected caller, and a failure of that read would cancel the request.
-		nextDeadline = time.Unix(1, 0)
+		nextDeadline = passed
 	}
 	_ = control.SetReadDeadline(nextDeadline)
 	switch {
 	case errors.Is(err, inbound.ErrBudgetExceeded):
 		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(defaultRetryAfter)
+	case err != nil && stopped:
+		return outcome.Unavailable(stepStop, "stopping", "the router stops before the body has arrived").WithRetryAfter(defaultRetryAfter)
 	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -49,6 +49,23 @@
 	return outcome.Unavailable(stepStop, "stopping", "the router stops before the deadline").WithRetryAfter(defaultRetryAfter)
 }
 
+// onEnd calls f at the end of the stop, unless the returned function is called before. That function reports whether f was
+// called, and waits for its end.
+func (p *plannedStop) onEnd(f func()) (release func() bool) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(p.ended, func() {
+		defer close(done)
+		f()
+	})
+	return func() bool {
+		if stop() {
+			return false
+		}
+		<-done
+		return true
+	}
+}
+
 // bound returns the deadline, or the end of the stop if that is earlier.
 func (p *plannedStop) bound(deadline time.Time) time.Time {
 	if s := p.schedule.Load(); s != nil && s.cutOff.Before(deadline) {
--- /dev/null
+++ b/internal/direct/stop_body_test.go
@@ -0,0 +1,86 @@
+package direct
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// unfinishedBodies are the ends of heads with parts of bodies.
+var unfinishedBodies = []struct{ name, framing string }{
+	{"length, nothing of the body", "Content-Length: 4\r\n\r\n"},
+	{"length, part of the body", "Content-Length: 4\r\n\r\nbo"},
+	{"chunked, nothing of the body", "Transfer-Encoding: chunked\r\n\r\n"},
+	{"chunked, part of a chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nbo"},
+	{"chunked, no last chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"},
+	{"chunked, end of the last chunk is missing", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"},
+}
+
+// Guards against a request that ends without a response because its body is still arriving at the end of a stop.
+func TestBodyThatArrivesAtEndOfStopIsRefused(t *testing.T) {
+	for _, tt := range unfinishedBodies {
+		for _, begun := range []bool{false, true} {
+			name := tt.name + ", before the stop begins"
+			if begun {
+				name = tt.name + ", after the stop has begun"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				h := newHarness(t, catalog.Unsafe, false)
+				begin := func() { h.server.BeginStop(time.Now().Add(time.Minute), time.Now().Add(time.Minute)) }
+				if begun {
+					begin()
+				}
+				c := newRawCaller(t, h)
+				c.write("POST /r/" + rawHead + tt.framing)
+				for h.server.InFlight() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				if !begun {
+					begin()
+				}
+				time.Sleep(50 * time.Millisecond) // until the part of the body has been read
+				h.server.CutOff()
+				is.NoErr(c.c.SetReadDeadline(time.Now().Add(finalResponseTime)))
+				resp, err := http.ReadResponse(c.br, nil)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				is.True(resp.Close)
+				is.True(resp.Header.Get("Retry-After") != "")
+				var body struct{ Code, Outcome string }
+				is.NoErr(json.NewDecoder(resp.Body).Decode(&body))
+				is.Equal(body.Code, "stopping")
+				is.Equal(body.Outcome, "not-run")
+			})
+		}
+	}
+}
+
+// finalResponseTime is how long a stopping process waits for its last responses.
+const finalResponseTime = 300 * time.Millisecond
+
+// Guards against an end of a stop that interrupts the connection of a request whose body has just been read, which would be
+// taken for a caller that has left.
+func TestBodyReadAtEndOfStopIsAnswered(t *testing.T) {
+	for range 50 {
+		is := is.New(t)
+		h := newHarness(t, catalog.Unsafe, false, closes)
+		h.server.BeginStop(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
+		c := newRawCaller(t, h)
+		c.write("POST /r/" + rawHead + "Content-Length: 4\r\n\r\nbo")
+		for h.server.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		go h.server.CutOff()
+		c.write("dy")
+		status := c.status()
+		is.True(status == http.StatusServiceUnavailable || status == http.StatusBadGateway)
+	}
+}
