A body that is late in its trailer is refused as not run

What callers saw: a request with a chunked body whose last line didn't arrive before the deadline got no response; the connection was closed.

Cause: at the deadline net/http cancels the context of a request whose body is being read. Whether that was the deadline or a caller that has left was told by the error of the read, which is another one in the trailer of a chunked body.

Change: the clock tells it.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -149,6 +148,7 @@
 	store  *catalog.Store
 	bodies *inbound.BodyBudget
 	stop   *plannedStop
+	clock  clockwork.Clock
 }
 
 // passed is a deadline that interrupts a read at once.
@@ -190,8 +190,8 @@
 	release := f.stop.onEnd(func() { _ = control.SetReadDeadline(passed) })
 	raw, err := io.ReadAll(body)
 	stopped := release()
-	// The interrupt may come just after the end of the body.
-	req.bodyLate = stopped || errors.Is(err, os.ErrDeadlineExceeded)
+	// The error does not always tell that the read was interrupted, and the interrupt may come just after the end of the body.
+	req.bodyLate = stopped || !f.clock.Now().Before(req.Deadline)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
 		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -15,7 +15,7 @@
 	return []Filter{
 		&admissionFilter{store: s.Store, clock: s.Clock},
 		&deadlineFilter{clock: s.Clock},
-		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes), stop: s.stop},
+		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes), stop: s.stop, clock: s.Clock},
 		&quarantineFilter{quarantine: s.Quarantine},
 		&originFilter{store: s.Store, resolver: s.Origins},
 		&dispatchFilter{
--- a/internal/direct/stop_body_test.go
+++ b/internal/direct/late_body_test.go
@@ -84,3 +84,17 @@
 		is.True(status == http.StatusServiceUnavailable || status == http.StatusBadGateway)
 	}
 }
+
+// Guards against a body that is late at the request's deadline and whose connection ends without a response, since the error of
+// the read does not tell that the time was over.
+func TestLateBodyIsRefused(t *testing.T) {
+	for _, tt := range unfinishedBodies {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, catalog.Unsafe, false)
+			c := newRawCaller(t, h)
+			c.write("POST /r/" + rawHead + "X-Wait-Ms: 300\r\n" + tt.framing)
+			is.New(t).Equal(c.status(), http.StatusRequestTimeout)
+		})
+	}
+}
