An upstream's keep-alive timeout applies to all connections to it

Cause: a request was written on a connection that its upstream was just closing as idle. The timeout that an upstream states was applied only to the connection on which it was stated; connections opened ahead of a request were kept for the default of 4 s, and each time one was put back unused its idle time began anew, although the upstream's went on.

Ruled out: connections whose end has arrived; they are looked at before each use.

Change: the timeout is kept by address, as long as a connection is open. The idle time counts from the end of the last response, or else from the connection's establishment. A timeout beyond an hour counts as an hour, so that its conversion doesn't overflow.

Evidence: TestKeepAliveTimeoutAppliesToAllConnectionsOfUpstream: 2 connections kept after 0.7 s of a timeout of 1 s before, 0 now. Timeouts of 0 and 1 s are new rows of TestConnectionReuse; they passed before.

--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -29,9 +29,8 @@
 	reusable     bool
 	// unackedTimeout is the connection's present TCP_USER_TIMEOUT.
 	unackedTimeout time.Duration
-	// idleTimeout is how long the connection may stay idle.
-	idleTimeout time.Duration
-	idleSince   time.Time
+	// idleSince is when the last response had been read, or else the connection had been established.
+	idleSince time.Time
 	// pool is nil outside a pool. It guards servedSince.
 	pool *Pool
 	// establishedAt is when the connection had been established, and servedSince a time since which the process at its other end
@@ -51,15 +50,9 @@
 	}
 }
 
-// expired reports whether the connection has been idle for longer than its idle timeout.
-func (c *Conn) expired(now time.Time) bool { return now.Sub(c.idleSince) > c.idleTimeout }
-
 // healthy reports whether an idle connection can carry a request: the upstream has neither closed it nor sent
 // anything.
-func (c *Conn) healthy(now time.Time) bool {
-	if c.expired(now) {
-		return false
-	}
+func (c *Conn) healthy() bool {
 	raw, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return false
@@ -108,7 +101,7 @@
 	if endsWithConnection(resp) {
 		resp.Body = &endChecker{ReadCloser: resp.Body, check: func() error { return c.checkEnd(w) }}
 	}
-	resp.Body = &eofNotifier{ReadCloser: resp.Body, onEOF: func() { c.reusable = !resp.Close && w.succeeded() }}
+	resp.Body = &eofNotifier{ReadCloser: resp.Body, onEOF: func() { c.endResponse(!resp.Close && w.succeeded()) }}
 	return resp, nil
 }
 
@@ -216,13 +209,25 @@
 	return nil, errors.Errorf("read response from %s: received only responses to other requests", c.address)
 }
 
+// endResponse records that the response has been read to its end.
+func (c *Conn) endResponse(reusable bool) {
+	c.reusable = reusable
+	if c.pool != nil {
+		c.idleSince = c.pool.clock.Now()
+	}
+}
+
 // recordKeepAlive derives the idle timeout from the timeout in the response's Keep-Alive header, if there is one.
 func (c *Conn) recordKeepAlive(resp *http.Response) {
+	if c.pool == nil {
+		return
+	}
 	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.ParseFloat(value, 64)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			c.idleTimeout = time.Duration(idleTimeoutFraction * seconds * float64(time.Second))
+			seconds = min(seconds, maxIdleTimeout.Seconds())
+			c.pool.setIdleTimeout(c.address, time.Duration(idleTimeoutFraction*seconds*float64(time.Second)))
 		}
 	}
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -40,6 +40,8 @@
 	// idleTimeoutFraction is the fraction of the upstream's own idle timeout after which a connection is no longer
 	// used.
 	idleTimeoutFraction = 0.6
+	// maxIdleTimeout limits the upstream's own idle timeout.
+	maxIdleTimeout = time.Hour
 	// maxIdlePerUpstream limits the idle connections to one upstream.
 	maxIdlePerUpstream = 16
 )
@@ -59,12 +61,14 @@
 	idle map[string][]*Conn
 	// open holds the connections that are not closed, idle or not.
 	open map[string]map[*Conn]struct{}
+	// idleTimeouts holds how long connections may stay idle, for upstreams with open connections that have told it.
+	idleTimeouts map[string]time.Duration
 }
 
 // NewPool returns an empty pool whose connections are bound to the local address, or to any if it is nil.
 func NewPool(local net.Addr, clock clockwork.Clock) *Pool {
 	return &Pool{
-		clock: clock, idle: map[string][]*Conn{}, open: map[string]map[*Conn]struct{}{},
+		clock: clock, idle: map[string][]*Conn{}, open: map[string]map[*Conn]struct{}{}, idleTimeouts: map[string]time.Duration{},
 		dialer: net.Dialer{
 			Timeout: connectTimeout, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -92,11 +96,11 @@
 // Get returns a connection to the address: an idle one that is still healthy, or a new one.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	for {
-		c := p.popIdle(address)
+		c, expired := p.popIdle(address)
 		if c == nil {
 			break
 		}
-		if c.healthy(p.clock.Now()) {
+		if !expired && c.healthy() {
 			c.Reused = c.WriteStarted
 			return c, nil
 		}
@@ -119,7 +123,7 @@
 // add records an open connection, until it is closed.
 func (p *Pool) add(c *Conn) {
 	c.pool, c.establishedAt = p, p.clock.Now()
-	c.servedSince = c.establishedAt
+	c.servedSince, c.idleSince = c.establishedAt, c.establishedAt
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[c.address] == nil {
@@ -135,6 +139,7 @@
 	delete(p.open[c.address], c)
 	if len(p.open[c.address]) == 0 {
 		delete(p.open, c.address)
+		delete(p.idleTimeouts, c.address)
 	}
 }
 
@@ -189,25 +194,44 @@
 	head, out := &headLimiter{Reader: raw}, &errorRecorder{Writer: raw}
 	return &Conn{
 		raw: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
-		out: out, bw: bufio.NewWriterSize(out, writeBufferBytes), idleTimeout: defaultIdleTimeout,
-		unackedTimeout: unackedTimeout,
+		out: out, bw: bufio.NewWriterSize(out, writeBufferBytes), unackedTimeout: unackedTimeout,
 	}
 }
 
-func (p *Pool) popIdle(address string) *Conn {
+// setIdleTimeout records how long connections to the address may stay idle.
+func (p *Pool) setIdleTimeout(address string, timeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.open[address]) > 0 {
+		p.idleTimeouts[address] = timeout
+	}
+}
+
+// expired reports whether the connection has been idle for longer than it may. The caller holds mu.
+func (p *Pool) expired(c *Conn, now time.Time) bool {
+	timeout, ok := p.idleTimeouts[c.address]
+	if !ok {
+		timeout = defaultIdleTimeout
+	}
+	return now.Sub(c.idleSince) > timeout
+}
+
+// popIdle returns the idle connection to the address that was put back last, and whether it has been idle for too long. It is
+// nil if there is none.
+func (p *Pool) popIdle(address string) (c *Conn, expired bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
-		return nil
+		return nil, false
 	}
-	c := list[len(list)-1]
+	c = list[len(list)-1]
 	if len(list) == 1 {
 		delete(p.idle, address)
 	} else {
 		p.idle[address] = list[:len(list)-1]
 	}
-	return c
+	return c, p.expired(c, p.clock.Now())
 }
 
 // Put returns a connection to the pool after its last response has been read to the end. It closes connections that
@@ -217,7 +241,6 @@
 		c.Close()
 		return
 	}
-	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	full := len(p.idle[c.address]) >= maxIdlePerUpstream
 	if !full {
@@ -248,7 +271,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if c.expired(now) {
+			if p.expired(c, now) {
 				stale = append(stale, c)
 			} else {
 				kept = append(kept, c)
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -105,6 +105,10 @@
 		{"idle for too long", okResponse(""), defaultIdleTimeout + 1, false},
 		{"within the upstream's keep-alive timeout", okResponse("Keep-Alive: timeout=10\r\n"), 5 * time.Second, true},
 		{"near the upstream's keep-alive timeout", okResponse("Keep-Alive: timeout=10\r\n"), 7 * time.Second, false},
+		{"within a keep-alive timeout of a second", okResponse("Keep-Alive: timeout=1\r\n"), 500 * time.Millisecond, true},
+		{"near a keep-alive timeout of a second", okResponse("Keep-Alive: timeout=1\r\n"), 700 * time.Millisecond, false},
+		{"with a keep-alive timeout of zero", okResponse("Keep-Alive: timeout=0\r\n"), time.Millisecond, false},
+		{"with a keep-alive timeout without end", okResponse("Keep-Alive: timeout=1e300\r\n"), time.Minute, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -142,6 +146,24 @@
 	is.Equal(len(p.open[address]), 0)
 }
 
+// Guards against a request that is sent on a connection which the upstream is just closing, since its keep-alive timeout is
+// applied only to the connections on which it was told.
+func TestKeepAliveTimeoutAppliesToAllConnectionsOfUpstream(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	p := NewPool(nil, clock)
+	address := startServer(t, respondWith(okResponse("Keep-Alive: timeout=1\r\n"), okResponse("")))
+	is.NoErr(p.Open(context.Background(), address))
+	spare, err := p.Get(context.Background(), address)
+	is.NoErr(err)
+	roundTrip(t, p, address, nil)
+	is.NoErr(p.Open(context.Background(), address)) // after the timeout was told
+	clock.Advance(700 * time.Millisecond)
+	p.PutUnused(spare) // opened before it was told, and idle ever since
+	p.CloseExpired()
+	is.Equal(p.idleCount(address), 0)
+}
+
 func TestConnectionClosedByPeerIsNotReused(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
@@ -155,7 +177,7 @@
 	// Until the FIN has arrived over loopback, the connection looks healthy.
 	for range 1000 {
 		p.mu.Lock()
-		healthy := p.idle[address][0].healthy(p.clock.Now())
+		healthy := p.idle[address][0].healthy()
 		p.mu.Unlock()
 		if !healthy {
 			break
