Calls between hosts are not sent on connections that are just being closed

What peers saw: a call to a host on a connection that had been idle for 10 s ended with EOF now and then; the host counted as lost until the next exchange, or its changes were read elsewhere.

Cause: the server closes connections that have been idle for 10 s (the read timeout, for want of an idle timeout). The client kept them without limit, and net/http doesn't repeat a POST whose connection ends without a response.

Ruled out: calls to the store: they are GETs, which net/http sends once more.

Change: the client's idle timeout is 8 s, and the server's 10 s are set as such.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,10 @@
 	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
+	// peerIdleTimeout is how long a host keeps an idle connection of another host open. clientIdleTimeout is how long that one
+	// uses it: if both were equal, calls would be sent on connections that are just being closed.
+	peerIdleTimeout   = 10 * time.Second
+	clientIdleTimeout = 8 * time.Second
 	// peerReadTimeout limits the time for reading a request of another host. It exceeds the time for which such a request
 	// may wait for changes, since net/http cancels requests whose connection passes its read deadline.
 	peerReadTimeout = 10 * time.Second
@@ -112,7 +116,7 @@
 // Responses beyond maxPeerHeaderBytes or maxPeerResponseBytes are errors.
 func NewTransport(pool *upconn.Pool) http.RoundTripper {
 	return bodyLimiter{&http.Transport{
-		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}}
 }
@@ -241,10 +245,7 @@
 		server        *http.Server
 	}{
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
-		{"peer", g.settings.PeerAddress, &http.Server{
-			Handler: http.MaxBytesHandler(g.peerHandler(), maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout,
-			ReadTimeout: peerReadTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
-		}},
+		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
 	} {
 		go serve(s.server, s.name, s.address, serveErrors)
@@ -261,6 +262,14 @@
 	return errors.Wrap(err, "run router")
 }
 
+// newPeerServer returns the server for other hosts.
+func newPeerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: http.MaxBytesHandler(h, maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout, ReadTimeout: peerReadTimeout,
+		IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+	}
+}
+
 // shareLoads starts the exchange of observed loads and of the origins of streams, on the UDP port with the number of the peer address.
 func (g *Gateway) shareLoads(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress)
