A first configuration that comes at the end of the wait for it is used

What callers saw: 503 no-configuration from a starting host although the configuration had come; likely after the process had stood still, when both have happened by the time it looks.

Cause: a select between the configuration and the end of the wait takes either at random if both are ready.

Change: the configuration is looked at after the wait, whatever ended it.

Evidence: TestConfigurationAtEndOfWaitIsUsed failed before (one refusal within 50 repeats), 0 of 50 now.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -45,21 +45,21 @@
 
 // awaitConfig returns the current configuration. If none has arrived yet, it waits for one for a limited time.
 func (f *admissionFilter) awaitConfig(ctx context.Context, req *Request) (*catalog.Config, error) {
+	if config := f.store.Current().Config; config != nil {
+		return config, nil
+	}
 	wait := maxConfigWait
 	if req.CallerTimeout > 0 {
 		wait = min(wait, req.CallerTimeout/configWaitDivisor)
 	}
 	select {
 	case <-f.store.ConfigReady():
-		return f.store.Current().Config, nil
-	default:
-	}
-	select {
-	case <-f.store.ConfigReady():
-		return f.store.Current().Config, nil
 	case <-ctx.Done():
 	case <-f.clock.After(wait):
 	}
+	if config := f.store.Current().Config; config != nil { // it may have come as the wait ended
+		return config, nil
+	}
 	return nil, outcome.Unavailable(stepAdmit, "no-configuration", "no configuration is known yet").WithRetryAfter(defaultRetryAfter)
 }
 
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -307,6 +307,33 @@
 	}
 }
 
+// lateClock is a clock whose timers expire just after an event.
+type lateClock struct {
+	clockwork.Clock
+	event func()
+}
+
+func (c lateClock) After(time.Duration) <-chan time.Time {
+	c.event()
+	expired := make(chan time.Time, 1)
+	expired <- c.Now()
+	return expired
+}
+
+// Guards against a refusal for want of a configuration that has come just before the end of the wait for it, as after this
+// process has stood still.
+func TestConfigurationAtEndOfWaitIsUsed(t *testing.T) {
+	is := is.New(t)
+	for range 50 { // a select takes one of the cases that are ready at random
+		h := &harness{config: &catalog.Config{}}
+		h.store = catalog.NewStore(h.decode, clockwork.NewRealClock(), zerolog.Nop())
+		f := &admissionFilter{store: h.store, clock: lateClock{clockwork.NewRealClock(), func() { h.publish("config") }}}
+		config, err := f.awaitConfig(t.Context(), &Request{})
+		is.NoErr(err)
+		is.Equal(config, h.config)
+	}
+}
+
 func TestRequestWaitsForFirstConfiguration(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, ok)
