The idle timeout of a response counts only the time in which it is read

What callers saw (routers with owners): a response was cut off as silent although its upstream sent on, if the caller took longer for one chunk than timeouts.between_bytes, while timeouts.write allows it 30 s. A response whose end came as the timeout expired was cut off as well.

Cause: the timer ran on while the relay wrote to the caller, and expired without knowing whether the read had returned.

Change: each read has its timer, which closes the body only if that read still waits. A body that has ended is whole.

--- a/internal/idletimeout/idletimeout.go
+++ b/internal/idletimeout/idletimeout.go
@@ -3,7 +3,7 @@
 
 import (
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,40 +12,63 @@
 // ErrIdleTimeout is returned by Read when a response body delivered no data within its idle timeout.
 var ErrIdleTimeout = errors.New("no response data within the idle timeout")
 
-// WithIdleTimeout returns a body that is closed, and whose Read returns ErrIdleTimeout, when no byte arrives within the
-// limit.
+// WithIdleTimeout returns a body that is closed, and whose Read returns ErrIdleTimeout, when a Read gets no byte within the
+// limit. The time between reads does not count, in which a slow receiver takes what has been read.
 func WithIdleTimeout(body io.ReadCloser, limit time.Duration) io.ReadCloser {
-	b := &idleTimeoutBody{body: body, limit: limit}
-	b.timer = time.AfterFunc(limit, func() {
-		b.expired.Store(true)
-		// The pending Read returns the error of the closed body.
-		_ = b.body.Close()
-	})
-	return b
+	return &idleTimeoutBody{body: body, limit: limit}
 }
 
 type idleTimeoutBody struct {
-	body    io.ReadCloser
-	limit   time.Duration
+	body  io.ReadCloser
+	limit time.Duration
+
+	mu sync.Mutex
+	// reads counts the reads, and timer is that of the present one; nil between reads.
+	reads   int
 	timer   *time.Timer
-	expired atomic.Bool
+	expired bool
 }
 
 // Read implements io.Reader.
 func (b *idleTimeoutBody) Read(p []byte) (int, error) {
+	b.begin()
 	n, err := b.body.Read(p)
-	if b.expired.Load() {
+	if b.end() && !errors.Is(err, io.EOF) {
 		return n, ErrIdleTimeout
 	}
-	if err == nil {
-		b.timer.Reset(b.limit)
-	}
 	return n, err
 }
 
-// Close stops the timer and closes the body.
-func (b *idleTimeoutBody) Close() error {
+// begin starts the timer of a read.
+func (b *idleTimeoutBody) begin() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reads++
+	read := b.reads
+	b.timer = time.AfterFunc(b.limit, func() { b.expire(read) })
+}
+
+// expire closes the body if the read has not returned. The read returns the error of the closed body.
+func (b *idleTimeoutBody) expire(read int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.timer != nil && b.reads == read {
+		b.expired = true
+		_ = b.body.Close()
+	}
+}
+
+// end stops the timer of a read, and reports whether one has expired.
+func (b *idleTimeoutBody) end() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.timer.Stop()
+	b.timer = nil
+	return b.expired
+}
+
+// Close closes the body.
+func (b *idleTimeoutBody) Close() error {
 	return errors.Wrap(b.body.Close(), "close response body")
 }
 
