A slot that is granted at the end of a request's wait is used

What callers saw (routers with owners): 503 busy, not run, although the upstream had just become free for the request; its slot was given to the next one or left free. Likely after the process had stood still, when the end of the wait and the grant have both happened by the time it looks.

Cause: a select between the grant and the end of the wait takes either at random if both are ready, and the end of the wait gave a granted slot back.

Change: a granted slot is used, unless the caller has left or the deadline has passed.

--- a/internal/upstreams/acquire.go
+++ b/internal/upstreams/acquire.go
@@ -139,25 +139,31 @@
 	case err := <-w.done:
 		return err
 	case <-ctx.Done():
-		return s.abandonWait(st, w, outcome.Unavailable(step, CodeBusy, "the caller went away").WithPeer(st.up.Name, ctx.Err()))
 	case <-timer.Chan():
-		return s.abandonWait(st, w, refuseWait(st, req, s.Clock.Since(start)))
 	}
-}
-
-// abandonWait removes the request from the queue, or releases the slot if one was granted in the meantime.
-func (s *Set) abandonWait(st *state, w *waiter, refusal error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st.queue.Remove(w.team, w) {
 		s.countWaiting(st, w, -1)
-		return refusal
+		return waitEnded(ctx, st, req, s.Clock.Since(start))
 	}
+	// The result came as the wait ended.
 	if err := <-w.done; err != nil {
 		return err
 	}
+	if ctx.Err() == nil && s.Clock.Now().Before(req.Deadline) {
+		return nil
+	}
 	s.releaseSlot(w.state)
-	return refusal
+	return waitEnded(ctx, st, req, s.Clock.Since(start))
+}
+
+// waitEnded returns the refusal of a request whose wait has ended without a slot.
+func waitEnded(ctx context.Context, st *state, req Request, wait time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return outcome.Unavailable(step, CodeBusy, "the caller went away").WithPeer(st.up.Name, err)
+	}
+	return refuseWait(st, req, wait)
 }
 
 // releaseSlot frees a slot and grants it to a queued request. The caller holds mu.
--- a/internal/upstreams/acquire_test.go
+++ b/internal/upstreams/acquire_test.go
@@ -91,6 +91,33 @@
 	is.Equal(set.State()[0].InFlight, 15)
 }
 
+// Guards against a refusal of a request that was granted a slot just before the end of its wait, as after this process has stood
+// still.
+func TestSlotGrantedAtEndOfWaitIsUsed(t *testing.T) {
+	is := is.New(t)
+	s, set, slots := fullSimulation(t)
+	slots[0].Release()
+	set.mu.Lock()
+	st := set.states["engine-0"]
+	set.takeSlot(st, s.clock.Now())
+	inFlight := st.inFlight
+	set.mu.Unlock()
+	for range 50 { // a select takes one of the cases that are ready at random
+		w := &waiter{team: "b", done: make(chan error, 1), state: st}
+		w.done <- nil
+		is.NoErr(set.wait(context.Background(), st, w, s.request("b"))) // MaxWait is 0
+	}
+	is.Equal(st.inFlight, inFlight)
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for st.inFlight == inFlight { // until the cancellation is noticed first
+		w := &waiter{team: "b", done: make(chan error, 1), state: st}
+		w.done <- nil
+		err := set.wait(cancelled, st, w, s.queueingRequest())
+		is.Equal(err != nil, st.inFlight < inFlight) // the slot of a caller that has left is free
+	}
+}
+
 func TestRequestThatWouldMissItsDeadlineIsRefusedImmediately(t *testing.T) {
 	is := is.New(t)
 	s, set, _ := fullSimulation(t)
