Routers with owners answer heads that arrive in parts in a planned stop

What callers saw: a request whose head arrived in two parts while the router stopped got no response; a head that took too long was closed without one as well.

Cause: http.Server.Shutdown closes the connections that net/http reports as idle, which they are until the whole head of the next request has been read, and new connections without a request.

Ruled out: net/http's own idle timeout, which ends with the fourth byte of a head and so concerns three bytes at most; it is replaced all the same.

Change: the server for callers tracks its connections with internal/callerconn, as they use no TLS. A planned stop closes the address, interrupts only waits for a first byte, and refuses the heads that are left at its end. The servers for peers keep Shutdown: it comes after a second without a hop, and a refusal can't be written below TLS.

Evidence: TestHeadThatBeganBeforePlannedStopIsAnswered: 8 of 10 cases without a response before (the two cut in the body passed), TestHeadThatArrivesAtEndOfStopIsRefused: 4 of 4; none now. internal/proofs/fleet -run 'Stop|RollingRestart' passes. TestSlowCallersTimeOut required a closed connection without a response for a late head; it requires 408 head-incomplete, not run, now, as docs/API.md does.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	stdlog "log"
+
 	"net/http"
 	"strings"
 
@@ -32,6 +32,7 @@
 	requests     tally.Counter
 	refusals     tally.Counter
 	responsesCut tally.Counter
+	headsNotRead tally.Counter
 }
 
 // New returns the handler that runs chain for each request.
@@ -40,6 +41,7 @@
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
 		bodies:   inbound.NewBodyBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), responsesCut: scope.Counter("answers_cut"),
+		headsNotRead: scope.Counter("heads_not_answered"),
 	}
 }
 
@@ -47,18 +49,6 @@
 // above the limit thus gets a refusal with a JSON body instead of the plain 431 response of net/http.
 const headerReadFactor = 2
 
-// Server returns the server for callers. net/http clears the read deadline once the body has been read, so ReadTimeout
-// does not bound the response. A WriteTimeout would cut off long streams, so the handler sets a deadline for each write
-// instead.
-func (h *Handler) Server() *http.Server {
-	return &http.Server{
-		Handler: h.Router(), ReadHeaderTimeout: h.timeouts.Header.Std(), ReadTimeout: h.timeouts.Body.Std(),
-		IdleTimeout: h.timeouts.Idle.Std(), MaxHeaderBytes: headerReadFactor * h.limits.HeaderBytes,
-		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     stdlog.New(&serverLog{log: h.log}, "", 0),
-	}
-}
-
 // serverLog logs the messages of net/http as events.
 type serverLog struct {
 	log zerolog.Logger
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -30,6 +30,7 @@
 	address  string
 	requests atomic.Int64
 	last     atomic.Pointer[exchange.Exchange]
+	server   *Server
 	body     func(context.Context) io.ReadCloser
 }
 
@@ -61,9 +62,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := handler.Server()
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { server.Close() })
+	b.server = handler.Server(func(next http.Handler) http.Handler { return next })
+	go func() { _ = b.server.Serve(listener) }()
+	t.Cleanup(func() { b.server.Close() })
 	b.address = listener.Addr().String()
 	return b
 }
@@ -192,9 +193,11 @@
 	t.Parallel()
 	is := is.New(t)
 	b := startServerWithTimeout(t, true, slowCallerTimeout)
-	resp, _ := b.roundTrip(t, "POST / HTTP/1.1\r\n")
-	is.True(resp == nil) // The connection is closed without a response.
-	resp, text := b.roundTrip(t, head+"Content-Length: 10\r\n\r\nabc")
+	resp, text := b.roundTrip(t, "POST / HTTP/1.1\r\n")
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.True(strings.Contains(text, `"code":"head-incomplete"`))
+	is.Equal(resp.Header.Get(outcome.HeaderOutcome), string(outcome.NotRun))
+	resp, text = b.roundTrip(t, head+"Content-Length: 10\r\n\r\nabc")
 	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
 	is.True(strings.Contains(text, `"code":"body-timeout"`))
 	is.Equal(resp.Header.Get(outcome.HeaderOutcome), string(outcome.NotRun))
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -36,7 +37,16 @@
 
 // WriteRefusal writes a refusal to a caller.
 func WriteRefusal(w http.ResponseWriter, trace string, r *outcome.Refusal) {
-	header := w.Header()
+	header, body := encodeRefusal(trace, r)
+	maps.Copy(w.Header(), header)
+	w.WriteHeader(r.Status)
+	// An error means that the caller has disconnected and cannot receive the refusal.
+	_, _ = w.Write(body)
+}
+
+// encodeRefusal returns the headers and the body of the response to a refused request.
+func encodeRefusal(trace string, r *outcome.Refusal) (http.Header, []byte) {
+	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	header.Set(outcome.HeaderOutcome, string(r.Outcome))
 	header.Set(outcome.HeaderTrace, trace)
@@ -49,10 +59,12 @@
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
-	w.WriteHeader(r.Status)
-	// An error means that the caller has disconnected and cannot receive the refusal.
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{
+	body, err := json.Marshal(errorBody{Error: errorDetail{
 		Code: r.Code, Message: r.Message, Step: r.Step, Peer: r.Peer, Outcome: r.Outcome, Earlier: r.Earlier,
 		IdempotencyKey: r.IdempotencyKey, Trace: trace,
 	}})
+	if err != nil {
+		body = []byte(`{}`)
+	}
+	return header, append(body, '\n')
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -168,7 +168,7 @@
 
 // stop drains the servers in an order that cuts off no request in flight. The load balancer and the peers are informed
 // first, while everything is still served; then the callers' requests drain, then those of peers.
-func (r *Router) stop(callerServer, peerServer, adminServer *http.Server) error {
+func (r *Router) stop(callerServer, peerServer, adminServer server) error {
 	r.log.Info().Str("event", "stopping").Send()
 	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Timeouts.Drain.Std()+r.settings.Timeouts.Stop.Std())
 	defer cancel()
@@ -190,7 +190,7 @@
 }
 
 // shutdown waits until the server's requests have ended or the context ends, and then cuts off the remaining ones.
-func (r *Router) shutdown(ctx context.Context, s *http.Server, name string) error {
+func (r *Router) shutdown(ctx context.Context, s server, name string) error {
 	err := s.Shutdown(ctx)
 	if err == nil {
 		return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,8 +134,9 @@
 	})
 	wg.Go(func() { r.upstreams.Run(loops) })
 
-	callerServer := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server()
-	callerServer.Handler = r.callerRequests.handler(r.clock.Now, callerServer.Handler)
+	callerServer := callers.New(r.store, r.entryChain(), r.settings, r.clock, r.log, r.scope).Server(func(next http.Handler) http.Handler {
+		return r.callerRequests.handler(r.clock.Now, next)
+	})
 	peerServer := &http.Server{Handler: r.peerHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net"
 	"net/http"
 
@@ -18,7 +19,14 @@
 	"github.com/orioleusher/orioleusher/internal/rpc/quotapb"
 )
 
-func (r *Router) serve(s *http.Server, name, address string, failed chan<- error) {
+// server is an http.Server or the server for callers.
+type server interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+func (r *Router) serve(s server, name, address string, failed chan<- error) {
 	go func() {
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
