The drain time fits into the time of a planned stop

What callers saw: with timeouts.stop below 3 s the router did not start, as the default of 3 s for timeouts.drain was refused. With a stop of up to 3.8 s the process waited for the load balancer until after the time at which requests are cut off, and ended later than the stop: what was in flight got no response if the process was killed then.

Cause: a constant default and a constant margin beside a configured total.

Change: the default of the drain time is at most half of the stop, and the drain ends at the latest when requests are cut off.

Evidence: TestDefaultDrainFitsIntoStop failed before at 2 s, passes now; TestStopEndsInTime has the times (3 s and 3.3 s for the drain and the end before, by the former formula).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -299,8 +299,9 @@
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
 func (g *Gateway) stop(callers net.Listener) {
-	start, drain := g.clock.Now(), g.settings.Timeouts.Drain.Std()
-	cutOff := start.Add(g.settings.Timeouts.Stop.Std() - shutdownMargin)
+	start := g.clock.Now()
+	drain, total := stopTimes(g.settings.Timeouts)
+	cutOff := start.Add(total)
 	g.stopping.Store(true)
 	g.server.BeginStop(start.Add(drain-refuseMargin), cutOff)
 	g.fleet.MarkLeaving()
@@ -320,6 +321,12 @@
 	}
 }
 
+// stopTimes returns how long after the begin of a planned stop the callers' address is closed, and requests are cut off.
+func stopTimes(t settings.DirectTimeouts) (drain, cutOff time.Duration) {
+	cutOff = max(0, t.Stop.Std()-shutdownMargin)
+	return min(t.Drain.Std(), cutOff), cutOff
+}
+
 // awaitConns waits until all callers' connections have ended, for a limited time.
 func (g *Gateway) awaitConns(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -66,8 +66,10 @@
 
 // Defaults and limits of the settings.
 const (
-	defaultDirectDrain  = 3 * time.Second
-	defaultDirectStop   = 8 * time.Second
+	defaultDirectDrain = 3 * time.Second
+	defaultDirectStop  = 8 * time.Second
+	// maxDrainDivisor limits the default of the drain time to a part of the time of the whole stop.
+	maxDrainDivisor     = 2
 	defaultDirectGossip = time.Second
 	defaultApplyTime    = 2 * time.Second
 	minApplyTime        = 500 * time.Millisecond
@@ -80,8 +82,8 @@
 
 // Check implements Checker.
 func (d *Direct) Check() []Problem {
-	setDefault(&d.Timeouts.Drain, Duration(defaultDirectDrain))
 	setDefault(&d.Timeouts.Stop, Duration(defaultDirectStop))
+	setDefault(&d.Timeouts.Drain, min(Duration(defaultDirectDrain), d.Timeouts.Stop/maxDrainDivisor))
 	setDefault(&d.Timeouts.Gossip, Duration(defaultDirectGossip))
 	setDefault(&d.Timeouts.Leaving, Duration(defaultApplyTime))
 	setDefault(&d.Timeouts.Configuration, Duration(defaultApplyTime))
