A request without a timeout is served

What callers saw: 503 for each request on a route without a timeout if the caller names none either.

Cause: the deadline was the time of arrival then.

Change: a default of two minutes.

Evidence: TestRequestWithoutTimeoutIsServed failed before (503), passes now.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -35,6 +35,9 @@
 	clock clockwork.Clock
 }
 
+// defaultTimeout limits a request if neither its route nor its caller sets a timeout.
+const defaultTimeout = 2 * time.Minute
+
 // Bounds on the wait for the first configuration. A starting router receives it within a second, so waiting is better
 // for the caller than a refusal and a retry. The wait is at most 1/configWaitDivisor of the caller's timeout and never
 // longer than maxConfigWait.
@@ -82,8 +85,11 @@
 		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
 	}
 	timeout := req.Route.Timeout
-	if req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout) {
+	switch {
+	case req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout):
 		timeout, req.callersDeadline = req.CallerTimeout, true
+	case timeout <= 0:
+		timeout = defaultTimeout
 	}
 	req.Deadline = req.Start.Add(timeout)
 	return next(ctx, req)
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -307,6 +307,29 @@
 	}
 }
 
+// Guards against refusals of all requests whose route and caller set no timeout.
+func TestRequestWithoutTimeoutIsServed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false, ok, ok)
+	h.setRoute(func(r *catalog.Route) { r.Timeout = 0 })
+	is.Equal(h.call(http.MethodPost, "/r/", "body").status, http.StatusOK)
+	is.Equal(h.call(http.MethodPost, "/r/", "body", "X-Wait-Ms", "1000").status, http.StatusOK)
+	seen, _, _, _ := h.record()
+	left, err := strconv.Atoi(seen[1].Header.Get("X-Remaining-Ms"))
+	is.NoErr(err)
+	is.True(left <= 1000)
+}
+
+// setRoute brings a configuration with a changed route into force.
+func (h *harness) setRoute(change func(*catalog.Route)) {
+	next := *h.config
+	next.Version++
+	next.Routes = slices.Clone(h.config.Routes)
+	change(&next.Routes[0])
+	h.config = &next
+	h.publish("config")
+}
+
 // lateClock is a clock whose timers expire just after an event.
 type lateClock struct {
 	clockwork.Clock
