--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -36,6 +35,9 @@
 	clock clockwork.Clock
 }
 
+// defaultTimeout limits a request if neither its route nor its caller sets a timeout.
+const defaultTimeout = 2 * time.Minute
+
 // Bounds on the wait for the first configuration. A starting router receives it within a second, so waiting is better
 // for the caller than a refusal and a retry. The wait is at most 1/configWaitDivisor of the caller's timeout and never
 // longer than maxConfigWait.
@@ -46,21 +48,21 @@
 
 // awaitConfig returns the current configuration. If none has arrived yet, it waits for one for a limited time.
 func (f *admissionFilter) awaitConfig(ctx context.Context, req *Request) (*catalog.Config, error) {
+	if config := f.store.Current().Config; config != nil {
+		return config, nil
+	}
 	wait := maxConfigWait
 	if req.CallerTimeout > 0 {
 		wait = min(wait, req.CallerTimeout/configWaitDivisor)
 	}
 	select {
 	case <-f.store.ConfigReady():
-		return f.store.Current().Config, nil
-	default:
-	}
-	select {
-	case <-f.store.ConfigReady():
-		return f.store.Current().Config, nil
 	case <-ctx.Done():
 	case <-f.clock.After(wait):
 	}
+	if config := f.store.Current().Config; config != nil { // it may have come as the wait ended
+		return config, nil
+	}
 	return nil, outcome.Unavailable(stepAdmit, "no-configuration", "no configuration is known yet").WithRetryAfter(defaultRetryAfter)
 }
 
@@ -83,8 +85,11 @@
 		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
 	}
 	timeout := req.Route.Timeout
-	if req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout) {
+	switch {
+	case req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout):
 		timeout, req.callersDeadline = req.CallerTimeout, true
+	case timeout <= 0:
+		timeout = defaultTimeout
 	}
 	req.Deadline = req.Start.Add(timeout)
 	return next(ctx, req)
@@ -148,8 +153,13 @@
 type bodyFilter struct {
 	store  *catalog.Store
 	bodies *inbound.BodyBudget
+	stop   *plannedStop
+	clock  clockwork.Clock
 }
 
+// passed is a deadline that interrupts a read at once.
+var passed = time.Unix(1, 0)
+
 // defaultMaxBodyBytes limits a body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -171,29 +181,35 @@
 	req.receiving = true
 	body := f.bodies.NewReader(io.LimitReader(req.HTTP.Body, limit+1))
 	defer body.Release()
-	if err := readBody(req, body, limit); err != nil {
+	if err := f.read(req, body, limit); err != nil {
 		return err
 	}
 	return next(ctx, req)
 }
 
-// readBody sets the request's body. It reads no more than one byte past the limit.
-func readBody(req *Request, body *inbound.BudgetedReader, limit int64) error {
+// read sets the request's body. It reads no more than one byte past the limit, and no longer than until the deadline or the
+// end of a planned stop.
+func (f *bodyFilter) read(req *Request, body *inbound.BudgetedReader, limit int64) error {
 	control := http.NewResponseController(req.response.writer)
 	// Some connections do not support deadlines; there the caller's own timeout bounds the read.
 	_ = control.SetReadDeadline(req.Deadline)
+	release := f.stop.onEnd(func() { _ = control.SetReadDeadline(passed) })
 	raw, err := io.ReadAll(body)
-	req.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+	stopped := release()
+	// The error does not always tell that the read was interrupted, and the interrupt may come just after the end of the body.
+	req.bodyLate = stopped || !f.clock.Now().Before(req.Deadline)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
 		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
 		// net/http reads on to notice a disconnected caller, and a failure of that read would cancel the request.
-		nextDeadline = time.Unix(1, 0)
+		nextDeadline = passed
 	}
 	_ = control.SetReadDeadline(nextDeadline)
 	switch {
 	case errors.Is(err, inbound.ErrBudgetExceeded):
 		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(defaultRetryAfter)
+	case err != nil && stopped:
+		return outcome.Unavailable(stepStop, "stopping", "the router stops before the body has arrived").WithRetryAfter(defaultRetryAfter)
 	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
