--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -60,7 +60,7 @@
 	mu      sync.Mutex
 	limits  Limits
 	late    []Cause
-	heads   []UnansweredHead
+	heads   []IncompleteHead
 }
 
 func newFixture() *fixture {
@@ -78,7 +78,7 @@
 	f.tracker = New(Options{
 		Clock: f.clock, Limits: f.currentLimits, Refusal: refusal,
 		OnLateBytes:      func(_ net.Addr, cause Cause, _ time.Duration) { f.late = append(f.late, cause) },
-		OnUnansweredHead: func(h UnansweredHead) { f.heads = append(f.heads, h) },
+		OnIncompleteHead: func(h IncompleteHead) { f.heads = append(f.heads, h) },
 	})
 	f.conn = f.tracker.newConn(raw)
 	return f
@@ -340,7 +340,7 @@
 	is.True(!strings.Contains(f.raw.written.String(), "400"))
 }
 
-func TestUnansweredHeadIsReported(t *testing.T) {
+func TestIncompleteHeadIsReported(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
 	f.receive("GET / ")
@@ -350,7 +350,7 @@
 	is.True(err != nil)
 	f.tracker.OnStateChange(f.conn, http.StateActive) // net/http reports it although the head could not be read
 	f.tracker.OnStateChange(f.conn, http.StateClosed)
-	is.Equal(f.heads, []UnansweredHead{{Peer: &net.TCPAddr{}, Bytes: 11, Waited: headerLimit, Cause: CauseHeader}})
+	is.Equal(f.heads, []IncompleteHead{{Peer: &net.TCPAddr{}, Bytes: 11, Waited: headerLimit, Cause: CauseHeader}})
 	is.Equal(f.tracker.State(), State{})
 }
 
@@ -359,7 +359,7 @@
 	t.Helper()
 	tracker := New(Options{
 		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
-		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnUnansweredHead: func(UnansweredHead) {},
+		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnIncompleteHead: func(IncompleteHead) {},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -255,7 +255,7 @@
 	defer c.mu.Unlock()
 	c.stopTimer()
 	if c.phase == readHead {
-		c.tracker.OnUnansweredHead(UnansweredHead{
+		c.tracker.OnIncompleteHead(IncompleteHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
 		})
 	}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,9 +2,9 @@
 // the rest of a head that has begun.
 //
 // net/http reports a connection as idle until the whole head of the next request has been read, so that a timeout or a drain
-// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It never closes a
-// connection: it interrupts the wait, and what has arrived by then is read first. A part of a head that was sent before the
-// previous response had ended may go unnoticed.
+// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It interrupts waits, and
+// what has arrived by then is read first; net/http closes the connections. A part of a head that was sent before the previous
+// response had ended may be taken for none.
 package callerconn
 
 import (
@@ -45,8 +45,9 @@
 	CauseStop   Cause = "stop"
 )
 
-// UnansweredHead describes a part of a request's head on a connection that ended before the rest had arrived.
-type UnansweredHead struct {
+// IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
+// if there is a cause.
+type IncompleteHead struct {
 	Peer  net.Addr
 	Bytes int64
 	// Waited is the time since the first byte.
@@ -55,14 +56,14 @@
 	Cause Cause
 }
 
-// Options configures New.
+// Options configures New. The functions must not use the tracker.
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
-	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
-	OnUnansweredHead func(UnansweredHead)
+	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
+	OnIncompleteHead func(IncompleteHead)
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-
 	"net/http"
 	"strings"
 
@@ -22,17 +21,17 @@
 
 // Handler handles the requests of callers.
 type Handler struct {
-	store        *config.Store
-	chain        exchange.Next
-	limits       settings.Limits
-	timeouts     settings.Timeouts
-	clock        clockwork.Clock
-	log          zerolog.Logger
-	bodies       *inbound.BodyBudget
-	requests     tally.Counter
-	refusals     tally.Counter
-	responsesCut tally.Counter
-	headsNotRead tally.Counter
+	store           *config.Store
+	chain           exchange.Next
+	limits          settings.Limits
+	timeouts        settings.Timeouts
+	clock           clockwork.Clock
+	log             zerolog.Logger
+	bodies          *inbound.BodyBudget
+	requests        tally.Counter
+	refusals        tally.Counter
+	responsesCut    tally.Counter
+	headsIncomplete tally.Counter
 }
 
 // New returns the handler that runs chain for each request.
@@ -41,7 +40,7 @@
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
 		bodies:   inbound.NewBodyBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), responsesCut: scope.Counter("answers_cut"),
-		headsNotRead: scope.Counter("heads_not_answered"),
+		headsIncomplete: scope.Counter("heads_incomplete"),
 	}
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -43,7 +43,7 @@
 // each write instead.
 func (h *Handler) Server(wrap func(http.Handler) http.Handler) *Server {
 	conns := callerconn.New(callerconn.Options{
-		Clock: h.clock, Limits: h.connLimits, Refusal: headRefusal, OnUnansweredHead: h.logUnansweredHead, OnLateBytes: h.logLateBytes,
+		Clock: h.clock, Limits: h.connLimits, Refusal: headRefusal, OnIncompleteHead: h.logIncompleteHead, OnLateBytes: h.logLateBytes,
 	})
 	return &Server{conns: conns, http: &http.Server{
 		Handler: wrap(h.Router()), ReadHeaderTimeout: h.timeouts.Header.Std(), ReadTimeout: h.timeouts.Body.Std(),
@@ -108,9 +108,9 @@
 	}
 }
 
-func (h *Handler) logUnansweredHead(head callerconn.UnansweredHead) {
-	h.headsNotRead.Inc(1)
-	h.log.Info().Str("event", "head-not-answered").Stringer("peer", head.Peer).Str("cause", string(head.Cause)).Int64("bytes", head.Bytes).
+func (h *Handler) logIncompleteHead(head callerconn.IncompleteHead) {
+	h.headsIncomplete.Inc(1)
+	h.log.Info().Str("event", "head-incomplete").Stringer("peer", head.Peer).Str("cause", string(head.Cause)).Int64("bytes", head.Bytes).
 		Dur("waited_ms", head.Waited).Send()
 }
 
--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -222,7 +222,7 @@
 	is.NoErr(c.c.Close())
 	var line map[string]any
 	for start := time.Now(); line == nil && time.Since(start) < responseTimeout; time.Sleep(time.Millisecond) {
-		line = logged.event(t, "head-not-answered")
+		line = logged.event(t, "head-incomplete")
 	}
 	is.Equal(line["bytes"], float64(len("GET /r/")))
 	is.Equal(line["cause"], "")
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -102,7 +102,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, Refusal: headRefusal, OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
+		Clock: o.Clock, Limits: s.connLimits, Refusal: headRefusal, OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -268,10 +268,10 @@
 	s.Log.Info().Str("event", "bytes-at-timeout").Stringer("peer", peer).Str("cause", string(cause)).Dur("waited_ms", waited).Send()
 }
 
-func (s *Server) logUnansweredHead(h callerconn.UnansweredHead) {
+func (s *Server) logIncompleteHead(h callerconn.IncompleteHead) {
 	limits := s.connLimits()
-	s.responses.unansweredHeads(h.Cause).Inc(1)
-	s.Log.Warn().Str("event", "head-not-answered").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
+	s.responses.incompleteHeads(h.Cause).Inc(1)
+	s.Log.Warn().Str("event", "head-incomplete").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
 		Dur("waited_ms", h.Waited).Dur("header_limit_ms", limits.Header).Dur("idle_limit_ms", limits.Idle).Send()
 }
 
@@ -293,9 +293,9 @@
 	return c.scope.Tagged(map[string]string{"ended_by": endedBy}).Counter("answers_cut")
 }
 
-// unansweredHeads returns the counter of connections that ended in the midst of a head.
-func (c *responseCounters) unansweredHeads(cause callerconn.Cause) tally.Counter {
-	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_not_answered")
+// incompleteHeads returns the counter of connections that ended in the midst of a head.
+func (c *responseCounters) incompleteHeads(cause callerconn.Cause) tally.Counter {
+	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_incomplete")
 }
 
 func (c *responseCounters) refused(code string) tally.Counter {
