TestRouterRefusals sets its limits by a configuration

The test changed the configuration in force in place, which races with the limits that the server reads for each connection that it accepts. The limits and the expected statuses are the same.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -299,7 +299,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, catalog.Safe, false)
-			h.config.Limits = catalog.Limits{HeaderBytes: 4000, BodyBytes: 10}
+			h.setLimits(catalog.Limits{HeaderBytes: 4000, BodyBytes: 10})
 			is.Equal(h.call(http.MethodPost, tt.path, "more than ten bytes", tt.headers...).status, tt.status)
 			_, _, ran, _ := h.record()
 			is.Equal(ran, 0)
