A request whose body still arrives at the end of a stop is refused as not run

What callers saw: a request whose head had arrived and whose body had not ended without a response with the process, at the end of a planned stop. A head that is still arriving then got 503.

Cause: the end of a stop cancels the requests' contexts, and nothing interrupted the read of a body, which waits until the request's deadline. The router logged callers-cut-off with the request in flight.

Ruled out: the limits of heads and idle connections; the heads had been read, and no head-not-answered was logged.

Change: the read of a body ends with the request's context. At the end of a stop the request gets 503 stopping, which is true, as it has reached no upstream.

Evidence: TestRequestWhoseBodyArrivesAtEndOfStopIsRefused, no response before in its first case, 503 in all 3 now (with -race).

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -171,18 +171,20 @@
 	req.receiving = true
 	body := f.bodies.NewReader(io.LimitReader(req.HTTP.Body, limit+1))
 	defer body.Release()
-	if err := readBody(req, body, limit); err != nil {
+	if err := readBody(ctx, req, body, limit); err != nil {
 		return err
 	}
 	return next(ctx, req)
 }
 
 // readBody sets the request's body. It reads no more than one byte past the limit.
-func readBody(req *Request, body *inbound.BudgetedReader, limit int64) error {
+func readBody(ctx context.Context, req *Request, body *inbound.BudgetedReader, limit int64) error {
 	control := http.NewResponseController(req.response.writer)
 	// Some connections do not support deadlines; there the caller's own timeout bounds the read.
 	_ = control.SetReadDeadline(req.Deadline)
+	release := interruptReads(ctx, control)
 	raw, err := io.ReadAll(body)
+	release()
 	req.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
@@ -194,6 +196,8 @@
 	switch {
 	case errors.Is(err, inbound.ErrBudgetExceeded):
 		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(defaultRetryAfter)
+	case err != nil && errors.Is(context.Cause(ctx), errStopped):
+		return outcome.Unavailable(stepStop, "stopping", "the router stops before the body has arrived").WithRetryAfter(defaultRetryAfter)
 	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
@@ -205,3 +209,17 @@
 	req.Body = raw
 	return nil
 }
+
+// interruptReads ends the reads from the caller's connection once the context is cancelled, until release is called.
+func interruptReads(ctx context.Context, control *http.ResponseController) (release func()) {
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !stop() {
+			<-interrupted
+		}
+	}
+}
--- a/internal/direct/stop_test.go
+++ b/internal/direct/stop_test.go
@@ -233,3 +233,21 @@
 		})
 	}
 }
+
+// Guards against a request that ends without a response because its body is still arriving at the end of a stop.
+func TestRequestWhoseBodyArrivesAtEndOfStopIsRefused(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 4\r\n\r\nbo", "Transfer-Encoding: chunked\r\n\r\n4\r\nbo", "Content-Length: 4\r\n\r\n"} {
+		is := is.New(t)
+		h := newHarness(t, catalog.Unsafe, false, ok)
+		c := newRawCaller(t, h)
+		c.write("POST /r/second" + rawHead + framing)
+		for h.server.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond) // until the body is being read
+		h.server.BeginStop(time.Now(), time.Now())
+		h.server.CutOff()
+		is.Equal(c.status(), http.StatusServiceUnavailable)
+		is.Equal(c.status(), 0)
+	}
+}
