Soak: a router that stood still since a server's leaving is not late

Trace: the router r0 stood still from 46:10.10 to 46:12.156. It logged nothing in between; the exchanges of both other routers with it timed out, which no link of this test that is cut can cause. The server's leaving was acknowledged at 46:10.14; the others followed it by 46:10.49. The request was sent to r0 while it stood still. r0 passed it on as it went on, about 2 ms before it read the change (46:12.159).

This is allowed: the bound holds for hosts in touch, and one that stands still is not. Only that case is left out: the router stood still after the leaving, and less than the recovery time before the request. Cuts and other routers excuse nothing, as before; TestLeavingCheckFindsLateRequests shows each.

--- a/internal/proofs/soak/check_test.go
+++ b/internal/proofs/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -19,6 +20,8 @@
 type disturbance struct {
 	router   string // the router's IP, or "" for all routers
 	from, to time.Time
+	// frozen is set if the router stood still.
+	frozen bool
 }
 
 // allRouters stands for disturbances of all routers; those of a single one excuse nothing.
@@ -43,6 +46,14 @@
 	return true
 }
 
+// stoodStill reports whether the router stood still at some time after the first one and less than recoveryWindow before the
+// second.
+func (f *faultLog) stoodStill(router string, from, to time.Time) bool {
+	return slices.ContainsFunc(f.disturbances, func(d disturbance) bool {
+		return d.frozen && d.router == router && d.to.After(from) && d.from.Before(to) && to.Before(d.to.Add(recoveryWindow))
+	})
+}
+
 // findViolations returns every violation of a promise. It uses only what clients and servers observed, and no code of the
 // routers.
 func findViolations(calls []call, runs []arrival, f *faultLog) (violations []string) {
@@ -68,7 +79,7 @@
 		if r.executed {
 			ran[r.request]++
 		}
-		if at, ok := f.drainStarted[r.instance]; ok && r.at.Sub(at) > drainLimit && f.undisturbed(allRouters, r.at) {
+		if at, ok := f.drainStarted[r.instance]; ok && r.at.Sub(at) > drainLimit && f.undisturbed(allRouters, r.at) && !f.stoodStill(r.routerIP, at, r.at) {
 			add("request %s reached %s %v after it left", r.request, r.instance, r.at.Sub(at))
 		}
 	}
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -305,12 +305,16 @@
 
 // disturb records a disturbance of the router, or of all routers for "", from now until the returned function is called.
 func (f *soakRun) disturb(ip string) (end func()) {
-	from := time.Now()
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.faults.disturbances = append(f.faults.disturbances, disturbance{router: ip, from: from, to: time.Now()})
-	}
+	d := disturbance{router: ip, from: time.Now()}
+	return func() { f.addDisturbance(d) }
+}
+
+// addDisturbance records a disturbance that ends now.
+func (f *soakRun) addDisturbance(d disturbance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.to = time.Now()
+	f.faults.disturbances = append(f.faults.disturbances, d)
 }
 
 func (f *soakRun) sleepRandom(minMS, maxMS int) {
@@ -348,10 +352,11 @@
 
 func (f *soakRun) freeze() {
 	n, p := f.randomRouter()
-	defer f.disturb(routerIP(n))()
+	d := disturbance{router: routerIP(n), from: time.Now(), frozen: true}
 	p.Freeze()
 	f.sleepRandom(300, 2500)
 	p.Thaw()
+	f.addDisturbance(d)
 }
 
 func (f *soakRun) killAndRestart() {
