Soak: callers that keep connections and send in parts

Callers reuse connections for up to four fifths of the least idle limit that may be in force, and send a third of their requests in two or three parts, cut anywhere, with pauses near the limits for heads and the deadline; plain calls, safe and unsafe, and streams. Meanwhile configurations change limits, timeouts, services, resume_streams and keys, routers get SIGHUP, are stopped one after the other and overlapping, killed all at once and stand still, and so do servers.

A request that its caller sent within its limits to a host that lives or stops as planned must end with a response or a refusal before seven tenths of its time, is not refused as improper or late, and no router may give its head up.

The flag soak.block lets runs by hand use several blocks of addresses at the same time; with -artifacts, go test keeps the routers' logs.

--- a/internal/proofs/soak/check_self_test.go
+++ b/internal/proofs/soak/check_self_test.go
@@ -11,7 +11,7 @@
 // late.
 func TestLeavingCheckFindsLateRequests(t *testing.T) {
 	start := time.Now()
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	for _, tt := range []struct {
 		name    string
 		arrives time.Duration
--- a/internal/proofs/soak/client_test.go
+++ b/internal/proofs/soak/client_test.go
@@ -73,12 +73,16 @@
 	"/unsafe/": {kind: "unsafe", service: "s", attempts: 2, timeout: requestTimeout, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
 	"/stream/": {kind: "streaming", service: "s", attempts: 3, events: streamLength, timeout: requestTimeout, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
 
-	"/diagnosis/": {kind: "streaming", service: "engines", attempts: 2, events: 55, timeout: 12 * time.Second, objective: 600 * time.Millisecond, gap: 300 * time.Millisecond},
-	"/question/":  {kind: "streaming", service: "engines", attempts: 2, events: 42, timeout: 10 * time.Second, objective: 800 * time.Millisecond, gap: 300 * time.Millisecond, priority: 1},
-	"/tag/":       {kind: "streaming", service: "engines", attempts: 2, events: 3, timeout: 3 * time.Second, objective: 1200 * time.Millisecond, gap: 300 * time.Millisecond, priority: 2},
-	"/charge/":    {kind: "unsafe", service: "billing", attempts: 1, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
-	"/lookup/":    {kind: "safe", service: "billing", attempts: 2, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
-	"/added/":     {kind: "safe", service: "billing", attempts: 2, timeout: requestTimeout, objective: 100 * time.Millisecond},
+	"/diagnosis/":   {kind: "streaming", service: "engines", attempts: 2, events: 55, timeout: 12 * time.Second, objective: 600 * time.Millisecond, gap: 300 * time.Millisecond},
+	"/question/":    {kind: "streaming", service: "engines", attempts: 2, events: 42, timeout: 10 * time.Second, objective: 800 * time.Millisecond, gap: 300 * time.Millisecond, priority: 1},
+	"/tag/":         {kind: "streaming", service: "engines", attempts: 2, events: 3, timeout: 3 * time.Second, objective: 1200 * time.Millisecond, gap: 300 * time.Millisecond, priority: 2},
+	"/charge/":      {kind: "unsafe", service: "billing", attempts: 1, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
+	"/lookup/":      {kind: "safe", service: "billing", attempts: 2, timeout: 600 * time.Millisecond, objective: 100 * time.Millisecond, priority: 2},
+	"/kept-safe/":   {kind: "safe", service: "s", attempts: 2, timeout: longDeadline, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+	"/kept-unsafe/": {kind: "unsafe", service: "s", attempts: 2, timeout: longDeadline, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+	"/kept-stream/": {kind: "streaming", service: "s", attempts: 3, events: streamLength, timeout: longDeadline, objective: 500 * time.Millisecond, gap: 200 * time.Millisecond},
+
+	"/added/": {kind: "safe", service: "billing", attempts: 2, timeout: requestTimeout, objective: 100 * time.Millisecond},
 }
 
 func isStream(path string) bool { return routes[path].events > 0 }
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -26,6 +26,7 @@
 	firstSeed = flag.Uint64("soak.seed", 1, "first seed of the soak")
 	seeds     = flag.Int("soak.seeds", 1, "number of seeds")
 	length    = flag.Duration("soak.length", 8*time.Second, "length of the run of a seed")
+	block     = flag.Int("soak.block", 60, "block of loopback addresses; runs on different blocks may run at the same time")
 )
 
 // regressions are seeds that failed earlier, with the cause. They run in addition to the seeds of the command line.
@@ -35,7 +36,6 @@
 }{}
 
 const (
-	block       = 60
 	routerCount = 3
 	serverCount = 5
 	clientCount = 8
@@ -98,9 +98,9 @@
 	services: []map[string]any{{"name": "s", "max_connections": 100}}, paths: paths, heartbeat: 400 * time.Millisecond, retrySlack: 60,
 }
 
-func routerIP(n int) string { return fmt.Sprintf("127.%d.1.%d", block, n+1) }
-func serverIP(n int) string { return fmt.Sprintf("127.%d.2.%d", block, n+1) }
-func storeIP() string       { return fmt.Sprintf("127.%d.3.1", block) }
+func routerIP(n int) string { return fmt.Sprintf("127.%d.1.%d", *block, n+1) }
+func serverIP(n int) string { return fmt.Sprintf("127.%d.2.%d", *block, n+1) }
+func storeIP() string       { return fmt.Sprintf("127.%d.3.1", *block) }
 
 func runSeed(t *testing.T, seed uint64) {
 	f := startRun(t, seed, 0.05)
@@ -127,7 +127,7 @@
 
 // startFleet starts the store, the servers, a share of whose responses are faults, and the routers.
 func startFleet(t *testing.T, fleet fleet, seed uint64, faultShare float64) *soakRun {
-	testfleet.LockBlock(t, block)
+	testfleet.LockBlock(t, *block)
 	f := &soakRun{
 		t: t, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 0)), network: testfleet.NewNetwork(t),
 		faults: faultLog{drainStarted: map[string]time.Time{}},
@@ -260,7 +260,7 @@
 }
 
 func (f *soakRun) startRouters() {
-	dir := f.t.TempDir()
+	dir := f.t.ArtifactDir()
 	dataCentres := slices.Compact(slices.Clone(f.fleet.hosts))
 	for n, zone := range f.fleet.hosts {
 		ip := routerIP(n)
