--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -70,6 +71,9 @@
 type Tracker struct {
 	Options
 
+	// cutOff is set once heads that have not arrived whole are refused.
+	cutOff atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -89,7 +93,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Wrap(err, "accept caller's connection")
+		return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type and goes on
 	}
 	return l.tracker.newConn(c), nil
 }
@@ -148,8 +152,9 @@
 	return len(conns)
 }
 
-// CutOff ends the waits for the rest of heads that have begun.
+// CutOff ends the waits for the rest of heads, also of those that begin later.
 func (t *Tracker) CutOff() {
+	t.cutOff.Store(true)
 	for _, c := range t.open() {
 		c.interruptHead()
 	}
