--- a/internal/proofs/soak/kept_client_test.go
+++ b/internal/proofs/soak/kept_client_test.go
@@ -69,16 +69,17 @@
 	}
 }
 
-// await waits for a response or the end of the connection, for a limited time.
-func (c *callerConn) await(d time.Duration) (response, bool) {
+// await waits for a response or the end of the connection, for a limited time or until it is stopped.
+func (c *callerConn) await(d time.Duration, stop <-chan struct{}) (response, bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case v := <-c.responses:
 		return v, true
 	case <-timer.C:
-		return response{}, false
+	case <-stop:
 	}
+	return response{}, false
 }
 
 // keptCaller sends requests one after the other and keeps its connection for as long as it may.
@@ -87,14 +88,15 @@
 	rand *rand.Rand
 	name string
 	conn *callerConn
+	stop <-chan struct{}
 }
 
-// send sends requests until the run is stopped.
-func (c *keptCaller) send(stop <-chan struct{}) {
+// send sends requests until the caller is stopped.
+func (c *keptCaller) send() {
 	defer func() { c.disconnect() }()
 	for i := 0; ; i++ {
 		select {
-		case <-stop:
+		case <-c.stop:
 			return
 		default:
 		}
@@ -102,7 +104,7 @@
 			time.Sleep(reconnectInterval)
 			continue
 		}
-		if v, ended := c.conn.await(c.drawIdle()); ended {
+		if v, ended := c.conn.await(c.drawIdle(), c.stop); ended {
 			if v.status != 0 {
 				c.run.t.Errorf("%s got a response without a request: %+v", c.name, v)
 			}
@@ -229,7 +231,7 @@
 	r.parts = len(parts)
 	v, ended := c.sendParts(&r, parts, len(head))
 	if !ended {
-		v, ended = c.conn.await(r.deadline + giveUpAfter)
+		v, ended = c.conn.await(r.deadline+giveUpAfter, nil)
 	}
 	r.hung, r.ended = !ended, time.Now()
 	if ended {
@@ -250,12 +252,12 @@
 	length := 0
 	for _, p := range parts {
 		if p.pause > 0 {
-			if v, ended := c.conn.await(p.pause); ended {
+			if v, ended := c.conn.await(p.pause, nil); ended {
 				return v, true
 			}
 		}
 		if _, err := io.WriteString(c.conn, p.text); err != nil {
-			return c.conn.await(connectTime)
+			return c.conn.await(connectTime, nil)
 		}
 		if length += len(p.text); length >= headLength && r.headSent.IsZero() {
 			r.headSent = time.Now()
--- a/internal/proofs/soak/kept_test.go
+++ b/internal/proofs/soak/kept_test.go
@@ -76,11 +76,15 @@
 		k.repeat(stop, hangupPeriod, func() { k.stall(k.servers.list[k.randomInt(len(k.servers.list))]) })
 	})
 	time.Sleep(configLimit) // the first configuration with the routes of these callers is in force
+	var callers sync.WaitGroup
+	enough := make(chan struct{})
 	for n := range *keptRouters * callersPerRouter {
-		c := &keptCaller{run: k, rand: rand.New(rand.NewPCG(seed, uint64(100+n))), name: fmt.Sprint(n)}
-		background.Go(func() { c.send(stop) })
+		c := &keptCaller{run: k, rand: rand.New(rand.NewPCG(seed, uint64(100+n))), name: fmt.Sprint(n), stop: enough}
+		callers.Go(c.send)
 	}
 	k.disturbRouters(time.Now().Add(*keptLength))
+	close(enough)
+	callers.Wait()
 	close(stop)
 	background.Wait()
 	testfleet.Eventually(t, 5*time.Second, "all servers are done", k.servers.idle)
