--- a/internal/proofs/soak/kept_check_self_test.go
+++ b/internal/proofs/soak/kept_check_self_test.go
@@ -82,10 +82,10 @@
 	r := keptRequest{idleFrom: start, begun: start.Add(100 * time.Millisecond)}
 	r.ended = start.Add(time.Second)
 	const log = "level=info process=r0 event=started time=x\n" +
-		"level=warn process=r0 event=head-not-answered peer=1.2.3.4:5 cause=idle-timeout bytes=1 waited_ms=900.5 time=x\n" +
-		"level=warn process=r0 event=head-not-answered peer=1.2.3.4:6 cause=idle-timeout bytes=1 waited_ms=900.5 time=x\n" +
-		"level=warn process=r0 event=head-not-answered peer=1.2.3.4:5 cause=\"\" bytes=1 waited_ms=900.5 time=x\n" +
-		"level=warn process=r0 event=head-not-answered peer=1.2.3.4:5 cause=stop bytes=1 waited_ms=900.5 time=x\n" +
+		"level=warn process=r0 event=head-incomplete peer=1.2.3.4:5 cause=idle-timeout bytes=1 waited_ms=900.5 time=x\n" +
+		"level=warn process=r0 event=head-incomplete peer=1.2.3.4:6 cause=idle-timeout bytes=1 waited_ms=900.5 time=x\n" +
+		"level=warn process=r0 event=head-incomplete peer=1.2.3.4:5 cause=\"\" bytes=1 waited_ms=900.5 time=x\n" +
+		"level=warn process=r0 event=head-incomplete peer=1.2.3.4:5 cause=stop bytes=1 waited_ms=900.5 time=x\n" +
 		"level=info process=r0 event=bytes-at-timeout peer=1.2.3.4:5 cause=idle-timeout waited_ms=900.5 time=x\n"
 	last := map[string]*keptRequest{"1.2.3.4:5": &r}
 	givenUp := func() (n int) {
--- a/internal/proofs/soak/kept_check_test.go
+++ b/internal/proofs/soak/kept_check_test.go
@@ -173,7 +173,7 @@
 				e.cause = value
 			}
 		}
-		if e.event == "head-not-answered" || e.event == "bytes-at-timeout" {
+		if e.event == "head-incomplete" || e.event == "bytes-at-timeout" {
 			list = append(list, e)
 		}
 	}
@@ -183,7 +183,7 @@
 // givenUp returns the request whose head the router gave up according to its log although the caller kept to all limits.
 func (k *keptCheck) givenUp(e headEvent, last map[string]*keptRequest) *keptRequest {
 	r := last[e.peer]
-	if e.event != "head-not-answered" || e.cause == "" || e.cause == "stop" || r == nil || k.killed(r) || !r.withinLimits(k.limits) {
+	if e.event != "head-incomplete" || e.cause == "" || e.cause == "stop" || r == nil || k.killed(r) || !r.withinLimits(k.limits) {
 		return nil
 	}
 	return r
