A part of the memory for bodies is kept for short ones

What callers saw: while 400 callers sent bodies of 1 MB slowly, others with bodies of 2 KB were refused with 503 bodies-full.

Cause: bodies count as they arrive against one budget, so that long ones that arrive slowly fill it for all.

Change: bodies beyond 16 KB leave a quarter of the budget to shorter ones.

Evidence: TestShortBodiesAreTakenBesideLongOnes fails without the share.

--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -13,6 +13,12 @@
 // ErrBudgetExceeded is returned when the bodies of all requests in flight together use up the budget.
 var ErrBudgetExceeded = errors.New("too many body bytes in flight")
 
+// Bodies of up to shortBodyBytes may use the whole budget. Longer ones leave the part 1/shortBodyShare of it to them.
+const (
+	shortBodyBytes = 16 << 10
+	shortBodyShare = 4
+)
+
 // BodyBudget limits the memory for bodies over all requests in flight. It is safe for concurrent use.
 type BodyBudget struct {
 	total int64
@@ -23,8 +29,10 @@
 func NewBodyBudget(total int64) *BodyBudget { return &BodyBudget{total: total} }
 
 // TryReserve reserves n bytes and reports whether the budget allows it. Release returns them.
-func (b *BodyBudget) TryReserve(n int64) bool {
-	if b.used.Add(n) <= b.total {
+func (b *BodyBudget) TryReserve(n int64) bool { return b.reserveWithin(n, b.total) }
+
+func (b *BodyBudget) reserveWithin(n, limit int64) bool {
+	if b.used.Add(n) <= limit {
 		return true
 	}
 	b.used.Add(-n)
@@ -52,13 +60,24 @@
 func (r *BudgetedReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.ended = r.ended || errors.Is(err, io.EOF)
-	if !r.budget.TryReserve(int64(n)) {
+	if !r.reserve(int64(n)) {
 		return 0, ErrBudgetExceeded
 	}
-	r.reserved += int64(n)
 	return n, err
 }
 
+func (r *BudgetedReader) reserve(n int64) bool {
+	limit := r.budget.total
+	if r.reserved+n > shortBodyBytes {
+		limit -= limit / shortBodyShare
+	}
+	if !r.budget.reserveWithin(n, limit) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
+
 // Ended reports whether the end of the body has been read, even if the read returned ErrBudgetExceeded.
 func (r *BudgetedReader) Ended() bool { return r.ended }
 
--- a/internal/inbound/body_test.go
+++ b/internal/inbound/body_test.go
@@ -45,3 +45,19 @@
 	r := &http.Request{Method: "GET", RequestURI: "/a", Proto: "HTTP/1.1", Host: "h", Header: http.Header{"A": {"b", "cc"}}}
 	is.Equal(HeaderBytes(r), len("GET/aHTTP/1.1h")+len("A: b\r\n")+len("A: cc\r\n"))
 }
+
+// Guards against long bodies that arrive slowly and keep out all short ones.
+func TestShortBodiesAreTakenBesideLongOnes(t *testing.T) {
+	is := is.New(t)
+	budget := NewBodyBudget(8 * shortBodyBytes)
+	long := budget.NewReader(strings.NewReader(strings.Repeat("x", 8*shortBodyBytes)))
+	_, err := io.ReadAll(long)
+	is.True(errors.Is(err, ErrBudgetExceeded))
+	is.True(budget.used.Load() <= 6*shortBodyBytes)
+	for range 2 {
+		_, err = io.ReadAll(budget.NewReader(strings.NewReader(strings.Repeat("x", shortBodyBytes))))
+		is.NoErr(err)
+	}
+	_, err = io.ReadAll(budget.NewReader(strings.NewReader("x" + strings.Repeat("x", shortBodyBytes))))
+	is.True(errors.Is(err, ErrBudgetExceeded))
+}
