Heads that are arriving are limited in size and in memory

What callers saw: 200 callers that sent heads slowly, beside other load, brought a host of 184 MB to 196 to 213 MB, where it is ended with all its requests. A head beyond the configured limit was read on, up to 256 KB, until it was whole or its time was over.

Cause: the configured limit was compared with a whole head only, and nothing counted the heads that arrive on all connections together. Since heads may take the 12 s of a configuration, they are held for that long.

What all arriving heads hold beyond 4 KB each is limited to 3% of the memory; the head that exceeds it gets 503 heads-full, not run, with Retry-After.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"os"
@@ -53,6 +54,8 @@
 	served bool
 	// headBytes is the number of bytes of the head that have been read.
 	headBytes int64
+	// reserved is the part of headBytes that counts against the budget for heads.
+	reserved int64
 	// readAfterWrite is set if bytes were read after the last write began, and so belong to the next request.
 	readAfterWrite bool
 	// deadline is the read deadline that net/http has asked for outside of requests.
@@ -68,6 +71,7 @@
 	}
 	if cause := c.recordRead(n, err); cause != "" {
 		c.refuse(cause)
+		n, err = 0, cmp.Or(err, net.ErrClosed)
 	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
@@ -96,7 +100,7 @@
 	return c.Conn.Read(p) //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
-// recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
+// recordRead records the result of a read. If no more of a head is to be read, the cause is returned.
 func (c *conn) recordRead(n int, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,6 +124,10 @@
 		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
 		c.setDeadline(c.interruptDeadline())
 	}
+	if cause := c.checkSize(int64(n)); cause != "" {
+		c.interrupted, c.failed, c.refused = cause, true, true
+		return cause
+	}
 	return ""
 }
 
@@ -200,6 +208,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopTimer()
+	c.release()
 	if c.phase == readHead {
 		c.tracker.OnUnansweredHead(UnansweredHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
@@ -216,6 +225,7 @@
 // begin enters a phase. The caller holds mu, or has the only reference.
 func (c *conn) begin(p phase) {
 	c.stopTimer()
+	c.release()
 	c.phase, c.since, c.interrupted, c.headBytes, c.readAfterWrite = p, c.tracker.Clock.Now(), "", 0, false
 	if p == waitFirstByte {
 		c.startTimer(c.limit())
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -16,6 +16,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/inbound"
 )
 
 const (
@@ -32,6 +34,8 @@
 	Idle time.Duration
 	// Header limits the time from the first byte of a request's head to its end.
 	Header time.Duration
+	// HeaderBytes limits the bytes of a head; 0 if only net/http does.
+	HeaderBytes int64
 }
 
 // Cause tells why a wait was ended.
@@ -42,6 +46,9 @@
 	CauseIdle   Cause = "idle-timeout"
 	CauseHeader Cause = "header-timeout"
 	CauseStop   Cause = "stop"
+	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
+	CauseHeadSize  Cause = "head-size"
+	CauseHeadsFull Cause = "heads-full"
 )
 
 // UnansweredHead describes a part of a request's head on a connection that ended before the rest had arrived.
@@ -58,6 +65,8 @@
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
+	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
+	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
 	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	if limit := config.Limits.HeaderBytes; limit > 0 && inbound.HeaderBytes(req.HTTP) > limit {
-		return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
+		return headerTooLarge()
 	}
 	timeout := req.Route.Timeout
 	if req.CallerTimeout > 0 && (timeout <= 0 || req.CallerTimeout < timeout) {
@@ -90,6 +90,10 @@
 	return next(ctx, req)
 }
 
+func headerTooLarge() *outcome.Refusal {
+	return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
+}
+
 // resolveRoute sets the request's route, team and service from the configuration, or returns a refusal. It is called
 // again before each send, since keys can be revoked and routes removed while a request waits. A response that has begun
 // can no longer become a refusal; its route and service stay as they were when it began.
--- a/internal/direct/edge_test.go
+++ b/internal/direct/edge_test.go
@@ -102,3 +102,13 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// Guards against a head beyond the configured limit that holds memory until all of it has arrived.
+func TestHeadBeyondConfiguredLimitIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false)
+	h.config.Limits.HeaderBytes = 16 << 10
+	start := time.Now()
+	is.Equal(h.sendRaw("GET /r/"+rawHead+"X-Long: "+strings.Repeat("x", 32<<10), responseTimeout), []int{http.StatusRequestHeaderFieldsTooLarge})
+	is.True(time.Since(start) < responseTimeout)
+}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -354,7 +354,7 @@
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}), Selector: balance.NewSelector(
 			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
-		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
+		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, HeadBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
 	h.front.Config = h.server.HTTPServer()
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -24,6 +24,7 @@
 	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
@@ -57,9 +58,11 @@
 	// ResponseBytes limits the bytes of upstreams' responses that are held together. Beyond it, responses are relayed as
 	// they arrive.
 	ResponseBytes int64
-	Clock         clockwork.Clock
-	Log           zerolog.Logger
-	Scope         tally.Scope
+	// HeadBytes limits the bytes of requests' heads that are arriving, except the first ones of each head.
+	HeadBytes int64
+	Clock     clockwork.Clock
+	Log       zerolog.Logger
+	Scope     tally.Scope
 }
 
 // Server serves callers' requests.
@@ -102,7 +105,8 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, Refusal: headRefusal, OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
+		Clock: o.Clock, Limits: s.connLimits, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
+		OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -238,6 +242,7 @@
 	if config == nil {
 		return limits
 	}
+	limits.HeaderBytes = int64(config.Limits.HeaderBytes)
 	if config.Limits.IdleTimeout > 0 {
 		limits.Idle = config.Limits.IdleTimeout
 	}
@@ -253,8 +258,13 @@
 		Status: http.StatusRequestTimeout, Code: "head-incomplete", Message: "the head of the request did not arrive whole",
 		Step: stepReceive, Outcome: outcome.NotRun,
 	}
-	if cause == callerconn.CauseStop {
+	switch cause {
+	case callerconn.CauseStop:
 		refusal = outcome.Unavailable(stepStop, "stopping", "the router stops before the head has arrived").WithRetryAfter(defaultRetryAfter)
+	case callerconn.CauseHeadSize:
+		refusal = headerTooLarge()
+	case callerconn.CauseHeadsFull:
+		refusal = outcome.Unavailable(stepReceive, "heads-full", "too many heads are arriving").WithRetryAfter(defaultRetryAfter)
 	}
 	header, body := encodeRefusal(refusal)
 	return &http.Response{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	bodyMemoryFraction = 0.2
 	// responseMemoryFraction is the fraction of the memory that held responses of upstreams may use.
 	responseMemoryFraction = 0.1
+	// headMemoryFraction is the fraction of the memory that heads of callers' requests may use while they arrive.
+	headMemoryFraction = 0.03
 	// idleSweepInterval is how often connections that have been idle for too long are closed.
 	idleSweepInterval = time.Second
 	// watchTimeout is how long the store may hold a watch call open. Each upstream updates its entry about once a second,
@@ -193,14 +195,15 @@
 
 func (g *Gateway) newServer(a Adapter, origins *origin.Resolver) *direct.Server {
 	r, c := g.settings.Retry, g.settings.Cold
+	memory := float64(g.settings.MemoryMB << 20)
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
-		BodyBytes:     int64(bodyMemoryFraction * float64(g.settings.MemoryMB<<20)),
-		ResponseBytes: int64(responseMemoryFraction * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
+		HeadBytes: int64(headMemoryFraction * memory), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
 }
 
