--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -17,6 +17,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/inbound"
 )
 
 const (
@@ -33,6 +35,8 @@
 	Idle time.Duration
 	// Header limits the time from the first byte of a request's head to its end.
 	Header time.Duration
+	// HeaderBytes limits the bytes of a head; 0 if only net/http does.
+	HeaderBytes int64
 }
 
 // Cause tells why a wait was ended.
@@ -43,6 +47,9 @@
 	CauseIdle   Cause = "idle-timeout"
 	CauseHeader Cause = "header-timeout"
 	CauseStop   Cause = "stop"
+	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
+	CauseHeadSize  Cause = "head-size"
+	CauseHeadsFull Cause = "heads-full"
 )
 
 // IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
@@ -60,6 +67,8 @@
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
+	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
+	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
 	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
