The request that crashes upstreams is told to all hosts beside many sound ones

Each crash ended the streams beside it.

Cause: a crash makes one record for each request that ran on the upstream, and digests held the 16 newest records. These were records of sound requests, so that hosts that saw one crash each never added their records up.

Change: digests also hold a Bloom filter of 256 bytes of the requests of each of the newest eight crashes. Only whole records refuse a request.

--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -81,6 +81,6 @@
 	for len(h.quarantine.State()) > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	h.quarantine.MergeCrashes([]quarantine.Crash{{Fingerprint: fingerprint, Upstream: 9, At: time.Now().Add(-time.Second)}})
+	h.quarantine.Merge(quarantine.Records{Crashes: []quarantine.Crash{{Fingerprint: fingerprint, Upstream: 9, At: time.Now().Add(-time.Second)}}})
 	is.Equal(len(h.quarantine.State()), 0) // older crashes received from other hosts do not reinstate the quarantine
 }
--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -33,6 +34,8 @@
 	crashesNeeded = 5
 	maxLateSends  = 3
 	networkDelay  = time.Millisecond
+	// minSoundServed is the least share of sound requests that is served. An engine may crash beside them.
+	minSoundServed = 0.95
 )
 
 // answerSteps are the times of some events after the first one.
@@ -55,6 +58,8 @@
 	// later than stableTime after the fifth.
 	crashes   []time.Time
 	lateSends int
+	// onDigest is called with the size of each digest.
+	onDigest func(size int)
 	// sound, refused and begun count the requests without the deadly segment, by whole second.
 	sound, refused, begun map[int]int
 }
@@ -62,6 +67,7 @@
 type deadlyHost struct {
 	*Fleet
 	prompts *promptblame.Table
+	crashes *quarantine.Table
 }
 
 type deadlyEngine struct {
@@ -89,7 +95,7 @@
 func newDeadlyFleet(hosts, engines, things int, seed uint64) *deadlyFleet {
 	f := &deadlyFleet{
 		simulation: newSimulation(), rand: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*deadlyHost{}, things: things,
-		sound: map[int]int{}, refused: map[int]int{}, begun: map[int]int{},
+		onDigest: func(int) {}, sound: map[int]int{}, refused: map[int]int{}, begun: map[int]int{},
 	}
 	for i := range engines {
 		f.engines = append(f.engines, &deadlyEngine{id: uint64(i + 1)})
@@ -109,12 +115,15 @@
 }
 
 func (f *deadlyFleet) addHost(i int, seed uint64) {
-	h := &deadlyHost{prompts: promptblame.NewTable(f.clock, zerolog.Nop())}
+	h := &deadlyHost{
+		prompts: promptblame.NewTable(f.clock, zerolog.Nop()),
+		crashes: quarantine.NewTable(quarantine.Limits{CrashThreshold: 3, Lifetime: time.Minute}, f.clock, nil),
+	}
 	h.Fleet = New(Options{
 		Self: fmt.Sprintf("10.0.%d.%d:9", i/200, i%200), Incarnation: uint64(i + 1), MinHosts: 2, GossipInterval: time.Second,
 		DataCentre: fmt.Sprintf("dc-%d", i%4), Mirror: published.NewMirror(published.MirrorOptions{Clock: f.clock, OnChange: func([]published.Item) {}}),
 		Store: &fakeStore{reading: true}, Loads: &fakeLoads{}, Prompts: h.prompts,
-		Crashes: quarantine.NewTable(quarantine.Limits{CrashThreshold: 3, Lifetime: time.Minute}, f.clock, nil), Clock: f.clock,
+		Crashes: h.crashes, Clock: f.clock,
 		Rand: rand.New(rand.NewPCG(seed, uint64(i))), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	h.prompts.OnBlame(func() {
@@ -136,10 +145,13 @@
 }
 
 func (f *deadlyFleet) exchange(h, other *deadlyHost) {
-	reply, err := other.Exchange(context.Background(), h.digest(other.dataCentreHash, unknownMembers))
+	digest := h.digest(other.dataCentreHash, unknownMembers)
+	reply, err := other.Exchange(context.Background(), digest)
 	if err != nil {
 		panic(err) // Exchange calls no other host
 	}
+	f.onDigest(proto.Size(digest))
+	f.onDigest(proto.Size(reply))
 	f.after(networkDelay, func() { h.merge(reply) })
 }
 
@@ -357,12 +369,11 @@
 // checkSoundServed checks that sound requests of these seconds are neither refused nor unanswered.
 func checkSoundServed(t *testing.T, f *deadlyFleet, from, to int) {
 	t.Helper()
-	const minBegun = 0.95 // an engine may crash beside them
 	var sound, refused, begun int
 	for second := from; second < to; second++ {
 		sound, refused, begun = sound+f.sound[second], refused+f.refused[second], begun+f.begun[second]
 	}
-	if refused > 0 || float64(begun) < minBegun*float64(sound) {
+	if refused > 0 || float64(begun) < minSoundServed*float64(sound) {
 		t.Errorf("of %d sound requests %d were refused and %d were answered", sound, refused, begun)
 	}
 }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -51,20 +51,27 @@
 	return reports
 }
 
-func encodeCrashes(crashes []quarantine.Crash, now time.Time) []*fleetpb.Strike {
-	list := make([]*fleetpb.Strike, len(crashes))
-	for i, c := range crashes {
+func encodeCrashes(r quarantine.Records, now time.Time) ([]*fleetpb.Strike, []*fleetpb.CrashSet) {
+	list := make([]*fleetpb.Strike, len(r.Crashes))
+	for i, c := range r.Crashes {
 		list[i] = &fleetpb.Strike{Fingerprint: c.Fingerprint, Upstream: c.Upstream, AgeMs: ageMs(now, c.At)}
 	}
-	return list
+	sets := make([]*fleetpb.CrashSet, len(r.Sets))
+	for i, s := range r.Sets {
+		sets[i] = &fleetpb.CrashSet{Upstream: s.Upstream, AgeMs: ageMs(now, s.At), Requests: s.EncodeRequests()}
+	}
+	return list, sets
 }
 
-func decodeCrashes(list []*fleetpb.Strike, now time.Time) []quarantine.Crash {
-	crashes := make([]quarantine.Crash, len(list))
-	for i, s := range list {
-		crashes[i] = quarantine.Crash{Fingerprint: s.GetFingerprint(), Upstream: s.GetUpstream(), At: now.Add(-milliseconds(s.GetAgeMs()))}
+func decodeCrashes(d *fleetpb.Digest, now time.Time) quarantine.Records {
+	var r quarantine.Records
+	for _, s := range d.GetStrikes() {
+		r.Crashes = append(r.Crashes, quarantine.Crash{Fingerprint: s.GetFingerprint(), Upstream: s.GetUpstream(), At: now.Add(-milliseconds(s.GetAgeMs()))})
+	}
+	for _, s := range d.GetCrashSets() {
+		r.Sets = append(r.Sets, quarantine.NewCrashSet(s.GetUpstream(), now.Add(-milliseconds(s.GetAgeMs())), s.GetRequests()))
 	}
-	return crashes
+	return r
 }
 
 // digestMembers returns the members to include in a message to a host that knows the given number of members. A host
@@ -88,7 +95,7 @@
 	complete := f.Mirror.Complete()
 	d := &fleetpb.Digest{Mirror: &fleetpb.Mirror{Complete: complete.Revision, After: complete.Revision, Era: complete.Era}}
 	now := f.Clock.Now()
-	d.Strikes = encodeCrashes(f.Crashes.RecentCrashes(), now)
+	d.Strikes, d.CrashSets = encodeCrashes(f.Crashes.Records(), now)
 	d.Prompts = encodePrompts(f.Prompts.Records(), now)
 	// Loads calls this fleet to divide limits, so that it must not be called with mu held.
 	d.Limits = loadshare.EncodeLimits(f.Loads.LimitReports())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,8 +56,8 @@
 
 // CrashRecords holds the upstream crashes that hosts exchange.
 type CrashRecords interface {
-	RecentCrashes() []quarantine.Crash
-	MergeCrashes([]quarantine.Crash)
+	Records() quarantine.Records
+	Merge(quarantine.Records)
 }
 
 // Store is this host's reader of the published items.
@@ -230,7 +230,7 @@
 	f.Loads.MergeReports(decodeLoads(d.GetLoads()))
 	f.Loads.MergeLimitReports(loadshare.DecodeLimits(d.GetLimits()))
 	now := f.Clock.Now()
-	f.Crashes.MergeCrashes(decodeCrashes(d.GetStrikes(), now))
+	f.Crashes.Merge(decodeCrashes(d, now))
 	f.Prompts.Merge(decodePrompts(d.GetPrompts(), now))
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -4,6 +4,10 @@
 // the fingerprint a suspect: it may run again, but on each upstream only while no other suspect runs there. Further
 // crashes up to the threshold quarantine the fingerprint on all hosts until the crashes are too old to count. Hosts
 // exchange crashes in gossip digests, where they are called strikes.
+//
+// Each crash makes a record of every request that ran on the upstream, and a digest has room for few of them. Hosts therefore
+// also exchange a set of a fixed size for each crash. A request whose record one host holds and whose fingerprint is in the
+// sets of other crashes was probably running there too, and its records are sent first.
 package quarantine
 
 import (
@@ -35,7 +39,7 @@
 	// duplicateWindow is the time within which two crashes of one fingerprint on one upstream count as the same crash,
 	// observed twice.
 	duplicateWindow = 2 * time.Second
-	// maxDigestCrashes bounds the crashes in one digest, which holds the newest ones.
+	// maxDigestCrashes bounds the crashes in one digest, which holds those of the fingerprints with most crashes.
 	maxDigestCrashes = 16
 )
 
@@ -65,10 +69,14 @@
 	limits     Limits
 	clock      clockwork.Clock
 	onNewCrash func()
+	// onSuspect is called when a request with a crash here is, or is likely to be, to be quarantined by all hosts.
+	onSuspect func()
 
 	mu sync.Mutex
 	// crashes is ordered by time, oldest first.
-	crashes  []Crash
+	crashes []Crash
+	// sets is ordered by time, oldest first.
+	sets     []CrashSet
 	counts   map[uint64]int
 	liftedAt map[uint64]time.Time
 }
@@ -79,10 +87,14 @@
 		onNewCrash = func() {}
 	}
 	return &Table{
-		limits: limits, clock: clock, onNewCrash: onNewCrash, counts: map[uint64]int{}, liftedAt: map[uint64]time.Time{},
+		limits: limits, clock: clock, onNewCrash: onNewCrash, onSuspect: func() {}, counts: map[uint64]int{}, liftedAt: map[uint64]time.Time{},
 	}
 }
 
+// OnSuspect sets the function that is called after each crash and set that makes a request with a crash on this host reach
+// the threshold, also if some of its crashes are only known from sets. It is called before the table is used.
+func (t *Table) OnSuspect(f func()) { t.onSuspect = f }
+
 // Fingerprint identifies the content of a request: requests of the same team with the same path and body have the same
 // fingerprint.
 func Fingerprint(team, path string, body []byte) uint64 {
@@ -130,19 +142,24 @@
 }
 
 func (t *Table) merge(c Crash) {
-	if t.add(c) {
+	isNew, isSuspect := t.add(c)
+	if isNew {
 		t.onNewCrash()
 	}
+	if isSuspect {
+		t.onSuspect()
+	}
 }
 
-// add inserts the crash in time order and reports whether it is new.
-func (t *Table) add(c Crash) bool {
+// add inserts the crash in time order and reports whether it is new, and whether its fingerprint is then likely to have
+// reached the threshold.
+func (t *Table) add(c Crash) (isNew, isSuspect bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.expire(now)
 	if now.Sub(c.At) >= t.limits.Lifetime || t.isLifted(c) || t.isKnown(c) {
-		return false
+		return false, false
 	}
 	i := len(t.crashes)
 	for i > 0 && t.crashes[i-1].At.After(c.At) {
@@ -155,7 +172,10 @@
 	if len(t.crashes) > maxCrashes {
 		t.dropOldest()
 	}
-	return true
+	set := CrashSet{Upstream: c.Upstream, At: c.At}
+	set.requests.add(c.Fingerprint)
+	t.addSet(set)
+	return true, t.likelyCrashes(c.Fingerprint) >= t.limits.CrashThreshold
 }
 
 // isKnown reports whether the same crash is already in the table. The caller holds mu.
@@ -180,6 +200,7 @@
 	for len(t.crashes) > 0 && now.Sub(t.crashes[0].At) >= t.limits.Lifetime {
 		t.dropOldest()
 	}
+	t.sets = slices.DeleteFunc(t.sets, func(s CrashSet) bool { return now.Sub(s.At) >= t.limits.Lifetime })
 	for fingerprint, at := range t.liftedAt {
 		if now.Sub(at) >= t.limits.Lifetime {
 			delete(t.liftedAt, fingerprint)
@@ -216,25 +237,62 @@
 	t.crashes = kept
 }
 
-// RecentCrashes returns up to maxDigestCrashes of the newest crashes, to be sent to other hosts.
-func (t *Table) RecentCrashes() []Crash {
+// Records is what hosts tell each other.
+type Records struct {
+	Crashes []Crash
+	Sets    []CrashSet
+}
+
+// Records returns up to maxDigestCrashes of the crashes, and the newest sets, to be sent to other hosts.
+func (t *Table) Records() Records {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(t.clock.Now())
-	return slices.Clone(t.crashes[max(0, len(t.crashes)-maxDigestCrashes):])
+	return Records{Crashes: t.mostSuspect(), Sets: slices.Clone(t.sets[max(0, len(t.sets)-maxDigestSets):])}
 }
 
-// MergeCrashes merges crashes received from other hosts, and calls onNewCrash for each one that is new to this host.
-func (t *Table) MergeCrashes(crashes []Crash) {
-	for _, c := range crashes {
+// mostSuspect returns the crashes of the fingerprints that are likely to have most crashes, and of these the newest. The
+// caller holds mu.
+func (t *Table) mostSuspect() []Crash {
+	if len(t.crashes) <= maxDigestCrashes {
+		return slices.Clone(t.crashes)
+	}
+	likely := make(map[uint64]int, len(t.counts))
+	for fingerprint := range t.counts {
+		likely[fingerprint] = t.likelyCrashes(fingerprint)
+	}
+	first := make([]Crash, 0, maxDigestCrashes+1)
+	for _, c := range slices.Backward(t.crashes) {
+		at := len(first)
+		for at > 0 && likely[first[at-1].Fingerprint] < likely[c.Fingerprint] {
+			at--
+		}
+		if at < maxDigestCrashes {
+			first = slices.Insert(first, at, c)
+			first = first[:min(len(first), maxDigestCrashes)]
+		}
+	}
+	return first
+}
+
+// Merge merges the records of another host, and calls onNewCrash for each crash that is new to this host.
+func (t *Table) Merge(r Records) {
+	isSuspect := false
+	for _, s := range r.Sets {
+		isSuspect = t.mergeSet(s) || isSuspect
+	}
+	for _, c := range r.Crashes {
 		t.merge(c)
 	}
+	if isSuspect {
+		t.onSuspect()
+	}
 }
 
 // AppendState implements peers.Extension.
 func (t *Table) AppendState(d *gossippb.Digest) {
 	now := t.clock.Now()
-	for _, c := range t.RecentCrashes() {
+	for _, c := range t.Records().Crashes {
 		d.Strikes = append(d.Strikes, &gossippb.Strike{
 			Fingerprint: c.Fingerprint, Upstream: c.Upstream, AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())),
 		})
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,101 @@
 	is.Equal(got, Clear)
 	is.Equal(len(table.State()), 0)
 }
+
+// spread returns different fingerprints that are spread like hashes.
+func spread(i uint64) uint64 { return (i + 1) * 0x9e3779b97f4a7c15 }
+
+// crashBeside records a crash of the upstream beside requests that run nowhere else.
+func crashBeside(table *Table, first uint64, requests int, upstream string) {
+	for i := range uint64(requests) {
+		table.RecordCrash(spread(first+i), upstream)
+	}
+}
+
+// Guards against digests that are filled by the sound requests of one crash, so that no host hears of a request that was
+// running on several upstreams that crashed. Pattern: each host sees one of its crashes, and 300 sound requests beside it.
+func TestRecordsOfRequestWithSeveralCrashesAreSentFirst(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var tables []*Table
+	for i, upstream := range []string{"a", "b", "c"} {
+		table := NewTable(Limits{CrashThreshold: 3, Lifetime: time.Minute}, clock, nil)
+		table.RecordCrash(fingerprint, upstream)
+		crashBeside(table, uint64(1000*i), 300, upstream)
+		tables = append(tables, table)
+		clock.Advance(500 * time.Millisecond)
+	}
+	suspected := 0
+	for _, table := range tables {
+		table.OnSuspect(func() { suspected++ })
+	}
+	for range 2 { // one round for the sets and one for the records
+		for _, from := range tables {
+			r := from.Records()
+			is.True(len(r.Crashes) <= maxDigestCrashes)
+			for _, to := range tables {
+				to.Merge(r)
+			}
+		}
+	}
+	for _, table := range tables {
+		verdict, _ := table.Check(fingerprint)
+		is.Equal(verdict, Quarantined)
+	}
+	is.True(suspected >= len(tables))
+}
+
+// A set has no false negatives, few false positives, a fixed size, and survives its encoding.
+func TestCrashSet(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(DefaultLimits, clockwork.NewFakeClock(), nil)
+	crashBeside(table, 0, 64, "a")
+	sets := table.Records().Sets
+	is.Equal(len(sets), 1)
+	encoded := sets[0].EncodeRequests()
+	is.Equal(len(encoded), setBits/8)
+	decoded := NewCrashSet(sets[0].Upstream, sets[0].At, encoded)
+	is.Equal(decoded, sets[0])
+	wrong := 0
+	for i := range uint64(100_064) {
+		contains := decoded.requests.contains(spread(i))
+		is.True(contains || i >= 64)
+		if contains && i >= 64 {
+			wrong++
+		}
+	}
+	is.True(wrong <= 50) // one in 2,000
+	is.Equal(NewCrashSet(1, time.Time{}, append(encoded, 1, 2, 3)).requests, decoded.requests)
+	short := NewCrashSet(1, time.Time{}, encoded[:20])
+	is.True(!short.requests.contains(spread(0)))
+}
+
+// Sets of crashes are bounded, expire, and of one crash there is one.
+func TestCrashSetsAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable(DefaultLimits, clock, nil)
+	for i := range 2 * maxSets {
+		crashBeside(table, uint64(100*i), 3, fmt.Sprint(i))
+		clock.Advance(time.Millisecond)
+	}
+	is.Equal(len(table.sets), maxSets)
+	r := table.Records()
+	is.Equal(len(r.Sets), maxDigestSets)
+	is.Equal(r.Sets[maxDigestSets-1].At, clock.Now().Add(-time.Millisecond))
+	table.Merge(r)
+	is.Equal(len(table.sets), maxSets)
+	clock.Advance(DefaultLimits.Lifetime)
+	is.Equal(len(table.Records().Sets), 0)
+}
+
+// The cost of a digest with as many records as a large fleet has.
+func BenchmarkRecords(b *testing.B) {
+	table := NewTable(DefaultLimits, clockwork.NewFakeClock(), nil)
+	for i := range 40 {
+		crashBeside(table, uint64(250*i), 250, fmt.Sprint(i))
+	}
+	for b.Loop() {
+		table.Records()
+	}
+}
