A process that was killed does not get its part of the retry slack again

Upstreams in trouble got more load than promised.

Cause: each process began with a full balance. A window with k kills holds k + 1 full balances, where the bound has room for one.

Ruled out: hosts that do not know each other (in the test all do); requests whose count was lost (they only make the budget smaller).

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -2,7 +2,12 @@
 // shares add up to at most the limit even while hosts disagree about fleet membership.
 package allowance
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
 
 // FleetView provides the number of hosts over which a limit is split. The number must not be lower than the number of
 // hosts that may share the limit.
@@ -21,71 +26,86 @@
 type RetryLimits struct {
 	// Ratio is the number of retries allowed for each request.
 	Ratio float64
-	// Slack is the number of additional retries allowed in any time window, whatever its length.
-	Slack float64
+	// Slack is the number of additional retries allowed in any time window of the length Window.
+	Slack  float64
+	Window time.Duration
 }
 
 // RetryBudget is this host's share of the retry budget of each service. It is safe for concurrent use.
 type RetryBudget struct {
-	limits RetryLimits
-	fleet  FleetView
+	limits    RetryLimits
+	fleet     FleetView
+	clock     clockwork.Clock
+	startedAt time.Time
 
 	mu       sync.Mutex
-	balances map[string]*float64
+	accounts map[string]*account
+}
+
+// account is the retry budget of a service.
+type account struct {
+	balance float64
+	// withdrawn is what was withdrawn before the account got its share of the slack.
+	withdrawn float64
+	hasSlack  bool
 }
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget(limits RetryLimits, fleet FleetView) *RetryBudget {
-	return &RetryBudget{limits: limits, fleet: fleet, balances: map[string]*float64{}}
+// NewRetryBudget returns a budget without its share of the slack.
+func NewRetryBudget(limits RetryLimits, fleet FleetView, clock clockwork.Clock) *RetryBudget {
+	return &RetryBudget{limits: limits, fleet: fleet, clock: clock, startedAt: clock.Now(), accounts: map[string]*account{}}
 }
 
-// share returns this host's share of the slack, which is also the initial balance. Within a time window at most a full
-// balance and what the requests of the window add can be withdrawn, so that the sum over the hosts stays below the
-// limit.
+// share returns this host's share of the slack. Within a time window at most a full balance and what the requests of the
+// window add can be withdrawn, so that the sum over the hosts stays below the limit.
 func (r *RetryBudget) share() float64 {
 	return splitFraction * r.limits.Slack / float64(r.fleet.ShareCount())
 }
 
-// balance returns the balance of the service. The caller holds mu.
-func (r *RetryBudget) balance(service string) *float64 {
-	b := r.balances[service]
-	if b == nil {
-		share := r.share()
-		b = &share
-		r.balances[service] = b
+// account returns the account of the service. A process that was killed may have spent its share just before, so that its
+// successor has none until it has run for a window, and then only what it has not withdrawn meanwhile. The caller holds mu.
+func (r *RetryBudget) account(service string) *account {
+	a := r.accounts[service]
+	if a == nil {
+		a = &account{}
+		r.accounts[service] = a
 	}
-	return b
+	if !a.hasSlack && r.clock.Since(r.startedAt) >= r.limits.Window {
+		a.balance, a.hasSlack = max(a.balance, r.share()-a.withdrawn), true
+	}
+	return a
 }
 
 // RecordRequest counts a request for the service.
 func (r *RetryBudget) RecordRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deposit(service, r.limits.Ratio)
+	r.deposit(r.account(service), r.limits.Ratio)
 }
 
-// deposit adds to the balance of the service. The caller holds mu.
-func (r *RetryBudget) deposit(service string, retries float64) {
-	b := r.balance(service)
-	*b = min(max(1, r.share()), *b+retries) // The balance can reach one retry even if the share is smaller.
+// deposit adds to the balance of the account. The caller holds mu.
+func (r *RetryBudget) deposit(a *account, retries float64) {
+	a.balance = min(max(1, r.share()), a.balance+retries) // The balance can reach one retry even if the share is smaller.
 }
 
 // Available reports whether the balance of the service allows a retry.
 func (r *RetryBudget) Available(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return *r.balance(service) >= 1
+	return r.account(service).balance >= 1
 }
 
 // TryWithdraw takes one retry from the balance of the service. It returns false if none is left.
 func (r *RetryBudget) TryWithdraw(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.balance(service)
-	if *b < 1 {
+	a := r.account(service)
+	if a.balance < 1 {
 		return false
 	}
-	*b--
+	a.balance--
+	if !a.hasSlack {
+		a.withdrawn++
+	}
 	return true
 }
 
@@ -93,5 +113,5 @@
 func (r *RetryBudget) Return(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deposit(service, 1)
+	r.deposit(r.account(service), 1)
 }
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -64,7 +64,7 @@
 // What was not used for a long time does not add up: no burst of retries exceeds the share of the slack.
 func TestRetryBudgetHasACap(t *testing.T) {
 	is := is.New(t)
-	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 54}, &testView{minShares: 8})
+	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 54}, &testView{minShares: 8}, clockwork.NewFakeClock())
 	for range 10_000 {
 		r.RecordRequest("s")
 	}
@@ -79,7 +79,7 @@
 // Guards against retries that are withdrawn, not sent and lost, and against returned ones that exceed the cap.
 func TestReturnedRetryMayBeWithdrawnAgain(t *testing.T) {
 	is := is.New(t)
-	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 2}, &testView{minShares: 1}) // a share of 1.5
+	r := NewRetryBudget(RetryLimits{Ratio: 0.2, Slack: 2}, &testView{minShares: 1}, clockwork.NewFakeClock()) // a share of 1.5
 	is.True(r.TryWithdraw("s"))
 	is.True(!r.TryWithdraw("s"))
 	r.Return("s")
@@ -134,7 +134,7 @@
 		}
 		hosts := make([]*RetryBudget, len(list))
 		for i, v := range list {
-			hosts[i] = NewRetryBudget(limits, v)
+			hosts[i] = NewRetryBudget(limits, v, clock)
 		}
 		type step struct {
 			at                time.Time
--- /dev/null
+++ b/internal/allowance/restart_test.go
@@ -0,0 +1,169 @@
+package allowance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+const (
+	herdLength = 40 * time.Second
+	herdStep   = 5 * time.Millisecond
+	// herdWindow is the time in which all retries together are limited.
+	herdWindow = 10 * time.Second
+	// A killed process is down for downTime.
+	downTime = 300 * time.Millisecond
+	// greyShare is the share of sends that fail, and burstFactor is by how much the requests rise.
+	greyShare, burstFactor = 0.45, 3
+	maxSends               = 3
+)
+
+// herd is a fleet whose processes are killed together while upstreams fail many requests.
+type herd struct {
+	limits    RetryLimits
+	clock     *clockwork.FakeClock
+	start     time.Time
+	rand      *rand.Rand
+	budgets   []*RetryBudget
+	views     []*testView
+	downUntil time.Time
+	// requests and retries are the numbers in each step, and served counts the requests that succeeded.
+	requests, retries []int
+	served            int
+}
+
+func newHerd(hosts int, limits RetryLimits, seed uint64) *herd {
+	clock := clockwork.NewFakeClock()
+	h := &herd{limits: limits, clock: clock, start: clock.Now(), rand: rand.New(rand.NewPCG(seed, 6))}
+	all := names(hosts)
+	for _, name := range all {
+		h.views = append(h.views, &testView{self: name, known: all, minShares: 8})
+	}
+	h.kill(0)
+	return h
+}
+
+// kill ends all processes and starts their successors.
+func (h *herd) kill(down time.Duration) {
+	h.downUntil = h.clock.Now().Add(down)
+	h.budgets = nil
+	for _, v := range h.views {
+		h.budgets = append(h.budgets, NewRetryBudget(h.limits, v, h.clock))
+	}
+}
+
+// play sends perSecond requests a second, burstFactor times as many from burst on, and kills all processes at the times.
+func (h *herd) play(perSecond float64, burst time.Duration, kills ...time.Duration) {
+	for at := time.Duration(0); at < herdLength; at += herdStep {
+		if len(kills) > 0 && at >= kills[0] {
+			h.kill(downTime)
+			kills = kills[1:]
+		}
+		rate := perSecond
+		if at >= burst {
+			rate *= burstFactor
+		}
+		h.requests, h.retries = append(h.requests, 0), append(h.retries, 0)
+		for range poisson(h.rand, rate*herdStep.Seconds()) {
+			h.requests[len(h.requests)-1]++
+			h.send(h.budgets[h.rand.IntN(len(h.budgets))])
+		}
+		h.clock.Advance(herdStep)
+	}
+}
+
+// send sends a request until it succeeds or may not be sent again.
+func (h *herd) send(budget *RetryBudget) {
+	if h.clock.Now().Before(h.downUntil) {
+		return
+	}
+	budget.RecordRequest("s")
+	for sends := 1; h.rand.Float64() < greyShare; sends++ {
+		if sends == maxSends || !budget.TryWithdraw("s") {
+			return
+		}
+		h.retries[len(h.retries)-1]++
+	}
+	h.served++
+}
+
+// excess returns by how much the retries of the worst window exceed what its requests allow, or the requests of the window
+// before it or half a window before it.
+func (h *herd) excess() float64 {
+	requests, retries := sums(h.requests), sums(h.retries)
+	worst, window := 0.0, int(herdWindow/herdStep)
+	for from := 0; from+window <= len(h.requests); from++ {
+		most := max(within(requests, from, window), within(requests, from-window, window), within(requests, from-window/2, window))
+		worst = max(worst, float64(within(retries, from, window))-h.limits.Ratio*float64(most)-h.limits.Slack)
+	}
+	return worst
+}
+
+// sums returns the sums of the first numbers of the list, from none to all of them.
+func sums(list []int) []int {
+	total := []int{0}
+	for _, n := range list {
+		total = append(total, total[len(total)-1]+n)
+	}
+	return total
+}
+
+// within returns the sum of the numbers from one on; those before the first are 0.
+func within(total []int, from, count int) int { return total[max(0, from+count)] - total[max(0, from)] }
+
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for sum := r.ExpFloat64(); sum < mean; sum += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// Guards against processes that are killed again and again and spend their share of the slack each time (BUDGET). Pattern: four
+// kills of all processes within ten seconds while upstreams fail many requests and the traffic rises.
+func TestRetryBudgetHoldsOverKillsOfAllProcesses(t *testing.T) {
+	for _, tt := range []struct {
+		hosts     int
+		perSecond float64
+		slack     float64
+	}{{7, 26, 54}, {7, 73, 54}, {6, 26, 52}, {88, 400, 216}} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%d hosts, %.0f a second, seed %d", tt.hosts, tt.perSecond, seed), func(t *testing.T) {
+				h := newHerd(tt.hosts, RetryLimits{Ratio: 0.2, Slack: tt.slack, Window: herdWindow}, seed)
+				var kills []time.Duration
+				for i := range 4 {
+					kills = append(kills, 15*time.Second+time.Duration((float64(i)+h.rand.Float64()/2)*float64(2500*time.Millisecond)))
+				}
+				h.play(tt.perSecond, 12*time.Second, kills...)
+				t.Logf("excess %.1f, %d served", h.excess(), h.served)
+				is.New(t).True(h.excess() <= 0)
+			})
+		}
+	}
+}
+
+// The slack is there once a process has run for a window, less what was withdrawn meanwhile.
+func TestRetrySlackComesAfterWindow(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := NewRetryBudget(RetryLimits{Ratio: 0.5, Slack: 16, Window: herdWindow}, &testView{minShares: 4}, clock) // a share of 3
+	is.True(!r.TryWithdraw("s"))
+	r.RecordRequest("s")
+	r.RecordRequest("s")
+	is.True(r.TryWithdraw("s")) // earned
+	is.True(!r.TryWithdraw("s"))
+	clock.Advance(herdWindow - time.Millisecond)
+	is.True(!r.Available("s"))
+	clock.Advance(time.Millisecond)
+	is.True(r.TryWithdraw("s"))
+	is.True(r.TryWithdraw("s"))
+	is.True(!r.TryWithdraw("s")) // one of the three was withdrawn before
+	for range 3 {
+		is.True(r.TryWithdraw("new")) // a service without requests so far
+	}
+	is.True(!r.TryWithdraw("new"))
+}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -352,7 +352,7 @@
 		Prompts:     h.prompts,
 		Origins:     h,
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
-		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}), Selector: balance.NewSelector(
+		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}, clock), Selector: balance.NewSelector(
 			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
 		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,7 +197,7 @@
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
-		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
+		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes:     int64(bodyMemoryFraction * float64(g.settings.MemoryMB<<20)),
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -30,9 +30,10 @@
 // RetryBudget limits the retries of all hosts together.
 type RetryBudget struct {
 	// Ratio is the number of retries allowed for each request of a service. Slack is the number allowed in addition in
-	// any window.
-	Ratio float64 `json:"ratio"`
-	Slack float64 `json:"slack"`
+	// any time of the length Window.
+	Ratio  float64  `json:"ratio"`
+	Slack  float64  `json:"slack"`
+	Window Duration `json:"window,omitempty"`
 }
 
 // ColdLimits limits the requests per second that all hosts together send to a cold upstream: Overage times the rate of
@@ -69,6 +70,8 @@
 	defaultDirectDrain  = 3 * time.Second
 	defaultDirectStop   = 8 * time.Second
 	defaultDirectGossip = time.Second
+	defaultRetryWindow  = 10 * time.Second
+	maxRetryWindow      = 10 * time.Minute
 	defaultApplyTime    = 2 * time.Second
 	minApplyTime        = 500 * time.Millisecond
 	maxApplyTime        = time.Minute
@@ -83,6 +86,7 @@
 	setDefault(&d.Timeouts.Drain, Duration(defaultDirectDrain))
 	setDefault(&d.Timeouts.Stop, Duration(defaultDirectStop))
 	setDefault(&d.Timeouts.Gossip, Duration(defaultDirectGossip))
+	setDefault(&d.Retry.Window, Duration(defaultRetryWindow))
 	setDefault(&d.Timeouts.Leaving, Duration(defaultApplyTime))
 	setDefault(&d.Timeouts.Configuration, Duration(defaultApplyTime))
 	c := newChecks()
@@ -102,6 +106,7 @@
 	c.intRange("memory_mb", int64(d.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.floatRange("retry.ratio", d.Retry.Ratio, maxRatio)
 	c.floatRange("retry.slack", d.Retry.Slack, maxMemoryMB)
+	c.durationRange("retry.window", d.Retry.Window, minTimeout, maxRetryWindow)
 	c.floatRange("cold.overage", d.Cold.Overage, maxRatio)
 	c.floatRange("cold.slack", d.Cold.Slack, maxMemoryMB)
 	c.durationRange("timeouts.drain", d.Timeouts.Drain, minTimeout, d.Timeouts.Stop.Std())
