--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 	})
 	g.fleet = g.newFleet()
 	g.prompts.OnBlame(g.fleet.Announce)
+	g.quarantineTable.OnSuspect(g.fleet.Announce)
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, LongPollWait: watchTimeout,
 		Timing:  published.ReadTimingFor(g.settings.Timeouts.MaxStaleness()),
@@ -203,7 +204,7 @@
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
-		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
+		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
