--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -181,10 +181,12 @@
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
 	var text bytes.Buffer
-	if err := c.tracker.Refusal(cause).Write(&text); err != nil {
+	resp := c.tracker.Refusal(cause)
+	defer resp.Body.Close()
+	if err := resp.Write(&text); err != nil {
 		return // a bytes.Buffer takes everything
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 	if _, err := c.Conn.Write(text.Bytes()); err != nil || c.CloseWrite() != nil {
 		return // the caller has left
 	}
--- a/internal/direct/edge_test.go
+++ b/internal/direct/edge_test.go
@@ -19,8 +19,8 @@
 const responseTimeout = 2 * time.Second
 
 // sendRaw sends raw bytes to the server and returns the statuses of all responses until it closes the connection or is
-// silent for the given time.
-func (h *harness) sendRaw(raw string, silence time.Duration) (statuses []int) {
+// silent for responseTimeout.
+func (h *harness) sendRaw(raw string) (statuses []int) {
 	h.t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
 	if err != nil {
@@ -32,7 +32,7 @@
 	}
 	br := bufio.NewReader(c)
 	for {
-		if err := c.SetReadDeadline(time.Now().Add(silence)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(responseTimeout)); err != nil {
 			h.t.Fatal(err)
 		}
 		resp, err := http.ReadResponse(br, nil)
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, ok, ok)
 	smuggled := "GET /r/smuggled" + rawHead + "\r\n"
-	statuses := h.sendRaw("POST /r/"+rawHead+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+smuggled, responseTimeout)
+	statuses := h.sendRaw("POST /r/" + rawHead + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled)
 	is.Equal(len(statuses), 1)
 	seen, _, _, _ := h.record()
 	is.True(len(seen) <= 1)
@@ -74,7 +74,7 @@
 			is := is.New(t)
 			h := newHarness(t, catalog.Unsafe, false)
 			start := time.Now()
-			is.Equal(h.sendRaw(tt.head+"\r\n", responseTimeout), []int{tt.status})
+			is.Equal(h.sendRaw(tt.head+"\r\n"), []int{tt.status})
 			is.True(time.Since(start) < responseTimeout)
 		})
 	}
@@ -109,6 +109,6 @@
 	h := newHarness(t, catalog.Safe, false)
 	h.config.Limits.HeaderBytes = 16 << 10
 	start := time.Now()
-	is.Equal(h.sendRaw("GET /r/"+rawHead+"X-Long: "+strings.Repeat("x", 32<<10), responseTimeout), []int{http.StatusRequestHeaderFieldsTooLarge})
+	is.Equal(h.sendRaw("GET /r/"+rawHead+"X-Long: "+strings.Repeat("x", 32<<10)), []int{http.StatusRequestHeaderFieldsTooLarge})
 	is.True(time.Since(start) < responseTimeout)
 }
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -102,7 +102,7 @@
 func TestIncompleteBodyIsRefusedAtDeadline(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Unsafe, false)
-	statuses := h.sendRaw("POST /r/"+rawHead+"X-Wait-Ms: 50\r\nContent-Length: 10\r\n\r\nhalf", responseTimeout)
+	statuses := h.sendRaw("POST /r/" + rawHead + "X-Wait-Ms: 50\r\nContent-Length: 10\r\n\r\nhalf")
 	is.Equal(statuses, []int{http.StatusRequestTimeout})
 }
 
