Idle connections stay within what an upstream accepts

Cause: each host kept up to 16 idle connections to an upstream, whatever the configuration says of how many it accepts from all hosts together: seven hosts may keep 112 where 96 or 100 are accepted. The configuration's max_connections was decoded nowhere.

Change: a host keeps its share of half of them, at most 16 as before and at least one. The other half is for requests in flight.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -67,6 +67,8 @@
 	// ColdRequestsPerSecond is the number of requests a second that a cold upstream can handle; 0 means that upstreams
 	// of the service are never cold.
 	ColdRequestsPerSecond float64
+	// MaxConnections is the number of connections from all hosts that an upstream accepts; 0 if that is not known.
+	MaxConnections int
 	// Engine is set for pools of model engines.
 	Engine bool
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -57,11 +57,11 @@
 	// Connecting takes time, so the configuration and the upstream's state may have changed since the selection.
 	snap := d.store.Current()
 	if err := resolveRoute(req, snap.Config); err != nil || !isUsable(snap, u) || !d.balancer.AcceptsWork(key) {
-		d.keep(conn, key)
+		d.keep(conn, u)
 		return notRunResult(false, "upstream-left", "the upstream was taken out", key, err)
 	}
 	if err := checkPrompt(d.prompts, req); err != nil {
-		d.keep(conn, key)
+		d.keep(conn, u)
 		return attemptResult{notRun: true, err: err}
 	}
 	if !d.mayContinue(ctx, req, u, conn) {
@@ -87,10 +87,23 @@
 	return d.pool.Get(ctx, u.Address)
 }
 
+// idleConnFraction is the fraction of the connections that an upstream accepts from all hosts that may be idle. The others are
+// for requests in flight.
+const idleConnFraction = 0.5
+
+// maxIdleConns returns how many idle connections this host keeps to an upstream of the service.
+func (d *dispatchFilter) maxIdleConns(service string) int {
+	limit := d.store.Current().Config.Services[service].MaxConnections
+	if limit == 0 {
+		return upconn.MaxIdlePerUpstream
+	}
+	return max(1, int(idleConnFraction*float64(limit))/d.hosts.ShareCount())
+}
+
 // keep returns a connection to the pool, unless its upstream is leaving.
-func (d *dispatchFilter) keep(conn *upconn.Conn, key catalog.UpstreamKey) {
-	d.pool.Put(conn)
-	if d.balancer.Leaving(key) { // asked last, since the upstream may say so meanwhile
+func (d *dispatchFilter) keep(conn *upconn.Conn, u *catalog.Upstream) {
+	d.pool.Put(conn, d.maxIdleConns(u.Service))
+	if key := u.Key(); d.balancer.Leaving(key) { // asked last, since the upstream may say so meanwhile
 		d.pool.CloseIdle(key.Address)
 	}
 }
@@ -164,7 +177,7 @@
 	}
 	release := func(whole bool) {
 		if whole && stop() {
-			d.keep(conn, key)
+			d.keep(conn, u)
 			return
 		}
 		conn.Close()
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -22,7 +22,7 @@
 			shareOrigin:  s.ShareOrigin,
 			incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
 			store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
-			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock, stop: s.stop,
+			retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
 			reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
 			responses:    inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -77,6 +77,11 @@
 	Running, Waiting, Slots int
 }
 
+// HostCount tells among how many hosts a limit is divided.
+type HostCount interface {
+	ShareCount() int
+}
+
 // Codec translates between the wire format and this package's types. Implementations are safe for concurrent use.
 type Codec interface {
 	// DecodeRequest decodes the metadata of a caller's request.
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -46,6 +46,7 @@
 	retryBudget  *allowance.RetryBudget
 	selector     *balance.Selector
 	pool         *upconn.Pool
+	hosts        HostCount
 	codec        Codec
 	clock        clockwork.Clock
 	stop         *plannedStop
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -348,7 +348,7 @@
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	table := balance.NewTable("dc", clock, log)
 	h.server = New(Options{
-		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Codec: testCodec{}, Quarantine: h.quarantine,
+		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Hosts: oneHost{}, Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
 		Origins:     h,
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -39,6 +39,7 @@
 	Selector    *balance.Selector
 	RetryBudget *allowance.RetryBudget
 	Pool        *upconn.Pool
+	Hosts       HostCount
 	Codec       Codec
 	// Quarantine holds the requests that were running on upstreams when these crashed.
 	Quarantine *quarantine.Table
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,7 +198,7 @@
 func (g *Gateway) newServer(a Adapter, origins *origin.Resolver) *direct.Server {
 	r, c := g.settings.Retry, g.settings.Cold
 	return direct.New(direct.Options{
-		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
+		Store: g.store, Balancer: g.balancer, Pool: g.pool, Hosts: g.fleet, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
--- a/internal/upconn/flood_test.go
+++ b/internal/upconn/flood_test.go
@@ -68,7 +68,7 @@
 				_, err = io.ReadAll(resp.Body)
 			}
 			is.True(err != nil)
-			p.Put(c)
+			p.Put(c, MaxIdlePerUpstream)
 			is.Equal(p.idleCount(c.address), 0)
 			is.True(sent.Load() <= maxFloodBytes)
 		})
@@ -145,7 +145,7 @@
 			start := time.Now()
 			is.Equal(c.Discard(resp), tt.reused)
 			is.True(time.Since(start) < time.Second)
-			p.Put(c)
+			p.Put(c, MaxIdlePerUpstream)
 			is.Equal(p.idleCount(address) == 1, tt.reused)
 		})
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -42,8 +42,8 @@
 	idleTimeoutFraction = 0.6
 	// maxIdleTimeout limits the upstream's own idle timeout.
 	maxIdleTimeout = time.Hour
-	// maxIdlePerUpstream limits the idle connections to one upstream.
-	maxIdlePerUpstream = 16
+	// MaxIdlePerUpstream limits the idle connections to one upstream.
+	MaxIdlePerUpstream = 16
 )
 
 // Buffer sizes of a connection in bytes; responses arrive in pieces of about a hundred bytes.
@@ -177,7 +177,7 @@
 	if !c.WriteStarted {
 		c.reusable = true
 	}
-	p.Put(c)
+	p.Put(c, MaxIdlePerUpstream)
 }
 
 // Open opens a connection to the address and keeps it for reuse.
@@ -235,14 +235,14 @@
 }
 
 // Put returns a connection to the pool after its last response has been read to the end. It closes connections that
-// cannot be reused.
-func (p *Pool) Put(c *Conn) {
+// cannot be reused, and those beyond maxIdle to the same upstream.
+func (p *Pool) Put(c *Conn, maxIdle int) {
 	if !c.reusable || c.br.Buffered() > 0 {
 		c.Close()
 		return
 	}
 	p.mu.Lock()
-	full := len(p.idle[c.address]) >= maxIdlePerUpstream
+	full := len(p.idle[c.address]) >= min(maxIdle, MaxIdlePerUpstream)
 	if !full {
 		p.idle[c.address] = append(p.idle[c.address], c)
 	}
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -80,7 +80,7 @@
 	text, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.Equal(string(text), "ok")
-	p.Put(c)
+	p.Put(c, MaxIdlePerUpstream)
 	return c.Reused
 }
 
@@ -229,7 +229,7 @@
 	is.NoErr(err)
 	_, err = io.ReadAll(resp.Body)
 	is.NoErr(err)
-	p.Put(c)
+	p.Put(c, MaxIdlePerUpstream)
 	close(released)
 	raw := <-receivedBody
 	is.True(strings.HasPrefix(string(body), raw)) // the body or a prefix of it, never another request
@@ -303,7 +303,7 @@
 	p := NewPool(nil, clockwork.NewRealClock())
 	address := startServer(t, respondWith(okResponse("")))
 	var conns []*Conn
-	for range maxIdlePerUpstream + 3 {
+	for range MaxIdlePerUpstream + 3 {
 		c, err := p.Get(context.Background(), address)
 		is.NoErr(err)
 		resp, err := c.RoundTrip(request(nil), nil, matchesID)
@@ -313,9 +313,9 @@
 		conns = append(conns, c)
 	}
 	for _, c := range conns {
-		p.Put(c)
+		p.Put(c, MaxIdlePerUpstream)
 	}
-	is.Equal(p.idleCount(address), maxIdlePerUpstream)
+	is.Equal(p.idleCount(address), MaxIdlePerUpstream)
 	p.CloseIdle(address)
 	is.Equal(p.idleCount(address), 0)
 }
