A request that waits for an upstream at the end of a stop is told when to come back

What callers saw: 503 with the code over and without Retry-After, as if their time were over.

Cause: the wait took each end of its context for the deadline.

Change: the refusal is that of the stop, with Retry-After.

Evidence: TestRequestThatWaitsAtEndOfStopIsRefused, before any send and after refusals by all upstreams: failed in 2 of 2 cases before, passes now.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -209,7 +209,7 @@
 	case errors.Is(err, inbound.ErrBudgetExceeded):
 		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(defaultRetryAfter)
 	case err != nil && stopped:
-		return outcome.Unavailable(stepStop, "stopping", "the router stops before the body has arrived").WithRetryAfter(defaultRetryAfter)
+		return refuseStopping("the router stops before the body has arrived")
 	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -226,12 +226,20 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, outcome.Unavailable(stepDispatch, "over", "the time is over").WithPeer("", ctx.Err())
+			return nil, waitEnded(ctx)
 		case <-d.clock.After(upstreamPollInterval):
 		}
 	}
 }
 
+// waitEnded returns the refusal of a request whose wait for an upstream was ended by its context.
+func waitEnded(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return refuseStopping("the router stopped before an upstream could take the request")
+	}
+	return outcome.Unavailable(stepDispatch, "over", "the time is over").WithPeer("", ctx.Err())
+}
+
 // waitLimit returns the time until which the request, which begins to wait now, waits for an upstream.
 func (req *Request) waitLimit(now time.Time) time.Time {
 	switch {
--- a/internal/direct/late_body_test.go
+++ b/internal/direct/late_body_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,6 +66,34 @@
 	}
 }
 
+// Guards against a request that waits for an upstream at the end of a stop and is refused without saying when to come back.
+func TestRequestThatWaitsAtEndOfStopIsRefused(t *testing.T) {
+	for _, sent := range []int{0, 1} {
+		t.Run(fmt.Sprint("sends before the wait: ", sent), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Unsafe, false, slices.Repeat([]behaviour{shed}, 3*sent)...)
+			h.setRoute(func(r *catalog.Route) { r.LatencyObjective, r.MaxAttempts = upstreamWaitDivisor*responseTimeout, 5 })
+			if sent == 0 {
+				for i, l := range h.listeners {
+					h.publish(fmt.Sprintf("up/u%d/%s/leaving", i+1, l.Addr()))
+				}
+			}
+			h.server.BeginStop(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+			replies := make(chan reply, 1)
+			go func() { replies <- h.call(http.MethodPost, "/r/", "body") }()
+			time.Sleep(200 * time.Millisecond) // until it waits
+			is.Equal(h.server.InFlight(), int64(1))
+			h.server.CutOff()
+			r := <-replies
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(r.body, `"code":"stopping"`))
+			is.True(strings.Contains(r.body, `"outcome":"not-run"`))
+			is.True(r.header.Get("Retry-After") != "")
+		})
+	}
+}
+
 // finalResponseTime is how long a stopping process waits for its last responses.
 const finalResponseTime = 300 * time.Millisecond
 
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -46,7 +46,12 @@
 	if p.ended.Err() == nil && (inTime || !req.Deadline.After(s.cutOff)) {
 		return nil
 	}
-	return outcome.Unavailable(stepStop, "stopping", "the router stops before the deadline").WithRetryAfter(defaultRetryAfter)
+	return refuseStopping("the router stops before the deadline")
+}
+
+// refuseStopping returns the refusal of a request that was not run because of the stop.
+func refuseStopping(message string) *outcome.Refusal {
+	return outcome.Unavailable(stepStop, "stopping", message).WithRetryAfter(defaultRetryAfter)
 }
 
 // onEnd calls f at the end of the stop, unless the returned function is called before. That function reports whether f was
