A connection that has reached the address is served when a planned stop closes it

What callers saw: a reset, or the end of the connection without a byte, after a whole request, if the process had not come to accept the connection before a planned stop closed the address, or had only just accepted it.

Cause: the kernel resets what waits in the accept queue of a listener that is closed. A connection between the accept and its first state isn't tracked yet, so that the wait for connections may find none and the process ends.

Ruled out: connections whose handshake isn't complete, and those that come later: they are refused by the kernel, nothing has been read, and callers go to another host.

Change: the address is closed once the queue is empty, after 0.1 s at the latest, and connections are waited for once the accept loop has ended.

--- /dev/null
+++ b/internal/callerconn/close.go
@@ -0,0 +1,46 @@
+package callerconn
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// acceptTime limits the wait until the connections in the accept queue have been accepted.
+	acceptTime = 100 * time.Millisecond
+	// acceptPollInterval is how often the accept queue is looked at.
+	acceptPollInterval = time.Millisecond
+)
+
+// CloseListener closes the listener once the connections in its accept queue have been accepted. The kernel resets those that
+// have not, although their requests may have arrived whole.
+func CloseListener(l net.Listener, clock clockwork.Clock) error {
+	for start := clock.Now(); hasQueued(l) && clock.Since(start) < acceptTime; {
+		clock.Sleep(acceptPollInterval)
+	}
+	return errors.Wrapf(l.Close(), "close address %s", l.Addr())
+}
+
+// hasQueued reports whether a connection waits to be accepted.
+func hasQueued(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(fds, 0)
+		queued = pollErr == nil && n > 0
+	})
+	return err == nil && queued
+}
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -45,6 +45,12 @@
 
 // startServerWithTimeout starts a server whose header, body and write timeouts have the given value.
 func startServerWithTimeout(t *testing.T, withDocument bool, timeout time.Duration) *testServer {
+	t.Helper()
+	return startServerOn(t, withDocument, timeout, func(l net.Listener) net.Listener { return l })
+}
+
+// startServerOn starts such a server on a listener that is wrapped.
+func startServerOn(t *testing.T, withDocument bool, timeout time.Duration, wrap func(net.Listener) net.Listener) *testServer {
 	t.Helper()
 	s := &settings.Router{Limits: settings.Limits{HeaderBytes: 2048, BodyBytes: 1024, TotalBodyBytes: 1536}}
 	s.Timeouts = settings.Timeouts{
@@ -63,7 +69,7 @@
 		t.Fatal(err)
 	}
 	b.server = handler.Server(func(next http.Handler) http.Handler { return next })
-	go func() { _ = b.server.Serve(listener) }()
+	go func() { _ = b.server.Serve(wrap(listener)) }()
 	t.Cleanup(func() { b.server.Close() })
 	b.address = listener.Addr().String()
 	return b
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -34,8 +34,10 @@
 	conns    *callerconn.Tracker
 	stopping atomic.Bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// listener is being served until served is closed; both are nil before Serve.
 	listener net.Listener
+	served   chan struct{}
 }
 
 // Server returns the server for callers; wrap is applied to its handler. net/http clears the read deadline once the body has been
@@ -54,8 +56,10 @@
 
 // Serve serves the listener until Shutdown or Close, and then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.served = l, served
 	s.mu.Unlock()
 	if s.stopping.Load() {
 		return l.Close()
@@ -72,10 +76,13 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.mu.Lock()
-	listener := s.listener
+	listener, served := s.listener, s.served
 	s.mu.Unlock()
 	if listener != nil {
-		_ = listener.Close() // the process ends whatever becomes of the address
+		// The process ends whatever becomes of the address.
+		_ = callerconn.CloseListener(listener, s.conns.Clock)
+		// The connection that was accepted last is tracked now.
+		<-served
 	}
 	return s.conns.Drain(ctx)
 }
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -131,3 +131,32 @@
 	_, err := net.Dial("tcp", b.address)
 	is.True(err != nil)
 }
+
+// slowListener returns accepted connections late, as if the process were not scheduled.
+type slowListener struct {
+	net.Listener
+	accepted chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return c, err
+}
+
+// Guards against a stop that ends before a connection that has just been accepted is known.
+func TestConnectionAcceptedAtStopIsServed(t *testing.T) {
+	is := is.New(t)
+	accepted := make(chan struct{}, 1)
+	b := startServerOn(t, true, slowCallerTimeout, func(l net.Listener) net.Listener { return slowListener{l, accepted} })
+	c := b.connect(t)
+	c.write(head + "\r\n")
+	<-accepted
+	stopped := b.shutDown(10 * time.Second)
+	is.Equal(c.status(), http.StatusOK)
+	is.NoErr(c.c.Close())
+	is.NoErr(<-stopped)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
@@ -235,7 +236,9 @@
 		stopLoops()
 		return errors.Wrapf(err, "run router: serve caller address %s", g.settings.CallerAddress)
 	}
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		if err := g.server.HTTPServer().Serve(g.server.Listen(callers)); !g.stopping.Load() {
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
@@ -254,7 +257,7 @@
 		Str("data_centre", g.settings.DataCentre).Send()
 	select {
 	case <-ctx.Done():
-		g.stop(callers)
+		g.stop(callers, served)
 	case err = <-serveErrors:
 	}
 	stopLoops()
@@ -298,7 +301,7 @@
 
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
-func (g *Gateway) stop(callers net.Listener) {
+func (g *Gateway) stop(callers net.Listener, served <-chan struct{}) {
 	start := g.clock.Now()
 	drain, total := stopTimes(g.settings.Timeouts)
 	cutOff := start.Add(total)
@@ -307,9 +310,10 @@
 	g.fleet.MarkLeaving()
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.server.InFlight()).Send()
 	g.clock.Sleep(drain)
-	if err := callers.Close(); err != nil {
+	if err := callerconn.CloseListener(callers, g.clock); err != nil {
 		g.log.Warn().Str("event", "address-not-closed").Str("address", g.settings.CallerAddress).Err(err).Send()
 	}
+	<-served // until the connection that was accepted last is tracked
 	err := g.awaitConns(cutOff.Sub(g.clock.Now()))
 	if err == nil {
 		return
