A refusal is written also if the router stood still past the deadline

What callers saw: a request at a router that stood still until more than 0.3 s after the request's deadline ended without a response, though the router refused it as not run once it went on (not-served with code no-time in its log).

Cause: a request's write deadline is 0.3 s after its own deadline, whatever happens in between. It had passed when the refusal was written.

Ruled out: the limits of the connection; the head and the body had been read 2.7 s and 0.9 s before the end.

Change: a refusal has 0.3 s from when it is written.

Evidence: TestRefusalAfterDeadlineIsWritten, EOF before.

--- a/internal/direct/kept_test.go
+++ b/internal/direct/kept_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
 // pausedListener accepts connections that pause once after they have received a request for /r/second, as if the
@@ -149,3 +151,18 @@
 	is.Equal(exchange("GET /none"+rawHead+"\r\n"), http.StatusNotFound)
 	is.Equal(exchange("GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n\r\n"), http.StatusUnauthorized)
 }
+
+// Guards against a refusal that cannot be written because the router stood still until the request's deadline had passed.
+func TestRefusalAfterDeadlineIsWritten(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		is.NoErr(http.NewResponseController(w).SetWriteDeadline(time.Now().Add(-time.Second)))
+		c := callerResponse{writer: w}
+		c.sendRefusal(outcome.Unavailable(stepDispatch, "no-time", "the deadline has passed"))
+	}))
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -269,6 +269,8 @@
 	header, body := encodeRefusal(r)
 	maps.Copy(c.writer.Header(), header)
 	c.headerSent = true
+	// The write deadline of the request has passed if this process stood still until then.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Now().Add(writeGrace))
 	c.writer.WriteHeader(r.Status)
 	_, _ = c.writer.Write(body)
 }
