--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"os"
@@ -54,6 +55,8 @@
 	served bool
 	// headBytes is the number of bytes of the head that have been read.
 	headBytes int64
+	// reserved is the part of headBytes that counts against the budget for heads.
+	reserved int64
 	// readAfterWrite is set if bytes were read after the last write began, and so belong to the next request.
 	readAfterWrite bool
 	// deadline is the read deadline that net/http has asked for outside of requests.
@@ -69,6 +72,7 @@
 	}
 	if cause := c.recordRead(p[:n], err); cause != "" {
 		c.refuse(cause)
+		n, err = 0, cmp.Or(err, net.ErrClosed)
 	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
@@ -137,7 +141,7 @@
 	}
 }
 
-// recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
+// recordRead records the result of a read. If no more of a head is to be read, the cause is returned.
 func (c *conn) recordRead(read []byte, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,6 +167,10 @@
 		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
 		c.setDeadline(c.interruptDeadline())
 	}
+	if cause := c.checkSize(int64(len(read))); cause != "" {
+		c.interrupted, c.failed, c.refused = cause, true, true
+		return cause
+	}
 	return ""
 }
 
@@ -173,10 +181,12 @@
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
 	var text bytes.Buffer
-	if err := c.tracker.Refusal(cause).Write(&text); err != nil {
+	resp := c.tracker.Refusal(cause)
+	defer resp.Body.Close()
+	if err := resp.Write(&text); err != nil {
 		return // a bytes.Buffer takes everything
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 	if _, err := c.Conn.Write(text.Bytes()); err != nil || c.CloseWrite() != nil {
 		return // the caller has left
 	}
@@ -254,8 +264,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopTimer()
+	c.release()
 	if c.phase == readHead {
-		c.tracker.OnUnansweredHead(UnansweredHead{
+		c.tracker.OnIncompleteHead(IncompleteHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
 		})
 	}
@@ -270,6 +281,7 @@
 // begin enters a phase. The caller holds mu, or has the only reference.
 func (c *conn) begin(p phase) {
 	c.stopTimer()
+	c.release()
 	c.phase, c.since = p, c.tracker.Clock.Now()
 	c.interrupted, c.lateSince = "", time.Time{}
 	c.headBytes, c.readAfterWrite = 0, false
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,9 +2,9 @@
 // the rest of a head that has begun.
 //
 // net/http reports a connection as idle until the whole head of the next request has been read, so that a timeout or a drain
-// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It never closes a
-// connection: it interrupts the wait, and what has arrived by then is read first. A part of a head that was sent before the
-// previous response had ended may go unnoticed.
+// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It interrupts waits, and
+// what has arrived by then is read first; net/http closes the connections. A part of a head that was sent before the previous
+// response had ended may be taken for none.
 package callerconn
 
 import (
@@ -17,6 +17,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/inbound"
 )
 
 const (
@@ -33,6 +35,8 @@
 	Idle time.Duration
 	// Header limits the time from the first byte of a request's head to its end.
 	Header time.Duration
+	// HeaderBytes limits the bytes of a head; 0 if only net/http does.
+	HeaderBytes int64
 }
 
 // Cause tells why a wait was ended.
@@ -43,10 +47,14 @@
 	CauseIdle   Cause = "idle-timeout"
 	CauseHeader Cause = "header-timeout"
 	CauseStop   Cause = "stop"
+	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
+	CauseHeadSize  Cause = "head-size"
+	CauseHeadsFull Cause = "heads-full"
 )
 
-// UnansweredHead describes a part of a request's head on a connection that ended before the rest had arrived.
-type UnansweredHead struct {
+// IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
+// if there is a cause.
+type IncompleteHead struct {
 	Peer  net.Addr
 	Bytes int64
 	// Waited is the time since the first byte.
@@ -55,14 +63,16 @@
 	Cause Cause
 }
 
-// Options configures New.
+// Options configures New. The functions must not use the tracker.
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
+	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
+	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
-	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
-	OnUnansweredHead func(UnansweredHead)
+	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
+	OnIncompleteHead func(IncompleteHead)
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
