Callers' connections are limited in number

What callers saw: 3,700 connections that had each sent 4 KB of a head brought a host of 184 MB to 207 MB, where it is ended with all its requests.

Cause: nothing limited the connections. Each takes up to 40 KB besides what the budgets for heads, bodies and responses count.

Change: the setting max_caller_connections, by default a quarter of the memory at 40 KB each. The first request on a connection beyond it gets 503 connections-full, not run, with Retry-After, as soon as its first bytes arrive. Kept connections are served on, also idle ones: their callers may be sending.

--- a/internal/callerconn/size.go
+++ b/internal/callerconn/size.go
@@ -10,6 +10,9 @@
 // checkSize counts the last n bytes of a head that is arriving. It returns a cause if no more of the head may be read. The caller
 // holds mu.
 func (c *conn) checkSize(n int64) Cause {
+	if !c.served && c.headBytes == n && c.tracker.full() {
+		return CauseConnsFull
+	}
 	if limit := c.tracker.Limits().HeaderBytes; limit > 0 && c.headBytes > limit+readBytes {
 		return CauseHeadSize
 	}
--- a/internal/callerconn/size_test.go
+++ b/internal/callerconn/size_test.go
@@ -56,3 +56,21 @@
 	f.connect()
 	is.True(f.receiveLong(freeHeadBytes + 8<<10))
 }
+
+// Guards against connections without number, and against ending those that callers have kept.
+func TestRequestOnConnectionBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.tracker.MaxConns = 1
+	served, raw := f.conn, f.raw
+	f.connect()
+	is.True(!f.receiveLong(1))
+	is.Equal(f.interruptedBy(), CauseConnsFull)
+	refused := f.conn
+	f.conn, f.raw = served, raw
+	is.True(f.receiveLong(2))
+	f.tracker.OnStateChange(refused, http.StateClosed)
+	f.tracker.OnStateChange(served, http.StateClosed)
+	f.connect()
+	is.True(f.receiveLong(1))
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -46,6 +46,8 @@
 	CauseIdle   Cause = "idle-timeout"
 	CauseHeader Cause = "header-timeout"
 	CauseStop   Cause = "stop"
+	// CauseConnsFull is the first head on a connection beyond the limit on their number.
+	CauseConnsFull Cause = "connections-full"
 	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
 	CauseHeadSize  Cause = "head-size"
 	CauseHeadsFull Cause = "heads-full"
@@ -65,6 +67,8 @@
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
+	// MaxConns limits the number of connections; 0 if nothing does. The first request on one beyond it is refused.
+	MaxConns int
 	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
 	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
@@ -206,6 +210,13 @@
 	return c
 }
 
+// full reports whether more connections are open than there may be.
+func (t *Tracker) full() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.MaxConns > 0 && len(t.conns) > t.MaxConns
+}
+
 func (t *Tracker) remove(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/direct/edge_test.go
+++ b/internal/direct/edge_test.go
@@ -108,7 +108,29 @@
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false)
 	h.config.Limits.HeaderBytes = 16 << 10
+	h.publish("config")
 	start := time.Now()
-	is.Equal(h.sendRaw("GET /r/"+rawHead+"X-Long: "+strings.Repeat("x", 32<<10), responseTimeout), []int{http.StatusRequestHeaderFieldsTooLarge})
+	is.Equal(h.sendRaw("GET /r/"+rawHead+"X-Long: "+strings.Repeat("x", 32<<10), defaultHeaderTimeout), []int{http.StatusRequestHeaderFieldsTooLarge})
 	is.True(time.Since(start) < responseTimeout)
 }
+
+// Guards against a connection beyond the limit that is closed without a response.
+func TestConnectionBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Safe, false, ok)
+	h.server.conns.MaxConns = 1
+	h.publish("config")
+	kept, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
+	is.NoErr(err)
+	defer kept.Close()
+	_, err = io.WriteString(kept, "GET /r/"+rawHead+"\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	r := h.call(http.MethodGet, "/r/", "")
+	is.NoErr(r.err)
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(r.body, `"code":"connections-full"`) && strings.Contains(r.body, `"outcome":"not-run"`))
+	is.True(r.header.Get("Retry-After") != "")
+}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -60,9 +60,11 @@
 	ResponseBytes int64
 	// HeadBytes limits the bytes of requests' heads that are arriving, except the first ones of each head.
 	HeadBytes int64
-	Clock     clockwork.Clock
-	Log       zerolog.Logger
-	Scope     tally.Scope
+	// MaxConns limits the number of callers' connections; 0 if nothing does.
+	MaxConns int
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Scope    tally.Scope
 }
 
 // Server serves callers' requests.
@@ -105,7 +107,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
+		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
 		OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
@@ -261,6 +263,8 @@
 	switch cause {
 	case callerconn.CauseStop:
 		refusal = outcome.Unavailable(stepStop, "stopping", "the router stops before the head has arrived").WithRetryAfter(defaultRetryAfter)
+	case callerconn.CauseConnsFull:
+		refusal = outcome.Unavailable(stepReceive, "connections-full", "too many connections are open").WithRetryAfter(defaultRetryAfter)
 	case callerconn.CauseHeadSize:
 		refusal = headerTooLarge()
 	case callerconn.CauseHeadsFull:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math"
 	mathrand "math/rand/v2"
@@ -58,6 +59,10 @@
 	responseMemoryFraction = 0.1
 	// headMemoryFraction is the fraction of the memory that heads of callers' requests may use while they arrive.
 	headMemoryFraction = 0.03
+	// connMemoryFraction is the fraction of the memory that callers' connections may use, and connBytes what one uses with the
+	// request on it, except what the other budgets count.
+	connMemoryFraction = 0.25
+	connBytes          = 40 << 10
 	// idleSweepInterval is how often connections that have been idle for too long are closed.
 	idleSweepInterval = time.Second
 	// watchTimeout is how long the store may hold a watch call open. Each upstream updates its entry about once a second,
@@ -203,7 +208,7 @@
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
-		HeadBytes: int64(headMemoryFraction * memory), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+		HeadBytes: int64(headMemoryFraction * memory), MaxConns: cmp.Or(g.settings.MaxCallerConns, int(connMemoryFraction*memory/connBytes)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
 }
 
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -19,12 +19,14 @@
 	// StoreAddress is the address of the store of published items.
 	StoreAddress string `json:"store_address"`
 	// SeedPeers lists peer addresses of other hosts. It may be out of date.
-	SeedPeers []string       `json:"seed_peers,omitempty"`
-	MemoryMB  int            `json:"memory_mb"`
-	Retry     RetryBudget    `json:"retry"`
-	Cold      ColdLimits     `json:"cold"`
-	Timeouts  DirectTimeouts `json:"timeouts"`
-	Log       Log            `json:"log"`
+	SeedPeers []string `json:"seed_peers,omitempty"`
+	MemoryMB  int      `json:"memory_mb"`
+	// MaxCallerConns limits the number of callers' connections; 0 if it follows from the memory.
+	MaxCallerConns int            `json:"max_caller_connections,omitempty"`
+	Retry          RetryBudget    `json:"retry"`
+	Cold           ColdLimits     `json:"cold"`
+	Timeouts       DirectTimeouts `json:"timeouts"`
+	Log            Log            `json:"log"`
 }
 
 // RetryBudget limits the retries of all hosts together.
@@ -76,6 +78,7 @@
 	minMemoryMB         = 32
 	maxMemoryMB         = 1 << 20
 	maxRatio            = 1000
+	maxCallerConns      = 1 << 20
 )
 
 // Check implements Checker.
@@ -100,6 +103,7 @@
 	c.distinctAddresses()
 	c.seeds(d.SeedPeers)
 	c.intRange("memory_mb", int64(d.MemoryMB), minMemoryMB, maxMemoryMB)
+	c.intRange("max_caller_connections", int64(d.MaxCallerConns), 0, maxCallerConns)
 	c.floatRange("retry.ratio", d.Retry.Ratio, maxRatio)
 	c.floatRange("retry.slack", d.Retry.Slack, maxMemoryMB)
 	c.floatRange("cold.overage", d.Cold.Overage, maxRatio)
