--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -98,7 +98,7 @@
 }
 
 func refusal(Cause) *http.Response {
-	return &http.Response{StatusCode: http.StatusRequestTimeout, ProtoMajor: 1, ProtoMinor: 1, Close: true, Body: http.NoBody}
+	return NewRefusal(http.StatusRequestTimeout, nil, nil)
 }
 
 // reconnect replaces the connection by a new one.
--- /dev/null
+++ b/internal/callerconn/late.go
@@ -0,0 +1,69 @@
+package callerconn
+
+import (
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// lateBytesTime limits how long bytes are looked for after an interrupt, so that a head that trickles ends.
+const lateBytesTime = time.Second
+
+// mayHaveLateBytes reports whether bytes may have arrived before the connection was interrupted: a deadline that has passed
+// hides them, for instance after this process has stood still.
+func (c *conn) mayHaveLateBytes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted == "" || c.failed {
+		return false
+	}
+	now := c.tracker.Clock.Now()
+	if c.lateSince.IsZero() {
+		c.lateSince = now
+	}
+	return now.Sub(c.lateSince) < lateBytesTime
+}
+
+// readLateBytes reads what has arrived, without waiting.
+func (c *conn) readLateBytes(p []byte) (int, error) {
+	c.setDeadline(time.Time{})
+	defer c.resetDeadline()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, errors.Wrap(err, "read from interrupted connection")
+	}
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = ignoreInterrupts(func() (int, error) { return unix.Read(int(fd), p) })
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, errors.Wrap(err, "read from interrupted connection")
+	case errors.Is(readErr, unix.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case readErr != nil:
+		return 0, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// ignoreInterrupts repeats a system call while a signal interrupts it.
+func ignoreInterrupts(call func() (int, error)) (int, error) {
+	for {
+		if n, err := call(); !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -8,7 +8,9 @@
 package callerconn
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -81,6 +83,14 @@
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
 
+// NewRefusal returns a response for Options.Refusal.
+func NewRefusal(status int, header http.Header, body []byte) *http.Response {
+	return &http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
+
 // Tracker tracks the connections of one listener. It is safe for concurrent use.
 type Tracker struct {
 	Options
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -1,10 +1,8 @@
 package callers
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -109,10 +107,7 @@
 		refusal = outcome.Unavailable(step, "stopping", "the router stops before the head has arrived").WithRetryAfter(stoppingRetryAfter)
 	}
 	header, body := encodeRefusal(fmt.Sprintf("%016x", rand.Uint64()), refusal)
-	return &http.Response{
-		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
+	return callerconn.NewRefusal(refusal.Status, header, body)
 }
 
 func (h *Handler) logIncompleteHead(head callerconn.IncompleteHead) {
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -1,11 +1,9 @@
 package direct
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -272,10 +270,7 @@
 		refusal = outcome.Unavailable(stepReceive, "heads-full", "too many heads are arriving").WithRetryAfter(defaultRetryAfter)
 	}
 	header, body := encodeRefusal(refusal)
-	return &http.Response{
-		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
+	return callerconn.NewRefusal(refusal.Status, header, body)
 }
 
 func (s *Server) logLateBytes(peer net.Addr, cause callerconn.Cause, waited time.Duration) {
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -25,7 +25,9 @@
 	// told is when an answer first told the host of the engine's limit, or that it leaves.
 	told map[*surgeHost]map[string]time.Time
 	// arrivals are the requests that engines received.
-	received        map[string][]arrival
+	received map[string][]arrival
+	// deliver sends one request.
+	deliver         func(h *surgeHost, k surgeKey)
 	served, refused map[*surgeHost]int
 }
 
@@ -78,6 +80,7 @@
 		surge: newSurge(hosts, dataCentres, engines, seed), selectors: map[*surgeHost]*balance.Selector{}, limits: map[string]*float64{}, leaving: map[string]bool{},
 		told: map[*surgeHost]map[string]time.Time{}, received: map[string][]arrival{}, served: map[*surgeHost]int{}, refused: map[*surgeHost]int{},
 	}
+	p.deliver = p.send
 	random := rand.New(rand.NewPCG(seed, 1))
 	for _, h := range p.hosts {
 		view := &partialView{Fleet: h.Fleet, unaware: map[string]bool{}}
@@ -109,7 +112,7 @@
 func (p *limitedPool) arrive() {
 	sum := p.usual[len(p.usual)-1]
 	key := p.keys[sort.SearchFloat64s(p.usual, p.rand.Float64()*sum)]
-	p.send(p.hosts[p.rand.IntN(len(p.hosts))], key)
+	p.deliver(p.hosts[p.rand.IntN(len(p.hosts))], key)
 	rate := surgeRate * float64(len(p.snap.Upstreams["s"])) * sum
 	p.after(time.Duration(p.rand.ExpFloat64()/rate*float64(time.Second)), p.arrive)
 }
--- a/internal/fleet/pause_test.go
+++ b/internal/fleet/pause_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"testing"
 	"time"
 
@@ -34,10 +33,12 @@
 }
 
 func newSheddingPool(hosts, dataCentres, engines int, seed uint64) *sheddingPool {
-	return &sheddingPool{
+	p := &sheddingPool{
 		limitedPool: newLimitedPool(hosts, dataCentres, engines, 0, seed), shedding: map[string]bool{},
 		turnedAway: map[*surgeHost]map[string][]time.Time{},
 	}
+	p.deliver = p.send
+	return p
 }
 
 // run plays requests while every third engine sheds load for a time.
@@ -52,14 +53,6 @@
 	p.runFor(limitLength)
 }
 
-func (p *sheddingPool) arrive() {
-	sum := p.usual[len(p.usual)-1]
-	key := p.keys[sort.SearchFloat64s(p.usual, p.rand.Float64()*sum)]
-	p.send(p.hosts[p.rand.IntN(len(p.hosts))], key)
-	rate := surgeRate * float64(len(p.snap.Upstreams["s"])) * sum
-	p.after(time.Duration(p.rand.ExpFloat64()/rate*float64(time.Second)), p.arrive)
-}
-
 // send sends a request to the engine that the host chooses, and once more if that engine turns it away.
 func (p *sheddingPool) send(h *surgeHost, k surgeKey) {
 	choice := p.selectors[h].Select(p.snap, "s", balance.Criteria{Engine: true, AffinityHash: k.hash})
