A response that comes as its request is given up is not relayed in part

Cause: a request on a pooled connection is cancelled if there is no sign of life in time. The timer could fire between the response and its stop, and the body of the response then can't be read to its end.

Change: the response or the timer comes first, for certain. If it is the timer, the request is sent once more, as for no response at all; all such requests may be repeated.

--- a/internal/hop/ack.go
+++ b/internal/hop/ack.go
@@ -12,6 +12,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/idletimeout"
+	"github.com/orioleusher/orioleusher/internal/replylimit"
 )
 
 // ackTimeout is how long a hop on a pooled connection waits for the acknowledgement, which the peer sends before it
@@ -52,15 +53,15 @@
 // acknowledgement in time.
 func (c *Client) sendPooled(ctx context.Context, x *exchange.Exchange, d Destination) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(ackTimeout, func() { cancel(errNoAck) })
+	limit := replylimit.Start(ackTimeout, func() { cancel(errNoAck) })
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if !info.Reused {
-				timer.Stop()
+				limit.Lift()
 			}
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			timer.Stop()
+			limit.Lift()
 			return nil
 		},
 	})
@@ -70,15 +71,16 @@
 		return nil, err
 	}
 	resp, err := c.pooled.RoundTrip(req)
-	timer.Stop()
+	if !limit.Lift() {
+		if err == nil {
+			resp.Body.Close()
+		}
+		return nil, errNoAck
+	}
 	if err == nil {
 		resp.Body = idletimeout.OnClose(resp.Body, func() { cancel(nil) })
 		return resp, nil
 	}
-	cause := context.Cause(ctx)
 	cancel(nil)
-	if errors.Is(cause, errNoAck) {
-		return nil, errNoAck
-	}
 	return nil, errors.Wrap(err, "send hop")
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/idletimeout"
+	"github.com/orioleusher/orioleusher/internal/replylimit"
 )
 
 // pooledFirstByteTimeout is how long a request on a pooled connection waits for the first byte of its response before
@@ -22,21 +23,21 @@
 // connection brought no response in time.
 func (c *Client) sendPooled(ctx context.Context, x *exchange.Exchange, upstream, address string) (*exchange.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(pooledFirstByteTimeout, func() { cancel(errNoPooledResponse) })
+	limit := replylimit.Start(pooledFirstByteTimeout, func() { cancel(errNoPooledResponse) })
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if !info.Reused {
-			timer.Stop()
+			limit.Lift()
 		}
 	}}
 	response, err := c.send(httptrace.WithClientTrace(ctx, trace), c.pooled, x, upstream, address)
-	timer.Stop()
+	if !limit.Lift() {
+		if err == nil {
+			response.Body.Close()
+		}
+		return nil, errNoPooledResponse
+	}
 	if err != nil {
-		// The cause is read before cancel ends the request. The cancel would not replace a cause that is already set.
-		cause := context.Cause(ctx)
 		cancel(nil)
-		if errors.Is(cause, errNoPooledResponse) {
-			return nil, errNoPooledResponse
-		}
 		return nil, err
 	}
 	response.Body = idletimeout.OnClose(response.Body, func() { cancel(nil) })
