A complete response is written also if the router stood still past the deadline

What callers saw: a request at a router that stood still until more than 0.3 s after the request's deadline ended without a response, although the upstream's whole response was at hand and the router logged it as served with status 200.

Change: a complete response has 0.3 s from when it is written, unless its request has more. Streams still end at their deadline.

Evidence: TestResponseAfterDeadlineIsWritten, EOF before for the upstream's response; TestResponseKeepsLaterWriteDeadline. It replaces TestRefusalAfterDeadlineIsWritten, whose case it contains.

--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -44,6 +44,7 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, f.clock, req.Deadline)
 	defer cancel()
 	// Some connections do not support deadlines; there the caller's own timeout bounds the write.
-	_ = http.NewResponseController(req.response.writer).SetWriteDeadline(req.Deadline.Add(writeGrace))
+	req.response.writeDeadline = req.Deadline.Add(writeGrace)
+	_ = http.NewResponseController(req.response.writer).SetWriteDeadline(req.response.writeDeadline)
 	return next(ctx, req)
 }
--- a/internal/direct/kept_test.go
+++ b/internal/direct/kept_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -152,17 +153,50 @@
 	is.Equal(exchange("GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n\r\n"), http.StatusUnauthorized)
 }
 
-// Guards against a refusal that cannot be written because the router stood still until the request's deadline had passed.
-func TestRefusalAfterDeadlineIsWritten(t *testing.T) {
+// Guards against complete responses that cannot be written because the router stood still until the request's deadline had
+// passed.
+func TestResponseAfterDeadlineIsWritten(t *testing.T) {
+	for name, send := range map[string]func(*callerResponse){
+		"refusal": func(c *callerResponse) {
+			c.sendRefusal(outcome.Unavailable(stepDispatch, "no-time", "the deadline has passed"))
+		},
+		"upstream's response": func(c *callerResponse) {
+			c.sendBuffered(&bufferedResponse{status: http.StatusServiceUnavailable, body: []byte("body")})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c := callerResponse{writer: w, clock: clockwork.NewRealClock(), writeDeadline: time.Now().Add(-time.Second), isEndToEnd: testCodec{}.IsEndToEnd}
+				is.NoErr(http.NewResponseController(w).SetWriteDeadline(c.writeDeadline))
+				send(&c)
+			}))
+			defer s.Close()
+			resp, err := http.Get(s.URL)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// Guards against a shorter time for the caller to receive a response than its deadline leaves.
+func TestResponseKeepsLaterWriteDeadline(t *testing.T) {
 	is := is.New(t)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		is.NoErr(http.NewResponseController(w).SetWriteDeadline(time.Now().Add(-time.Second)))
-		c := callerResponse{writer: w}
-		c.sendRefusal(outcome.Unavailable(stepDispatch, "no-time", "the deadline has passed"))
-	}))
-	defer s.Close()
-	resp, err := http.Get(s.URL)
-	is.NoErr(err)
-	defer resp.Body.Close()
-	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	now := clockwork.NewRealClock()
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	c := callerResponse{writer: w, clock: now, writeDeadline: now.Now().Add(time.Minute), isEndToEnd: testCodec{}.IsEndToEnd}
+	c.sendBuffered(&bufferedResponse{status: http.StatusOK})
+	is.True(w.deadline.IsZero())
+}
+
+// deadlineRecorder records the write deadline that is set.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
 }
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -256,8 +256,17 @@
 	return http.NewResponseController(c.writer).Flush()
 }
 
+// allowWrite makes sure that a complete response can be written: the write deadline of the request has passed if this process
+// stood still until then.
+func (c *callerResponse) allowWrite() {
+	if deadline := c.clock.Now().Add(writeGrace); deadline.After(c.writeDeadline) {
+		_ = http.NewResponseController(c.writer).SetWriteDeadline(deadline)
+	}
+}
+
 // sendBuffered sends a complete response.
 func (c *callerResponse) sendBuffered(resp *bufferedResponse) {
+	c.allowWrite()
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	c.sendHeader(resp.status, resp.header)
 	// A write error means that the caller has disconnected, so there is no one to report it to.
@@ -269,8 +278,7 @@
 	header, body := encodeRefusal(r)
 	maps.Copy(c.writer.Header(), header)
 	c.headerSent = true
-	// The write deadline of the request has passed if this process stood still until then.
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Now().Add(writeGrace))
+	c.allowWrite()
 	c.writer.WriteHeader(r.Status)
 	_, _ = c.writer.Write(body)
 }
