Responses to requests received before a stop end their connections too

What callers saw: in a planned stop a response without "Connection: close", and the end of its connection at once, so that the next request on it met the end.

Cause: the header was set when a request arrived. One that had arrived before the stop began kept its connection, which the drain then ended.

Change: the header is set when a response's status is written, for responses of upstreams, streams and refusals.

--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -243,6 +243,14 @@
 			to[name] = nil // a missing key would make net/http send its default
 		}
 	}
+	c.writeHeader(status)
+}
+
+// writeHeader writes the status and the headers. In a planned stop the connection ends with the response.
+func (c *callerResponse) writeHeader(status int) {
+	if c.stopping != nil && c.stopping() {
+		c.writer.Header().Set("Connection", "close")
+	}
 	c.writer.WriteHeader(status)
 }
 
@@ -279,7 +287,7 @@
 	maps.Copy(c.writer.Header(), header)
 	c.headerSent = true
 	c.allowWrite()
-	c.writer.WriteHeader(r.Status)
+	c.writeHeader(r.Status)
 	_, _ = c.writer.Write(body)
 }
 
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -90,6 +90,8 @@
 	start  time.Time
 	// isEndToEnd is the Codec's.
 	isEndToEnd func(name string) bool
+	// stopping reports whether a planned stop has begun.
+	stopping func() bool
 	// writeDeadline is the write deadline of the connection; zero until it has been set for this request.
 	writeDeadline time.Time
 	// headerSent is set once the status has been sent; firstByteAfter is the time from the request's start to then.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -151,11 +151,11 @@
 	defer s.inFlight.Add(-1)
 	// A request with a transfer encoding may also have a content length, which net/http ignores. Whoever forwarded it may
 	// have used the length, so that what follows the body is not read as a request.
-	if s.stop.schedule.Load() != nil || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now()}
-	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd}
+	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd, stopping: s.stop.begun}
 	defer s.logPanic(req)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -34,6 +34,9 @@
 	return p
 }
 
+// begun reports whether the stop has begun.
+func (p *plannedStop) begun() bool { return p.schedule.Load() != nil }
+
 // check returns a refusal of a request whose response cannot be expected before the end of the stop: it was received too
 // late, or less than its latency objective is left. A request that may have been executed is sent again all the same if its
 // route allows that.
--- a/internal/direct/stop_test.go
+++ b/internal/direct/stop_test.go
@@ -233,3 +233,30 @@
 		})
 	}
 }
+
+// Guards against callers that reuse a connection which a stop is about to end, since its response did not say so: the request
+// had been received before the stop began.
+func TestResponsesInStopEndTheirConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		kind   catalog.Kind
+		script []behaviour
+	}{
+		{"response", catalog.Unsafe, []behaviour{ok.after(200 * time.Millisecond)}},
+		{"stream", catalog.Stream, []behaviour{ok.after(200 * time.Millisecond)}},
+		{"refusal", catalog.Unsafe, []behaviour{cutBefore.after(200 * time.Millisecond)}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.kind, false, tt.script...)
+			c := newRawCaller(t, h)
+			c.write("POST /r/" + rawHead + "Content-Length: 4\r\n\r\nbody")
+			h.waitRuns(1)
+			h.server.BeginStop(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
+			resp, err := http.ReadResponse(c.br, nil)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.True(resp.Close)
+		})
+	}
+}
