--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +30,7 @@
 type fakeConn struct {
 	net.Conn
 	pending  []byte
+	written  bytes.Buffer
 	deadline time.Time
 	closed   bool
 }
@@ -39,7 +45,7 @@
 	return n, nil
 }
 
-func (c *fakeConn) Write(p []byte) (int, error)       { return len(p), nil }
+func (c *fakeConn) Write(p []byte) (int, error)       { return c.written.Write(p) }
 func (c *fakeConn) SetWriteDeadline(time.Time) error  { return nil }
 func (c *fakeConn) SetReadDeadline(t time.Time) error { c.deadline = t; return nil }
 func (c *fakeConn) Close() error                      { c.closed = true; return nil }
@@ -54,20 +60,27 @@
 	mu      sync.Mutex
 	limits  Limits
 	late    []Cause
-	heads   []UnansweredHead
+	heads   []IncompleteHead
 }
 
 func newFixture() *fixture {
-	f := &fixture{raw: &fakeConn{}, clock: clockwork.NewFakeClock(), limits: Limits{Idle: idleLimit, Header: headerLimit}}
+	raw := &fakeConn{}
+	f := newFixtureOn(raw)
+	f.raw = raw
+	f.receive("GET / HTTP/1.1\r\n\r\n")
+	f.tracker.OnStateChange(f.conn, http.StateActive)
+	f.tracker.OnStateChange(f.conn, http.StateIdle)
+	return f
+}
+
+func newFixtureOn(raw net.Conn) *fixture {
+	f := &fixture{clock: clockwork.NewFakeClock(), limits: Limits{Idle: idleLimit, Header: headerLimit}}
 	f.tracker = New(Options{
 		Clock: f.clock, Limits: f.currentLimits, Refusal: refusal,
 		OnLateBytes:      func(_ net.Addr, cause Cause, _ time.Duration) { f.late = append(f.late, cause) },
-		OnUnansweredHead: func(h UnansweredHead) { f.heads = append(f.heads, h) },
+		OnIncompleteHead: func(h IncompleteHead) { f.heads = append(f.heads, h) },
 	})
-	f.conn = f.tracker.newConn(f.raw)
-	f.receive("GET / HTTP/1.1\r\n\r\n")
-	f.tracker.OnStateChange(f.conn, http.StateActive)
-	f.tracker.OnStateChange(f.conn, http.StateIdle)
+	f.conn = f.tracker.newConn(raw)
 	return f
 }
 
@@ -168,6 +181,23 @@
 			f.tracker.OnStateChange(f.conn, http.StateIdle)
 			f.tracker.interruptIdle()
 		}, ""},
+		{"cut off, head begun", func(f *fixture) {
+			f.receive("G")
+			f.tracker.CutOff()
+		}, CauseStop},
+		{"cut off, head begun later", func(f *fixture) {
+			f.tracker.CutOff()
+			f.receive("G")
+		}, CauseStop},
+		{"drain, line end after a body", func(f *fixture) {
+			f.receive("POST / HTTP/1.1\r\n\r\n")
+			f.tracker.OnStateChange(f.conn, http.StateActive)
+			_, _ = f.conn.Write([]byte("response"))
+			f.receive("\r") // by the background read of net/http
+			f.tracker.OnStateChange(f.conn, http.StateIdle)
+			f.receive("\n")
+			f.tracker.interruptIdle()
+		}, CauseStop},
 		{"drain, body read before the response", func(f *fixture) {
 			f.receive("POST / HTTP/1.1\r\n\r\n")
 			f.tracker.OnStateChange(f.conn, http.StateActive)
@@ -206,40 +236,111 @@
 	}
 }
 
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (caller, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	server, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	return caller, server
+}
+
+// pausedConn stands for a process that is not scheduled for a while after each deadline that it sets.
+type pausedConn struct{ *net.TCPConn }
+
+func (c pausedConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	time.Sleep(10 * time.Millisecond)
+	return err
+}
+
 // Guards against requests that are lost because the deadline that ends a wait hides the bytes that arrived before it.
 func TestBytesThatArrivedBeforeInterruptAreRead(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\n\r\n"
 	for _, tt := range []struct {
-		name   string
-		phase  string // what has arrived of the head before
-		pause  time.Duration
-		cause  Cause
-		read   bool
-		ranOut bool // the wait is still over afterwards
+		name  string
+		begun string // what has been read of the head
+		// pause is how long the process stands still after the interrupt.
+		pause time.Duration
+		cause Cause
+		over  bool // the wait is still over afterwards
 	}{
-		{"first byte", "", 0, CauseIdle, true, false},
-		{"rest of the head", "GET / ", 0, CauseHeader, true, true},
-		{"trickling head", "GET / ", lateBytesTime, CauseHeader, false, true},
+		{"first byte", "", 0, CauseIdle, false},
+		{"first byte, read much later", "", time.Hour, CauseIdle, false},
+		{"rest of the head", "GET / ", 0, CauseHeader, true},
+		{"rest of the head, read much later", "GET / ", time.Hour, CauseHeader, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture()
-			if tt.phase != "" {
-				f.receive(tt.phase)
+			caller, server := tcpPair(t)
+			f := newFixtureOn(pausedConn{server.(*net.TCPConn)})
+			_, err := io.WriteString(caller, tt.begun)
+			is.NoErr(err)
+			if tt.begun != "" {
+				_, err = f.read()
+				is.NoErr(err)
 			}
 			f.advance(idleLimit)
 			is.Equal(f.interruptedBy(), tt.cause)
-			f.raw.pending = []byte("HTTP/1.1\r\n\r\n")
+			_, err = io.WriteString(caller, request[len(tt.begun):])
+			is.NoErr(err)
 			f.clock.Advance(tt.pause)
 			n, err := f.read()
-			is.Equal(n > 0, tt.read)
-			is.Equal(err == nil, tt.read)
-			is.Equal(len(f.late) > 0, tt.read)
-			is.Equal(f.interruptedBy() != "", tt.ranOut)
+			is.NoErr(err)
+			is.Equal(n, len(request)-len(tt.begun))
+			is.Equal(f.late, []Cause{tt.cause})
+			is.Equal(f.interruptedBy() != "", tt.over)
 		})
 	}
 }
 
-func TestUnansweredHeadIsReported(t *testing.T) {
+// Guards against a head that holds its connection for ever because bytes of it still trickle in after its limit.
+func TestTricklingHeadEndsAfterItsLimit(t *testing.T) {
+	is := is.New(t)
+	caller, server := tcpPair(t)
+	f := newFixtureOn(server)
+	trickle := func() error {
+		_, err := io.WriteString(caller, "G")
+		is.NoErr(err)
+		_, err = f.read()
+		return err
+	}
+	is.NoErr(trickle())
+	f.advance(headerLimit)
+	is.NoErr(trickle())
+	f.clock.Advance(lateBytesTime)
+	is.True(trickle() != nil)
+}
+
+// Guards against more than one response to a head: net/http reads again after the first error if a part of a line has arrived.
+func TestHeadIsRefusedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.receive("GET / HTTP/1.1\r\nHo")
+	f.advance(headerLimit)
+	for range 3 {
+		_, err := f.read()
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	}
+	_, err := f.conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+	is.True(err != nil)
+	is.Equal(strings.Count(f.raw.written.String(), "HTTP/1.1 408"), 1)
+	is.True(!strings.Contains(f.raw.written.String(), "400"))
+}
+
+func TestIncompleteHeadIsReported(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
 	f.receive("GET / ")
@@ -249,25 +350,29 @@
 	is.True(err != nil)
 	f.tracker.OnStateChange(f.conn, http.StateActive) // net/http reports it although the head could not be read
 	f.tracker.OnStateChange(f.conn, http.StateClosed)
-	is.Equal(f.heads, []UnansweredHead{{Peer: &net.TCPAddr{}, Bytes: 11, Waited: headerLimit, Cause: CauseHeader}})
+	is.Equal(f.heads, []IncompleteHead{{Peer: &net.TCPAddr{}, Bytes: 11, Waited: headerLimit, Cause: CauseHeader}})
 	is.Equal(f.tracker.State(), State{})
 }
 
 // startServer serves an empty response to each request and returns the tracker and the server's address.
-func startServer(t *testing.T, limits Limits) (*Tracker, string) {
+func startServer(t *testing.T, limits Limits, wrap ...func(net.Listener) net.Listener) (*Tracker, string) {
 	t.Helper()
 	tracker := New(Options{
 		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
-		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnUnansweredHead: func(UnansweredHead) {},
+		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnIncompleteHead: func(IncompleteHead) {},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	inner := l
+	for _, f := range wrap {
+		inner = f(inner)
+	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: tracker.OnStateChange, ReadHeaderTimeout: time.Minute,
 	}
-	go func() { _ = server.Serve(tracker.Listen(l)) }()
+	go func() { _ = server.Serve(tracker.Listen(inner)) }()
 	t.Cleanup(func() { server.Close() })
 	return tracker, l.Addr().String()
 }
@@ -325,3 +430,25 @@
 	defer cancel()
 	is.NoErr(tracker.Drain(ctx))
 }
+
+// fullListener fails once as a listener does when the process has no more file descriptors.
+type fullListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a router that ends because it once had no file descriptor for a caller's connection.
+func TestServerSurvivesLackOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, Limits{Idle: time.Minute, Header: time.Minute}, func(l net.Listener) net.Listener { return &fullListener{Listener: l} })
+	resp, err := http.Get("http://" + address)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,9 +2,9 @@
 // the rest of a head that has begun.
 //
 // net/http reports a connection as idle until the whole head of the next request has been read, so that a timeout or a drain
-// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It never closes a
-// connection: it interrupts the wait, and what has arrived by then is read first. A part of a head that was sent before the
-// previous response had ended may go unnoticed.
+// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It interrupts waits, and
+// what has arrived by then is read first; net/http closes the connections. A part of a head that was sent before the previous
+// response had ended may be taken for none.
 package callerconn
 
 import (
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -53,8 +54,9 @@
 	CauseHeadsFull Cause = "heads-full"
 )
 
-// UnansweredHead describes a part of a request's head on a connection that ended before the rest had arrived.
-type UnansweredHead struct {
+// IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
+// if there is a cause.
+type IncompleteHead struct {
 	Peer  net.Addr
 	Bytes int64
 	// Waited is the time since the first byte.
@@ -63,7 +65,7 @@
 	Cause Cause
 }
 
-// Options configures New.
+// Options configures New. The functions must not use the tracker.
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
@@ -73,8 +75,8 @@
 	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
-	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
-	OnUnansweredHead func(UnansweredHead)
+	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
+	OnIncompleteHead func(IncompleteHead)
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
@@ -83,6 +85,9 @@
 type Tracker struct {
 	Options
 
+	// cutOff is set once heads that have not arrived whole are refused.
+	cutOff atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -102,7 +107,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Wrap(err, "accept caller's connection")
+		return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type and goes on
 	}
 	return l.tracker.newConn(c), nil
 }
@@ -161,8 +166,9 @@
 	return len(conns)
 }
 
-// CutOff ends the waits for the rest of heads that have begun.
+// CutOff ends the waits for the rest of heads, also of those that begin later.
 func (t *Tracker) CutOff() {
+	t.cutOff.Store(true)
 	for _, c := range t.open() {
 		c.interruptHead()
 	}
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -83,9 +83,9 @@
 const (
 	// defaultHeaderTimeout limits the time for reading a request's headers if the configuration sets no limit.
 	defaultHeaderTimeout = 5 * time.Second
-	// headerMargin is added to the configured limit, which callers count from when they send: a lost packet is sent again
-	// within a second.
-	headerMargin = time.Second
+	// transitMargin is added to the configured limits, which callers count from when they send or receive: a lost packet is sent
+	// again within a second.
+	transitMargin = time.Second
 	// defaultIdleTimeout is how long an idle connection stays open if the configuration sets no limit.
 	defaultIdleTimeout = 15 * time.Second
 	// writeGrace is the time after its deadline within which a response must have been written to the caller.
@@ -108,7 +108,7 @@
 	}
 	s.conns = callerconn.New(callerconn.Options{
 		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
-		OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
+		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -246,10 +246,10 @@
 	}
 	limits.HeaderBytes = int64(config.Limits.HeaderBytes)
 	if config.Limits.IdleTimeout > 0 {
-		limits.Idle = config.Limits.IdleTimeout
+		limits.Idle = config.Limits.IdleTimeout + transitMargin
 	}
 	if config.Limits.HeaderTimeout > 0 {
-		limits.Header = config.Limits.HeaderTimeout + headerMargin
+		limits.Header = config.Limits.HeaderTimeout + transitMargin
 	}
 	return limits
 }
@@ -282,10 +282,10 @@
 	s.Log.Info().Str("event", "bytes-at-timeout").Stringer("peer", peer).Str("cause", string(cause)).Dur("waited_ms", waited).Send()
 }
 
-func (s *Server) logUnansweredHead(h callerconn.UnansweredHead) {
+func (s *Server) logIncompleteHead(h callerconn.IncompleteHead) {
 	limits := s.connLimits()
-	s.responses.unansweredHeads(h.Cause).Inc(1)
-	s.Log.Warn().Str("event", "head-not-answered").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
+	s.responses.incompleteHeads(h.Cause).Inc(1)
+	s.Log.Warn().Str("event", "head-incomplete").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
 		Dur("waited_ms", h.Waited).Dur("header_limit_ms", limits.Header).Dur("idle_limit_ms", limits.Idle).Send()
 }
 
@@ -307,9 +307,9 @@
 	return c.scope.Tagged(map[string]string{"ended_by": endedBy}).Counter("answers_cut")
 }
 
-// unansweredHeads returns the counter of connections that ended in the midst of a head.
-func (c *responseCounters) unansweredHeads(cause callerconn.Cause) tally.Counter {
-	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_not_answered")
+// incompleteHeads returns the counter of connections that ended in the midst of a head.
+func (c *responseCounters) incompleteHeads(cause callerconn.Cause) tally.Counter {
+	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_incomplete")
 }
 
 func (c *responseCounters) refused(code string) tally.Counter {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,10 @@
 	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
+	// peerIdleTimeout is how long a host keeps an idle connection of another host open. clientIdleTimeout is how long that one
+	// uses it: if both were equal, calls would be sent on connections that are just being closed.
+	peerIdleTimeout   = 10 * time.Second
+	clientIdleTimeout = 8 * time.Second
 	// peerReadTimeout limits the time for reading a request of another host. It exceeds the time for which such a request
 	// may wait for changes, since net/http cancels requests whose connection passes its read deadline.
 	peerReadTimeout = 10 * time.Second
@@ -119,7 +123,7 @@
 // Responses beyond maxPeerHeaderBytes or maxPeerResponseBytes are errors.
 func NewTransport(pool *upconn.Pool) http.RoundTripper {
 	return bodyLimiter{&http.Transport{
-		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}}
 }
@@ -159,6 +163,7 @@
 	})
 	g.fleet = g.newFleet()
 	g.prompts.OnBlame(g.fleet.Announce)
+	g.quarantineTable.OnSuspect(g.fleet.Announce)
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, LongPollWait: watchTimeout,
 		Timing:  published.ReadTimingFor(g.settings.Timeouts.MaxStaleness()),
@@ -204,7 +209,7 @@
 	return direct.New(direct.Options{
 		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
-		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack}, g.fleet),
+		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
@@ -249,10 +254,7 @@
 		server        *http.Server
 	}{
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
-		{"peer", g.settings.PeerAddress, &http.Server{
-			Handler: http.MaxBytesHandler(g.peerHandler(), maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout,
-			ReadTimeout: peerReadTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
-		}},
+		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
 	} {
 		go serve(s.server, s.name, s.address, serveErrors)
@@ -269,6 +271,14 @@
 	return errors.Wrap(err, "run router")
 }
 
+// newPeerServer returns the server for other hosts.
+func newPeerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: http.MaxBytesHandler(h, maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout, ReadTimeout: peerReadTimeout,
+		IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+	}
+}
+
 // shareLoads starts the exchange of observed loads and of the origins of streams, on the UDP port with the number of the peer address.
 func (g *Gateway) shareLoads(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress)
@@ -298,8 +308,9 @@
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
 func (g *Gateway) stop(callers net.Listener) {
-	start, drain := g.clock.Now(), g.settings.Timeouts.Drain.Std()
-	cutOff := start.Add(g.settings.Timeouts.Stop.Std() - shutdownMargin)
+	start := g.clock.Now()
+	drain, total := stopTimes(g.settings.Timeouts)
+	cutOff := start.Add(total)
 	g.stopping.Store(true)
 	g.server.BeginStop(start.Add(drain-refuseMargin), cutOff)
 	g.fleet.MarkLeaving()
@@ -319,6 +330,12 @@
 	}
 }
 
+// stopTimes returns how long after the begin of a planned stop the callers' address is closed, and requests are cut off.
+func stopTimes(t settings.DirectTimeouts) (drain, cutOff time.Duration) {
+	cutOff = max(0, t.Stop.Std()-shutdownMargin)
+	return min(t.Drain.Std(), cutOff), cutOff
+}
+
 // awaitConns waits until all callers' connections have ended, for a limited time.
 func (g *Gateway) awaitConns(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
