--- a/Makefile
+++ b/Makefile
@@ -73,12 +73,12 @@
 			--twirp_out=. --twirp_opt=paths=source_relative $$file || exit 1; \
 	done
 
-# Fuzzes the targets of requests over real connections; CI runs it for a few seconds.
+# Fuzzes the targets of requests over real connections.
 fuzz-target:
 	go test ./internal/direct -run NONE -fuzz FuzzTarget -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x -parallel 2
 
-# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items, headers and targets for a short time each; go test runs
-# the kept corpus in testdata/fuzz.
+# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items, headers and targets, and the reader of
+# responses, for a short time each; CI runs it for a few seconds a target. go test runs the kept corpus in testdata/fuzz.
 fuzz: fuzz-target
 	go test ./internal/idempotency -run NONE -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/document -run NONE -fuzz FuzzParse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
@@ -86,3 +86,4 @@
 	go test ./internal/events -run NONE -fuzz FuzzFeed -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./platform -run NONE -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./platform -run NONE -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./internal/upconn -run NONE -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
