--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
@@ -207,7 +208,7 @@
 	r, c := g.settings.Retry, g.settings.Cold
 	memory := float64(g.settings.MemoryMB << 20)
 	return direct.New(direct.Options{
-		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
+		Store: g.store, Balancer: g.balancer, Pool: g.pool, Hosts: g.fleet, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
@@ -244,7 +245,9 @@
 		stopLoops()
 		return errors.Wrapf(err, "run router: serve caller address %s", g.settings.CallerAddress)
 	}
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		if err := g.server.HTTPServer().Serve(g.server.Listen(callers)); !g.stopping.Load() {
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
@@ -263,7 +266,7 @@
 		Str("data_centre", g.settings.DataCentre).Send()
 	select {
 	case <-ctx.Done():
-		g.stop(callers)
+		g.stop(callers, served)
 	case err = <-serveErrors:
 	}
 	stopLoops()
@@ -307,7 +310,7 @@
 
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
-func (g *Gateway) stop(callers net.Listener) {
+func (g *Gateway) stop(callers net.Listener, served <-chan struct{}) {
 	start := g.clock.Now()
 	drain, total := stopTimes(g.settings.Timeouts)
 	cutOff := start.Add(total)
@@ -316,9 +319,10 @@
 	g.fleet.MarkLeaving()
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.server.InFlight()).Send()
 	g.clock.Sleep(drain)
-	if err := callers.Close(); err != nil {
+	if err := callerconn.CloseListener(callers, g.clock); err != nil {
 		g.log.Warn().Str("event", "address-not-closed").Str("address", g.settings.CallerAddress).Err(err).Send()
 	}
+	<-served // until the connection that was accepted last is tracked
 	err := g.awaitConns(cutOff.Sub(g.clock.Now()))
 	if err == nil {
 		return
