The age of data after a wait for changes that ended early

Cause: an empty response to a wait for changes counted as one that the store had held for the whole wait, whenever it came.

Change: it counts so only if the call took that long, else as of when the call was sent.

Evidence: TestDataAgeAfterWaitForChanges: age 0 instead of 0.3 s before, passes now; internal/gateway and internal/published pass.

--- a/internal/published/history_test.go
+++ b/internal/published/history_test.go
@@ -207,6 +207,29 @@
 	is.Equal(r.DataAge(), 2*time.Second)
 }
 
+// Guards against data that counts as more recent than it is, since the source ended a wait for changes early and its response was
+// slow.
+func TestDataAgeAfterWaitForChanges(t *testing.T) {
+	const wait = time.Second
+	for _, tt := range []struct{ took, age time.Duration }{
+		{wait, 0}, {wait + 300*time.Millisecond, 300 * time.Millisecond}, {300 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		is := is.New(t)
+		r, source, clock := newFollowingReader()
+		r.LongPollWait = wait
+		source.steps = []func(bool, uint64) (Batch, error){
+			func(bool, uint64) (Batch, error) { return Batch{Items: []Item{item("a/x", 3)}, Revision: 5}, nil },
+			func(bool, uint64) (Batch, error) {
+				clock.Advance(tt.took)
+				return Batch{Revision: 5}, nil
+			},
+		}
+		r.step(context.Background())
+		r.step(context.Background())
+		is.Equal(r.DataAge(), tt.age)
+	}
+}
+
 // batchPeer is a peer and a snapshot peer that answers with its batch.
 type batchPeer struct{ batch PeerBatch }
 
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -173,7 +173,7 @@
 		return errors.Wrapf(err, "read changes of prefix %q after revision %d", r.Mirror.Prefix, after.Revision)
 	}
 	r.Mirror.Merge(after.Revision, b)
-	if len(b.Items) == 0 {
+	if len(b.Items) == 0 && r.Clock.Since(sent) >= longPollWait {
 		sent = sent.Add(longPollWait) // the source held the call open for that time
 	}
 	r.recordFresh(sent)
