--- a/internal/fleet/prompts.go
+++ b/internal/fleet/prompts.go
@@ -11,6 +11,9 @@
 // announceFanout is the number of hosts that a host tells at once of a new blame. Each of them tells as many.
 const announceFanout = 4
 
+// maxCount is far beyond the outcomes of a host in a minute.
+const maxCount = 1 << 24
+
 // PromptRecords holds the records of prompt segments that crash upstreams, which hosts exchange.
 type PromptRecords interface {
 	Records() promptblame.Records
@@ -61,9 +64,30 @@
 			DurationMs: uint32(b.Duration.Milliseconds()),
 		})
 	}
+	for _, r := range r.Reports {
+		p.Reports = append(p.Reports, &fleetpb.PromptReport{
+			Host: r.Host, AgeMs: ageMs(now, r.At), Answered: encodeCounts(r.Answered), Crashed: encodeCounts(r.Crashed),
+		})
+	}
 	return p
 }
 
+func encodeCounts(counts [promptblame.ReportSize]int) []uint32 {
+	list := make([]uint32, len(counts))
+	for i, n := range counts {
+		list[i] = uint32(n)
+	}
+	return list
+}
+
+// decodeCounts returns the counts of a message. Those that are missing are 0.
+func decodeCounts(list []uint32) (counts [promptblame.ReportSize]int) {
+	for i := range min(len(list), len(counts)) {
+		counts[i] = int(min(list[i], maxCount))
+	}
+	return counts
+}
+
 func decodePrompts(p *fleetpb.PromptRecords, now time.Time) promptblame.Records {
 	var r promptblame.Records
 	for _, a := range p.GetAttempts() {
@@ -80,6 +104,11 @@
 			Until: now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond), Duration: milliseconds(b.GetDurationMs()),
 		})
 	}
+	for _, report := range p.GetReports() {
+		r.Reports = append(r.Reports, &promptblame.Report{
+			Host: report.GetHost(), At: now.Add(-milliseconds(report.GetAgeMs())), Answered: decodeCounts(report.GetAnswered()), Crashed: decodeCounts(report.GetCrashed()),
+		})
+	}
 	return r
 }
 
--- a/internal/fleet/prompts_test.go
+++ b/internal/fleet/prompts_test.go
@@ -24,6 +24,10 @@
 			{Segments: []uint64{6}, Since: now.Add(-time.Second), Until: now.Add(time.Minute), Duration: 2 * time.Minute},
 			{Segments: []uint64{7}, Since: now.Add(-2 * time.Minute), Until: now.Add(-time.Second), Duration: time.Minute}, // on probation
 		},
+		Reports: []*promptblame.Report{{Host: 8, At: now.Add(-3 * time.Second)}},
+	}
+	for i := range promptblame.ReportSize {
+		r.Reports[0].Answered[i], r.Reports[0].Crashed[i] = 10+i, 100+i
 	}
 	is.Equal(decodePrompts(encodePrompts(r, now), now), r)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,7 +145,7 @@
 	g.store = catalog.NewStore(a.Decode, clock, log)
 	g.balancer = balance.NewTable(s.DataCentre, clock, log)
 	g.quarantineTable = quarantine.NewTable(direct.QuarantineLimits, clock, nil)
-	g.prompts = promptblame.NewTable(clock, log)
+	g.prompts = promptblame.NewTable(g.incarnation, clock, log)
 	g.mirror = published.NewMirror(published.MirrorOptions{
 		Prefix: a.KeyPrefix, Equivalent: a.Equivalent, Lasting: a.Lasting, Supersedes: a.Supersedes, OnChange: g.store.Apply,
 		OnRestore: g.store.Restored, Clock: clock,
--- a/internal/promptblame/judge.go
+++ b/internal/promptblame/judge.go
@@ -132,10 +132,21 @@
 	}
 }
 
+// lacksAnswers reports whether this host has seen too few answers to tell a cause from chance: the shortest run would not
+// found a blame even if none of its other attempts had crashed.
+func (v verdict) lacksAnswers() bool {
+	return requiredLength(crashShare(v.answered, 0), v.maxChance()) > minRunLength
+}
+
 func (t *Table) assess(segment uint64) verdict {
 	v := verdict{run: t.findRun(segment)}
 	v.stage = stageOf(segment)
 	v.counted = t.outcomes[v.stage].count(t.clock.Now(), v.run, v.stage)
+	if v.lacksAnswers() {
+		if n := t.countFleet(v.run, v.stage, segment); n.answered > v.answered {
+			v.answered, v.crashed, v.answeredSince = n.answered, n.crashed, n.answeredSince
+		}
+	}
 	v.crashShare = crashShare(v.answered, v.crashed)
 	v.needed = requiredLength(v.crashShare, v.maxChance())
 	if v.stage != Beginning {
--- a/internal/promptblame/outcomes.go
+++ b/internal/promptblame/outcomes.go
@@ -62,6 +62,22 @@
 	o.crashes = o.crashes[max(0, len(o.crashes)-maxCrashes):]
 }
 
+// within returns the outcomes of the last time. Seconds that it contains in part are left out.
+func (o *outcomes) within(now time.Time, length time.Duration) (answered, crashed int) {
+	since := now.Add(-length)
+	for _, b := range o.answered {
+		if b.second > since.Unix() {
+			answered += b.n
+		}
+	}
+	for _, c := range o.crashes {
+		if c.at.After(since) {
+			crashed += c.n
+		}
+	}
+	return answered, crashed
+}
+
 // counted is how the attempts of this host ended since a run began, or in the last minOutcomeTime if that is longer, without
 // those of the run.
 type counted struct {
--- a/internal/promptblame/records.go
+++ b/internal/promptblame/records.go
@@ -18,15 +18,17 @@
 	Attempts   []Attempt
 	Clearances []Clearance
 	Blames     []Blame
+	Reports    []*Report
 }
 
-// Records returns the attempts of the longest runs, the latest clearances and the latest blames.
+// Records returns the attempts of the longest runs, and the latest clearances, blames and reports.
 func (t *Table) Records() Records {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
 	return Records{
 		Attempts: t.mostSuspect(), Clearances: last(t.clearances, maxRecordClearances), Blames: last(t.blames, maxRecordBlames),
+		Reports: t.recentReports(),
 	}
 }
 
@@ -80,6 +82,9 @@
 	t.mu.Lock()
 	t.expire()
 	blamed := false
+	for _, report := range r.Reports {
+		t.mergeReport(report)
+	}
 	for _, c := range r.Clearances {
 		if t.clock.Since(c.At) < attemptLifetime {
 			t.clear(c)
--- a/internal/promptblame/table.go
+++ b/internal/promptblame/table.go
@@ -94,6 +94,8 @@
 
 // Table holds what this host has observed or received. It is safe for concurrent use.
 type Table struct {
+	// host identifies this run of the host's process.
+	host  uint64
 	clock clockwork.Clock
 	log   zerolog.Logger
 	// onBlame is called after each blame that is new to this host.
@@ -111,11 +113,13 @@
 	blames    []Blame
 	answers   answerLog
 	outcomes  [stageCount]outcomes
+	// reports holds the latest report of each other host, oldest first.
+	reports []*Report
 }
 
-// NewTable returns an empty table.
-func NewTable(clock clockwork.Clock, log zerolog.Logger) *Table {
-	return &Table{clock: clock, log: log, onBlame: func() {}, clearedAt: map[uint64]time.Time{}}
+// NewTable returns an empty table of the host, whose identity differs with each run of its process.
+func NewTable(host uint64, clock clockwork.Clock, log zerolog.Logger) *Table {
+	return &Table{host: host, clock: clock, log: log, onBlame: func() {}, clearedAt: map[uint64]time.Time{}}
 }
 
 // OnBlame sets the function that is called after each blame that is new to this host. It is called before the table is
@@ -326,6 +330,7 @@
 		return expired
 	})
 	t.blames = slices.DeleteFunc(t.blames, func(b Blame) bool { return now.Sub(b.Until) >= probation(b) })
+	t.reports = slices.DeleteFunc(t.reports, func(r *Report) bool { return now.Sub(r.At) >= reportLifetime })
 }
 
 // containsAll reports whether the set holds all of the segments.
