--- a/internal/allowance/restart_test.go
+++ b/internal/allowance/restart_test.go
@@ -14,7 +14,8 @@
 	herdLength = 40 * time.Second
 	herdStep   = 5 * time.Millisecond
 	// herdWindow is the time in which all retries together are limited.
-	herdWindow = 10 * time.Second
+	herdWindow  = 10 * time.Second
+	windowSteps = int(herdWindow / herdStep)
 	// A killed process is down for downTime.
 	downTime = 300 * time.Millisecond
 	// greyShare is the share of sends that fail, and burstFactor is by how much the requests rise.
@@ -95,10 +96,10 @@
 // before it or half a window before it.
 func (h *herd) excess() float64 {
 	requests, retries := sums(h.requests), sums(h.retries)
-	worst, window := 0.0, int(herdWindow/herdStep)
-	for from := 0; from+window <= len(h.requests); from++ {
-		most := max(within(requests, from, window), within(requests, from-window, window), within(requests, from-window/2, window))
-		worst = max(worst, float64(within(retries, from, window))-h.limits.Ratio*float64(most)-h.limits.Slack)
+	worst := 0.0
+	for from := 0; from+windowSteps <= len(h.requests); from++ {
+		most := max(inWindow(requests, from), inWindow(requests, from-windowSteps), inWindow(requests, from-windowSteps/2))
+		worst = max(worst, float64(inWindow(retries, from))-h.limits.Ratio*float64(most)-h.limits.Slack)
 	}
 	return worst
 }
@@ -112,8 +113,10 @@
 	return total
 }
 
-// within returns the sum of the numbers from one on; those before the first are 0.
-func within(total []int, from, count int) int { return total[max(0, from+count)] - total[max(0, from)] }
+// inWindow returns the sum of the numbers of the window that begins with one; those before the first are 0.
+func inWindow(total []int, from int) int {
+	return total[max(0, from+windowSteps)] - total[max(0, from)]
+}
 
 func poisson(r *rand.Rand, mean float64) int {
 	n := 0
