--- a/internal/allowance/restart_test.go
+++ b/internal/allowance/restart_test.go
@@ -14,8 +14,7 @@
 	herdLength = 40 * time.Second
 	herdStep   = 5 * time.Millisecond
 	// herdWindow is the time in which all retries together are limited.
-	herdWindow  = 10 * time.Second
-	windowSteps = int(herdWindow / herdStep)
+	herdWindow = 10 * time.Second
 	// A killed process is down for downTime.
 	downTime = 300 * time.Millisecond
 	// greyShare is the share of sends that fail, and burstFactor is by how much the requests rise.
@@ -113,7 +112,10 @@
 	return total
 }
 
-// inWindow returns the sum of the numbers of the window that begins with one; those before the first are 0.
+// windowSteps is the number of steps in a window.
+const windowSteps = int(herdWindow / herdStep)
+
+// inWindow returns the sum of the numbers of the window that begins at one of them; those before the first are 0.
 func inWindow(total []int, from int) int {
 	return total[max(0, from+windowSteps)] - total[max(0, from)]
 }
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"os"
@@ -13,13 +14,9 @@
 )
 
 const (
-	// lastReadTime is how long a read takes that looks for bytes received before an interrupt.
-	lastReadTime = time.Millisecond
-	// lateBytesTime limits the time after an interrupt in which bytes are still looked for, so that a head that trickles ends.
-	lateBytesTime = time.Second
 	// refusalWriteTime and lingerTime limit the writing of a refusal, and the wait for a caller that still sends after it.
 	refusalWriteTime = 300 * time.Millisecond
-	lingerTime       = 500 * time.Millisecond
+	lingerTime       = 200 * time.Millisecond
 )
 
 // phase is what a connection is doing.
@@ -42,17 +39,20 @@
 	phase phase
 	since time.Time
 	timer clockwork.Timer
-	// interrupted is why the phase was interrupted, at interruptedAt; empty if it was not.
-	interrupted   Cause
-	interruptedAt time.Time
+	// interrupted is why the phase was interrupted; empty if it was not. lateSince is when bytes were first looked for after
+	// that.
+	interrupted Cause
+	lateSince   time.Time
 	// failed is set once a read between requests has returned an error, after which net/http ends the connection.
 	failed bool
-	// refused is set once a head that is not whole has got a response, after which nothing else may be written.
+	// refused is set once a head that is not whole is refused, after which nothing else may be written.
 	refused bool
 	// served is set once a request has been read.
 	served bool
 	// headBytes is the number of bytes of the head that have been read.
 	headBytes int64
+	// reserved is the part of headBytes that counts against the budget for heads.
+	reserved int64
 	// readAfterWrite is set if bytes were read after the last write began, and so belong to the next request.
 	readAfterWrite bool
 	// deadline is the read deadline that net/http has asked for outside of requests.
@@ -66,8 +66,9 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveLateBytes() {
 		n, err = c.readLateBytes(p)
 	}
-	if cause := c.recordRead(n, err); cause != "" {
+	if cause := c.recordRead(p[:n], err); cause != "" {
 		c.refuse(cause)
+		n, err = 0, cmp.Or(err, net.ErrClosed)
 	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
@@ -81,56 +82,52 @@
 	}
 }
 
-// mayHaveLateBytes reports whether bytes may have arrived before the connection was interrupted: a deadline that has passed
-// hides them, for instance after this process has stood still.
-func (c *conn) mayHaveLateBytes() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.interrupted != "" && !c.failed && c.tracker.Clock.Since(c.interruptedAt) < lateBytesTime
-}
-
-func (c *conn) readLateBytes(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
-		return 0, errors.Wrap(err, "read from interrupted connection")
-	}
-	return c.Conn.Read(p) //nolint:wrapcheck // net/http compares the errors of a connection
-}
-
-// recordRead records the result of a read. If the wait for the rest of a head has ended with it, the cause is returned.
-func (c *conn) recordRead(n int, err error) Cause {
+// recordRead records the result of a read. If no more of a head is to be read, the cause is returned.
+func (c *conn) recordRead(read []byte, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
 	switch {
 	case c.phase == inRequest:
-		c.readAfterWrite = c.readAfterWrite || n > 0
+		c.readAfterWrite = c.readAfterWrite || beginsHead(read)
+		return ""
+	case c.phase == waitFirstByte && len(read) > 0 && !beginsHead(read):
 		return ""
-	case n == 0:
+	case len(read) == 0:
 		c.failed = c.failed || err != nil
-		c.refused = c.phase == readHead && errors.Is(err, os.ErrDeadlineExceeded)
-		if c.refused {
-			return cause
+		if c.refused || c.phase != readHead || cause == "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return ""
 		}
-		return ""
+		c.refused = true
+		return cause
 	case c.phase == waitFirstByte:
-		c.begin(readHead)
+		c.beginHead()
 	}
-	c.headBytes += int64(n)
+	c.headBytes += int64(len(read))
 	if cause != "" {
 		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
 		c.setDeadline(c.interruptDeadline())
 	}
+	if cause := c.checkSize(int64(len(read))); cause != "" {
+		c.interrupted, c.failed, c.refused = cause, true, true
+		return cause
+	}
 	return ""
 }
 
+// beginsHead reports whether a head begins with the bytes. Line ends before a request are part of none.
+func beginsHead(read []byte) bool { return len(bytes.Trim(read, "\r\n")) > 0 }
+
 // refuse responds to a head that is not whole. net/http would close the connection without a response, or take what has
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
 	var text bytes.Buffer
-	if err := c.tracker.Refusal(cause).Write(&text); err != nil {
+	resp := c.tracker.Refusal(cause)
+	defer resp.Body.Close()
+	if err := resp.Write(&text); err != nil {
 		return // a bytes.Buffer takes everything
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 	if _, err := c.Conn.Write(text.Bytes()); err != nil || c.CloseWrite() != nil {
 		return // the caller has left
 	}
@@ -187,12 +184,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readAfterWrite {
-		c.begin(readHead)
+		c.beginHead()
 		c.headBytes = 1 // net/http reads one byte ahead
 	} else {
 		c.begin(waitFirstByte)
 	}
-	c.setDeadline(time.Time{})
+	c.setDeadline(c.interruptDeadline())
+}
+
+// beginHead records that the first byte of a head has been read. The caller holds mu.
+func (c *conn) beginHead() {
+	c.begin(readHead)
+	if c.tracker.cutOff.Load() {
+		c.interrupt(CauseStop)
+	}
 }
 
 // closed reports a head that was not read to its end.
@@ -200,8 +205,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopTimer()
+	c.release()
 	if c.phase == readHead {
-		c.tracker.OnUnansweredHead(UnansweredHead{
+		c.tracker.OnIncompleteHead(IncompleteHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
 		})
 	}
@@ -216,7 +222,10 @@
 // begin enters a phase. The caller holds mu, or has the only reference.
 func (c *conn) begin(p phase) {
 	c.stopTimer()
-	c.phase, c.since, c.interrupted, c.headBytes, c.readAfterWrite = p, c.tracker.Clock.Now(), "", 0, false
+	c.release()
+	c.phase, c.since = p, c.tracker.Clock.Now()
+	c.interrupted, c.lateSince = "", time.Time{}
+	c.headBytes, c.readAfterWrite = 0, false
 	if p == waitFirstByte {
 		c.startTimer(c.limit())
 	}
@@ -287,7 +296,7 @@
 // interrupt ends the present wait. The caller holds mu.
 func (c *conn) interrupt(cause Cause) {
 	if c.interrupted == "" {
-		c.interrupted, c.interruptedAt = cause, c.tracker.Clock.Now()
+		c.interrupted = cause
 		c.setDeadline(c.interruptDeadline())
 	}
 }
@@ -300,5 +309,12 @@
 	return time.Unix(1, 0)
 }
 
+// resetDeadline sets the deadline of the present phase between requests.
+func (c *conn) resetDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setDeadline(c.interruptDeadline())
+}
+
 // setDeadline sets the deadline of the socket. Connections without deadlines, as in tests, end when the caller closes them.
 func (c *conn) setDeadline(t time.Time) { _ = c.Conn.SetReadDeadline(t) }
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,20 +2,25 @@
 // the rest of a head that has begun.
 //
 // net/http reports a connection as idle until the whole head of the next request has been read, so that a timeout or a drain
-// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It never closes a
-// connection: it interrupts the wait, and what has arrived by then is read first. A part of a head that was sent before the
-// previous response had ended may go unnoticed.
+// that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It interrupts waits, and
+// what has arrived by then is read first; net/http closes the connections. A part of a head that was sent before the previous
+// response had ended may be taken for none.
 package callerconn
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/inbound"
 )
 
 const (
@@ -32,6 +37,8 @@
 	Idle time.Duration
 	// Header limits the time from the first byte of a request's head to its end.
 	Header time.Duration
+	// HeaderBytes limits the bytes of a head; 0 if only net/http does.
+	HeaderBytes int64
 }
 
 // Cause tells why a wait was ended.
@@ -42,10 +49,16 @@
 	CauseIdle   Cause = "idle-timeout"
 	CauseHeader Cause = "header-timeout"
 	CauseStop   Cause = "stop"
+	// CauseConnsFull is the first head on a connection beyond the limit on their number.
+	CauseConnsFull Cause = "connections-full"
+	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
+	CauseHeadSize  Cause = "head-size"
+	CauseHeadsFull Cause = "heads-full"
 )
 
-// UnansweredHead describes a part of a request's head on a connection that ended before the rest had arrived.
-type UnansweredHead struct {
+// IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
+// if there is a cause.
+type IncompleteHead struct {
 	Peer  net.Addr
 	Bytes int64
 	// Waited is the time since the first byte.
@@ -54,22 +67,37 @@
 	Cause Cause
 }
 
-// Options configures New.
+// Options configures New. The functions must not use the tracker.
 type Options struct {
 	Clock  clockwork.Clock
 	Limits func() Limits
+	// MaxConns limits the number of connections; 0 if nothing does. The first request on one beyond it is refused.
+	MaxConns int
+	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
+	Heads *inbound.BodyBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
-	// OnUnansweredHead is called for each connection that ends in the midst of a head, also if it got the refusal.
-	OnUnansweredHead func(UnansweredHead)
+	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
+	OnIncompleteHead func(IncompleteHead)
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
 
+// NewRefusal returns a response for Options.Refusal.
+func NewRefusal(status int, header http.Header, body []byte) *http.Response {
+	return &http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
+
 // Tracker tracks the connections of one listener. It is safe for concurrent use.
 type Tracker struct {
 	Options
 
+	// cutOff is set once heads that have not arrived whole are refused.
+	cutOff atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -89,7 +117,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Wrap(err, "accept caller's connection")
+		return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type and goes on
 	}
 	return l.tracker.newConn(c), nil
 }
@@ -148,8 +176,9 @@
 	return len(conns)
 }
 
-// CutOff ends the waits for the rest of heads that have begun.
+// CutOff ends the waits for the rest of heads, also of those that begin later.
 func (t *Tracker) CutOff() {
+	t.cutOff.Store(true)
 	for _, c := range t.open() {
 		c.interruptHead()
 	}
@@ -197,6 +226,13 @@
 	return c
 }
 
+// full reports whether more connections are open than there may be.
+func (t *Tracker) full() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.MaxConns > 0 && len(t.conns) > t.MaxConns
+}
+
 func (t *Tracker) remove(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	stdlog "log"
 	"net/http"
 	"strings"
 
@@ -22,16 +21,17 @@
 
 // Handler handles the requests of callers.
 type Handler struct {
-	store        *config.Store
-	chain        exchange.Next
-	limits       settings.Limits
-	timeouts     settings.Timeouts
-	clock        clockwork.Clock
-	log          zerolog.Logger
-	bodies       *inbound.BodyBudget
-	requests     tally.Counter
-	refusals     tally.Counter
-	responsesCut tally.Counter
+	store           *config.Store
+	chain           exchange.Next
+	limits          settings.Limits
+	timeouts        settings.Timeouts
+	clock           clockwork.Clock
+	log             zerolog.Logger
+	bodies          *inbound.BodyBudget
+	requests        tally.Counter
+	refusals        tally.Counter
+	responsesCut    tally.Counter
+	headsIncomplete tally.Counter
 }
 
 // New returns the handler that runs chain for each request.
@@ -40,6 +40,7 @@
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
 		bodies:   inbound.NewBodyBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), responsesCut: scope.Counter("answers_cut"),
+		headsIncomplete: scope.Counter("heads_incomplete"),
 	}
 }
 
@@ -47,18 +48,6 @@
 // above the limit thus gets a refusal with a JSON body instead of the plain 431 response of net/http.
 const headerReadFactor = 2
 
-// Server returns the server for callers. net/http clears the read deadline once the body has been read, so ReadTimeout
-// does not bound the response. A WriteTimeout would cut off long streams, so the handler sets a deadline for each write
-// instead.
-func (h *Handler) Server() *http.Server {
-	return &http.Server{
-		Handler: h.Router(), ReadHeaderTimeout: h.timeouts.Header.Std(), ReadTimeout: h.timeouts.Body.Std(),
-		IdleTimeout: h.timeouts.Idle.Std(), MaxHeaderBytes: headerReadFactor * h.limits.HeaderBytes,
-		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     stdlog.New(&serverLog{log: h.log}, "", 0),
-	}
-}
-
 // serverLog logs the messages of net/http as events.
 type serverLog struct {
 	log zerolog.Logger
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -15,14 +15,14 @@
 	return []Filter{
 		&admissionFilter{store: s.Store, clock: s.Clock},
 		&deadlineFilter{clock: s.Clock},
-		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes)},
+		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes), stop: s.stop, clock: s.Clock},
 		&quarantineFilter{quarantine: s.Quarantine},
 		&originFilter{store: s.Store, resolver: s.Origins},
 		&dispatchFilter{
 			shareOrigin:  s.ShareOrigin,
 			incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
 			store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
-			retryBudget: s.RetryBudget, pool: s.Pool, codec: s.Codec, clock: s.Clock, stop: s.stop,
+			retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
 			reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
 			responses:    inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
@@ -44,6 +44,7 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, f.clock, req.Deadline)
 	defer cancel()
 	// Some connections do not support deadlines; there the caller's own timeout bounds the write.
-	_ = http.NewResponseController(req.response.writer).SetWriteDeadline(req.Deadline.Add(writeGrace))
+	req.response.writeDeadline = req.Deadline.Add(writeGrace)
+	_ = http.NewResponseController(req.response.writer).SetWriteDeadline(req.response.writeDeadline)
 	return next(ctx, req)
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -30,8 +30,8 @@
 	Body []byte
 	// receiving is set once the body is being read.
 	receiving bool
-	// bodyLate is set if the body was not complete at the deadline. net/http then cancels the request's context although
-	// the caller still waits.
+	// bodyLate is set if the reading of the body was interrupted, by the deadline or the end of a stop. net/http may then cancel
+	// the request's context although the caller still waits.
 	bodyLate bool
 	// Start is when the request's headers were read.
 	Start time.Time
@@ -90,6 +90,10 @@
 	start  time.Time
 	// isEndToEnd is the Codec's.
 	isEndToEnd func(name string) bool
+	// stopping reports whether a planned stop has begun.
+	stopping func() bool
+	// writeDeadline is the write deadline of the connection; zero until it has been set for this request.
+	writeDeadline time.Time
 	// headerSent is set once the status has been sent; firstByteAfter is the time from the request's start to then.
 	headerSent     bool
 	firstByteAfter time.Duration
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -1,11 +1,9 @@
 package direct
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +22,7 @@
 	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
+	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
@@ -39,6 +38,7 @@
 	Selector    *balance.Selector
 	RetryBudget *allowance.RetryBudget
 	Pool        *upconn.Pool
+	Hosts       HostCount
 	Codec       Codec
 	// Quarantine holds the requests that were running on upstreams when these crashed.
 	Quarantine *quarantine.Table
@@ -57,9 +57,13 @@
 	// ResponseBytes limits the bytes of upstreams' responses that are held together. Beyond it, responses are relayed as
 	// they arrive.
 	ResponseBytes int64
-	Clock         clockwork.Clock
-	Log           zerolog.Logger
-	Scope         tally.Scope
+	// HeadBytes limits the bytes of requests' heads that are arriving, except the first ones of each head.
+	HeadBytes int64
+	// MaxConns limits the number of callers' connections; 0 if nothing does.
+	MaxConns int
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Scope    tally.Scope
 }
 
 // Server serves callers' requests.
@@ -78,9 +82,9 @@
 const (
 	// defaultHeaderTimeout limits the time for reading a request's headers if the configuration sets no limit.
 	defaultHeaderTimeout = 5 * time.Second
-	// headerMargin is added to the configured limit, which callers count from when they send: a lost packet is sent again
-	// within a second.
-	headerMargin = time.Second
+	// transitMargin is added to the configured limits, which callers count from when they send or receive: a lost packet is sent
+	// again within a second.
+	transitMargin = time.Second
 	// defaultIdleTimeout is how long an idle connection stays open if the configuration sets no limit.
 	defaultIdleTimeout = 15 * time.Second
 	// writeGrace is the time after its deadline within which a response must have been written to the caller.
@@ -102,7 +106,8 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, Refusal: headRefusal, OnUnansweredHead: s.logUnansweredHead, OnLateBytes: s.logLateBytes,
+		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
+		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -144,11 +149,11 @@
 	defer s.inFlight.Add(-1)
 	// A request with a transfer encoding may also have a content length, which net/http ignores. Whoever forwarded it may
 	// have used the length, so that what follows the body is not read as a request.
-	if s.stop.schedule.Load() != nil || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now()}
-	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd}
+	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd, stopping: s.stop.begun}
 	defer s.logPanic(req)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
@@ -238,11 +243,12 @@
 	if config == nil {
 		return limits
 	}
+	limits.HeaderBytes = int64(config.Limits.HeaderBytes)
 	if config.Limits.IdleTimeout > 0 {
-		limits.Idle = config.Limits.IdleTimeout
+		limits.Idle = config.Limits.IdleTimeout + transitMargin
 	}
 	if config.Limits.HeaderTimeout > 0 {
-		limits.Header = config.Limits.HeaderTimeout + headerMargin
+		limits.Header = config.Limits.HeaderTimeout + transitMargin
 	}
 	return limits
 }
@@ -253,14 +259,18 @@
 		Status: http.StatusRequestTimeout, Code: "head-incomplete", Message: "the head of the request did not arrive whole",
 		Step: stepReceive, Outcome: outcome.NotRun,
 	}
-	if cause == callerconn.CauseStop {
+	switch cause {
+	case callerconn.CauseStop:
 		refusal = outcome.Unavailable(stepStop, "stopping", "the router stops before the head has arrived").WithRetryAfter(defaultRetryAfter)
+	case callerconn.CauseConnsFull:
+		refusal = outcome.Unavailable(stepReceive, "connections-full", "too many connections are open").WithRetryAfter(defaultRetryAfter)
+	case callerconn.CauseHeadSize:
+		refusal = headerTooLarge()
+	case callerconn.CauseHeadsFull:
+		refusal = outcome.Unavailable(stepReceive, "heads-full", "too many heads are arriving").WithRetryAfter(defaultRetryAfter)
 	}
 	header, body := encodeRefusal(refusal)
-	return &http.Response{
-		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
+	return callerconn.NewRefusal(refusal.Status, header, body)
 }
 
 func (s *Server) logLateBytes(peer net.Addr, cause callerconn.Cause, waited time.Duration) {
@@ -268,10 +278,10 @@
 	s.Log.Info().Str("event", "bytes-at-timeout").Stringer("peer", peer).Str("cause", string(cause)).Dur("waited_ms", waited).Send()
 }
 
-func (s *Server) logUnansweredHead(h callerconn.UnansweredHead) {
+func (s *Server) logIncompleteHead(h callerconn.IncompleteHead) {
 	limits := s.connLimits()
-	s.responses.unansweredHeads(h.Cause).Inc(1)
-	s.Log.Warn().Str("event", "head-not-answered").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
+	s.responses.incompleteHeads(h.Cause).Inc(1)
+	s.Log.Warn().Str("event", "head-incomplete").Stringer("peer", h.Peer).Str("cause", string(h.Cause)).Int64("bytes", h.Bytes).
 		Dur("waited_ms", h.Waited).Dur("header_limit_ms", limits.Header).Dur("idle_limit_ms", limits.Idle).Send()
 }
 
@@ -293,9 +303,9 @@
 	return c.scope.Tagged(map[string]string{"ended_by": endedBy}).Counter("answers_cut")
 }
 
-// unansweredHeads returns the counter of connections that ended in the midst of a head.
-func (c *responseCounters) unansweredHeads(cause callerconn.Cause) tally.Counter {
-	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_not_answered")
+// incompleteHeads returns the counter of connections that ended in the midst of a head.
+func (c *responseCounters) incompleteHeads(cause callerconn.Cause) tally.Counter {
+	return c.scope.Tagged(map[string]string{"cause": cmp.Or(string(cause), "caller")}).Counter("heads_incomplete")
 }
 
 func (c *responseCounters) refused(code string) tally.Counter {
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -34,6 +34,9 @@
 	return p
 }
 
+// begun reports whether the stop has begun.
+func (p *plannedStop) begun() bool { return p.schedule.Load() != nil }
+
 // check returns a refusal of a request whose response cannot be expected before the end of the stop: it was received too
 // late, or less than its latency objective is left. A request that may have been executed is sent again all the same if its
 // route allows that.
@@ -46,7 +49,29 @@
 	if p.ended.Err() == nil && (inTime || !req.Deadline.After(s.cutOff)) {
 		return nil
 	}
-	return outcome.Unavailable(stepStop, "stopping", "the router stops before the deadline").WithRetryAfter(defaultRetryAfter)
+	return refuseStopping("the router stops before the deadline")
+}
+
+// refuseStopping returns the refusal of a request that was not run because of the stop.
+func refuseStopping(message string) *outcome.Refusal {
+	return outcome.Unavailable(stepStop, "stopping", message).WithRetryAfter(defaultRetryAfter)
+}
+
+// onEnd calls f at the end of the stop, unless the returned function is called before. That function reports whether f was
+// called, and waits for its end.
+func (p *plannedStop) onEnd(f func()) (release func() bool) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(p.ended, func() {
+		defer close(done)
+		f()
+	})
+	return func() bool {
+		if stop() {
+			return false
+		}
+		<-done
+		return true
+	}
 }
 
 // bound returns the deadline, or the end of the stop if that is earlier.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math"
 	mathrand "math/rand/v2"
@@ -18,6 +19,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
@@ -56,6 +58,12 @@
 	bodyMemoryFraction = 0.2
 	// responseMemoryFraction is the fraction of the memory that held responses of upstreams may use.
 	responseMemoryFraction = 0.1
+	// headMemoryFraction is the fraction of the memory that heads of callers' requests may use while they arrive.
+	headMemoryFraction = 0.03
+	// connMemoryFraction is the fraction of the memory that callers' connections may use, and connBytes what one uses with the
+	// request on it, except what the other budgets count.
+	connMemoryFraction = 0.25
+	connBytes          = 40 << 10
 	// idleSweepInterval is how often connections that have been idle for too long are closed.
 	idleSweepInterval = time.Second
 	// watchTimeout is how long the store may hold a watch call open. Each upstream updates its entry about once a second,
@@ -74,6 +82,10 @@
 	maxStartDelay = 300 * time.Millisecond
 	// maxIdlePeerConns limits the idle connections to each other host and to the store.
 	maxIdlePeerConns = 2
+	// peerIdleTimeout is how long a host keeps an idle connection of another host open. clientIdleTimeout is how long that one
+	// uses it: if both were equal, calls would be sent on connections that are just being closed.
+	peerIdleTimeout   = 10 * time.Second
+	clientIdleTimeout = 8 * time.Second
 	// peerReadTimeout limits the time for reading a request of another host. It exceeds the time for which such a request
 	// may wait for changes, since net/http cancels requests whose connection passes its read deadline.
 	peerReadTimeout = 10 * time.Second
@@ -112,7 +124,7 @@
 // Responses beyond maxPeerHeaderBytes or maxPeerResponseBytes are errors.
 func NewTransport(pool *upconn.Pool) http.RoundTripper {
 	return bodyLimiter{&http.Transport{
-		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		DialContext: pool.Dial, MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}}
 }
@@ -194,14 +206,15 @@
 
 func (g *Gateway) newServer(a Adapter, origins *origin.Resolver) *direct.Server {
 	r, c := g.settings.Retry, g.settings.Cold
+	memory := float64(g.settings.MemoryMB << 20)
 	return direct.New(direct.Options{
-		Store: g.store, Balancer: g.balancer, Pool: g.pool, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
+		Store: g.store, Balancer: g.balancer, Pool: g.pool, Hosts: g.fleet, Codec: a.Codec, Quarantine: g.quarantineTable, Prompts: g.prompts,
 		Origins: origins, ShareOrigin: g.originSharer.Record, Listing: g.versions, RegistrationTime: registrationTime,
 		RetryBudget: allowance.NewRetryBudget(allowance.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}, g.fleet, g.clock),
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
-		BodyBytes:     int64(bodyMemoryFraction * float64(g.settings.MemoryMB<<20)),
-		ResponseBytes: int64(responseMemoryFraction * float64(g.settings.MemoryMB<<20)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
+		HeadBytes: int64(headMemoryFraction * memory), MaxConns: cmp.Or(g.settings.MaxCallerConns, int(connMemoryFraction*memory/connBytes)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
 }
 
@@ -232,7 +245,9 @@
 		stopLoops()
 		return errors.Wrapf(err, "run router: serve caller address %s", g.settings.CallerAddress)
 	}
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		if err := g.server.HTTPServer().Serve(g.server.Listen(callers)); !g.stopping.Load() {
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
@@ -242,10 +257,7 @@
 		server        *http.Server
 	}{
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
-		{"peer", g.settings.PeerAddress, &http.Server{
-			Handler: http.MaxBytesHandler(g.peerHandler(), maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout,
-			ReadTimeout: peerReadTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
-		}},
+		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
 	} {
 		go serve(s.server, s.name, s.address, serveErrors)
@@ -254,7 +266,7 @@
 		Str("data_centre", g.settings.DataCentre).Send()
 	select {
 	case <-ctx.Done():
-		g.stop(callers)
+		g.stop(callers, served)
 	case err = <-serveErrors:
 	}
 	stopLoops()
@@ -262,6 +274,14 @@
 	return errors.Wrap(err, "run router")
 }
 
+// newPeerServer returns the server for other hosts.
+func newPeerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: http.MaxBytesHandler(h, maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout, ReadTimeout: peerReadTimeout,
+		IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+	}
+}
+
 // shareLoads starts the exchange of observed loads and of the origins of streams, on the UDP port with the number of the peer address.
 func (g *Gateway) shareLoads(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", g.settings.PeerAddress)
@@ -290,17 +310,19 @@
 
 // stop shuts the process down within the time of a planned stop. Readiness fails at once, requests are still accepted
 // until the load balancer has detected it, and requests in flight are completed.
-func (g *Gateway) stop(callers net.Listener) {
-	start, drain := g.clock.Now(), g.settings.Timeouts.Drain.Std()
-	cutOff := start.Add(g.settings.Timeouts.Stop.Std() - shutdownMargin)
+func (g *Gateway) stop(callers net.Listener, served <-chan struct{}) {
+	start := g.clock.Now()
+	drain, total := stopTimes(g.settings.Timeouts)
+	cutOff := start.Add(total)
 	g.stopping.Store(true)
 	g.server.BeginStop(start.Add(drain-refuseMargin), cutOff)
 	g.fleet.MarkLeaving()
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.server.InFlight()).Send()
 	g.clock.Sleep(drain)
-	if err := callers.Close(); err != nil {
+	if err := callerconn.CloseListener(callers, g.clock); err != nil {
 		g.log.Warn().Str("event", "address-not-closed").Str("address", g.settings.CallerAddress).Err(err).Send()
 	}
+	<-served // until the connection that was accepted last is tracked
 	err := g.awaitConns(cutOff.Sub(g.clock.Now()))
 	if err == nil {
 		return
@@ -312,6 +334,12 @@
 	}
 }
 
+// stopTimes returns how long after the begin of a planned stop the callers' address is closed, and requests are cut off.
+func stopTimes(t settings.DirectTimeouts) (drain, cutOff time.Duration) {
+	cutOff = max(0, t.Stop.Std()-shutdownMargin)
+	return min(t.Drain.Std(), cutOff), cutOff
+}
+
 // awaitConns waits until all callers' connections have ended, for a limited time.
 func (g *Gateway) awaitConns(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
