The test of ends of begun responses plays responses that have begun

Two causes, both of the test:

- Its bound of 0.3 s counts from the request.
On a busy machine the first 256 KB that are held of a response take longer, so that it never begins and is refused whole: in 14 of 14 traced failures the status was 504 and the log said begun=false.
Such a play now counts as not begun and is played once more with four times the bound; a response that does not begin then fails.
Status 200 is asserted beside what was.
- The line is logged before the response is counted, and the test read the counters at once (map[] != map[caller:1]).
It now waits for both, as it did for the line.

--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -83,88 +84,121 @@
 	return nil
 }
 
+// shortBound is the time after which a response that has begun is ended.
+const shortBound = 300 * time.Millisecond
+
+// endCase is a response that has begun and is ended by one bound.
+type endCase struct {
+	kind     catalog.Kind
+	upstream behaviour
+	timeout  time.Duration // of the route
+	wait     time.Duration // of the caller; 0 if it names none
+	leaves   bool          // the caller closes its connection after the first byte
+	endedBy  string
+}
+
+// play plays the case with another time in place of shortBound. It returns false if the time was over before the response began.
+func (tt endCase) play(t *testing.T, short time.Duration) bool {
+	is := is.New(t)
+	h := newHarness(t, tt.kind, false, tt.upstream)
+	h.config.Routes[0].Timeout = tt.timeout
+	if tt.timeout == shortBound {
+		h.config.Routes[0].Timeout = short
+	}
+	h.serve(allowance.RetryLimits{}, 1<<20) // a stream is not resumed
+	log, scope := &lockedLog{}, tally.NewTestScope("", nil)
+	h.server.Log, h.server.responses = zerolog.New(log), newResponseCounters(scope)
+	h.leaveOnly()
+	req := h.newRequest(http.MethodPost, "/r/", "")
+	if tt.wait == shortBound {
+		req.Header.Set("X-Wait-Ms", strconv.FormatInt(short.Milliseconds(), 10))
+	} else if tt.wait > 0 {
+		req.Header.Set("X-Wait-Ms", strconv.FormatInt(tt.wait.Milliseconds(), 10))
+	}
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusGatewayTimeout {
+		return false
+	}
+	is.Equal(resp.StatusCode, http.StatusOK)
+	if tt.leaves {
+		_, err = resp.Body.Read(make([]byte, 1))
+		is.NoErr(err)
+		resp.Body.Close()
+	} else {
+		_, err = io.Copy(struct{ io.Writer }{io.Discard}, resp.Body)
+		is.True(err != nil) // the caller can tell that the response is not whole
+	}
+	// The line is logged before the response is counted.
+	var line map[string]any
+	counts := map[string]int64{}
+	for end := time.Now().Add(responseTimeout); (line == nil || len(counts) == 0) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		line, counts = log.line(t), cutResponses(scope)
+	}
+	is.True(line != nil)
+	is.True(time.Since(start) < responseTimeout)
+	is.Equal(line["ended_by"], tt.endedBy)
+	is.Equal(line["peer"], "u1")
+	sent, _ := line["bytes"].(float64)
+	took, _ := line["took_ms"].(float64)
+	is.True(sent > 0)
+	is.True(took > 0)
+	is.Equal(counts, map[string]int64{tt.endedBy: 1})
+	return true
+}
+
+// cutResponses returns the number of responses that were cut, by what ended them.
+func cutResponses(scope tally.TestScope) map[string]int64 {
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == "answers_cut" {
+			counts[c.Tags()["ended_by"]] += c.Value()
+		}
+	}
+	return counts
+}
+
 // Guards against responses that have begun and of which nobody can tell when and why they end: each ends with whole, or by
 // one of the bounds, the caller sees that it is cut, and a log line and a metric tell it.
 func TestBegunResponseEndsByOneBound(t *testing.T) {
-	const long, short = 10 * time.Second, 300 * time.Millisecond
-	const callerLong, callerShort, none = "10000", "300", "" // milliseconds
+	const long, short, none = 10 * time.Second, shortBound, time.Duration(0)
 	endless := repeats("close-delimited without end", "\r\n", strings.Repeat("x", 64<<10), 0)
 	trickle := repeats("trickles", chunkedHead, chunk(unheldBody), 20*time.Millisecond)
 	eventless := repeats("comments only", chunkedHead+chunk(event(1)), chunk(": alive\n\n"), 20*time.Millisecond)
 	stream := repeats("stream without end", chunkedHead, chunk(event(1)), 20*time.Millisecond)
 	closeDelimited := repeats("close-delimited stream without end", "\r\n", event(1), 20*time.Millisecond)
-	tests := []struct {
-		kind     catalog.Kind
-		upstream behaviour
-		timeout  time.Duration // of the route
-		wait     string        // of the caller
-		leaves   bool          // the caller closes its connection after the first byte
-		endedBy  string
-	}{
-		{catalog.Unsafe, endless, long, callerShort, false, "caller-deadline"},
+	tests := []endCase{
+		{catalog.Unsafe, endless, long, short, false, "caller-deadline"},
 		{catalog.Unsafe, endless, short, none, false, "route-timeout"},
-		{catalog.Unsafe, endless, short, callerLong, false, "route-timeout"},
-		{catalog.Unsafe, endless, long, callerLong, true, "caller"},
-		{catalog.Unsafe, trickle, long, callerShort, false, "caller-deadline"},
-		{catalog.Unsafe, trickle, long, callerLong, true, "caller"},
-		{catalog.Unsafe, silentAfter("silent", chunkedHead+chunk(unheldBody)), long, callerShort, false, "caller-deadline"},
+		{catalog.Unsafe, endless, short, long, false, "route-timeout"},
+		{catalog.Unsafe, endless, long, long, true, "caller"},
+		{catalog.Unsafe, trickle, long, short, false, "caller-deadline"},
+		{catalog.Unsafe, trickle, long, long, true, "caller"},
+		{catalog.Unsafe, silentAfter("silent", chunkedHead+chunk(unheldBody)), long, short, false, "caller-deadline"},
 		{catalog.Unsafe, behaviour{"cut", func(c net.Conn, r *http.Request) bool {
 			writeText(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signed: 1\r\n"+chunkedHead+chunk(unheldBody))
 			return false
-		}, true}, long, callerLong, false, "upstream"},
-		{catalog.Safe, trickle, long, callerShort, false, "caller-deadline"},
-		{catalog.Safe, silentAfter("silent", chunkedHead+chunk(unheldBody)), long, callerShort, false, "caller-deadline"},
-		{catalog.Stream, stream, long, callerShort, false, "caller-deadline"},
+		}, true}, long, long, false, "upstream"},
+		{catalog.Safe, trickle, long, short, false, "caller-deadline"},
+		{catalog.Safe, silentAfter("silent", chunkedHead+chunk(unheldBody)), long, short, false, "caller-deadline"},
+		{catalog.Stream, stream, long, short, false, "caller-deadline"},
 		{catalog.Stream, stream, short, none, false, "route-timeout"},
-		{catalog.Stream, stream, long, callerLong, true, "caller"},
-		{catalog.Stream, closeDelimited, long, callerShort, false, "caller-deadline"},
-		{catalog.Stream, eventless, long, callerShort, false, "caller-deadline"},
-		{catalog.Stream, repeats("event without end", chunkedHead+chunk(event(1)+"id: 2\ndata: "), chunk(strings.Repeat("x", events.MaxEventBytes/4)), 0), long, callerLong, false, "size"},
-		{catalog.Stream, silentAfter("silent, and no other may be tried", chunkedHead+chunk(event(1))), long, callerShort, false, "caller-deadline"},
-		{catalog.Stream, cutStream, long, callerLong, false, "upstream"},
+		{catalog.Stream, stream, long, long, true, "caller"},
+		{catalog.Stream, closeDelimited, long, short, false, "caller-deadline"},
+		{catalog.Stream, eventless, long, short, false, "caller-deadline"},
+		{catalog.Stream, repeats("event without end", chunkedHead+chunk(event(1)+"id: 2\ndata: "), chunk(strings.Repeat("x", events.MaxEventBytes/4)), 0), long, long, false, "size"},
+		{catalog.Stream, silentAfter("silent, and no other may be tried", chunkedHead+chunk(event(1))), long, short, false, "caller-deadline"},
+		{catalog.Stream, cutStream, long, long, false, "upstream"},
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.kind)+" "+tt.upstream.name+" "+tt.endedBy, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			h := newHarness(t, tt.kind, false, tt.upstream)
-			h.config.Routes[0].Timeout = tt.timeout
-			h.serve(allowance.RetryLimits{}, 1<<20) // a stream is not resumed
-			log, scope := &lockedLog{}, tally.NewTestScope("", nil)
-			h.server.Log, h.server.responses = zerolog.New(log), newResponseCounters(scope)
-			h.leaveOnly()
-			req := h.newRequest(http.MethodPost, "/r/", "", "X-Wait-Ms", tt.wait)
-			start := time.Now()
-			resp, err := http.DefaultClient.Do(req)
-			is.NoErr(err)
-			defer resp.Body.Close()
-			if tt.leaves {
-				_, err = resp.Body.Read(make([]byte, 1))
-				is.NoErr(err)
-				resp.Body.Close()
-			} else {
-				_, err = io.Copy(struct{ io.Writer }{io.Discard}, resp.Body)
-				is.True(err != nil) // the caller can tell that the response is not whole
-			}
-			line := log.line(t)
-			for end := time.Now().Add(responseTimeout); line == nil && time.Now().Before(end); line = log.line(t) {
-				time.Sleep(time.Millisecond)
-			}
-			is.True(line != nil)
-			is.True(time.Since(start) < responseTimeout)
-			is.Equal(line["ended_by"], tt.endedBy)
-			is.Equal(line["peer"], "u1")
-			sent, _ := line["bytes"].(float64)
-			took, _ := line["took_ms"].(float64)
-			is.True(sent > 0)
-			is.True(took > 0)
-			counts := map[string]int64{}
-			for _, c := range scope.Snapshot().Counters() {
-				if c.Name() == "answers_cut" {
-					counts[c.Tags()["ended_by"]] += c.Value()
-				}
+			// A response of a machine that is busy may not begin within the shortest bound.
+			if !tt.play(t, shortBound) && !tt.play(t, 4*shortBound) {
+				t.Error("the response did not begin")
 			}
-			is.Equal(counts, map[string]int64{tt.endedBy: 1})
 		})
 	}
 }
