--- a/internal/callerconn/size_test.go
+++ b/internal/callerconn/size_test.go
@@ -40,7 +40,7 @@
 func TestHeadsBeyondTheirMemoryAreRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.tracker.Heads = inbound.NewBodyBudget(8 << 10)
+	f.tracker.Heads = inbound.NewByteBudget(8 << 10)
 	is.True(f.receiveLong(freeHeadBytes + 8<<10))
 	first := f.conn
 	f.connect()
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -74,7 +74,7 @@
 	// MaxConns limits the number of connections; 0 if nothing does. The first request on one beyond it is refused.
 	MaxConns int
 	// Heads limits the bytes of all heads that are arriving, except the first ones of each. It is nil if nothing does.
-	Heads *inbound.BodyBudget
+	Heads *inbound.ByteBudget
 	// Refusal returns the response to a head that is not whole when its wait ends.
 	Refusal func(Cause) *http.Response
 	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -27,7 +27,7 @@
 	timeouts        settings.Timeouts
 	clock           clockwork.Clock
 	log             zerolog.Logger
-	bodies          *inbound.BodyBudget
+	bodies          *inbound.ByteBudget
 	requests        tally.Counter
 	refusals        tally.Counter
 	responsesCut    tally.Counter
@@ -38,7 +38,7 @@
 func New(store *config.Store, chain exchange.Next, s *settings.Router, clock clockwork.Clock, log zerolog.Logger, scope tally.Scope) *Handler {
 	return &Handler{
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
-		bodies:   inbound.NewBodyBudget(s.Limits.TotalBodyBytes),
+		bodies:   inbound.NewByteBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), responsesCut: scope.Counter("answers_cut"),
 		headsIncomplete: scope.Counter("heads_incomplete"),
 	}
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -156,7 +156,7 @@
 // bodyFilter reads the request's body into memory.
 type bodyFilter struct {
 	store  *catalog.Store
-	bodies *inbound.BodyBudget
+	bodies *inbound.ByteBudget
 	stop   *plannedStop
 	clock  clockwork.Clock
 }
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -15,7 +15,7 @@
 	return []Filter{
 		&admissionFilter{store: s.Store, clock: s.Clock},
 		&deadlineFilter{clock: s.Clock},
-		&bodyFilter{store: s.Store, bodies: inbound.NewBodyBudget(s.BodyBytes), stop: s.stop, clock: s.Clock},
+		&bodyFilter{store: s.Store, bodies: inbound.NewByteBudget(s.BodyBytes), stop: s.stop, clock: s.Clock},
 		&quarantineFilter{quarantine: s.Quarantine},
 		&originFilter{store: s.Store, resolver: s.Origins},
 		&dispatchFilter{
@@ -24,7 +24,7 @@
 			store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
 			retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
 			reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
-			responses:    inbound.NewBodyBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
+			responses:    inbound.NewByteBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
 				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
 			},
 		},
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -487,7 +487,7 @@
 }
 
 // Callers that send large bodies slowly cannot use more memory than the budget, since bytes count as they arrive.
-func TestBodyBudgetCountsBytesAsTheyArrive(t *testing.T) {
+func TestByteBudgetCountsBytesAsTheyArrive(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false)
 	const bodyBytes = 1000
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -59,7 +59,7 @@
 	prompts      *promptblame.Table
 	shareOrigin  func(origin.Record)
 	// responses limits the memory for the bodies of responses that are held.
-	responses *inbound.BodyBudget
+	responses *inbound.ByteBudget
 }
 
 type dispatchMetrics struct {
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -106,7 +106,7 @@
 		s.latency[kind] = o.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("latency", latencyBuckets)
 	}
 	s.conns = callerconn.New(callerconn.Options{
-		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewBodyBudget(o.HeadBytes), Refusal: headRefusal,
+		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewByteBudget(o.HeadBytes), Refusal: headRefusal,
 		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -19,19 +19,20 @@
 	shortBodyShare = 4
 )
 
-// BodyBudget limits the memory for bodies over all requests in flight. It is safe for concurrent use.
-type BodyBudget struct {
+// ByteBudget limits the memory for what all requests in flight hold together: bodies, heads or responses. It is safe for concurrent
+// use.
+type ByteBudget struct {
 	total int64
 	used  atomic.Int64
 }
 
-// NewBodyBudget returns a budget of the given number of bytes.
-func NewBodyBudget(total int64) *BodyBudget { return &BodyBudget{total: total} }
+// NewByteBudget returns a budget of the given number of bytes.
+func NewByteBudget(total int64) *ByteBudget { return &ByteBudget{total: total} }
 
 // TryReserve reserves n bytes and reports whether the budget allows it. Release returns them.
-func (b *BodyBudget) TryReserve(n int64) bool { return b.reserveWithin(n, b.total) }
+func (b *ByteBudget) TryReserve(n int64) bool { return b.reserveWithin(n, b.total) }
 
-func (b *BodyBudget) reserveWithin(n, limit int64) bool {
+func (b *ByteBudget) reserveWithin(n, limit int64) bool {
 	if b.used.Add(n) <= limit {
 		return true
 	}
@@ -40,19 +41,19 @@
 }
 
 // Release returns n reserved bytes.
-func (b *BodyBudget) Release(n int64) { b.used.Add(-n) }
+func (b *ByteBudget) Release(n int64) { b.used.Add(-n) }
 
 // BudgetedReader is a request body that reserves budget for its bytes as they arrive, so that a slow caller holds no
 // more than it has sent.
 type BudgetedReader struct {
 	body     io.Reader
-	budget   *BodyBudget
+	budget   *ByteBudget
 	reserved int64
 	ended    bool
 }
 
 // NewReader returns a reader of a request's body whose bytes count against the budget until Release.
-func (b *BodyBudget) NewReader(body io.Reader) *BudgetedReader {
+func (b *ByteBudget) NewReader(body io.Reader) *BudgetedReader {
 	return &BudgetedReader{body: body, budget: b}
 }
 
--- a/internal/inbound/body_test.go
+++ b/internal/inbound/body_test.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 )
 
-func TestBodyBudgetCountsBytesUntilRelease(t *testing.T) {
+func TestByteBudgetCountsBytesUntilRelease(t *testing.T) {
 	is := is.New(t)
-	budget := NewBodyBudget(10)
+	budget := NewByteBudget(10)
 	first := budget.NewReader(strings.NewReader("123456"))
 	_, err := io.ReadAll(first)
 	is.NoErr(err)
@@ -30,11 +30,11 @@
 
 func TestEndOfBodyIsKnownBeyondBudget(t *testing.T) {
 	is := is.New(t)
-	beyond := NewBodyBudget(3).NewReader(iotest.DataErrReader(strings.NewReader("1234")))
+	beyond := NewByteBudget(3).NewReader(iotest.DataErrReader(strings.NewReader("1234")))
 	_, err := io.ReadAll(beyond)
 	is.True(errors.Is(err, ErrBudgetExceeded))
 	is.True(beyond.Ended())
-	partial := NewBodyBudget(3).NewReader(strings.NewReader("1234"))
+	partial := NewByteBudget(3).NewReader(strings.NewReader("1234"))
 	_, err = io.ReadAll(partial)
 	is.True(errors.Is(err, ErrBudgetExceeded))
 	is.True(!partial.Ended()) // the reader has not returned the end yet
@@ -49,7 +49,7 @@
 // Guards against long bodies that arrive slowly and keep out all short ones.
 func TestShortBodiesAreTakenBesideLongOnes(t *testing.T) {
 	is := is.New(t)
-	budget := NewBodyBudget(8 * shortBodyBytes)
+	budget := NewByteBudget(8 * shortBodyBytes)
 	long := budget.NewReader(strings.NewReader(strings.Repeat("x", 8*shortBodyBytes)))
 	_, err := io.ReadAll(long)
 	is.True(errors.Is(err, ErrBudgetExceeded))
