--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,7 +214,9 @@
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
-		HeadBytes: int64(headMemoryFraction * memory), MaxConns: cmp.Or(g.settings.MaxCallerConns, int(connMemoryFraction*memory/connBytes)), Clock: g.clock, Log: g.log, Scope: g.metrics.Scope,
+		HeadBytes: int64(headMemoryFraction * memory),
+		MaxConns:  cmp.Or(g.settings.MaxCallerConns, int(connMemoryFraction*memory/connBytes)),
+		Clock:     g.clock, Log: g.log, Scope: g.metrics.Scope,
 	})
 }
 
