--- a/internal/proofs/soak/kept_test.go
+++ b/internal/proofs/soak/kept_test.go
@@ -155,7 +155,7 @@
 		tenants = append(tenants, map[string]any{"name": team, "api_keys": keys})
 	}
 	k.limits.publish(l, time.Now())
-	k.store.put("op/config", map[string]any{
+	k.store.Put("op/config", map[string]any{
 		"version": k.version, "tenants": tenants, "routes": published, "services": k.fleet.services,
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
--- a/internal/proofs/soak/odd_entries_test.go
+++ b/internal/proofs/soak/odd_entries_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/orioleusher/orioleusher/platform/standin"
 )
 
 // oddEntry returns the entry of a server with another JSON value of the field.
@@ -35,15 +37,15 @@
 		oddEntry("slots", "1e400"), oddEntry("slots", "1e300"), oddEntry("cold_remaining_ms", "1e300"), oddEntry("born", "1e30"),
 		oddEntry("address", `"127.60.2.9:70000"`), oddEntry("address", `"127.60.2.9:0"`), oddEntry("address", `"odd.invalid:9000"`), "\xff\xfe",
 	} {
-		f.store.change(storeItem{Key: fmt.Sprintf("servers/odd-%d", n), Value: base64.StdEncoding.EncodeToString([]byte(value))})
+		f.store.Change(standin.Item{Key: fmt.Sprintf("servers/odd-%d", n), Value: base64.StdEncoding.EncodeToString([]byte(value))})
 	}
-	f.store.change(storeItem{Key: "servers/odd", Value: "%%"})
+	f.store.Change(standin.Item{Key: "servers/odd", Value: "%%"})
 	s := f.servers.list[0]
 	s.mu.Lock()
 	known := "servers/" + s.instance
 	s.mu.Unlock()
-	f.store.change(storeItem{Key: known, Value: "%%"}) // until the server's next heartbeat
-	f.drainServer()                                    // must be followed
+	f.store.Change(standin.Item{Key: known, Value: "%%"}) // until the server's next heartbeat
+	f.drainServer()                                       // must be followed
 	close(stop)
 	wg.Wait()
 	for n, p := range f.routers {
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/orioleusher/orioleusher/platform/standin"
 )
 
 // arrival is one request as received by a server.
@@ -52,7 +54,7 @@
 	firstEvent, slowdown time.Duration
 	// serving lists the periods in which instances were published as ready.
 	serving []servingPeriod
-	store   *store
+	store   *standin.Store
 	list    []*server
 }
 
@@ -154,7 +156,7 @@
 	}
 	key := "servers/" + s.instance
 	s.mu.Unlock()
-	return s.all.store.put(key, entry)
+	return s.all.store.Put(key, entry)
 }
 
 // drain announces that the server leaves and returns the time at which the store acknowledged that.
@@ -169,7 +171,7 @@
 
 // crash stops the instance, resets all its connections and removes its entry from the store.
 func (s *server) crash() {
-	s.all.store.remove("servers/" + s.reset())
+	s.all.store.Remove("servers/" + s.reset())
 }
 
 // reset stops the instance, resets all its connections and returns the instance.
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/orioleusher/orioleusher/internal/testfleet"
+	"github.com/orioleusher/orioleusher/platform/standin"
 )
 
 var (
@@ -64,7 +66,7 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	network *testfleet.Network
-	store   *store
+	store   *standin.Store
 	servers *servers
 	clients *clients
 	routers []*testfleet.Process
@@ -133,7 +135,7 @@
 		faults: faultLog{drainStarted: map[string]time.Time{}},
 		keys:   map[string][]string{}, clients: &clients{keys: map[string]string{}, paths: paths},
 	}
-	f.store = newStore(t, storeIP()+":8000")
+	f.store = startStore(t, storeIP()+":8000")
 	f.network.Proxy(storeIP()+":9000", storeIP()+":8000")
 	f.startServers(seed, faultShare)
 	f.publishConfig()
@@ -141,6 +143,19 @@
 	return f
 }
 
+func startStore(t *testing.T, address string) *standin.Store {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := standin.NewStore()
+	server := &http.Server{Handler: s}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	return s
+}
+
 func (f *soakRun) checkResults() {
 	f.servers.mu.Lock()
 	defer f.servers.mu.Unlock()
@@ -252,7 +267,7 @@
 		}
 		tenants = append(tenants, map[string]any{"name": team, "api_keys": f.keys[team]})
 	}
-	f.store.put("op/config", map[string]any{
+	f.store.Put("op/config", map[string]any{
 		"version": f.version, "tenants": tenants, "routes": published,
 		"services": f.fleet.services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 5000},
@@ -406,26 +421,26 @@
 
 func (f *soakRun) failStore() {
 	defer f.disturb("")()
-	f.store.fail(true)
+	f.store.SetFailing(true)
 	f.sleepRandom(500, 2500)
-	f.store.fail(false)
+	f.store.SetFailing(false)
 }
 
 // restoreStore takes the store away for a moment and brings it back from an older copy. What it has lost is written again.
 func (f *soakRun) restoreStore() {
 	defer f.disturb("")()
-	f.store.fail(true)
+	f.store.SetFailing(true)
 	f.sleepRandom(100, 1500)
-	lost := f.store.restore(time.Duration(500+f.randomInt(6000)) * time.Millisecond)
-	f.store.fail(false)
+	lost := f.store.Restore(time.Duration(500+f.randomInt(6000)) * time.Millisecond)
+	f.store.SetFailing(false)
 	f.sleepRandom(0, 300)
 	for _, item := range lost {
-		f.store.change(item)
+		f.store.Change(item)
 	}
 }
 
 func (f *soakRun) dropHistory() {
-	f.store.dropHistory()
+	f.store.DropHistory()
 }
 
 func (f *soakRun) crashServer() {
