make demo shows direct sending

They now start a store, five upstreams and three routers of deploy/direct; the demo kills a router, kills an engine in the midst of a stream and withdraws a key, and fails if the stream isn't whole or the key isn't refused.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 FUZZ_TIME ?= 10s
 
-.PHONY: fuzz fuzz-target build test lint demo up down console soak bench measures prove proofs-page capacity generate
+.PHONY: fuzz fuzz-target build test lint demo up down trial-demo trial-up trial-down console soak bench measures prove proofs-page capacity generate
 
 build:
 	@mkdir -p $(GOBIN)
@@ -21,12 +21,22 @@
 	go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION) run ./...
 
 demo: build
-	@scripts/demo.sh deploy/lobue
+	@scripts/direct.sh demo
 
 up: build
-	@scripts/fleet.sh up deploy/lobue
+	@scripts/direct.sh up
 
 down:
+	@scripts/direct.sh down
+
+# The same for the interface of the trial.
+trial-demo: build
+	@scripts/demo.sh deploy/lobue
+
+trial-up: build
+	@scripts/fleet.sh up deploy/lobue
+
+trial-down:
 	@scripts/fleet.sh down deploy/lobue
 
 # Measures both deployments under churn with every routing policy that the routers accept. POLICIES and BENCH_FLEETS
@@ -34,7 +44,7 @@
 bench: build
 	@scripts/bench.sh $(POLICIES)
 
-# Copies the table of the last bench into README.md.
+# Copies the table of the last bench into docs/TRIAL.md.
 measures:
 	@scripts/measures.sh
 
@@ -58,7 +68,7 @@
 	ORIOLE_CAPACITY=1 go test -count=1 -v -run 'TestCapacity' ./internal/proofs/fleet
 	go test -run NONE -bench . ./internal/proofs/fleet
 
-# Needs a running deployment, see up.
+# Needs a running deployment, see trial-up.
 console: build
 	@echo "http://127.10.4.1:8443, user operator, password demo-password-lobue"
 	@$(GOBIN)/oriole-console --settings deploy/lobue/console.json
--- a/internal/settings/doc_test.go
+++ b/internal/settings/doc_test.go
@@ -205,6 +205,7 @@
 		{"## The document", documentSample(t)}, {"## Settings of oriole-router", router},
 		{"## Settings of oriole-router --direct", loadSample[Direct](t, "testdata/direct.json")},
 		{"## Settings of oriole-console", console}, {"## Settings of the stand-ins", standIns},
+		{"## Settings of the stand-ins of direct sending", loadSample[DirectStandIns](t, "../../deploy/direct/standins.json")},
 	}
 	for _, s := range sections {
 		t.Run(s.title, func(t *testing.T) { compareSection(t, section(t, string(raw), s.title), s.prober.fields(t)) })
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -154,7 +154,22 @@
 		case "system.toml", "router.json.tmpl", "days":
 			continue // files for the operators' platform; TestTemplateGivesValidSettings checks the template
 		}
-		t.Run(filepath.Base(folder), func(t *testing.T) { checkDeployment(t, folder) })
+		check := checkDeployment
+		if filepath.Base(folder) == "direct" {
+			check = checkDirectDeployment
+		}
+		t.Run(filepath.Base(folder), func(t *testing.T) { check(t, folder) })
+	}
+}
+
+func checkDirectDeployment(t *testing.T, folder string) {
+	is := is.New(t)
+	is.NoErr(Load(filepath.Join(folder, "standins.json"), &DirectStandIns{}))
+	files, err := filepath.Glob(filepath.Join(folder, "*.router.json"))
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, file := range files {
+		is.NoErr(Load(file, &Direct{}))
 	}
 }
 
--- a/scripts/measures.sh
+++ b/scripts/measures.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Copies the table of the last bench run into README.md, between the measures:begin and measures:end comments.
+# Copies the table of the last bench run into docs/TRIAL.md, between the measures:begin and measures:end comments.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 - run/bench/table.txt README.md <<'PY'
+python3 - run/bench/table.txt docs/TRIAL.md <<'PY'
 import sys
 table = open(sys.argv[1]).read().rstrip()
 page = open(sys.argv[2]).read()
