oriolectl top: a live view of routers that send directly

Operators had to take rates from two dumps by hand. The command reads state and metrics of each router at intervals and shows rates, refusals by code and upstreams.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,6 +43,7 @@
 	Diff           diffCommand           `command:"diff" description:"compare two documents"`
 	Status         statusCommand         `command:"status" description:"show the fleet at a glance"`
 	Dump           dumpCommand           `command:"dump" description:"show the state of routers"`
+	Top            topCommand            `command:"top" description:"show routers that send directly at intervals: rates, refusals by code, upstreams"`
 	Explain        explainCommand        `command:"explain" description:"say why a chat goes to its upstream"`
 	Request        requestCommand        `command:"request" description:"tell a request's life from log files"`
 	Lift           liftCommand           `command:"lift" description:"end the quarantine of a request on every router"`
@@ -55,7 +56,7 @@
 func Run(args []string, out, errOut io.Writer) int {
 	opts := options{VersionFlag: process.NewVersionFlag()}
 	a := &app{out: out, errOut: errOut, options: &opts}
-	opts.Validate.app, opts.Diff.app, opts.Status.app, opts.Dump.app = a, a, a, a
+	opts.Validate.app, opts.Diff.app, opts.Status.app, opts.Dump.app, opts.Top.app = a, a, a, a, a
 	opts.Explain.app, opts.Request.app, opts.Lift.app, opts.Key.New.app, opts.IdempotencyKey.Issue.app, opts.ShowVersion.app = a, a, a, a, a, a
 	parser := flags.NewNamedParser("oriolectl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
