Streams taken up may use what upstreams tolerate beyond named limits

A request that takes a stream up is now divided by what the upstream tolerates (half as much again and five requests in four seconds), with the margins of cold limits, so that all hosts together stay below it for differing views. It counts against the host's part for other requests too. Retries within one answer and sends that replace silent ones keep the limit as named.

TestStreamsAreTakenUpBeyondNamedLimit failed before (503).

checkNamedLimit is the body of TestNamedLimitHoldsInAnyWindow, unchanged, now shared with the test of the wider limit.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -231,29 +231,58 @@
 // Guards against fleets that together send an upstream more than the limit that it names, in any window, even if each host
 // is unaware of a quarter of the others.
 func TestNamedLimitHoldsInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkNamedLimit(t, func(limit RateLimit) RateLimit { return limit }) })
+}
+
+// Guards against the same if some requests may use what the upstream tolerates beyond its limit.
+func TestToleratedLimitHoldsInAnyWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		perSecond := rapid.Float64Range(0, 40).Draw(t, "per second")
-		limit := NamedRateLimit(perSecond)
-		position := rapid.Float64Range(0, 0.99).Draw(t, "position")
-		clock := clockwork.NewFakeClock()
-		list := drawViews(t)
-		hosts := make([]*UpstreamLimiter, len(list))
-		for i, v := range list {
-			hosts[i] = NewUpstreamLimiter(v, clock)
-		}
-		var sent []time.Time
-		for range rapid.IntRange(1, 12).Draw(t, "steps") {
-			clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
-			for _, h := range hosts {
-				for range rapid.IntRange(0, 40).Draw(t, "tries") {
-					if h.TryAcquire(Target{ID: "u", Position: position}, limit) {
-						sent = append(sent, clock.Now())
-					}
+		checkNamedLimit(t, func(limit RateLimit) RateLimit {
+			if rapid.Bool().Draw(t, "tolerated") {
+				return limit.Tolerated()
+			}
+			return limit
+		})
+	})
+}
+
+// checkNamedLimit lets hosts send up to the limits that choose returns, and checks what the upstream receives.
+func checkNamedLimit(t *rapid.T, choose func(RateLimit) RateLimit) {
+	perSecond := rapid.Float64Range(0, 40).Draw(t, "per second")
+	limit := NamedRateLimit(perSecond)
+	position := rapid.Float64Range(0, 0.99).Draw(t, "position")
+	clock := clockwork.NewFakeClock()
+	list := drawViews(t)
+	hosts := make([]*UpstreamLimiter, len(list))
+	for i, v := range list {
+		hosts[i] = NewUpstreamLimiter(v, clock)
+	}
+	var sent []time.Time
+	for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+		for _, h := range hosts {
+			for range rapid.IntRange(0, 40).Draw(t, "tries") {
+				if h.TryAcquire(Target{ID: "u", Position: position}, choose(limit)) {
+					sent = append(sent, clock.Now())
 				}
 			}
 		}
-		if n := mostInWindow(sent, namedWindow); float64(n) > namedOverage*perSecond*4+namedSlack {
-			t.Fatalf("%d requests in four seconds at %.2f a second", n, perSecond)
+	}
+	if n := mostInWindow(sent, namedWindow); float64(n) > namedOverage*perSecond*4+namedSlack {
+		t.Fatalf("%d requests in four seconds at %.2f a second", n, perSecond)
+	}
+}
+
+// Guards against a host to which streams that are taken up may send less than other requests.
+func TestToleratedShareIsAtLeastTheShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := NamedRateLimit(rapid.Float64Range(0, 500).Draw(t, "per second"))
+		target := Target{ID: "u", Position: rapid.Float64Range(0, 0.99).Draw(t, "position")}
+		for _, v := range drawViews(t) {
+			d := newDivision(v, "s", time.Time{})
+			if d.share(target, limit.Tolerated()) < d.share(target, limit) {
+				t.Fatalf("share %d of %+v, %d of %+v", d.share(target, limit.Tolerated()), limit.Tolerated(), d.share(target, limit), limit)
+			}
 		}
 	})
 }
--- a/internal/allowance/upstream.go
+++ b/internal/allowance/upstream.go
@@ -56,6 +56,13 @@
 	return RateLimit{Requests: max(1, int(math.Ceil(allowed))), Max: int(namedOverage*allowed) + namedSlack, Window: namedWindow}
 }
 
+// Tolerated returns the widest limit that the hosts can divide among them without exceeding Max. Each host's share is at least
+// its share of l.
+func (l RateLimit) Tolerated() RateLimit {
+	l.Requests = max(l.Requests, int(splitFraction*float64(l.Max)))
+	return l
+}
+
 // Target is an upstream to which requests are limited.
 type Target struct {
 	Service string
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -36,6 +36,9 @@
 	Unreached []string
 	// Version is the software version that the upstream must have; nil if any may be chosen.
 	Version *string
+	// TakenUp is set if the caller takes up a stream that an earlier request began. Few upstreams can continue it, so that it
+	// may use what an upstream tolerates beyond the limit that it names.
+	TakenUp bool
 }
 
 // accepts reports whether the upstream has the software version that the request needs.
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -32,6 +32,7 @@
 // SelectUntried is Select among the upstreams that were not tried for the request and are not silent: a send is given up only
 // for one that promises more.
 func (s *Selector) SelectUntried(snap *catalog.Snapshot, service string, criteria Criteria) *Choice {
+	criteria.TakenUp = false
 	return s.selectFrom(snap, service, criteria, func(c *Choice) bool { return c.Tier < tierTried && !c.Silent })
 }
 
@@ -75,7 +76,7 @@
 // order returns the upstreams that their limits allow to receive a request, in the order of preference.
 func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
 	return s.table.order(snap, service, criteria, func(m *member) ([]allowance.RateLimit, bool) {
-		limits := s.limits(snap, m.upstream, m.stats.said.limit, now)
+		limits := s.limits(snap, m.upstream, m.stats.said.limit, criteria, now)
 		if len(limits) > 0 && criteria.Version == nil && m.stats.pool.waiting[m.upstream.Version] > 0 {
 			return nil, false
 		}
@@ -83,14 +84,18 @@
 	})
 }
 
-// limits returns the limits on requests to the upstream; nil if there are none.
-func (s *Selector) limits(snap *catalog.Snapshot, u *catalog.Upstream, named requestLimit, now time.Time) []allowance.RateLimit {
+// limits returns the limits on the request at the upstream; nil if there are none.
+func (s *Selector) limits(snap *catalog.Snapshot, u *catalog.Upstream, named requestLimit, criteria Criteria, now time.Time) []allowance.RateLimit {
 	var limits []allowance.RateLimit
 	if rate := snap.ColdRequestsPerSecond(u.Service); rate > 0 && now.Before(u.ColdUntil) {
 		limits = append(limits, s.cold.RateLimit(rate))
 	}
 	if named.inForce(now) {
-		limits = append(limits, allowance.NamedRateLimit(named.perSecond))
+		limit := allowance.NamedRateLimit(named.perSecond)
+		if criteria.TakenUp {
+			limit = limit.Tolerated()
+		}
+		limits = append(limits, limit)
 	}
 	return limits
 }
--- a/internal/balance/version_test.go
+++ b/internal/balance/version_test.go
@@ -62,6 +62,32 @@
 	is.Equal(s.Select(snap, "s", Criteria{}).Version, "1") // the one with the lower load
 }
 
+// Guards against a stream that is refused when its caller takes it up, while its upstream tolerates more than the limit that it
+// names, and against other requests that use that.
+func TestTakenUpStreamMayUseWhatUpstreamTolerates(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOfVersions("1")
+	s := newSelector(table, clock)
+	table.Order(snap, "s", engineCriteria)
+	table.RecordRequestLimit(snap.Upstreams["s"][0], perSecond(0.25))
+	version := "1"
+	bound := engineCriteria
+	bound.Version = &version
+	takenUp := bound
+	takenUp.TakenUp = true
+	is.True(s.Select(snap, "s", engineCriteria) != nil) // the one request in four seconds
+	is.True(s.Select(snap, "s", bound) == nil)
+	is.True(s.SelectUntried(snap, "s", takenUp) == nil)
+	for range 3 { // with the one above, three quarters of the six that are tolerated
+		is.True(s.Select(snap, "s", takenUp) != nil)
+	}
+	is.True(s.Select(snap, "s", takenUp) == nil)
+	clock.Advance(4 * time.Second)
+	is.True(s.Select(snap, "s", takenUp) != nil)
+	is.True(s.Select(snap, "s", engineCriteria) == nil) // what is taken up counts for others as well
+}
+
 // Guards against a request that uses up its attempts at the one upstream of its version that fails at once, while others of
 // that version accept work again soon.
 func TestFailedUpstreamIsNotTriedAgainAtOnceForItsVersion(t *testing.T) {
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -292,7 +292,7 @@
 func (req *Request) criteria(snap *catalog.Snapshot, now time.Time) balance.Criteria {
 	return balance.Criteria{
 		Engine: snap.Config.Services[req.Service].Engine, AffinityHash: affinityKey(req.Prompt), Tried: req.tried, Rejected: req.excluded(now),
-		Unreached: req.unreached, Version: req.version(),
+		Unreached: req.unreached, Version: req.version(), TakenUp: req.origin != nil && req.continuesStream(),
 	}
 }
 
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -127,6 +127,24 @@
 	}
 }
 
+// Guards against streams that are refused when callers take them up, while the only upstream of their version tolerates more than the
+// limit that it names.
+func TestStreamsAreTakenUpBeyondNamedLimit(t *testing.T) {
+	is := is.New(t)
+	limited := streams.withHeader("X-Limit: 0.25") // one request in four seconds
+	h := newHarness(t, catalog.Stream, true, limited, limited)
+	h.publishVersions("1", "2", "1")
+	limit := 0.25
+	h.server.Balancer.RecordRequestLimit(h.store.Current().Upstreams["s"][1], &limit)
+	for _, stream := range []string{"first", "second"} {
+		h.origins.Add(origin.Record{
+			Stream: origin.HashRequestID(stream), Origin: origin.Origin{Service: "s", Version: "2"}, Expires: time.Now().Add(time.Minute),
+		})
+		got := h.call(http.MethodPost, "/r/", "", "X-Id", stream+"-again", "X-Resumes", stream, "X-Last", "2")
+		is.Equal(got.status, http.StatusOK)
+	}
+}
+
 // The origin of a stream is recorded before the caller receives its first event, so that it is known if the host is killed
 // right after.
 func TestOriginIsRecordedBeforeFirstEvent(t *testing.T) {
