balance: upstreams whose address a later one has taken are chosen last

Callers got 503 wrong-instance, not run, seconds after all upstreams had crashed and been replaced, while the new ones had room.

Cause: the entry of an ended upstream stays published for some heartbeats, longer while the store is away. Once the address accepts connections again, the host no longer suspects the ended upstream, and as its last known load is low it comes before its successor, until the first 421. A request that meets only such upstreams reaches the limit of its sends.

The latest start published at an address tells which upstream is there. The others of the service come last; they are not excluded, as a clock may have been set back. TestUpstreamsThatStartedLaterAtSameAddressComeFirst fails without the change.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -90,6 +90,44 @@
 	is.Equal(table.Order(snap, "s", engineCriteria)[0].ID, first.ID)
 }
 
+// Guards against a request that finds no upstream, because it is sent to those that have ended first: their entries stay published for
+// some heartbeats, and nothing is known of their load.
+func TestUpstreamsThatStartedLaterAtSameAddressComeFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		earlier, later   int64
+		service, address string
+		first            bool
+	}{
+		{"later start", 1000, 2000, "s", "same", true}, {"earlier start is unknown", 0, 2000, "s", "same", false}, {"same start", 2000, 2000, "s", "same", false},
+		{"other address", 1000, 2000, "s", "other", false}, {"other service", 1000, 2000, "t", "same", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			const n = 5
+			snap := &catalog.Snapshot{DisabledDataCentres: map[string]bool{}, Upstreams: map[string][]*catalog.Upstream{}}
+			table, _ := newTable()
+			for i := range n {
+				address := fmt.Sprintf("10.0.0.%d:80", i)
+				earlier := &catalog.Upstream{ID: fmt.Sprintf("a%d", i), Service: "s", Address: address, Slots: 8, DataCentre: "a", StartedAtMs: tt.earlier}
+				later := &catalog.Upstream{ID: fmt.Sprintf("b%d", i), Service: tt.service, Address: address, Slots: 8, DataCentre: "a", StartedAtMs: tt.later}
+				if tt.address == "other" {
+					later.Address = fmt.Sprintf("10.0.1.%d:80", i)
+				}
+				snap.Upstreams["s"] = append(snap.Upstreams["s"], earlier)
+				snap.Upstreams[tt.service] = append(snap.Upstreams[tt.service], later)
+				table.RecordLoad(later.Key(), 7)
+				table.RecordBrokenResponse(later, ErrResponseTimeout)
+			}
+			order := table.Order(snap, "s", Criteria{})
+			is.Equal(order[0].StartedAtMs == tt.later && tt.later != tt.earlier, tt.first)
+			for i, c := range order { // upstreams that started earlier stay usable, as the last ones
+				is.Equal(c.Tier == tierSuperseded, tt.first && i >= n)
+			}
+		})
+	}
+}
+
 func TestFailuresThatMakeUpstreamSuspect(t *testing.T) {
 	reset := errors.New("connection reset")
 	tests := []struct {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -55,6 +55,9 @@
 	tierSuspect
 	// tierTried upstreams were already tried for the request.
 	tierTried
+	// tierSuperseded upstreams have probably ended, although their entries are still published: another one has started at their
+	// address since.
+	tierSuperseded
 )
 
 // deferral orders upstreams of a tier: those with a higher one are chosen only after all others.
@@ -159,6 +162,9 @@
 		} else if pathDown(m.upstream.DataCentre) || len(criteria.Unreached) > 0 && t.isDoubtful(m.upstream.DataCentre, criteria.Unreached, now) {
 			tier = max(tier, tierSuspect)
 		}
+		if m.superseded {
+			tier = tierSuperseded
+		}
 		list = append(list, candidate{
 			member: m, tier: tier, load: st.load(now), mean: st.meanLoad(now), known: st.fresh(now), silence: t.silence(st, now), silent: silent,
 			score: loadbalancer.ScoreHashed(criteria.AffinityHash, m.hash),
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -158,7 +158,9 @@
 	hash uint64
 	// position is the position among the members of the service, from 0 up to 1.
 	position float64
-	stats    *stats
+	// superseded is set if an upstream that started later is published at the same address.
+	superseded bool
+	stats      *stats
 }
 
 func (m *member) target() allowance.Target {
@@ -194,10 +196,12 @@
 	if !ok {
 		upstreams := snap.Upstreams[service]
 		members = make([]member, 0, len(upstreams))
+		starts := latestStarts(upstreams)
 		for i, u := range upstreams {
 			key := u.Key()
 			members = append(members, member{
-				upstream: u, key: key, hash: loadbalancer.HashKey(u.ID), position: float64(i) / float64(len(upstreams)), stats: t.stats(key, now),
+				upstream: u, key: key, hash: loadbalancer.HashKey(u.ID), position: float64(i) / float64(len(upstreams)),
+				superseded: u.StartedAtMs > 0 && u.StartedAtMs < starts[u.Address], stats: t.stats(key, now),
 			})
 		}
 		t.pools[service] = members
@@ -212,6 +216,15 @@
 	return members
 }
 
+// latestStarts returns the latest start of an upstream at each address.
+func latestStarts(upstreams []*catalog.Upstream) map[string]int64 {
+	starts := make(map[string]int64, len(upstreams))
+	for _, u := range upstreams {
+		starts[u.Address] = max(starts[u.Address], u.StartedAtMs)
+	}
+	return starts
+}
+
 // WaitForVersion records that a request waits for an upstream of the software version, until the returned function is
 // called. Requests that may go to any version then leave limited upstreams of this one to it.
 func (t *Table) WaitForVersion(snap *catalog.Snapshot, service, version string) (end func()) {
