soak: checks read the servers' records under their lock

TestDeadlySegmentIsRefusedByAllRouters failed in 1 of 9 runs with the race detector: checkSoundCalls read the arrivals while a server, which was done with its last response, recorded the end of the request. It is a fault of the test alone: the client has the whole response by then, and the server's record is written after it. checkDeadlyRuns holds the lock already.

The same in checkStalls and checkVolume, and in the test of a planned stop, which all read the records after the clients have stopped. checkKept waits until all servers are done before it reads. The checks are unchanged.

--- a/internal/proofs/soak/deadly_prompt_test.go
+++ b/internal/proofs/soak/deadly_prompt_test.go
@@ -118,6 +118,8 @@
 
 // checkSoundCalls checks that sound requests of the last seconds were served.
 func (f *soakRun) checkSoundCalls() {
+	f.servers.mu.Lock()
+	defer f.servers.mu.Unlock()
 	last := f.clients.calls[len(f.clients.calls)-1].ended
 	writers := writersByRequest(f.servers.arrivals)
 	served := 0
--- a/internal/proofs/soak/stall_check_test.go
+++ b/internal/proofs/soak/stall_check_test.go
@@ -95,6 +95,8 @@
 
 // checkStalls checks what callers and servers observed in a run without other trouble than servers that stand still.
 func (f *soakRun) checkStalls() {
+	f.servers.mu.Lock()
+	defer f.servers.mu.Unlock()
 	worst, total := overloads(f.servers.arrivals)
 	twice := overlaps(f.servers.arrivals)
 	var cut, unanswered []string
--- a/internal/proofs/soak/stop_test.go
+++ b/internal/proofs/soak/stop_test.go
@@ -35,6 +35,8 @@
 			t.Errorf("request %s to %s got status %d, complete %v", c.id, c.path, c.status, c.complete)
 		}
 	}
+	f.servers.mu.Lock() // servers may not be done with the last requests
+	defer f.servers.mu.Unlock()
 	f.checkPromises()
 }
 
--- a/internal/proofs/soak/version_test.go
+++ b/internal/proofs/soak/version_test.go
@@ -69,6 +69,8 @@
 
 // checkVolume checks that enough streams were taken up for the bound on their share to hold.
 func (f *soakRun) checkVolume() {
+	f.servers.mu.Lock()
+	defer f.servers.mu.Unlock()
 	streams := joinStreams(f.clients.calls, writersByRequest(f.servers.arrivals))
 	if n := undisturbedShares(streams, &f.faults); n.takenUp < minTakeUps {
 		f.t.Errorf("only %d streams were taken up at undisturbed routers", n.takenUp)
