A head that came before the previous response has begun

A caller that sent a part of its next request's head together with a request, or while that was handled, got that response; its connection then counted as idle. The idle timeout and the drain closed it without a byte, or net/http answered 400 to the proper part of a request.

Cause: the tracker saw which bytes were read but not which of them belonged to the request before. Only a byte that was read after the last write began counted as the next head's. Ruled out: the bytes that arrive after the response, which TestHeadThatBeganBeforeIdleTimeoutIsAnswered covers, and a head that is whole before the previous response ends, which net/http answers without a read.

net/http reads into a buffer of 4 KB and waits until it holds four bytes of a request on a kept connection. A shorter buffer in Read tells that it holds one to three bytes, a second deadline after the response that it holds four. Line ends before a request are still part of none. A head that is found this way is not idle: it has the limit of heads, and 408 or 503 at its end.

The unit test "drain, first byte read ahead" assumed that a part of a head is known when the response ends; it is known when net/http reads on, before the wait ends. It now demands that an interrupt in between is taken back, and the one after it has no effect.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -61,6 +61,8 @@
 	limits  Limits
 	late    []Cause
 	heads   []IncompleteHead
+	// buffered is the number of bytes that net/http has read and not used.
+	buffered int
 }
 
 func newFixture() *fixture {
@@ -114,7 +116,7 @@
 	f.read()
 }
 
-func (f *fixture) read() (int, error) { return f.conn.Read(make([]byte, 4096)) }
+func (f *fixture) read() (int, error) { return f.conn.Read(make([]byte, readBytes-f.buffered)) }
 
 // advance moves the clock on and runs what is due then. The clock runs scheduled calls in the background.
 func (f *fixture) advance(d time.Duration) {
@@ -180,6 +182,18 @@
 			f.receive("G") // by the background read of net/http
 			f.tracker.OnStateChange(f.conn, http.StateIdle)
 			f.tracker.interruptIdle()
+			f.buffered = 1
+			_, _ = f.read() // nothing more has arrived
+			f.tracker.interruptIdle()
+		}, ""},
+		{"drain, part of a head read with the request before it", func(f *fixture) {
+			f.receive("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n")
+			f.tracker.OnStateChange(f.conn, http.StateActive)
+			f.tracker.OnStateChange(f.conn, http.StateIdle)
+			_ = f.conn.SetReadDeadline(time.Time{}) // before net/http peeks at the next request
+			f.tracker.interruptIdle()
+			_ = f.conn.SetReadDeadline(time.Time{})
+			f.tracker.interruptIdle()
 		}, ""},
 		{"cut off, head begun", func(f *fixture) {
 			f.receive("G")
@@ -195,7 +209,10 @@
 			_, _ = f.conn.Write([]byte("response"))
 			f.receive("\r") // by the background read of net/http
 			f.tracker.OnStateChange(f.conn, http.StateIdle)
+			f.buffered = 1
 			f.receive("\n")
+			f.buffered = 2
+			_, _ = f.read()
 			f.tracker.interruptIdle()
 		}, CauseStop},
 		{"drain, body read before the response", func(f *fixture) {
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -53,15 +53,17 @@
 	headBytes int64
 	// reserved is the part of headBytes that counts against the budget for heads.
 	reserved int64
-	// readAfterWrite is set if bytes were read after the last write began, and so belong to the next request.
-	readAfterWrite bool
-	// deadline is the read deadline that net/http has asked for outside of requests.
-	deadline time.Time
+	// lastRead holds the last bytes that were read, of which net/http may have some still to use.
+	lastRead [peekBytes]byte
+	// deadline is the read deadline that net/http has asked for outside of requests, and deadlinesSet how often it has in the
+	// present phase.
+	deadline     time.Time
+	deadlinesSet int
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	c.limitHead()
+	c.prepareRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveLateBytes() {
 		n, err = c.readLateBytes(p)
@@ -73,10 +75,13 @@
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
-// limitHead starts the timer of a head that has begun and is not whole.
-func (c *conn) limitHead() {
+// prepareRead records a head that has begun, and starts the timer of one that is not whole. net/http asks for so many bytes.
+func (c *conn) prepareRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if buffered := readBytes - n; buffered > 0 && buffered < peekBytes {
+		c.recordBuffered(buffered)
+	}
 	if c.phase == readHead && c.timer == nil {
 		c.startTimer(c.limit())
 	}
@@ -87,9 +92,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
+	c.keepLast(read)
 	switch {
 	case c.phase == inRequest:
-		c.readAfterWrite = c.readAfterWrite || beginsHead(read)
 		return ""
 	case c.phase == waitFirstByte && len(read) > 0 && !beginsHead(read):
 		return ""
@@ -118,6 +123,22 @@
 // beginsHead reports whether a head begins with the bytes. Line ends before a request are part of none.
 func beginsHead(read []byte) bool { return len(bytes.Trim(read, "\r\n")) > 0 }
 
+// keepLast updates lastRead. The caller holds mu.
+func (c *conn) keepLast(read []byte) {
+	read = read[max(0, len(read)-peekBytes):]
+	copy(c.lastRead[:], c.lastRead[len(read):])
+	copy(c.lastRead[peekBytes-len(read):], read)
+}
+
+// recordBuffered records that net/http waits for a request and holds n bytes or more that were read with the previous one, or
+// while it was handled. The caller holds mu.
+func (c *conn) recordBuffered(n int) {
+	if c.phase == waitFirstByte && c.served && beginsHead(c.lastRead[peekBytes-n:]) {
+		c.beginHead()
+		c.headBytes = int64(n)
+	}
+}
+
 // refuse responds to a head that is not whole. net/http would close the connection without a response, or take what has
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
@@ -140,7 +161,6 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	refused := c.refused
-	c.readAfterWrite = false
 	c.mu.Unlock()
 	if refused {
 		return 0, net.ErrClosed
@@ -162,6 +182,10 @@
 	defer c.mu.Unlock()
 	c.deadline = t
 	if c.phase != inRequest {
+		c.deadlinesSet++
+		if c.deadlinesSet > 1 {
+			c.recordBuffered(peekBytes) // net/http sets one deadline before it peeks at the next request, and others after that
+		}
 		return nil
 	}
 	return errors.Wrap(c.Conn.SetReadDeadline(t), "set read deadline of caller's connection")
@@ -183,18 +207,14 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readAfterWrite {
-		c.beginHead()
-		c.headBytes = 1 // net/http reads one byte ahead
-	} else {
-		c.begin(waitFirstByte)
-	}
+	c.begin(waitFirstByte)
 	c.setDeadline(c.interruptDeadline())
 }
 
 // beginHead records that the first byte of a head has been read. The caller holds mu.
 func (c *conn) beginHead() {
 	c.begin(readHead)
+	c.setDeadline(c.interruptDeadline())
 	if c.tracker.cutOff.Load() {
 		c.interrupt(CauseStop)
 	}
@@ -225,7 +245,7 @@
 	c.release()
 	c.phase, c.since = p, c.tracker.Clock.Now()
 	c.interrupted, c.lateSince = "", time.Time{}
-	c.headBytes, c.readAfterWrite = 0, false
+	c.headBytes, c.deadlinesSet = 0, 0
 	if p == waitFirstByte {
 		c.startTimer(c.limit())
 	}
--- a/internal/callerconn/size.go
+++ b/internal/callerconn/size.go
@@ -3,6 +3,8 @@
 const (
 	// readBytes is the most that net/http reads at a time, so that a read that ends a head may hold as much of what follows it.
 	readBytes = 4 << 10
+	// peekBytes is how many bytes of a request on a kept connection net/http awaits before it reads the head.
+	peekBytes = 4
 	// freeHeadBytes of each head do not count against the budget for heads.
 	freeHeadBytes = 4 << 10
 )
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -3,8 +3,7 @@
 //
 // net/http reports a connection as idle until the whole head of the next request has been read, so that a timeout or a drain
 // that relies on this report interrupts heads that are arriving. This package follows the bytes instead. It interrupts waits, and
-// what has arrived by then is read first; net/http closes the connections. A part of a head that was sent before the previous
-// response had ended may be taken for none.
+// what has arrived by then is read first; net/http closes the connections.
 package callerconn
 
 import (
--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -102,6 +103,54 @@
 	}
 }
 
+// Guards against a request that ends without a response because a part of its head came with the request before it, or while
+// that was handled, and its connection counts as idle.
+func TestHeadThatBeganBeforePreviousResponseIsAnswered(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	pipelinedCuts := append(headCuts[:len(headCuts):len(headCuts)], struct{ name, first, rest string }{
+		"at the end of a line", "GET /r/second HTTP/1.1\r\n", strings.TrimPrefix(rawHead, " HTTP/1.1\r\n") + "\r\n",
+	})
+	slow := behaviour{"slow", func(c net.Conn, r *http.Request) bool {
+		time.Sleep(idleTimeout)
+		return ok.serve(c, r)
+	}, true}
+	for _, tt := range pipelinedCuts {
+		for _, together := range []bool{true, false} {
+			for _, stops := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, together %t, stops %t", tt.name, together, stops), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					h := newHarness(t, catalog.Unsafe, false, slow, ok)
+					h.setLimits(catalog.Limits{IdleTimeout: idleTimeout})
+					c := newRawCaller(t, h)
+					first := "POST /r/first" + rawHead + "Content-Length: 4\r\n\r\nbody"
+					if together {
+						c.write(first + tt.first)
+					} else {
+						c.write(first)
+						time.Sleep(idleTimeout / 2)
+						c.write(tt.first)
+					}
+					is.Equal(c.status(), http.StatusOK)
+					if stops {
+						ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+						defer cancel()
+						stopped := make(chan error, 1)
+						go func() { stopped <- h.server.AwaitConns(ctx) }()
+						defer func() { is.NoErr(<-stopped) }()
+						time.Sleep(idleTimeout)
+					} else {
+						time.Sleep(h.server.connLimits().Idle + idleTimeout)
+					}
+					_, _ = io.WriteString(c.c, tt.rest) // fails if the connection has ended
+					is.Equal(c.status(), http.StatusOK)
+					is.NoErr(c.c.Close())
+				})
+			}
+		}
+	}
+}
+
 // Guards against a request that its caller sends within the idle limit, and that is delayed on the way until after it.
 func TestRequestDelayedPastIdleTimeoutIsAnswered(t *testing.T) {
 	is := is.New(t)
