A SIGHUP during the start does not end the router

A router that was told of new settings while it read its settings, or set up its first connections, ended by the default action of the signal.

Cause: the signal was only handled once the settings had been read and the watcher ran. It is now handled first; one that comes during the start is kept, and the settings are read again. Ruled out: routers with owners, which ignore it from their first line on.

--- a/cmd/oriole-router/main.go
+++ b/cmd/oriole-router/main.go
@@ -56,6 +56,8 @@
 
 // runDirect runs the router in the mode that sends directly to the upstreams that the platform publishes.
 func runDirect(opts options) error {
+	hangups := make(chan os.Signal, 1) // a SIGHUP may come before the settings have been read
+	signal.Notify(hangups, syscall.SIGHUP)
 	var s settings.Direct
 	if err := settings.Load(opts.Settings, &s); err != nil {
 		return err
@@ -74,7 +76,7 @@
 		Lasting: platform.Lasting, Supersedes: platform.Supersedes, Codec: platform.Codec{},
 		KeyPrefix: platform.KeyPrefix,
 	}, pool, clock, log)
-	go watchSettings(opts.Settings, g, log)
+	go watchSettings(opts.Settings, hangups, g, log)
 	return g.Run(process.SignalContext())
 }
 
@@ -82,9 +84,7 @@
 const settingsPollInterval = 5 * time.Second
 
 // watchSettings applies changes of the settings file, on SIGHUP and when polling finds one.
-func watchSettings(file string, g *gateway.Gateway, log zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(file string, hangups <-chan os.Signal, g *gateway.Gateway, log zerolog.Logger) {
 	loaded, err := os.ReadFile(file)
 	for {
 		if err != nil {
--- a/cmd/oriole-router/main_test.go
+++ b/cmd/oriole-router/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strings"
@@ -12,9 +13,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
 
 	"github.com/orioleusher/orioleusher/internal/gateway"
 	"github.com/orioleusher/orioleusher/internal/logging"
+	"github.com/orioleusher/orioleusher/internal/process"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/platform"
 )
@@ -37,6 +40,35 @@
 	return b.Buffer.String()
 }
 
+// settingsEnv makes the test process run the router with the settings file that it names.
+const settingsEnv = "ORIOLE_TEST_SETTINGS"
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(settingsEnv); file != "" {
+		process.Exit(runDirect(options{Settings: file}))
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a router that ends because its settings change while it starts.
+func TestSIGHUPDuringStartDoesNotEndRouter(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "router.json")
+	is.NoErr(syscall.Mkfifo(file, 0o600))
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), settingsEnv+"="+file)
+	is.NoErr(cmd.Start())
+	in, err := os.OpenFile(file, os.O_WRONLY, 0) // returns when the router reads its settings
+	is.NoErr(err)
+	for range 10 {
+		_ = cmd.Process.Signal(syscall.SIGHUP) // fails if the process has ended
+	}
+	_, _ = in.WriteString("not settings")
+	is.NoErr(in.Close())
+	_ = cmd.Wait() // the exit code tells
+	is.Equal(cmd.ProcessState.ExitCode(), process.ExitFailed)
+}
+
 func TestSIGHUPReloadsSettings(t *testing.T) {
 	raw, err := os.ReadFile("../../internal/settings/testdata/direct.json")
 	if err != nil {
@@ -56,12 +88,12 @@
 	out := &lockedBuffer{}
 	log := logging.New(out, "info", "test")
 	clock := clockwork.NewRealClock()
-	// A SIGHUP that arrives before watchSettings has installed its handler must not end the test process.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	g := gateway.New(&s, gateway.Adapter{Decode: platform.Decode, Equivalent: platform.Equivalent,
 		Lasting: platform.Lasting, Supersedes: platform.Supersedes, Codec: platform.Codec{}},
 		gateway.NewPool(&s, clock), clock, log)
-	go watchSettings(file, g, log)
+	go watchSettings(file, hangups, g, log)
 	wait := func(text string) {
 		for !strings.Contains(out.String(), text) {
 			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
