A drain looks at each connection once

The tracker now remembers the drain: connections that begin to wait for a request later end that wait themselves, and new ones have two seconds from the start. Nothing changes for callers, except that up to 5 ms between a response without "Connection: close" and the end of its connection are gone.

New cases in TestWaitIsLimitedByWhatItWaitsFor: connections accepted after the drain has begun, silent or not, and responses that end after it.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -232,6 +232,27 @@
 			f.clock.Advance(firstRequestTime)
 			f.tracker.interruptIdle()
 		}, CauseStop},
+		{"drain, new connection that stays silent", func(f *fixture) {
+			f.reconnect()
+			f.tracker.interruptIdle()
+			f.advance(firstRequestTime)
+		}, CauseStop},
+		{"drain, connection accepted later", func(f *fixture) {
+			f.tracker.interruptIdle()
+			f.reconnect()
+			f.advance(firstRequestTime - 1)
+		}, ""},
+		{"drain, silent connection accepted later", func(f *fixture) {
+			f.tracker.interruptIdle()
+			f.reconnect()
+			f.advance(firstRequestTime)
+		}, CauseStop},
+		{"drain, response that ends later", func(f *fixture) {
+			f.receive("GET / HTTP/1.1\r\n\r\n")
+			f.tracker.OnStateChange(f.conn, http.StateActive)
+			f.tracker.interruptIdle()
+			f.tracker.OnStateChange(f.conn, http.StateIdle)
+		}, CauseStop},
 		{"new connection, short idle limit", func(f *fixture) {
 			f.setLimits(0.1, 1)
 			f.reconnect()
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -246,8 +246,12 @@
 	c.phase, c.since = p, c.tracker.Clock.Now()
 	c.interrupted, c.lateSince = "", time.Time{}
 	c.headBytes, c.deadlinesSet = 0, 0
-	if p == waitFirstByte {
-		c.startTimer(c.limit())
+	if p != waitFirstByte {
+		return
+	}
+	c.startTimer(c.limit())
+	if c.served && c.tracker.draining.Load() {
+		c.interrupt(CauseStop)
 	}
 }
 
@@ -259,6 +263,8 @@
 		return limits.Header
 	case c.served:
 		return limits.Idle
+	case c.tracker.draining.Load():
+		return firstRequestTime
 	default:
 		return max(limits.Idle, firstRequestTime)
 	}
@@ -288,9 +294,12 @@
 		c.startTimer(left)
 		return
 	}
-	if c.phase == readHead {
+	switch {
+	case c.phase == readHead:
 		c.interrupt(CauseHeader)
-	} else {
+	case c.tracker.draining.Load():
+		c.interrupt(CauseStop)
+	default:
 		c.interrupt(CauseIdle)
 	}
 }
@@ -299,9 +308,15 @@
 func (c *conn) interruptIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == waitFirstByte && (c.served || c.tracker.Clock.Since(c.since) >= firstRequestTime) {
-		c.interrupt(CauseStop)
+	if c.phase != waitFirstByte {
+		return
+	}
+	if left := firstRequestTime - c.tracker.Clock.Since(c.since); !c.served && left > 0 {
+		c.stopTimer()
+		c.startTimer(left)
+		return
 	}
+	c.interrupt(CauseStop)
 }
 
 // interruptHead ends the wait for the rest of a head at the end of a stop.
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -94,6 +94,8 @@
 type Tracker struct {
 	Options
 
+	// draining is set once connections that wait for a request are ended.
+	draining atomic.Bool
 	// cutOff is set once heads that have not arrived whole are refused.
 	cutOff atomic.Bool
 
@@ -156,7 +158,8 @@
 // when no connection is open. Heads that have begun are read to their end. http.Server.Shutdown would close connections
 // from which a request has been read.
 func (t *Tracker) Drain(ctx context.Context) error {
-	for t.interruptIdle() > 0 {
+	t.interruptIdle()
+	for t.count() > 0 {
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "wait for callers' connections")
@@ -166,13 +169,12 @@
 	return nil
 }
 
-// interruptIdle interrupts the waits for first bytes and returns the number of open connections.
-func (t *Tracker) interruptIdle() int {
-	conns := t.open()
-	for _, c := range conns {
+// interruptIdle interrupts the waits for first bytes, also those that begin later.
+func (t *Tracker) interruptIdle() {
+	t.draining.Store(true)
+	for _, c := range t.open() {
 		c.interruptIdle()
 	}
-	return len(conns)
 }
 
 // CutOff ends the waits for the rest of heads, also of those that begin later.
@@ -218,20 +220,22 @@
 
 func (t *Tracker) newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw, tracker: t}
-	c.begin(waitFirstByte)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.begin(waitFirstByte) // a drain that begins now sees the connection, or this sees the drain
 	t.conns[c] = struct{}{}
 	return c
 }
 
-// full reports whether more connections are open than there may be.
-func (t *Tracker) full() bool {
+func (t *Tracker) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.MaxConns > 0 && len(t.conns) > t.MaxConns
+	return len(t.conns)
 }
 
+// full reports whether more connections are open than there may be.
+func (t *Tracker) full() bool { return t.MaxConns > 0 && t.count() > t.MaxConns }
+
 func (t *Tracker) remove(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
