Responses of routers with owners say that the stop ends their connections

In a planned stop of a router with owners, a response to a request that had arrived before the stop did not carry "Connection: close" although its connection was ended with it, so that a request which its caller sent next got nothing.

Cause: the header was set when a request arrived, as with direct sending before. Which responses the stop ends is known when they begin. The header is now set when the final status is written; a provisional response does not carry it.

--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -147,13 +147,43 @@
 		t.inFlight.Add(1)
 		defer t.inFlight.Add(-1)
 		t.lastRequestNanos.Store(now().UnixNano())
-		if t.stopping.Load() {
-			rw.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(rw, req)
+		w := &stopWriter{ResponseWriter: rw, stopping: t.stopping}
+		next.ServeHTTP(w, req)
+		w.begin() // net/http sends a response that the handler has not begun
 	})
 }
 
+// stopWriter ends the connection with the response if the router stops by the time at which the response begins.
+type stopWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+	begun    bool
+}
+
+func (w *stopWriter) begin() {
+	if !w.begun && w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *stopWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *stopWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p) //nolint:wrapcheck // as the method of the interface
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *stopWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func (t *requestTracker) sinceLastRequest(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, t.lastRequestNanos.Load()))
 }
