The number of callers' connections in each state is counted

The end of a stop of routers with owners asks for it every millisecond. What is untracked, before the first phase and after the last one, neither waits nor counts bytes of a head.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -23,10 +23,13 @@
 type phase int
 
 const (
-	waitFirstByte phase = iota
+	// untracked is the phase before the first and after the last one.
+	untracked phase = iota
+	waitFirstByte
 	readHead
 	// inRequest lasts from the end of the head until the response has been written. Deadlines are those of the handler.
 	inRequest
+	phaseCount
 )
 
 // conn is a caller's connection.
@@ -94,7 +97,7 @@
 	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
 	c.keepLast(read)
 	switch {
-	case c.phase == inRequest:
+	case !c.waits():
 		return ""
 	case c.phase == waitFirstByte && len(read) > 0 && !beginsHead(read):
 		return ""
@@ -224,8 +227,7 @@
 func (c *conn) closed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopTimer()
-	c.release()
+	defer c.begin(untracked)
 	if c.phase == readHead {
 		c.tracker.OnIncompleteHead(IncompleteHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
@@ -233,16 +235,12 @@
 	}
 }
 
-func (c *conn) currentPhase() phase {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase
-}
-
 // begin enters a phase. The caller holds mu, or has the only reference.
 func (c *conn) begin(p phase) {
 	c.stopTimer()
 	c.release()
+	c.tracker.phases[p].Add(1)
+	c.tracker.phases[c.phase].Add(-1)
 	c.phase, c.since = p, c.tracker.Clock.Now()
 	c.interrupted, c.lateSince = "", time.Time{}
 	c.headBytes, c.deadlinesSet = 0, 0
@@ -255,6 +253,9 @@
 	}
 }
 
+// waits reports whether a head is awaited or arriving. The caller holds mu.
+func (c *conn) waits() bool { return c.phase == waitFirstByte || c.phase == readHead }
+
 // limit returns how long the present phase may last. The caller holds mu.
 func (c *conn) limit() time.Duration {
 	limits := c.tracker.Limits()
@@ -287,7 +288,7 @@
 func (c *conn) expire(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.since.Equal(since) || c.phase == inRequest {
+	if !c.since.Equal(since) || !c.waits() {
 		return
 	}
 	if left := c.limit() - c.tracker.Clock.Since(since); left > 0 {
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -98,6 +98,8 @@
 	draining atomic.Bool
 	// cutOff is set once heads that have not arrived whole are refused.
 	cutOff atomic.Bool
+	// phases counts the connections in each phase.
+	phases [phaseCount]atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -202,20 +204,12 @@
 	InRequest         int `json:"in_request"`
 }
 
-// State returns the number of open connections.
+// State returns the number of open connections. One that enters another state meanwhile may be counted twice.
 func (t *Tracker) State() State {
-	var s State
-	for _, c := range t.open() {
-		switch c.currentPhase() {
-		case waitFirstByte:
-			s.WaitingForRequest++
-		case readHead:
-			s.ReadingHead++
-		case inRequest:
-			s.InRequest++
-		}
+	return State{
+		WaitingForRequest: int(t.phases[waitFirstByte].Load()), ReadingHead: int(t.phases[readHead].Load()),
+		InRequest: int(t.phases[inRequest].Load()),
 	}
-	return s
 }
 
 func (t *Tracker) newConn(raw net.Conn) *conn {
