The wait of a connection is only computed for late bytes

recordRead read the clock after each read, although only the line for bytes that arrive at a timeout needs the time.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -94,7 +94,7 @@
 func (c *conn) recordRead(read []byte, err error) Cause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cause, waited := c.interrupted, c.tracker.Clock.Since(c.since)
+	cause, since := c.interrupted, c.since
 	c.keepLast(read)
 	switch {
 	case !c.waits():
@@ -113,7 +113,7 @@
 	}
 	c.headBytes += int64(len(read))
 	if cause != "" {
-		c.tracker.OnLateBytes(c.RemoteAddr(), cause, waited)
+		c.tracker.OnLateBytes(c.RemoteAddr(), cause, c.tracker.Clock.Since(since))
 		c.setDeadline(c.interruptDeadline())
 	}
 	if cause := c.checkSize(int64(len(read))); cause != "" {
