The options of a tracker of connections cannot be changed from outside

Tracker embedded its Options, so that other packages could set them while connections used them. The server for callers keeps its own clock, and the test of the limit on connections starts a server that has it.

--- a/internal/callerconn/bench_test.go
+++ b/internal/callerconn/bench_test.go
@@ -34,7 +34,7 @@
 
 func BenchmarkReadInRequest(b *testing.B) {
 	f := newFixture()
-	f.tracker.Clock = clockwork.NewRealClock()
+	f.tracker.options.Clock = clockwork.NewRealClock()
 	f.tracker.OnStateChange(f.conn, http.StateActive)
 	p := make([]byte, readBytes)
 	b.ReportAllocs()
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -113,7 +113,7 @@
 	}
 	c.headBytes += int64(len(read))
 	if cause != "" {
-		c.tracker.OnLateBytes(c.RemoteAddr(), cause, c.tracker.Clock.Since(since))
+		c.tracker.options.OnLateBytes(c.RemoteAddr(), cause, c.tracker.options.Clock.Since(since))
 		c.setDeadline(c.interruptDeadline())
 	}
 	if cause := c.checkSize(int64(len(read))); cause != "" {
@@ -146,7 +146,7 @@
 // arrived for a malformed request.
 func (c *conn) refuse(cause Cause) {
 	var text bytes.Buffer
-	resp := c.tracker.Refusal(cause)
+	resp := c.tracker.options.Refusal(cause)
 	defer resp.Body.Close()
 	if err := resp.Write(&text); err != nil {
 		return // a bytes.Buffer takes everything
@@ -229,8 +229,8 @@
 	defer c.mu.Unlock()
 	defer c.begin(untracked)
 	if c.phase == readHead {
-		c.tracker.OnIncompleteHead(IncompleteHead{
-			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.Clock.Since(c.since), Cause: c.interrupted,
+		c.tracker.options.OnIncompleteHead(IncompleteHead{
+			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.options.Clock.Since(c.since), Cause: c.interrupted,
 		})
 	}
 }
@@ -241,7 +241,7 @@
 	c.release()
 	c.tracker.phases[p].Add(1)
 	c.tracker.phases[c.phase].Add(-1)
-	c.phase, c.since = p, c.tracker.Clock.Now()
+	c.phase, c.since = p, c.tracker.options.Clock.Now()
 	c.interrupted, c.lateSince = "", time.Time{}
 	c.headBytes, c.deadlinesSet = 0, 0
 	if p != waitFirstByte {
@@ -258,7 +258,7 @@
 
 // limit returns how long the present phase may last. The caller holds mu.
 func (c *conn) limit() time.Duration {
-	limits := c.tracker.Limits()
+	limits := c.tracker.options.Limits()
 	switch {
 	case c.phase == readHead:
 		return limits.Header
@@ -274,7 +274,7 @@
 // startTimer interrupts the present phase after the time. The caller holds mu.
 func (c *conn) startTimer(after time.Duration) {
 	since := c.since
-	c.timer = c.tracker.Clock.AfterFunc(after, func() { c.expire(since) })
+	c.timer = c.tracker.options.Clock.AfterFunc(after, func() { c.expire(since) })
 }
 
 func (c *conn) stopTimer() {
@@ -291,7 +291,7 @@
 	if !c.since.Equal(since) || !c.waits() {
 		return
 	}
-	if left := c.limit() - c.tracker.Clock.Since(since); left > 0 {
+	if left := c.limit() - c.tracker.options.Clock.Since(since); left > 0 {
 		c.startTimer(left)
 		return
 	}
@@ -312,7 +312,7 @@
 	if c.phase != waitFirstByte {
 		return
 	}
-	if left := firstRequestTime - c.tracker.Clock.Since(c.since); !c.served && left > 0 {
+	if left := firstRequestTime - c.tracker.options.Clock.Since(c.since); !c.served && left > 0 {
 		c.stopTimer()
 		c.startTimer(left)
 		return
--- a/internal/callerconn/late.go
+++ b/internal/callerconn/late.go
@@ -21,7 +21,7 @@
 	if c.interrupted == "" || c.failed {
 		return false
 	}
-	now := c.tracker.Clock.Now()
+	now := c.tracker.options.Clock.Now()
 	if c.lateSince.IsZero() {
 		c.lateSince = now
 	}
--- a/internal/callerconn/size.go
+++ b/internal/callerconn/size.go
@@ -15,14 +15,14 @@
 	if !c.served && c.headBytes == n && c.tracker.full() {
 		return CauseConnsFull
 	}
-	if limit := c.tracker.Limits().HeaderBytes; limit > 0 && c.headBytes > limit+readBytes {
+	if limit := c.tracker.options.Limits().HeaderBytes; limit > 0 && c.headBytes > limit+readBytes {
 		return CauseHeadSize
 	}
 	counted := min(n, c.headBytes-freeHeadBytes)
-	if c.tracker.Heads == nil || counted <= 0 {
+	if c.tracker.options.Heads == nil || counted <= 0 {
 		return ""
 	}
-	if !c.tracker.Heads.TryReserve(counted) {
+	if !c.tracker.options.Heads.TryReserve(counted) {
 		return CauseHeadsFull
 	}
 	c.reserved += counted
@@ -32,7 +32,7 @@
 // release returns what the head has reserved. The caller holds mu.
 func (c *conn) release() {
 	if c.reserved > 0 {
-		c.tracker.Heads.Release(c.reserved)
+		c.tracker.options.Heads.Release(c.reserved)
 		c.reserved = 0
 	}
 }
--- a/internal/callerconn/size_test.go
+++ b/internal/callerconn/size_test.go
@@ -40,7 +40,7 @@
 func TestHeadsBeyondTheirMemoryAreRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.tracker.Heads = inbound.NewByteBudget(8 << 10)
+	f.tracker.options.Heads = inbound.NewByteBudget(8 << 10)
 	is.True(f.receiveLong(freeHeadBytes + 8<<10))
 	first := f.conn
 	f.connect()
@@ -61,7 +61,7 @@
 func TestRequestOnConnectionBeyondLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.tracker.MaxConns = 1
+	f.tracker.options.MaxConns = 1
 	served, raw := f.conn, f.raw
 	f.connect()
 	is.True(!f.receiveLong(1))
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -92,7 +92,7 @@
 
 // Tracker tracks the connections of one listener. It is safe for concurrent use.
 type Tracker struct {
-	Options
+	options Options
 
 	// draining is set once connections that wait for a request are ended.
 	draining atomic.Bool
@@ -106,7 +106,7 @@
 }
 
 // New returns a tracker. The listener of Listen must be served with OnStateChange as the server's ConnState hook.
-func New(o Options) *Tracker { return &Tracker{Options: o, conns: map[*conn]struct{}{}} }
+func New(o Options) *Tracker { return &Tracker{options: o, conns: map[*conn]struct{}{}} }
 
 // Listen returns a listener whose connections are tracked.
 func (t *Tracker) Listen(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
@@ -165,7 +165,7 @@
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "wait for callers' connections")
-		case <-t.Clock.After(drainPollInterval):
+		case <-t.options.Clock.After(drainPollInterval):
 		}
 	}
 	return nil
@@ -228,7 +228,7 @@
 }
 
 // full reports whether more connections are open than there may be.
-func (t *Tracker) full() bool { return t.MaxConns > 0 && t.count() > t.MaxConns }
+func (t *Tracker) full() bool { return t.options.MaxConns > 0 && t.count() > t.options.MaxConns }
 
 func (t *Tracker) remove(c *conn) {
 	t.mu.Lock()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/callerconn"
@@ -30,6 +31,7 @@
 type Server struct {
 	http     *http.Server
 	conns    *callerconn.Tracker
+	clock    clockwork.Clock
 	stopping atomic.Bool
 
 	mu sync.Mutex
@@ -45,7 +47,7 @@
 	conns := callerconn.New(callerconn.Options{
 		Clock: h.clock, Limits: h.connLimits, Refusal: headRefusal, OnIncompleteHead: h.logIncompleteHead, OnLateBytes: h.logLateBytes,
 	})
-	return &Server{conns: conns, http: &http.Server{
+	return &Server{conns: conns, clock: h.clock, http: &http.Server{
 		Handler: wrap(h.Router()), ReadHeaderTimeout: h.timeouts.Header.Std(), ReadTimeout: h.timeouts.Body.Std(),
 		MaxHeaderBytes: headerReadFactor * h.limits.HeaderBytes, ConnState: conns.OnStateChange, DisableGeneralOptionsHandler: true,
 		ErrorLog: stdlog.New(&serverLog{log: h.log}, "", 0),
@@ -78,7 +80,7 @@
 	s.mu.Unlock()
 	if listener != nil {
 		// The process ends whatever becomes of the address.
-		_ = callerconn.CloseListener(listener, s.conns.Clock)
+		_ = callerconn.CloseListener(listener, s.clock)
 		// The connection that was accepted last is tracked now.
 		<-served
 	}
@@ -91,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
 	defer cancel()
 	for s.conns.State().ReadingHead > 0 && ctx.Err() == nil {
-		s.conns.Clock.Sleep(closePollInterval)
+		s.clock.Sleep(closePollInterval)
 	}
 	return errors.Wrap(s.http.Close(), "close callers' connections")
 }
--- a/internal/direct/edge_test.go
+++ b/internal/direct/edge_test.go
@@ -117,7 +117,8 @@
 func TestConnectionBeyondLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, catalog.Safe, false, ok)
-	h.server.conns.MaxConns = 1
+	h.maxConns = 1
+	h.serve(allowance.RetryLimits{}, 1<<20)
 	h.publish("config")
 	kept, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
 	is.NoErr(err)
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -286,6 +286,8 @@
 	// listing tells how recent the published upstreams are, which have published themselves within the registration time.
 	listing      Listing
 	registration time.Duration
+	// maxConns limits the callers' connections of a server that is started with serve.
+	maxConns int
 	*upstreams
 	store    *catalog.Store
 	revision uint64
@@ -354,7 +356,7 @@
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}, clock), Selector: balance.NewSelector(
 			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
-		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, HeadBytes: 1 << 20, Clock: clock, Log: log, Scope: tally.NoopScope,
+		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, HeadBytes: 1 << 20, MaxConns: h.maxConns, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
 	h.front.Config = h.server.HTTPServer()
