--- a/internal/callerconn/close.go
+++ b/internal/callerconn/close.go
@@ -2,12 +2,13 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/orioleusher/orioleusher/internal/rawsocket"
 )
 
 const (
@@ -28,16 +29,12 @@
 
 // hasQueued reports whether a connection waits to be accepted.
 func hasQueued(l net.Listener) bool {
-	sc, ok := l.(syscall.Conn)
+	socket, ok := rawsocket.Of(l)
 	if !ok {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	queued := false
-	err = raw.Control(func(fd uintptr) {
+	err := socket.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, pollErr := unix.Poll(fds, 0)
 		queued = pollErr == nil && n > 0
--- a/internal/callerconn/late.go
+++ b/internal/callerconn/late.go
@@ -3,11 +3,12 @@
 import (
 	"io"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/orioleusher/orioleusher/internal/rawsocket"
 )
 
 // lateBytesTime limits how long bytes are looked for after an interrupt, so that a head that trickles ends.
@@ -32,17 +33,13 @@
 func (c *conn) readLateBytes(p []byte) (int, error) {
 	c.setDeadline(time.Time{})
 	defer c.resetDeadline()
-	socket, ok := c.Conn.(syscall.Conn)
+	socket, ok := rawsocket.Of(c.Conn)
 	if !ok {
 		return 0, os.ErrDeadlineExceeded
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, errors.Wrap(err, "read from interrupted connection")
-	}
 	var n int
 	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
+	err := socket.Read(func(fd uintptr) bool {
 		n, readErr = ignoreInterrupts(func() (int, error) { return unix.Read(int(fd), p) })
 		return true
 	})
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/rawsocket"
 )
 
 // Conn is a connection to an upstream. It carries one request at a time.
@@ -53,16 +55,12 @@
 // healthy reports whether an idle connection can carry a request: the upstream has neither closed it nor sent
 // anything.
 func (c *Conn) healthy() bool {
-	raw, ok := c.raw.(syscall.Conn)
+	socket, ok := rawsocket.Of(c.raw)
 	if !ok {
 		return false
 	}
-	sc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
 	noData := false
-	err = sc.Read(func(fd uintptr) bool {
+	err := socket.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		noData = errors.Is(peekErr, syscall.EAGAIN)
--- a/internal/upconn/served.go
+++ b/internal/upconn/served.go
@@ -1,10 +1,11 @@
 package upconn
 
 import (
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/orioleusher/orioleusher/internal/rawsocket"
 )
 
 // tcpEstablished is the state of a TCP connection that neither end has closed.
@@ -29,17 +30,14 @@
 
 // heardAfter reports whether the other end is known to have had the connection open at the given time or later.
 func (c *Conn) heardAfter(at time.Time) bool {
-	raw, ok := c.raw.(syscall.Conn)
+	socket, ok := rawsocket.Of(c.raw)
 	if !ok {
 		return false
 	}
-	sc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
 	now := c.pool.clock.Now()
 	var info *unix.TCPInfo
-	controlErr := sc.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	var err error
+	controlErr := socket.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	if controlErr != nil || err != nil || info.State != tcpEstablished {
 		return false
 	}
