One function refuses heads that are not whole

headRefusal stood twice, for direct sending and for routers with owners; the second one knew only two of the causes, and would have called a head that is refused for its size late. What callers get does not change.

--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/inbound"
+	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
 const (
@@ -82,6 +83,22 @@
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
 
+// Refuse returns the refusal of a request whose head is not whole when its wait ends.
+func Refuse(cause Cause, step string, retryAfter time.Duration) *outcome.Refusal {
+	switch cause {
+	case CauseStop:
+		return outcome.Unavailable(step, "stopping", "the router stops before the head has arrived").WithRetryAfter(retryAfter)
+	case CauseConnsFull:
+		return outcome.Unavailable(step, "connections-full", "too many connections are open").WithRetryAfter(retryAfter)
+	case CauseHeadsFull:
+		return outcome.Unavailable(step, "heads-full", "too many heads are arriving").WithRetryAfter(retryAfter)
+	case CauseHeadSize:
+		return outcome.Refuse(step, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
+	default:
+		return outcome.Refuse(step, http.StatusRequestTimeout, "head-incomplete", "the head of the request did not arrive whole")
+	}
+}
+
 // NewRefusal returns a response for Options.Refusal.
 func NewRefusal(status int, header http.Header, body []byte) *http.Response {
 	return &http.Response{
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/callerconn"
-	"github.com/orioleusher/orioleusher/internal/outcome"
 )
 
 const (
@@ -104,10 +103,7 @@
 
 // headRefusal returns the response to a request whose head has not arrived whole.
 func headRefusal(cause callerconn.Cause) *http.Response {
-	refusal := outcome.Refuse(step, http.StatusRequestTimeout, "head-incomplete", "the head of the request did not arrive whole")
-	if cause == callerconn.CauseStop {
-		refusal = outcome.Unavailable(step, "stopping", "the router stops before the head has arrived").WithRetryAfter(stoppingRetryAfter)
-	}
+	refusal := callerconn.Refuse(cause, step, stoppingRetryAfter)
 	header, body := encodeRefusal(fmt.Sprintf("%016x", rand.Uint64()), refusal)
 	return callerconn.NewRefusal(refusal.Status, header, body)
 }
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
@@ -96,7 +97,7 @@
 }
 
 func headerTooLarge() *outcome.Refusal {
-	return outcome.Refuse(stepAdmit, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
+	return callerconn.Refuse(callerconn.CauseHeadSize, stepAdmit, 0)
 }
 
 // resolveRoute sets the request's route, team and service from the configuration, or returns a refusal. It is called
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -255,20 +255,14 @@
 
 // headRefusal returns the response to a request whose head has not arrived whole.
 func headRefusal(cause callerconn.Cause) *http.Response {
-	refusal := &outcome.Refusal{
-		Status: http.StatusRequestTimeout, Code: "head-incomplete", Message: "the head of the request did not arrive whole",
-		Step: stepReceive, Outcome: outcome.NotRun,
-	}
+	step := stepReceive
 	switch cause {
 	case callerconn.CauseStop:
-		refusal = outcome.Unavailable(stepStop, "stopping", "the router stops before the head has arrived").WithRetryAfter(defaultRetryAfter)
-	case callerconn.CauseConnsFull:
-		refusal = outcome.Unavailable(stepReceive, "connections-full", "too many connections are open").WithRetryAfter(defaultRetryAfter)
+		step = stepStop
 	case callerconn.CauseHeadSize:
-		refusal = headerTooLarge()
-	case callerconn.CauseHeadsFull:
-		refusal = outcome.Unavailable(stepReceive, "heads-full", "too many heads are arriving").WithRetryAfter(defaultRetryAfter)
+		step = stepAdmit // as for a head that has arrived whole
 	}
+	refusal := callerconn.Refuse(cause, step, defaultRetryAfter)
 	header, body := encodeRefusal(refusal)
 	return callerconn.NewRefusal(refusal.Status, header, body)
 }
