Unread bytes do not cut the response before them

Cause: a socket that is closed while bytes are unread is reset by the kernel, which drops what the caller has not yet taken. net/http takes care of this after bodies that it has not read, not after requests. Ruled out: the drain, which does not close connections in a request; whole requests that were read together with the one before, which leave nothing unread.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -392,13 +392,17 @@
 	is.Equal(f.tracker.State(), State{})
 }
 
-// startServer serves an empty response to each request and returns the tracker and the server's address.
-func startServer(t *testing.T, limits Limits, wrap ...func(net.Listener) net.Listener) (*Tracker, string) {
-	t.Helper()
-	tracker := New(Options{
+func newTracker(limits Limits) *Tracker {
+	return New(Options{
 		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
 		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnIncompleteHead: func(IncompleteHead) {},
 	})
+}
+
+// startServer serves an empty response to each request and returns the tracker and the server's address.
+func startServer(t *testing.T, limits Limits, wrap ...func(net.Listener) net.Listener) (*Tracker, string) {
+	t.Helper()
+	tracker := newTracker(limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -152,14 +152,32 @@
 		return // a bytes.Buffer takes everything
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
-	if _, err := c.Conn.Write(text.Bytes()); err != nil || c.CloseWrite() != nil {
+	if _, err := c.Conn.Write(text.Bytes()); err == nil { // else the caller has left
+		c.linger()
+	}
+}
+
+// linger ends the connection for writing and discards what still arrives for a while. Bytes that are unread at the close, or
+// arrive after it, would reset the connection, and the caller might lose a part of the response.
+func (c *conn) linger() {
+	if c.CloseWrite() != nil {
 		return // the caller has left
 	}
-	// Bytes that arrive at a closed connection would reset it, and the caller might lose the response.
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	responded := c.phase == inRequest && !c.tracker.cutOff.Load()
+	c.mu.Unlock()
+	if responded && c.hasUnread() {
+		c.linger()
+	}
+	return c.Conn.Close() //nolint:wrapcheck // as the method of the interface
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/callerconn/late.go
+++ b/internal/callerconn/late.go
@@ -56,6 +56,21 @@
 	return n, nil
 }
 
+// hasUnread reports whether bytes have arrived and have not been read.
+func (c *conn) hasUnread() bool {
+	socket, ok := rawsocket.Of(c.Conn)
+	if !ok {
+		return false
+	}
+	unread := false
+	err := socket.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, recvErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = recvErr == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 // ignoreInterrupts repeats a system call while a signal interrupts it.
 func ignoreInterrupts(call func() (int, error)) (int, error) {
 	for {
