Tests share the callers and listeners that they play

Callers that write in parts stood in the tests of both modes, and the loop that accepts connections in three places. No check changes; a caller of the tests with owners now waits 20 s for each response instead of 20 s in all.

--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -1,53 +1,16 @@
 package callers
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
-
-// caller is a caller that writes its requests in parts.
-type caller struct {
-	t  *testing.T
-	c  net.Conn
-	br *bufio.Reader
-}
 
-func (b *testServer) connect(t *testing.T) *caller {
-	t.Helper()
-	c, err := net.Dial("tcp", b.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	return &caller{t: t, c: c, br: bufio.NewReader(c)}
-}
-
-func (c *caller) write(text string) {
-	c.t.Helper()
-	if _, err := io.WriteString(c.c, text); err != nil {
-		c.t.Fatal(err)
-	}
-}
-
-// status reads one response and returns its status, or 0 if the connection ends without one.
-func (c *caller) status() int {
-	resp, err := http.ReadResponse(c.br, nil)
-	if err != nil {
-		return 0
-	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
-}
+	"github.com/orioleusher/orioleusher/internal/testconn"
+)
 
 // shutDown begins a planned stop and lets it close what it takes for idle.
 func (b *testServer) shutDown(timeout time.Duration) <-chan error {
@@ -83,18 +46,18 @@
 				t.Parallel()
 				is := is.New(t)
 				b := startServer(t, true)
-				c := b.connect(t)
+				c := testconn.Dial(t, b.address)
 				if kept {
-					c.write(head + "\r\n")
-					is.Equal(c.status(), http.StatusOK)
+					c.Write(head + "\r\n")
+					is.Equal(c.Status(), http.StatusOK)
 				}
-				c.write(tt.first)
+				c.Write(tt.first)
 				time.Sleep(50 * time.Millisecond) // until the first part has been received
 				stopped := b.shutDown(10 * time.Second)
 				time.Sleep(700 * time.Millisecond) // until connections that count as idle have been closed
-				c.write(tt.rest)
-				is.Equal(c.status(), http.StatusOK)
-				is.NoErr(c.c.Close())
+				c.Write(tt.rest)
+				is.Equal(c.Status(), http.StatusOK)
+				is.NoErr(c.Conn.Close())
 				is.NoErr(<-stopped)
 			})
 		}
@@ -108,12 +71,12 @@
 			t.Parallel()
 			is := is.New(t)
 			b := startServer(t, true)
-			c := b.connect(t)
-			c.write(tt.first)
+			c := testconn.Dial(t, b.address)
+			c.Write(tt.first)
 			time.Sleep(50 * time.Millisecond) // until the first part has been received
 			stopped := b.shutDown(50 * time.Millisecond)
-			is.Equal(c.status(), http.StatusServiceUnavailable)
-			is.Equal(c.status(), 0)
+			is.Equal(c.Status(), http.StatusServiceUnavailable)
+			is.Equal(c.Status(), 0)
 			is.True(<-stopped != nil) // the stop did not end in time
 		})
 	}
@@ -123,11 +86,11 @@
 func TestStopEndsIdleConnections(t *testing.T) {
 	is := is.New(t)
 	b := startServer(t, true)
-	c := b.connect(t)
-	c.write(head + "\r\n")
-	is.Equal(c.status(), http.StatusOK)
+	c := testconn.Dial(t, b.address)
+	c.Write(head + "\r\n")
+	is.Equal(c.Status(), http.StatusOK)
 	is.NoErr(<-b.shutDown(10 * time.Second))
-	is.Equal(c.status(), 0)
+	is.Equal(c.Status(), 0)
 	_, err := net.Dial("tcp", b.address)
 	is.True(err != nil)
 }
@@ -152,11 +115,11 @@
 	is := is.New(t)
 	accepted := make(chan struct{}, 1)
 	b := startServerOn(t, true, slowCallerTimeout, func(l net.Listener) net.Listener { return slowListener{l, accepted} })
-	c := b.connect(t)
-	c.write(head + "\r\n")
+	c := testconn.Dial(t, b.address)
+	c.Write(head + "\r\n")
 	<-accepted
 	stopped := b.shutDown(10 * time.Second)
-	is.Equal(c.status(), http.StatusOK)
-	is.NoErr(c.c.Close())
+	is.Equal(c.Status(), http.StatusOK)
+	is.NoErr(c.Conn.Close())
 	is.NoErr(<-stopped)
 }
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -238,10 +238,10 @@
 			upstream, ended := hangs()
 			h := newHarness(t, kind, false, upstream)
 			c := newRawCaller(t, h)
-			c.write("GET /r/first" + rawHead + "\r\n")
+			c.Write("GET /r/first" + rawHead + "\r\n")
 			h.waitRun()
-			is.NoErr(c.c.(*net.TCPConn).CloseWrite())
-			is.Equal(c.status(), http.StatusBadGateway) // it may have run
+			is.NoErr(c.Conn.CloseWrite())
+			is.Equal(c.Status(), http.StatusBadGateway) // it may have run
 			<-ended
 		})
 	}
--- a/internal/direct/head_test.go
+++ b/internal/direct/head_test.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -16,48 +15,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/testconn"
 )
 
-// rawCaller is a caller that writes its requests in parts.
-type rawCaller struct {
-	t  *testing.T
-	c  net.Conn
-	br *bufio.Reader
-	// wait is how long status waits.
-	wait time.Duration
-}
-
-func newRawCaller(t *testing.T, h *harness) *rawCaller {
+func newRawCaller(t *testing.T, h *harness) *testconn.Caller {
 	t.Helper()
-	c, err := net.Dial("tcp", strings.TrimPrefix(h.front.URL, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return &rawCaller{t: t, c: c, br: bufio.NewReader(c), wait: responseTimeout}
-}
-
-func (r *rawCaller) write(text string) {
-	r.t.Helper()
-	if _, err := io.WriteString(r.c, text); err != nil {
-		r.t.Fatal(err)
-	}
-}
-
-// status reads one response and returns its status, or 0 if the connection ends without one.
-func (r *rawCaller) status() int {
-	r.t.Helper()
-	if err := r.c.SetReadDeadline(time.Now().Add(r.wait)); err != nil {
-		r.t.Fatal(err)
-	}
-	resp, err := http.ReadResponse(r.br, nil)
-	if err != nil {
-		return 0
-	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
+	c := testconn.Dial(t, strings.TrimPrefix(h.front.URL, "http://"))
+	c.Wait = responseTimeout
+	return c
 }
 
 // setLimits brings a configuration with the limits into force.
@@ -91,15 +56,15 @@
 			h := newHarness(t, catalog.Unsafe, false, ok, ok)
 			h.setLimits(catalog.Limits{IdleTimeout: idleTimeout})
 			c := newRawCaller(t, h)
-			c.write("GET /r/first" + rawHead + "\r\n")
+			c.Write("GET /r/first" + rawHead + "\r\n")
 			is := is.New(t)
-			is.Equal(c.status(), http.StatusOK)
+			is.Equal(c.Status(), http.StatusOK)
 			limit := h.server.connLimits().Idle
 			time.Sleep(limit - idleTimeout/2)
-			c.write(tt.first)
+			c.Write(tt.first)
 			time.Sleep(idleTimeout)
-			c.write(tt.rest)
-			is.Equal(c.status(), http.StatusOK)
+			c.Write(tt.rest)
+			is.Equal(c.Status(), http.StatusOK)
 		})
 	}
 }
@@ -126,13 +91,13 @@
 					c := newRawCaller(t, h)
 					first := "POST /r/first" + rawHead + "Content-Length: 4\r\n\r\nbody"
 					if together {
-						c.write(first + tt.first)
+						c.Write(first + tt.first)
 					} else {
-						c.write(first)
+						c.Write(first)
 						time.Sleep(idleTimeout / 2)
-						c.write(tt.first)
+						c.Write(tt.first)
 					}
-					is.Equal(c.status(), http.StatusOK)
+					is.Equal(c.Status(), http.StatusOK)
 					if stops {
 						ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 						defer cancel()
@@ -143,9 +108,9 @@
 					} else {
 						time.Sleep(h.server.connLimits().Idle + idleTimeout)
 					}
-					_, _ = io.WriteString(c.c, tt.rest) // fails if the connection has ended
-					is.Equal(c.status(), http.StatusOK)
-					is.NoErr(c.c.Close())
+					_, _ = io.WriteString(c.Conn, tt.rest) // fails if the connection has ended
+					is.Equal(c.Status(), http.StatusOK)
+					is.NoErr(c.Conn.Close())
 				})
 			}
 		}
@@ -159,11 +124,11 @@
 	h := newHarness(t, catalog.Unsafe, false, ok, ok)
 	h.setLimits(catalog.Limits{IdleTimeout: idleTimeout})
 	c := newRawCaller(t, h)
-	c.write("GET /r/first" + rawHead + "\r\n")
-	is.Equal(c.status(), http.StatusOK)
+	c.Write("GET /r/first" + rawHead + "\r\n")
+	is.Equal(c.Status(), http.StatusOK)
 	time.Sleep(idleTimeout + delay)
-	c.write("GET /r/second" + rawHead + "\r\n")
-	is.Equal(c.status(), http.StatusOK)
+	c.Write("GET /r/second" + rawHead + "\r\n")
+	is.Equal(c.Status(), http.StatusOK)
 }
 
 // Guards against a request that ends without a response because its head arrives in parts while the router stops.
@@ -174,18 +139,18 @@
 			is := is.New(t)
 			h := newHarness(t, catalog.Unsafe, false, ok, ok)
 			c := newRawCaller(t, h)
-			c.write("GET /r/first" + rawHead + "\r\n")
-			is.Equal(c.status(), http.StatusOK)
-			c.write(tt.first)
+			c.Write("GET /r/first" + rawHead + "\r\n")
+			is.Equal(c.Status(), http.StatusOK)
+			c.Write(tt.first)
 			time.Sleep(50 * time.Millisecond) // until the first part has been received
 			ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 			defer cancel()
 			stopped := make(chan error, 1)
 			go func() { stopped <- h.server.AwaitConns(ctx) }()
 			time.Sleep(200 * time.Millisecond) // longer than an idle connection lasts in a planned stop
-			c.write(tt.rest)
-			is.Equal(c.status(), http.StatusOK)
-			is.NoErr(c.c.Close())
+			c.Write(tt.rest)
+			is.Equal(c.Status(), http.StatusOK)
+			is.NoErr(c.Conn.Close())
 			is.NoErr(<-stopped)
 		})
 	}
@@ -200,10 +165,10 @@
 			is := is.New(t)
 			h := newHarness(t, catalog.Safe, false, ok)
 			c := newRawCaller(t, h)
-			c.write(tt.first)
-			c.wait = defaultHeaderTimeout + responseTimeout
-			is.Equal(c.status(), http.StatusRequestTimeout)
-			is.Equal(c.status(), 0) // one response only, and the end of the connection
+			c.Write(tt.first)
+			c.Wait = defaultHeaderTimeout + responseTimeout
+			is.Equal(c.Status(), http.StatusRequestTimeout)
+			is.Equal(c.Status(), 0) // one response only, and the end of the connection
 		})
 	}
 }
@@ -216,14 +181,14 @@
 			is := is.New(t)
 			h := newHarness(t, catalog.Safe, false, ok)
 			c := newRawCaller(t, h)
-			c.write(tt.first)
+			c.Write(tt.first)
 			for h.server.Conns().ReadingHead == 0 {
 				time.Sleep(time.Millisecond)
 			}
 			h.server.BeginStop(time.Now(), time.Now())
 			h.server.CutOff()
-			is.Equal(c.status(), http.StatusServiceUnavailable)
-			is.Equal(c.status(), 0)
+			is.Equal(c.Status(), http.StatusServiceUnavailable)
+			is.Equal(c.Status(), 0)
 		})
 	}
 }
@@ -248,13 +213,13 @@
 			h.setLimits(catalog.Limits{HeaderTimeout: tt.limit})
 			c := newRawCaller(t, h)
 			if !tt.first {
-				c.write("GET /r/first" + rawHead + "\r\n")
-				is.Equal(c.status(), http.StatusOK)
+				c.Write("GET /r/first" + rawHead + "\r\n")
+				is.Equal(c.Status(), http.StatusOK)
 			}
-			c.write("GET /r/second")
+			c.Write("GET /r/second")
 			time.Sleep(pause)
-			_, _ = io.WriteString(c.c, rawHead+"\r\n") // fails if the connection has ended
-			is.Equal(c.status(), tt.want)
+			_, _ = io.WriteString(c.Conn, rawHead+"\r\n") // fails if the connection has ended
+			is.Equal(c.Status(), tt.want)
 		})
 	}
 }
@@ -266,10 +231,10 @@
 	logged := &lockedLog{}
 	h.server.Log = zerolog.New(logged)
 	c := newRawCaller(t, h)
-	c.write("GET /r/first" + rawHead + "\r\n")
-	is.Equal(c.status(), http.StatusOK)
-	c.write("GET /r/")
-	is.NoErr(c.c.Close())
+	c.Write("GET /r/first" + rawHead + "\r\n")
+	is.Equal(c.Status(), http.StatusOK)
+	c.Write("GET /r/")
+	is.NoErr(c.Conn.Close())
 	var line map[string]any
 	for start := time.Now(); line == nil && time.Since(start) < responseTimeout; time.Sleep(time.Millisecond) {
 		line = logged.event(t, "head-incomplete")
--- a/internal/direct/late_body_test.go
+++ b/internal/direct/late_body_test.go
@@ -41,7 +41,7 @@
 					begin()
 				}
 				c := newRawCaller(t, h)
-				c.write("POST /r/" + rawHead + tt.framing)
+				c.Write("POST /r/" + rawHead + tt.framing)
 				for h.server.InFlight() == 0 {
 					time.Sleep(time.Millisecond)
 				}
@@ -50,8 +50,8 @@
 				}
 				time.Sleep(50 * time.Millisecond) // until the part of the body has been read
 				h.server.CutOff()
-				is.NoErr(c.c.SetReadDeadline(time.Now().Add(finalResponseTime)))
-				resp, err := http.ReadResponse(c.br, nil)
+				is.NoErr(c.Conn.SetReadDeadline(time.Now().Add(finalResponseTime)))
+				resp, err := http.ReadResponse(c.Reader, nil)
 				is.NoErr(err)
 				defer resp.Body.Close()
 				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
@@ -105,13 +105,13 @@
 		h := newHarness(t, catalog.Unsafe, false, closes)
 		h.server.BeginStop(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 		c := newRawCaller(t, h)
-		c.write("POST /r/" + rawHead + "Content-Length: 4\r\n\r\nbo")
+		c.Write("POST /r/" + rawHead + "Content-Length: 4\r\n\r\nbo")
 		for h.server.InFlight() == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		go h.server.CutOff()
-		c.write("dy")
-		status := c.status()
+		c.Write("dy")
+		status := c.Status()
 		is.True(status == http.StatusServiceUnavailable || status == http.StatusBadGateway)
 	}
 }
@@ -124,8 +124,8 @@
 			t.Parallel()
 			h := newHarness(t, catalog.Unsafe, false)
 			c := newRawCaller(t, h)
-			c.write("POST /r/" + rawHead + "X-Wait-Ms: 300\r\n" + tt.framing)
-			is.New(t).Equal(c.status(), http.StatusRequestTimeout)
+			c.Write("POST /r/" + rawHead + "X-Wait-Ms: 300\r\n" + tt.framing)
+			is.New(t).Equal(c.Status(), http.StatusRequestTimeout)
 		})
 	}
 }
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/orioleusher/orioleusher/internal/testconn"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -20,34 +21,20 @@
 // startRelay forwards connections to the address. Only the end of a connection reaches the client late.
 func startRelay(t *testing.T, address string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			client, err := l.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", address)
-			if err != nil {
-				client.Close()
-				continue
-			}
-			go func() {
-				_, _ = io.Copy(server, client)
-				server.Close()
-			}()
-			go func() {
-				_, _ = io.Copy(client, server)
-				time.Sleep(relayDelay)
-				client.Close()
-			}()
+	return testconn.Listen(t, "127.0.0.1:0", func(client net.Conn) {
+		server, err := net.Dial("tcp", address)
+		if err != nil {
+			client.Close()
+			return
 		}
-	}()
-	return l.Addr().String()
+		go func() {
+			_, _ = io.Copy(server, client)
+			server.Close()
+		}()
+		_, _ = io.Copy(client, server)
+		time.Sleep(relayDelay)
+		client.Close()
+	})
 }
 
 // Guards against a call to a peer that fails because it is sent on a connection that the peer is just closing as idle.
--- a/internal/proofs/bounds/upstream_test.go
+++ b/internal/proofs/bounds/upstream_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/orioleusher/orioleusher/internal/testconn"
 )
 
 // upstream is a stand-in for a server of the platform. respond returns false if the connection must be closed.
@@ -26,20 +28,7 @@
 
 func (u *upstream) start(t *testing.T) {
 	t.Helper()
-	l, err := net.Listen("tcp", u.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
+	testconn.Listen(t, u.address, u.serve)
 }
 
 func (u *upstream) serve(c net.Conn) {
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -16,26 +16,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+
+	"github.com/orioleusher/orioleusher/internal/testconn"
 )
 
 // startServer accepts connections, passes each one to serve, and returns its address.
 func startServer(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	return testconn.Listen(t, "127.0.0.1:0", serve)
 }
 
 func okResponse(extra string) string {
