Refuse requests whose end can be read in two ways

Cause: net/http drops Content-Length when there is a transfer encoding, unfolds lines and takes a line feed for a line end, and shows none of it to the handler. Whoever forwarded the request may have delimited it differently.

Ruled out: closing the connection is not enough, since after a line feed alone or a folded line the rest was served as a second request, and the body of the first is not certain either.

Change: the connection scans the bytes that net/http reads and withholds the one with which a request becomes ambiguous. Callers get 400 ambiguous-request, not run, logged and counted by reason; on connections between hosts and the other servers net/http responds with 400. A sound request before it on the connection is served. A response with both lengths is a broken one, and its connection is closed.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/framing"
 )
 
 const (
@@ -63,6 +65,8 @@
 	heads   []IncompleteHead
 	// buffered is the number of bytes that net/http has read and not used.
 	buffered int
+	// ambiguous is why requests were ambiguous.
+	ambiguous []framing.Reason
 }
 
 func newFixture() *fixture {
@@ -80,6 +84,7 @@
 	f.tracker = New(Options{
 		Clock: f.clock, Limits: f.currentLimits, Refusal: refusal,
 		OnLateBytes:      func(_ net.Addr, cause Cause, _ time.Duration) { f.late = append(f.late, cause) },
+		OnAmbiguous:      func(_ net.Addr, reason framing.Reason) { f.ambiguous = append(f.ambiguous, reason) },
 		OnIncompleteHead: func(h IncompleteHead) { f.heads = append(f.heads, h) },
 	})
 	f.conn = f.tracker.newConn(raw)
@@ -396,6 +401,7 @@
 	return New(Options{
 		Clock: clockwork.NewRealClock(), Limits: func() Limits { return limits }, Refusal: refusal,
 		OnLateBytes: func(net.Addr, Cause, time.Duration) {}, OnIncompleteHead: func(IncompleteHead) {},
+		OnAmbiguous: func(net.Addr, framing.Reason) {},
 	})
 }
 
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/framing"
 )
 
 const (
@@ -36,6 +38,8 @@
 type conn struct {
 	net.Conn
 	tracker *Tracker
+	// scanner has read the same bytes as net/http, and those of the present read.
+	scanner framing.Scanner
 
 	mu sync.Mutex
 	// phase began at since. timer, if any, limits it.
@@ -50,6 +54,8 @@
 	failed bool
 	// refused is set once a head that is not whole is refused, after which nothing else may be written.
 	refused bool
+	// ambiguous is set once an ambiguous request has been reported.
+	ambiguous bool
 	// served is set once a request has been read.
 	served bool
 	// headBytes is the number of bytes of the head that have been read.
@@ -66,11 +72,20 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.scanner.Reason() != "" {
+		return c.readAmbiguous(p)
+	}
 	c.prepareRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveLateBytes() {
 		n, err = c.readLateBytes(p)
 	}
+	if usable := c.scanner.Scan(p[:n]); usable < n {
+		if usable == 0 {
+			return c.readAmbiguous(p)
+		}
+		n, err = usable, nil
+	}
 	if cause := c.recordRead(p[:n], err); cause != "" {
 		c.refuse(cause)
 		n, err = 0, cmp.Or(err, net.ErrClosed)
@@ -246,7 +261,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.begin(untracked)
-	if c.phase == readHead {
+	if c.phase == readHead && c.interrupted != CauseAmbiguous {
 		c.tracker.options.OnIncompleteHead(IncompleteHead{
 			Peer: c.RemoteAddr(), Bytes: c.headBytes, Waited: c.tracker.options.Clock.Since(c.since), Cause: c.interrupted,
 		})
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -19,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 )
@@ -54,6 +55,8 @@
 	// CauseHeadSize is a head that is too long, CauseHeadsFull one that arrives while others use up the memory for heads.
 	CauseHeadSize  Cause = "head-size"
 	CauseHeadsFull Cause = "heads-full"
+	// CauseAmbiguous is a head whose end, or that of its body, can be understood in different ways.
+	CauseAmbiguous Cause = "ambiguous"
 )
 
 // IncompleteHead describes a part of a request's head on a connection that ended before the rest had arrived. It got the refusal
@@ -79,11 +82,13 @@
 	Refusal func(Cause) *http.Response
 	// OnIncompleteHead is called for each connection that ends in the midst of a head, also if it got the refusal.
 	OnIncompleteHead func(IncompleteHead)
+	// OnAmbiguous is called for each request that can be read in different ways, once per connection.
+	OnAmbiguous framing.Report
 	// OnLateBytes is called when bytes arrived on a connection whose wait for them was just being ended.
 	OnLateBytes func(peer net.Addr, cause Cause, waited time.Duration)
 }
 
-// Refuse returns the refusal of a request whose head is not whole when its wait ends.
+// Refuse returns the refusal of a request whose head is not whole when its wait ends, or that is ambiguous.
 func Refuse(cause Cause, step string, retryAfter time.Duration) *outcome.Refusal {
 	switch cause {
 	case CauseStop:
@@ -94,6 +99,8 @@
 		return outcome.Unavailable(step, "heads-full", "too many heads are arriving").WithRetryAfter(retryAfter)
 	case CauseHeadSize:
 		return outcome.Refuse(step, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the headers are too large")
+	case CauseAmbiguous:
+		return outcome.Refuse(step, http.StatusBadRequest, "ambiguous-request", "the end of the request can be understood in different ways")
 	default:
 		return outcome.Refuse(step, http.StatusRequestTimeout, "head-incomplete", "the head of the request did not arrive whole")
 	}
@@ -230,7 +237,7 @@
 }
 
 func (t *Tracker) newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw, tracker: t}
+	c := &conn{Conn: raw, tracker: t, scanner: framing.NewScanner()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.begin(waitFirstByte) // a drain that begins now sees the connection, or this sees the drain
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -14,6 +14,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/config"
 	"github.com/orioleusher/orioleusher/internal/exchange"
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/relay"
 	"github.com/orioleusher/orioleusher/internal/settings"
@@ -32,6 +33,7 @@
 	refusals        tally.Counter
 	responsesCut    tally.Counter
 	headsIncomplete tally.Counter
+	ambiguous       framing.Report
 }
 
 // New returns the handler that runs chain for each request.
@@ -40,7 +42,7 @@
 		store: store, chain: chain, limits: s.Limits, timeouts: s.Timeouts, clock: clock, log: log,
 		bodies:   inbound.NewByteBudget(s.Limits.TotalBodyBytes),
 		requests: scope.Counter("requests"), refusals: scope.Counter("refusals"), responsesCut: scope.Counter("answers_cut"),
-		headsIncomplete: scope.Counter("heads_incomplete"),
+		headsIncomplete: scope.Counter("heads_incomplete"), ambiguous: framing.NewReport("callers", log, scope),
 	}
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -45,6 +45,7 @@
 func (h *Handler) Server(wrap func(http.Handler) http.Handler) *Server {
 	conns := callerconn.New(callerconn.Options{
 		Clock: h.clock, Limits: h.connLimits, Refusal: headRefusal, OnIncompleteHead: h.logIncompleteHead, OnLateBytes: h.logLateBytes,
+		OnAmbiguous: h.ambiguous,
 	})
 	return &Server{conns: conns, clock: h.clock, http: &http.Server{
 		Handler: wrap(h.Router()), ReadHeaderTimeout: h.timeouts.Header.Std(), ReadTimeout: h.timeouts.Body.Std(),
--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -202,7 +202,7 @@
 	raw, err := io.ReadAll(body)
 	stopped := release()
 	// The error does not always tell that the read was interrupted, and the interrupt may come just after the end of the body.
-	req.bodyLate = stopped || !f.clock.Now().Before(req.Deadline)
+	req.bodyLate = stopped || !f.clock.Now().Before(req.Deadline) || errors.Is(err, callerconn.ErrAmbiguousBody)
 	nextDeadline := time.Time{}
 	if err != nil && !body.Ended() {
 		// Keeps net/http from waiting for the rest of the body before it sends the response. Once the body has ended,
@@ -215,6 +215,8 @@
 		return outcome.Unavailable(stepReceive, "bodies-full", "too many bodies are held").WithRetryAfter(defaultRetryAfter)
 	case err != nil && stopped:
 		return refuseStopping("the router stops before the body has arrived")
+	case errors.Is(err, callerconn.ErrAmbiguousBody):
+		return callerconn.Refuse(callerconn.CauseAmbiguous, stepReceive, 0)
 	case err != nil:
 		return &outcome.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-incomplete", Message: "the body did not arrive whole",
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -30,8 +30,8 @@
 	Body []byte
 	// receiving is set once the body is being read.
 	receiving bool
-	// bodyLate is set if the reading of the body was interrupted, by the deadline or the end of a stop. net/http may then cancel
-	// the request's context although the caller still waits.
+	// bodyLate is set if the reading of the body was interrupted, by the deadline, the end of a stop or an ambiguous part.
+	// net/http may then cancel the request's context although the caller still waits.
 	bodyLate bool
 	// Start is when the request's headers were read.
 	Start time.Time
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -22,6 +22,7 @@
 	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
@@ -107,7 +108,7 @@
 	}
 	s.conns = callerconn.New(callerconn.Options{
 		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewByteBudget(o.HeadBytes), Refusal: headRefusal,
-		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes,
+		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes, OnAmbiguous: s.reportAmbiguous,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.chain = chain.Compose(s.filters()...)
@@ -147,11 +148,6 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	// A request with a transfer encoding may also have a content length, which net/http ignores. Whoever forwarded it may
-	// have used the length, so that what follows the body is not read as a request.
-	if len(r.TransferEncoding) > 0 {
-		w.Header().Set("Connection", "close")
-	}
 	req := &Request{RequestMetadata: s.Codec.DecodeRequest(r), HTTP: r, Start: s.Clock.Now()}
 	req.response = callerResponse{writer: w, clock: s.Clock, start: req.Start, isEndToEnd: s.Codec.IsEndToEnd, stopping: s.stop.begun}
 	defer s.logPanic(req)
@@ -267,6 +263,10 @@
 	return callerconn.NewRefusal(refusal.Status, header, body)
 }
 
+func (s *Server) reportAmbiguous(peer net.Addr, reason framing.Reason) {
+	framing.NewReport("callers", s.Log, s.Scope)(peer, reason)
+}
+
 func (s *Server) logLateBytes(peer net.Addr, cause callerconn.Cause, waited time.Duration) {
 	s.responses.lateBytes.Inc(1)
 	s.Log.Info().Str("event", "bytes-at-timeout").Stringer("peer", peer).Str("cause", string(cause)).Dur("waited_ms", waited).Send()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/loadshare"
 	"github.com/orioleusher/orioleusher/internal/metrics"
 	"github.com/orioleusher/orioleusher/internal/origin"
@@ -262,7 +263,7 @@
 		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
 	} {
-		go serve(s.server, s.name, s.address, serveErrors)
+		go serve(s.server, s.name, s.address, framing.NewReport(s.name, g.log, g.metrics.Scope), serveErrors)
 	}
 	g.log.Info().Str("event", "started").Uint64("incarnation", g.incarnation).Str("version", process.Version).
 		Str("data_centre", g.settings.DataCentre).Send()
@@ -300,10 +301,10 @@
 	return nil
 }
 
-func serve(s *http.Server, name, address string, errs chan<- error) {
+func serve(s *http.Server, name, address string, report framing.Report, errs chan<- error) {
 	listener, err := net.Listen("tcp", address)
 	if err == nil {
-		err = process.IgnoreServerClosed(s.Serve(listener))
+		err = process.IgnoreServerClosed(s.Serve(framing.Listen(listener, report)))
 	}
 	if err != nil {
 		errs <- errors.Wrapf(err, "serve %s address %s", name, address)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,8 +141,8 @@
 	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.settings.Timeouts.Header.Std()}
 	failed := make(chan error, 3)
 	r.servePeers(peerServer, failed)
-	r.serve(adminServer, "admin", r.settings.AdminAddress, failed)
-	r.serve(callerServer, "caller", r.settings.CallerAddress, failed)
+	r.serve(adminServer, "admin", r.settings.AdminAddress, r.scanRequests("admin"), failed)
+	r.serve(callerServer, "caller", r.settings.CallerAddress, func(l net.Listener) net.Listener { return l }, failed)
 	r.log.Info().Str("event", "started").Uint64("incarnation", r.incarnation).Str("version", process.Version).Send()
 
 	var err error
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -10,6 +10,7 @@
 	"github.com/orioleusher/orioleusher/internal/admin"
 	"github.com/orioleusher/orioleusher/internal/exchange"
 	"github.com/orioleusher/orioleusher/internal/explain"
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/hop"
 	"github.com/orioleusher/orioleusher/internal/placement"
 	"github.com/orioleusher/orioleusher/internal/process"
@@ -26,11 +27,12 @@
 	Close() error
 }
 
-func (r *Router) serve(s server, name, address string, failed chan<- error) {
+// serve serves the address on the listener that wrap returns.
+func (r *Router) serve(s server, name, address string, wrap func(net.Listener) net.Listener, failed chan<- error) {
 	go func() {
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
-			err = process.IgnoreServerClosed(s.Serve(listener))
+			err = process.IgnoreServerClosed(s.Serve(wrap(listener)))
 		}
 		if err != nil {
 			failed <- errors.Wrapf(err, "serve %s address %s", name, address)
@@ -40,19 +42,18 @@
 
 // servePeers serves the peer address, with TLS unless the settings turn it off.
 func (r *Router) servePeers(s *http.Server, failed chan<- error) {
-	if r.peerTLS == nil {
-		r.serve(s, "peer", r.settings.PeerAddress, failed)
-		return
-	}
-	go func() {
-		listener, err := net.Listen("tcp", r.settings.PeerAddress)
-		if err == nil {
-			err = process.IgnoreServerClosed(s.Serve(r.peerTLS.Listener(listener)))
-		}
-		if err != nil {
-			failed <- errors.Wrapf(err, "serve peer address %s", r.settings.PeerAddress)
+	scan := r.scanRequests("peer")
+	r.serve(s, "peer", r.settings.PeerAddress, func(l net.Listener) net.Listener {
+		if r.peerTLS != nil {
+			l = r.peerTLS.Listener(l)
 		}
-	}()
+		return scan(l)
+	}, failed)
+}
+
+// scanRequests returns a function that returns a listener on whose connections ambiguous requests to the server are refused.
+func (r *Router) scanRequests(server string) func(net.Listener) net.Listener {
+	return func(l net.Listener) net.Listener { return framing.Listen(l, framing.NewReport(server, r.log, r.scope)) }
 }
 
 func (r *Router) peerHandler() http.Handler {
--- a/internal/transport/outcome_test.go
+++ b/internal/transport/outcome_test.go
@@ -79,6 +79,7 @@
 		{"closed after the request", respondWith(""), "no-answer", outcome.Unknown, false},
 		{"half a header", respondWith("HTTP/1.1 200 OK\r\nX-Requ"), "no-answer", outcome.Unknown, false},
 		{"no HTTP", respondWith("hello\r\n\r\n"), "no-answer", outcome.Unknown, false},
+		{"both lengths", respondWith(head(trace, "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n\r\n"), "no-answer", outcome.Unknown, false},
 		{"silent", silent, "no-answer", outcome.Unknown, false},
 		{"response to another request", respondWith(head("feedfeedfeedfeed", "Content-Length: 2\r\n") + "ok"), "crossed-answer", outcome.Unknown, false},
 		{"no request id", respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), "crossed-answer", outcome.Unknown, false},
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -17,11 +16,11 @@
 // canonical form, net/http treats it as idempotent and resends it on its own after a lost connection.
 const rawIdempotencyKey = "idempotency-key"
 
-// request builds the request to the upstream. The returned flag is set once the request has been given a connection,
-// after which bytes of it may have been sent.
-func (c *Client) request(ctx context.Context, x *exchange.Exchange, address string, body *trackedBody) (*http.Request, *atomic.Bool, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+// request builds the request to the upstream. The returned connection is set once the request has been given one, after which
+// bytes of it may have been sent.
+func (c *Client) request(ctx context.Context, x *exchange.Exchange, address string, body *trackedBody) (*http.Request, *usedConn, error) {
+	var used usedConn
+	trace := &httptrace.ClientTrace{GotConn: used.record}
 	target := url.URL{Scheme: "http", Host: address, Path: x.Path, RawQuery: x.RawQuery}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.Method, target.String(), nil)
 	if err != nil {
@@ -32,7 +31,7 @@
 		req.ContentLength = int64(len(x.Body))
 	}
 	req.Header = UpstreamHeader(x)
-	return req, &sent, nil
+	return req, &used, nil
 }
 
 // UpstreamHeader returns the headers that are sent to the upstream.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -51,7 +51,7 @@
 // response to the prober.
 func NewClient(t settings.Timeouts, dialer *net.Dialer, prober *Prober, scope tally.Scope) *Client {
 	pooled := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            keepHeads(dialer.DialContext),
 		ResponseHeaderTimeout:  t.FirstByte.Std(),
 		IdleConnTimeout:        maxIdleConnTime,
 		MaxIdleConnsPerHost:    64,
@@ -89,13 +89,17 @@
 
 func (c *Client) send(ctx context.Context, via *http.Transport, x *exchange.Exchange, upstream, address string) (*exchange.Response, error) {
 	body := &trackedBody{r: bytes.NewReader(x.Body)}
-	req, sent, err := c.request(ctx, x, address, body)
+	req, used, err := c.request(ctx, x, address, body)
 	if err != nil {
 		return nil, outcome.Unavailable(step, "bad-request", "the request cannot be built").WithPeer(upstream, err)
 	}
 	resp, err := via.RoundTrip(req)
 	if err != nil {
-		return nil, sendRefusal(upstream, sent.Load() || body.read.Load(), err)
+		return nil, sendRefusal(upstream, used.sent() || body.read.Load(), err)
+	}
+	if err := used.check(); err != nil {
+		resp.Body.Close()
+		return nil, sendRefusal(upstream, true, err)
 	}
 	if echo := resp.Header.Get(HeaderRequestID); echo != x.TraceID {
 		resp.Body.Close()
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/rawsocket"
 )
 
@@ -188,9 +189,7 @@
 // read returns the next response that belongs to the request and discards those that do not.
 func (c *Conn) read(req *http.Request, matches ResponseMatcher) (*http.Response, error) {
 	for range maxUnmatchedResponses {
-		c.head.begin()
-		resp, err := http.ReadResponse(c.br, req)
-		c.head.end()
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, errors.Wrapf(shortError(err), "read response from %s", c.address)
 		}
@@ -207,6 +206,21 @@
 	return nil, errors.Errorf("read response from %s: received only responses to other requests", c.address)
 }
 
+// readHead returns the next response. The raw head is checked too, because net/http does not tell that it had both lengths.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller adds the upstream
+	}
+	c.head.begin(buffered)
+	defer c.head.end()
+	resp, err := http.ReadResponse(c.br, req)
+	if err == nil {
+		err = framing.CheckResponse(c.head.seen)
+	}
+	return resp, err //nolint:wrapcheck // the caller adds the upstream
+}
+
 // endResponse records that the response has been read to its end.
 func (c *Conn) endResponse(reusable bool) {
 	c.reusable = reusable
--- a/internal/upconn/limits.go
+++ b/internal/upconn/limits.go
@@ -42,10 +42,20 @@
 	io.Reader
 	active bool
 	left   int
+	// seen is what was read since begin, after the bytes that had been read before.
+	seen []byte
 }
 
-func (l *headLimiter) begin() { l.active, l.left = true, maxHeadBytes }
-func (l *headLimiter) end()   { l.active = false }
+func (l *headLimiter) begin(before []byte) {
+	l.active, l.left, l.seen = true, maxHeadBytes, append(l.seen[:0], before...)
+}
+
+func (l *headLimiter) end() {
+	l.active = false
+	if cap(l.seen) > readBufferBytes {
+		l.seen = nil
+	}
+}
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -57,6 +67,7 @@
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.seen = append(l.seen, p[:n]...)
 	return n, err
 }
 
