Tell why a router runs late

Cause: a request that took 5 s in a router left no trace of whether the router, the garbage collector or the machine was slow.

Change: a goroutine that sleeps for 100 ms measures its delay. A second with a delay of 200 ms or more gives the event late-wakeup and the metric late_wakeups by cause, from the time that the process's threads ran, waited for a processor and spent on garbage. TestMemoryAndOtherCallers prints these lines of the router and of its own process, and what the router logged of the requests that were not served, if any was not (or with -v).

Seen in case "all" at load 20 to 30: the router's threads ran for 1.0 s and waited for a processor for 7 s of each second, and the test's own process likewise; delays of 200 to 360 ms, cause machine.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
+	"github.com/orioleusher/orioleusher/internal/schedlag"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
@@ -238,6 +239,7 @@
 	go g.reader.Run(loops)
 	go g.fleet.Run(loops)
 	go g.closeExpiredConns(loops)
+	go (&schedlag.Monitor{Clock: g.clock, Log: g.log, Scope: g.metrics.Scope, Usage: schedlag.ReadUsage}).Run(loops)
 	if err := g.shareLoads(loops); err != nil {
 		stopLoops()
 		return errors.Wrap(err, "run router")
--- a/internal/proofs/bounds/bounds_test.go
+++ b/internal/proofs/bounds/bounds_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,8 +20,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/orioleusher/orioleusher/internal/schedlag"
 	"github.com/orioleusher/orioleusher/internal/testfleet"
 )
 
@@ -314,6 +319,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p := startRouter(t)
+			own := watchOwnDelay(t)
 			callers := make([]*soundCaller, soundCallers)
 			for n := range callers {
 				callers[n] = newSoundCaller()
@@ -336,6 +342,10 @@
 				sent, lost = sent+c.sent, append(lost, c.lost...)
 			}
 			t.Logf("%s: peak %.0f MB, %d of %d other requests not served", tt.name, peak, len(lost), sent)
+			if len(lost) > 0 || testing.Verbose() {
+				t.Logf("delays of the router and what it logged of these requests:\n%s", linesWith(t, p.LogPath, "event=late-wakeup", "request=sound-"))
+				t.Logf("delays of the process with the callers and the upstreams:\n%s", linesWith(t, own, "late-wakeup"))
+			}
 			for _, problem := range lost[:min(len(lost), 3)] {
 				t.Error(problem)
 			}
@@ -346,6 +356,36 @@
 	}
 }
 
+// watchOwnDelay logs when this process, which plays the callers and the upstreams, runs late. It returns the log's file.
+func watchOwnDelay(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "own.log")
+	file, err := os.Create(path)
+	is.NoErr(err)
+	t.Cleanup(func() { file.Close() })
+	m := &schedlag.Monitor{Clock: clockwork.NewRealClock(), Log: zerolog.New(file), Scope: tally.NoopScope, Usage: schedlag.ReadUsage}
+	go m.Run(t.Context())
+	return path
+}
+
+// linesWith returns the last lines of the log that contain one of the texts.
+func linesWith(t *testing.T, path string, texts ...string) string {
+	t.Helper()
+	const maxLines = 12
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	for line := range strings.Lines(string(raw)) {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found[max(0, len(found)-maxLines):], "")
+}
+
 func caseLength() time.Duration {
 	switch {
 	case *length > 0:
