Fuzz the settings and the store's responses

FuzzDecode reads the settings of each kind of process: what is accepted can be used, and is the same when written and read again. FuzzStore reads pages and changes of the store: an item has a key, a revision and its batch's era, and one that cannot be decoded gives no entry.

--- a/Makefile
+++ b/Makefile
@@ -87,8 +87,9 @@
 fuzz-target:
 	go test ./internal/direct -run NONE -fuzz FuzzTarget -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x -parallel 2
 
-# Fuzzes the parsers of idempotency keys, documents, envelopes of peers, streams, published items, headers and targets, the reader of
-# responses and the scanner of requests, for a short time each; CI runs it for a few seconds a target. go test runs the kept corpus in testdata/fuzz.
+# Fuzzes the parsers of idempotency keys, documents, settings, envelopes of peers, streams, published items, responses of the store,
+# headers and targets, the reader of responses and the scanner of requests, for a short time each; CI runs it for a few seconds a
+# target. go test runs the kept corpus in testdata/fuzz.
 fuzz: fuzz-target
 	go test ./internal/idempotency -run NONE -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/document -run NONE -fuzz FuzzParse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
@@ -96,5 +97,7 @@
 	go test ./internal/hop -run NONE -fuzz FuzzEnvelope -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/events -run NONE -fuzz FuzzFeed -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./platform -run NONE -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./platform -run NONE -fuzz FuzzStore -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
+	go test ./internal/settings -run NONE -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./platform -run NONE -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	go test ./internal/upconn -run NONE -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
