Drop the queues of removed teams; report faults that a run does not reach

Borrower.queues grew with each team that any document had contained; queues of teams that the document no longer contains are dropped when another team's queue begins. TestQueuesOfRemovedTeamsAreDropped fails before.

A load run that ended before a fault was due said nothing of the fault; it is now reported like one that failed. TestFaultsAfterEndOfRunAreReported fails before.

--- a/internal/load/churn/churn.go
+++ b/internal/load/churn/churn.go
@@ -32,7 +32,7 @@
 	Fleet string
 	// Hook receives a line "SIGNAL PROCESS" for each fault of a process. If it is nil, such faults are errors.
 	Hook io.Writer
-	// OnFault is called after each fault, with the error if the fault failed.
+	// OnFault is called after each fault, with the error if the fault failed or the run ended before it.
 	OnFault func(f scenario.Fault, at time.Time, err error)
 }
 
@@ -40,9 +40,12 @@
 func (s *Schedule) Run(ctx context.Context, start time.Time, faults []scenario.Fault) {
 	sorted := slices.Clone(faults)
 	slices.SortStableFunc(sorted, func(a, b scenario.Fault) int { return int(a.At - b.At) })
-	for _, f := range sorted {
+	for i, f := range sorted {
 		select {
 		case <-ctx.Done():
+			for _, left := range sorted[i:] {
+				s.OnFault(left, time.Now(), errors.Wrap(ctx.Err(), "the run ended before"))
+			}
 			return
 		case <-time.After(time.Until(start.Add(f.At.Std()))):
 		}
--- a/internal/load/churn/churn_test.go
+++ b/internal/load/churn/churn_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/document"
 	"github.com/orioleusher/orioleusher/internal/load/scenario"
@@ -55,6 +56,25 @@
 	is.Equal(hook.String(), "kill a\nkill b\nkill c\n")
 }
 
+// Guards against faults that a run ends before, and of which nothing tells that they were not executed.
+func TestFaultsAfterEndOfRunAreReported(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	later := scenario.Fault{At: settings.Duration(time.Hour), Kind: scenario.FaultProcess, Signal: scenario.SignalKill}
+	first, second := later, later
+	first.Target, second.Target = "a", "b"
+	var hook bytes.Buffer
+	var targets []string
+	s := &Schedule{Hook: &hook, OnFault: func(f scenario.Fault, _ time.Time, err error) {
+		is.True(errors.Is(err, context.Canceled))
+		targets = append(targets, f.Target)
+	}}
+	s.Run(ctx, time.Now(), []scenario.Fault{first, second})
+	is.Equal(targets, []string{"a", "b"})
+	is.Equal(hook.Len(), 0)
+}
+
 func TestEditSetsParentAndChangesOnlyTarget(t *testing.T) {
 	is := is.New(t)
 	snap := &document.Snapshot{Hash: "h", Document: &document.Document{
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -119,6 +119,7 @@
 	defer b.mu.Unlock()
 	q := b.queues[team.Name]
 	if q == nil {
+		b.dropUnused()
 		q = &queue{delay: borrowInterval, lenders: map[string]*lenderEstimate{}}
 		b.queues[team.Name] = q
 	}
@@ -140,6 +141,15 @@
 	return w, Decision{}
 }
 
+// dropUnused drops the queues of teams that the document no longer contains. The caller holds mu.
+func (b *Borrower) dropUnused() {
+	for name, q := range b.queues {
+		if _, current, _ := b.limiter.lenders(name); current == nil && !q.running {
+			delete(b.queues, name)
+		}
+	}
+}
+
 // refuse returns a refusal whose RetryAfter is when a token is expected after those for the requests ahead.
 func refuse(team *document.Team, wait time.Duration, ahead int) Decision {
 	if wait == never {
--- a/internal/quota/borrower_test.go
+++ b/internal/quota/borrower_test.go
@@ -224,3 +224,22 @@
 type noneLive struct{}
 
 func (noneLive) Live(string) bool { return false }
+
+// Guards against memory for each team that any document has ever contained.
+func TestQueuesOfRemovedTeamsAreDropped(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := NewLimiter("host-0", 1, clock)
+	b := NewBorrower(l, &directLender{}, allLive{}, clock, tally.NoopScope)
+	for n := range 9 {
+		name := fmt.Sprintf("team-%d", n)
+		snap := documentWithHosts(t, uint64(n+1), []document.Team{{Name: "lasting", RatePerSecond: 1, Burst: 1}, {Name: name, RatePerSecond: 1, Burst: 1}}, "host-0")
+		l.Apply(snap)
+		for _, team := range []string{"lasting", name} {
+			w, _ := b.enqueue(snap.Team(team), Decision{RetryAfter: time.Hour})
+			is.True(w == nil)
+		}
+		is.Equal(len(b.queues), 2)
+		is.True(b.queues["lasting"] != nil)
+	}
+}
