--- a/internal/proofs/rights/at_most_once_test.go
+++ b/internal/proofs/rights/at_most_once_test.go
@@ -22,7 +22,11 @@
 	"github.com/orioleusher/orioleusher/internal/testfleet"
 )
 
-const callTimeout = 4 * time.Second
+const (
+	callTimeout = 4 * time.Second
+	// orderTimeout is the routers' request timeout, after which no order is running.
+	orderTimeout = 3 * time.Second
+)
 
 // attempt is the result of one call with an idempotency key.
 type attempt struct {
@@ -138,7 +142,7 @@
 		Block: 33, Hosts: []int{2, 2}, Services: 3,
 		EditRouter: func(s *settings.Router) {
 			s.Timeouts.FirstByte = settings.Duration(1500 * time.Millisecond)
-			s.Timeouts.Request = settings.Duration(3 * time.Second)
+			s.Timeouts.Request = settings.Duration(orderTimeout)
 		},
 	})
 	o := &orderCallers{fleet: f, caller: load.NewCaller(callTimeout)}
@@ -150,8 +154,8 @@
 	}
 	injectFaults(ctx, f)
 	wg.Wait()
-	// Wait for the orders that are still running; they end within the request timeout.
-	time.Sleep(time.Second)
+	// Wait for the orders that are still running.
+	time.Sleep(orderTimeout)
 	byKey, ranTraces := executedOrders(t, f)
 	for key, runs := range byKey {
 		if len(runs) > 1 {
