Don't hold the lock of the upstreams' statistics for log lines and data

Cause: all requests of a router share the lock of balance.Table. Each read of each response took it, at the rate at which faulty upstreams send, and log lines were encoded and queued with it held. On a machine short of processors a holder is interrupted with the lock held, and the requests wait in turn.

Ruled out: the body (read within 0.05 ms), the collector (12% of the time). The machine is most of it: the router's threads ran for 1 s and waited for a processor for 7 s of each second.

Change: the times of the latest data are atomic; lines are written after the lock is released.

TestLogIsWrittenWithoutLock and TestDataIsRecordedWithoutLock fail before.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -116,7 +116,7 @@
 // order returns the order of the upstreams that are available within their limits. The others only count for the mean load.
 func (t *Table) order(snap *catalog.Snapshot, service string, criteria Criteria, available availableFunc) []Choice {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	list := t.candidates(snap, service, criteria)
 	mean := meanLoad(list)
 	t.poolStats[service].meanLoad = mean
@@ -272,7 +272,7 @@
 func (t *Table) LikelyCacheHolder(snap *catalog.Snapshot, service string, affinity uint64, target *catalog.Upstream) *catalog.Upstream {
 	now := t.clock.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	pathDown := t.pathDown(now)
 	var best *catalog.Upstream
 	var bestScore uint64
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -68,8 +68,8 @@
 		return
 	}
 	t.recordChange(s, CauseLimit, source)
-	t.log.Info().Str("event", "upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
-		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", string(source)).Dur("age_ms", r.Age).Send()
+	t.logLater(t.log.Info().Str("event", "upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
+		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", string(source)).Dur("age_ms", r.Age))
 }
 
 // limitReport returns the report of the limit.
@@ -82,7 +82,7 @@
 // that are leaving, at most maxLimitReports.
 func (t *Table) LimitReports() []LimitReport {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	var reports []LimitReport
 	for _, s := range t.statsByID {
@@ -99,7 +99,7 @@
 // TakeChangedLimits returns the limits that responses to this host changed since the last call, at most maxLimitReports.
 func (t *Table) TakeChangedLimits() []LimitReport {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	reports := make([]LimitReport, len(t.changedLimits))
 	for i, s := range t.changedLimits {
@@ -132,7 +132,7 @@
 // RequestLimit returns the request limit that the incarnation of the upstream names, and whether it names one.
 func (t *Table) RequestLimit(key catalog.UpstreamKey) (perSecond float64, named bool) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	s := t.statsByKey[key]
 	if s == nil || !s.said.limit.inForce(t.clock.Now()) {
 		return 0, false
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
@@ -103,16 +105,22 @@
 // OnChange sets the function that is called after each change. It is called before the table is used.
 func (t *Table) OnChange(f func(Change)) { t.onChange = f }
 
-// unlock releases mu and passes on the changes that were made with it held.
+// unlock releases mu, and then writes the lines and passes on the changes that came up with it held.
 func (t *Table) unlock() {
-	changes := t.changes
-	t.changes = nil
+	changes, lines := t.changes, t.lines
+	t.changes, t.lines = nil, nil
 	t.mu.Unlock()
+	for _, line := range lines {
+		line.Send()
+	}
 	for _, c := range changes {
 		t.onChange(c)
 	}
 }
 
+// logLater makes unlock write the line, so that no request waits for mu while a line is written. The caller holds mu.
+func (t *Table) logLater(line *zerolog.Event) { t.lines = append(t.lines, line) }
+
 // recordChange makes unlock pass on a change. Other hosts are told as well of what the upstream said to this one, except of
 // pauses, which are for this host only. The caller holds mu.
 func (t *Table) recordChange(s *stats, cause Cause, source Source) {
@@ -138,8 +146,8 @@
 	}
 	s.said.leaving = origin{now, source}
 	t.recordChange(s, CauseLeaving, source)
-	t.log.Info().Str("event", "upstream-leaving").Str("upstream", s.key.ID).Str("peer", s.key.Address).Str("source", string(source)).
-		Int("in_flight", s.inFlight).Send()
+	t.logLater(t.log.Info().Str("event", "upstream-leaving").Str("upstream", s.key.ID).Str("peer", s.key.Address).Str("source", string(source)).
+		Int("in_flight", s.inFlight))
 	return true
 }
 
@@ -152,8 +160,8 @@
 	bounded := min(pause, maxPause)
 	until := now.Add(bounded + time.Duration(rand.Float64()*pauseJitter*float64(bounded)))
 	if until.After(s.said.pausedUntil) {
-		t.log.Info().Str("event", "upstream-paused").Str("upstream", u.ID).Str("peer", u.Address).Dur("asked_ms", pause).
-			Dur("for_ms", until.Sub(now)).Int("in_flight", s.inFlight).Send()
+		t.logLater(t.log.Info().Str("event", "upstream-paused").Str("upstream", u.ID).Str("peer", u.Address).Dur("asked_ms", pause).
+			Dur("for_ms", until.Sub(now)).Int("in_flight", s.inFlight))
 		s.said.pausedAt, s.said.pausedUntil = now, until
 		t.recordChange(s, CausePause, SourceResponse)
 	}
@@ -162,7 +170,7 @@
 // AcceptsWork reports whether the incarnation of the upstream accepts new requests of this host, as far as it said.
 func (t *Table) AcceptsWork(key catalog.UpstreamKey) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	s := t.statsByKey[key]
 	return s == nil || s.acceptsWork(t.clock.Now())
 }
@@ -170,7 +178,7 @@
 // Leaving reports whether the incarnation of the upstream is leaving, as far as it said.
 func (t *Table) Leaving(key catalog.UpstreamKey) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	s := t.statsByKey[key]
 	return s != nil && s.said.isLeaving()
 }
@@ -179,7 +187,7 @@
 // zero time.
 func (t *Table) AllPausedUntil(snap *catalog.Snapshot, service string) time.Time {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	var earliest time.Time
 	for _, m := range t.poolMembers(snap, service, now) {
--- a/internal/balance/path.go
+++ b/internal/balance/path.go
@@ -34,18 +34,29 @@
 	timeouts     map[string]bool
 	lastTimeout  time.Time
 	lastResponse time.Time
+	// data is when data of a response last arrived.
+	data *moment
 }
 
 // path returns the path to the data centre. The caller holds mu.
 func (t *Table) path(dataCentre string) *path {
 	p := t.paths[dataCentre]
 	if p == nil {
-		p = &path{timeouts: map[string]bool{}}
+		p = &path{timeouts: map[string]bool{}, data: newMoment(t.start)}
 		t.paths[dataCentre] = p
+		t.pathDataOf.Store(dataCentre, p.data)
 	}
+	p.mergeData()
 	return p
 }
 
+// mergeData makes data that arrived since the last call count as a response.
+func (p *path) mergeData() {
+	if p.data.takeUnseen() {
+		p.responded(p.data.time())
+	}
+}
+
 func (p *path) responded(now time.Time) {
 	p.lastResponse = now
 	clear(p.timeouts)
@@ -67,6 +78,7 @@
 func (t *Table) pathDown(now time.Time) func(dataCentre string) bool {
 	down := 0
 	for name, p := range t.paths {
+		p.mergeData()
 		if name != t.local && p.down(now) {
 			down++
 		}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -33,7 +33,7 @@
 // Reports returns the loads that were reported recently, at most maxReports.
 func (t *Table) Reports() []LoadReport {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	var list []LoadReport
 	for id, s := range t.statsByID {
@@ -52,7 +52,7 @@
 // MergeReports merges the reports of another host. For each upstream the newer report is kept.
 func (t *Table) MergeReports(reports []LoadReport) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	for _, r := range reports {
 		s := t.statsByID[r.IncarnationID]
@@ -72,7 +72,7 @@
 // TakeObservations returns the loads that responses reported to this host since the last call, at most maxObservations.
 func (t *Table) TakeObservations() []LoadReport {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	reports := make([]LoadReport, len(t.observations))
 	for i, s := range t.observations {
@@ -87,7 +87,7 @@
 // count as if this host had received the response. For each upstream the newest observation is kept.
 func (t *Table) MergeObservations(reports []LoadReport) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	for _, r := range reports {
 		s := t.statsByID[r.IncarnationID]
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -53,15 +53,6 @@
 	return silenceLimits{first: max(next, objective), next: next}
 }
 
-// RecordData records that this host received data of a response of the upstream, which shows that the path to it works.
-func (t *Table) RecordData(u *catalog.Upstream) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	t.stats(u.Key(), now).heardAt = now
-	t.path(u.DataCentre).responded(now)
-}
-
 // silence returns how long this host, or one that told it so lately, has waited for any response of the upstream, and nothing
 // was heard of it; zero while nothing is awaited. The caller holds mu.
 func (t *Table) silence(s *stats, now time.Time) time.Duration {
@@ -90,7 +81,7 @@
 
 // lastHeard returns when something was last heard of the upstream, or the given time if that is later.
 func (s *stats) lastHeard(since time.Time) time.Time {
-	for _, heard := range []time.Time{s.heardAt, s.avgLoadAt, s.lastLoadAt} {
+	for _, heard := range []time.Time{s.heardAt(), s.avgLoadAt, s.lastLoadAt} {
 		if heard.After(since) {
 			since = heard
 		}
@@ -99,7 +90,7 @@
 }
 
 // begun reports whether this host has received data of the responses that it awaits.
-func (s *stats) begun() bool { return s.inFlight > 0 && !s.heardAt.Before(s.waitingSince) }
+func (s *stats) begun() bool { return s.inFlight > 0 && !s.heardAt().Before(s.waitingSince) }
 
 // silent reports whether the upstream has been silent for so long that what it told of its load says little. Its requests
 // do not end, so that each one adds to its load until it goes on. The caller holds mu.
@@ -134,8 +125,8 @@
 	if c.silent {
 		event = "upstream-silent"
 	}
-	t.log.Info().Str("event", event).Str("upstream", s.key.ID).Str("peer", s.key.Address).Dur("silence_ms", c.silence).
-		Int("in_flight", s.inFlight).Float64("load", c.load).Send()
+	t.logLater(t.log.Info().Str("event", event).Str("upstream", s.key.ID).Str("peer", s.key.Address).Dur("silence_ms", c.silence).
+		Int("in_flight", s.inFlight).Float64("load", c.load))
 }
 
 // SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports, as far as data of them was
@@ -143,7 +134,7 @@
 // intervals, which also shows a pause of this process, after which all upstreams have time to be heard again.
 func (t *Table) SilenceReports() []SilenceReport {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	if now.Sub(t.silenceReportedAt) > maxSilenceReportGap {
 		t.resumedAt = now
@@ -164,7 +155,7 @@
 // MergeSilenceReports records what another host finds silent. It counts as far as this host has heard nothing either.
 func (t *Table) MergeSilenceReports(reports []SilenceReport) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	for _, r := range reports {
 		s := t.statsByID[r.IncarnationID]
--- a/internal/balance/silence_test.go
+++ b/internal/balance/silence_test.go
@@ -226,3 +226,33 @@
 	clock.Advance(time.Millisecond)
 	is.Equal(table.Order(snap, "s", engineCriteria)[0].ID, first.ID) // one request may find out
 }
+
+// Guards against upstreams that send fast, each read of whose responses keeps the choice of an upstream waiting.
+func TestDataIsRecordedWithoutLock(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	u := snapshotOf(1, "b").Upstreams["s"][0]
+	table.RecordData(u) // the first one is recorded under the lock
+	for range 2 {
+		clock.Advance(time.Second)
+		table.mu.Lock()
+		recorded := make(chan struct{})
+		go func() {
+			defer close(recorded)
+			table.RecordData(u)
+		}()
+		select {
+		case <-recorded:
+		case <-time.After(10 * time.Second):
+			t.Fatal("data is recorded with the lock held")
+		}
+		is.Equal(table.statsByKey[u.Key()].heardAt(), clock.Now())
+		is.Equal(table.path("b").lastResponse, clock.Now())
+		table.mu.Unlock()
+	}
+	clock.Advance(statsExpiry + 1)
+	table.Order(snapshotOf(0), "s", Criteria{}) // drops the statistics
+	is.Equal(len(table.statsByKey), 0)
+	table.RecordData(u)
+	is.Equal(table.statsByKey[u.Key()].heardAt(), clock.Now())
+}
--- a/internal/balance/state_test.go
+++ b/internal/balance/state_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // Guards against a state dump that shares memory with statistics which change after the table's lock is released.
@@ -102,3 +104,48 @@
 	})
 	is.Equal(len(table.TakeChangedLimits()), 1)
 }
+
+// stateWriter is a log that reads the table's state before each line.
+type stateWriter struct {
+	table *Table
+	lines int
+}
+
+func (w *stateWriter) Write(p []byte) (int, error) {
+	w.table.State()
+	w.lines++
+	return len(p), nil
+}
+
+// Guards against requests that wait for each other's log lines, because these are written with the table's lock held.
+func TestLogIsWrittenWithoutLock(t *testing.T) {
+	is := is.New(t)
+	log := &stateWriter{}
+	clock := clockwork.NewFakeClock()
+	table := NewTable("a", clock, zerolog.New(log))
+	log.table = table
+	snap := snapshotOf(2, "b")
+	u := snap.Upstreams["s"][0]
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, u := range snap.Upstreams["s"] {
+			table.RecordConnectFailure(u, ErrResponseTimeout) // suspected, and the second one takes the data centre's path down
+		}
+		table.RecordResponseStart(u)
+		table.RecordRequestStart(u.Key())
+		clock.Advance(time.Minute)
+		table.Order(snap, "s", Criteria{}) // silent
+		table.MarkReplaced(u)
+		table.MarkLeaving(u)
+		table.MarkPaused(u, time.Second)
+		limit := 1.0
+		table.RecordRequestLimit(u, &limit)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a line is written with the lock held")
+	}
+	is.Equal(log.lines, 9)
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -64,9 +64,10 @@
 	// pool holds what the upstreams of a service have in common.
 	pool     *poolStats
 	inFlight int
-	// waitingSince is when this host began to wait for responses of the upstream, and heardAt when it last received data
-	// of one.
-	waitingSince, heardAt time.Time
+	// waitingSince is when this host began to wait for responses of the upstream, respondedAt when the head of one last arrived,
+	// and data when data of one did.
+	waitingSince, respondedAt time.Time
+	data                      *moment
 	// toldSilentSince is since when another host has heard nothing of the upstream, as told at toldSilentAt, or this one when
 	// its last request there ended.
 	toldSilentSince, toldSilentAt time.Time
@@ -125,6 +126,10 @@
 	log   zerolog.Logger
 	// local is the name of this host's data centre.
 	local string
+	// start is before the first event.
+	start time.Time
+	// dataOf holds the moments of the statistics by catalog.UpstreamKey, and pathDataOf those of the paths by data centre.
+	dataOf, pathDataOf sync.Map
 
 	mu         sync.Mutex
 	statsByKey map[catalog.UpstreamKey]*stats
@@ -145,6 +150,8 @@
 	poolsSnapshot *catalog.Snapshot
 	// scratch is a reused buffer for the candidates of one decision.
 	scratch []candidate
+	// lines are written to the log once mu is released.
+	lines []*zerolog.Event
 	// changes are the changes that onChange is called with once mu is released.
 	changes  []Change
 	onChange func(Change)
@@ -170,7 +177,7 @@
 // NewTable returns an empty table for a host in the data centre local.
 func NewTable(local string, clock clockwork.Clock, log zerolog.Logger) *Table {
 	return &Table{
-		clock: clock, log: log, local: local, statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{},
+		clock: clock, log: log, local: local, start: clock.Now().Add(-1), statsByKey: map[catalog.UpstreamKey]*stats{}, statsByID: map[uint32]*stats{},
 		poolStats: map[string]*poolStats{}, paths: map[string]*path{}, onChange: func(Change) {},
 	}
 }
@@ -179,8 +186,9 @@
 func (t *Table) stats(key catalog.UpstreamKey, now time.Time) *stats {
 	s := t.statsByKey[key]
 	if s == nil {
-		s = &stats{key: key, id: IncarnationID(key)}
+		s = &stats{key: key, id: IncarnationID(key), data: newMoment(t.start)}
 		t.statsByKey[key], t.statsByID[s.id] = s, s
+		t.dataOf.Store(key, s.data)
 	}
 	s.lastUsed = now
 	return s
@@ -229,13 +237,13 @@
 // called. Requests that may go to any version then leave limited upstreams of this one to it.
 func (t *Table) WaitForVersion(snap *catalog.Snapshot, service, version string) (end func()) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	t.poolMembers(snap, service, t.clock.Now())
 	pool := t.poolStats[service]
 	pool.waiting[version]++
 	return func() {
 		t.mu.Lock()
-		defer t.mu.Unlock()
+		defer t.unlock()
 		pool.waiting[version]--
 		if pool.waiting[version] == 0 {
 			delete(pool.waiting, version)
@@ -253,6 +261,7 @@
 		if s.inFlight == 0 && now.Sub(s.lastUsed) > statsExpiry && !s.hasNotice(now) {
 			delete(t.statsByKey, key)
 			delete(t.statsByID, s.id)
+			t.dataOf.Delete(key)
 		}
 	}
 }
@@ -260,7 +269,7 @@
 // RecordRequestStart counts a request that is sent to the upstream.
 func (t *Table) RecordRequestStart(key catalog.UpstreamKey) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(key, now)
 	if s.inFlight == 0 {
@@ -274,7 +283,7 @@
 // RecordRequestEnd counts the end of a request.
 func (t *Table) RecordRequestEnd(key catalog.UpstreamKey) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(key, now)
 	if s.inFlight == 1 && s.pool != nil && t.silent(s, now) {
@@ -286,7 +295,7 @@
 // RecordLoad records the load that a response reported: the number of running and waiting requests.
 func (t *Table) RecordLoad(key catalog.UpstreamKey, load int) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(key, now)
 	notable := s.isNotable(load) || s.isNotable(s.lastLoad)
@@ -326,20 +335,20 @@
 // path to it works.
 func (t *Table) RecordResponseStart(u *catalog.Upstream) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(u.Key(), now)
 	if s.consecutiveFailures > 0 {
-		t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", s.consecutiveFailures).Send()
+		t.logLater(t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", s.consecutiveFailures))
 	}
-	s.consecutiveFailures, s.suspectUntil, s.heardAt = 0, time.Time{}, now
+	s.consecutiveFailures, s.suspectUntil, s.respondedAt = 0, time.Time{}, now
 	t.path(u.DataCentre).responded(now)
 }
 
 // RecordOutcome records a complete response. failed means that the upstream reported a failure of its own.
 func (t *Table) RecordOutcome(u *catalog.Upstream, failed bool) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	t.stats(u.Key(), now).recordOutcome(failed, now)
 }
@@ -381,39 +390,59 @@
 // recordFailure counts a failure and marks the upstream as suspect once there are at least threshold consecutive
 // failures. It reports whether this takes the path to its data centre down.
 func (t *Table) recordFailure(u *catalog.Upstream, threshold int, cause error) (pathDown bool) {
+	timedOut := IsTimeout(cause)
+	f := t.countFailure(u, threshold, timedOut)
+	if f.suspectFor == 0 {
+		return false
+	}
+	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", u.ID).Str("peer", u.Address).
+		Str("data_centre", u.DataCentre).Int("failures", f.consecutive).Float64("failure_share", f.share).
+		Bool("silent", timedOut).Dur("for_ms", f.suspectFor).Err(cause).Send()
+	if f.pathDown {
+		t.log.Warn().Str("event", "data-centre-unreached").Str("data_centre", u.DataCentre).Str("upstream", u.ID).Send()
+	}
+	return f.pathDown
+}
+
+// failure is the effect of a failure of an upstream.
+type failure struct {
+	consecutive int
+	share       float64
+	// suspectFor is how long the upstream is suspect from now on; 0 if it is not.
+	suspectFor time.Duration
+	// pathDown is set if the path to its data centre counts as down from now on.
+	pathDown bool
+}
+
+// countFailure updates the statistics with a failure. All requests wait for the lock meanwhile, so it writes no log.
+func (t *Table) countFailure(u *catalog.Upstream, threshold int, timedOut bool) failure {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	s := t.stats(u.Key(), now)
 	s.recordOutcome(true, now)
 	s.consecutiveFailures++
-	if s.consecutiveFailures < threshold {
-		return false
+	f := failure{consecutive: s.consecutiveFailures, share: s.avgFailureShare}
+	if f.consecutive < threshold {
+		return f
 	}
-	wait := min(minSuspectTime<<min(s.consecutiveFailures-threshold, 8), maxSuspectTime)
-	timedOut := IsTimeout(cause)
+	f.suspectFor = min(minSuspectTime<<min(f.consecutive-threshold, 8), maxSuspectTime)
 	if timedOut {
-		wait = min(timeoutFactor*wait, maxSuspectTime)
-	}
-	s.suspectUntil = now.Add(wait)
-	t.log.Warn().Str("event", "upstream-suspected").Str("upstream", u.ID).Str("peer", u.Address).
-		Str("data_centre", u.DataCentre).Int("failures", s.consecutiveFailures).Float64("failure_share", s.avgFailureShare).
-		Bool("silent", timedOut).Dur("for_ms", wait).Err(cause).Send()
-	if !timedOut || !t.path(u.DataCentre).timedOut(u.ID, now) {
-		return false
+		f.suspectFor = min(timeoutFactor*f.suspectFor, maxSuspectTime)
 	}
-	t.log.Warn().Str("event", "data-centre-unreached").Str("data_centre", u.DataCentre).Str("upstream", u.ID).Send()
-	return true
+	s.suspectUntil = now.Add(f.suspectFor)
+	f.pathDown = timedOut && t.path(u.DataCentre).timedOut(u.ID, now)
+	return f
 }
 
 // MarkReplaced records that another instance responded at the upstream's address. This incarnation has ended for good,
 // although its entry may stay published for some heartbeats.
 func (t *Table) MarkReplaced(u *catalog.Upstream) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	s := t.stats(u.Key(), t.clock.Now())
 	if !s.replaced {
-		t.log.Info().Str("event", "upstream-replaced").Str("upstream", u.ID).Str("peer", u.Address).Send()
+		t.logLater(t.log.Info().Str("event", "upstream-replaced").Str("upstream", u.ID).Str("peer", u.Address))
 	}
 	s.replaced = true
 }
@@ -421,7 +450,7 @@
 // MarkFull records that the upstream refused a request for lack of capacity.
 func (t *Table) MarkFull(key catalog.UpstreamKey) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	t.stats(key, now).fullUntil = now.Add(fullTime)
 }
@@ -455,7 +484,7 @@
 // State returns the state of every upstream for the state dump.
 func (t *Table) State() []UpstreamState {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := t.clock.Now()
 	states := make([]UpstreamState, 0, len(t.statsByKey))
 	for key, s := range t.statsByKey {
