Control bytes do not grow with the sound requests beside a crash

Cause: with 1,000 streams a second on nine upstreams some five sound requests ran beside three crashes. Each of their records was told to four hosts at once, and again by each host for which it was news, also once the request was quarantined there. And of records of equal weight the newest 16 went into each digest; the others, among them those of the deadly request, waited for the next crash.

Ruled out: members, prompts, limits and the size of a digest, which are the same.

Change: news is joined for 5 ms; what other hosts told is passed on at once at most every 60 ms, only within a second of the crash and only until the request is quarantined here; records that were sent less often go first.

Failed on the old code: TestBytesOfDigestsDoNotGrowWithSoundStreams, TestRecordsThatDoNotFitIntoOneDigestFollow, TestNewsOfOtherHostsIsToldAtOnceOnlySoOften.

--- a/internal/fleet/deadly_request_test.go
+++ b/internal/fleet/deadly_request_test.go
@@ -70,7 +70,7 @@
 		return
 	}
 	f.announcing[h] = true
-	f.after(networkDelay, func() {
+	f.after(announceDelay+networkDelay, func() {
 		f.announcing[h] = false
 		for _, address := range h.pickReachable(announceFanout) {
 			f.exchange(h, f.byName[address])
@@ -213,3 +213,21 @@
 		}
 	}
 }
+
+// Guards against control bytes that grow with the load: beside a request that crashes engines, each record of a sound one that
+// ran beside several crashes was told at once, and again by each host for which it was news. Bytes are the mean of all seeds.
+func TestBytesOfDigestsDoNotGrowWithSoundStreams(t *testing.T) {
+	t.Parallel()
+	const seeds, growth = 40, 1.1
+	mean := func(perSecond float64) float64 {
+		sent, crashes, refused := 0, 0, 0
+		for seed := range uint64(seeds) {
+			f := repeatPattern{7, 9, perSecond, 1}.play(seed)
+			sent, crashes, refused = sent+f.sent, crashes+len(f.crashes), refused+f.refused
+		}
+		t.Logf("%.0f a second: %d bytes, %.1f crashes, %.1f sound ones refused", perSecond, sent/seeds, float64(crashes)/seeds, float64(refused)/seeds)
+		return float64(sent) / seeds
+	}
+	is := is.New(t)
+	is.True(mean(1000) <= growth*mean(73))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,8 @@
 	seeds   []string
 	members map[string]*member
 	leaving bool
+	// announcesSoon is set while a call of AnnounceSoon is pending.
+	announcesSoon bool
 	// dataCentreHash is the hash of the name of this host's data centre.
 	dataCentreHash uint32
 }
--- a/internal/fleet/prompts.go
+++ b/internal/fleet/prompts.go
@@ -8,8 +8,12 @@
 	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
-// announceFanout is the number of hosts that a host tells at once of a new blame. Each of them tells as many.
-const announceFanout = 4
+const (
+	// announceFanout is the number of hosts that a host tells at once of a new blame. Each of them tells as many.
+	announceFanout = 4
+	// announceDelay joins the news of one crash, which comes in as many parts as requests ran there.
+	announceDelay = 5 * time.Millisecond
+)
 
 // maxCount is far beyond the outcomes of a host in a minute.
 const maxCount = 1 << 24
@@ -29,6 +33,22 @@
 	}
 }
 
+// AnnounceSoon requests exchanges as Announce does, in a moment. Requests in the meantime are joined.
+func (f *Fleet) AnnounceSoon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announcesSoon {
+		return
+	}
+	f.announcesSoon = true
+	f.Clock.AfterFunc(announceDelay, func() {
+		f.mu.Lock()
+		f.announcesSoon = false
+		f.mu.Unlock()
+		f.Announce()
+	})
+}
+
 // runAnnouncements announces until the context ends.
 func (f *Fleet) runAnnouncements(ctx context.Context) {
 	for {
--- a/internal/fleet/prompts_test.go
+++ b/internal/fleet/prompts_test.go
@@ -54,3 +54,23 @@
 	}
 	is.Equal(len(hosts[0].prompts.State().Blames), 1)
 }
+
+// Guards against one announcement for each request of a crash.
+func TestAnnouncementsOfOneMomentAreJoined(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	host := startFleet(t, clock, "a", "a")[0]
+	for range 2 {
+		for range 100 {
+			host.AnnounceSoon()
+		}
+		is.Equal(len(host.announcements), 0)
+		clock.Advance(announceDelay)
+		select {
+		case <-host.announcements:
+		case <-time.After(time.Minute):
+			t.Fatal("not announced")
+		}
+		is.Equal(len(host.announcements), 0)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,7 +166,7 @@
 	})
 	g.fleet = g.newFleet()
 	g.prompts.OnBlame(g.fleet.Announce)
-	g.quarantineTable.OnSuspect(g.fleet.Announce)
+	g.quarantineTable.OnSuspect(g.fleet.AnnounceSoon)
 	g.reader = published.NewReader(published.ReaderOptions{
 		Source: a.Source, Mirror: g.mirror, LongPollWait: watchTimeout,
 		Timing:  published.ReadTimingFor(g.settings.Timeouts.MaxStaleness()),
--- a/internal/quarantine/sets.go
+++ b/internal/quarantine/sets.go
@@ -94,7 +94,8 @@
 	return requestSet{}, s.requests
 }
 
-// mergeSet merges a set of another host and reports whether it makes a request with a record here likely to be quarantined.
+// mergeSet merges a set of another host and reports whether it is news that makes a request with a record here likely to be
+// quarantined.
 func (t *Table) mergeSet(s CrashSet) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -107,8 +108,8 @@
 	if before == after {
 		return false
 	}
-	for fingerprint := range t.counts {
-		if after.contains(fingerprint) && !before.contains(fingerprint) && t.likelyCrashes(fingerprint) >= t.limits.CrashThreshold {
+	for fingerprint, known := range t.counts {
+		if known < t.limits.CrashThreshold && after.contains(fingerprint) && !before.contains(fingerprint) && t.isNews(fingerprint, now) {
 			return true
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -11,6 +11,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,10 @@
 	duplicateWindow = 2 * time.Second
 	// maxDigestCrashes bounds the crashes in one digest, which holds those of the fingerprints with most crashes.
 	maxDigestCrashes = 16
+	// newsTime is how long a crash is news of which other hosts are told at once. Later they hear of it in gossip rounds.
+	newsTime = time.Second
+	// minRelayInterval is the time between two calls of onSuspect for what other hosts told.
+	minRelayInterval = 60 * time.Millisecond
 )
 
 // Verdict says whether and how a request may run.
@@ -62,6 +67,8 @@
 	// Upstream is the hash of the upstream's name.
 	Upstream uint64
 	At       time.Time
+	// sent is the number of digests that have held the record, counted while the table holds more than one digest.
+	sent int
 }
 
 // Table holds the crashes that this host has detected or received. It is safe for concurrent use.
@@ -79,6 +86,8 @@
 	sets     []CrashSet
 	counts   map[uint64]int
 	liftedAt map[uint64]time.Time
+	// relayedAt is the time of the last call of onSuspect for what other hosts told.
+	relayedAt time.Time
 }
 
 // NewTable returns an empty table. onNewCrash is called after each crash that is new to this host; it may be nil.
@@ -91,8 +100,9 @@
 	}
 }
 
-// OnSuspect sets the function that is called after each crash and set that makes a request with a crash on this host reach
-// the threshold, also if some of its crashes are only known from sets. It is called before the table is used.
+// OnSuspect sets the function that is called after a new crash or set that makes a request with a crash on this host reach
+// the threshold, also if some of its crashes are only known from sets. Calls for what other hosts told are minRelayInterval
+// apart. It is called before the table is used.
 func (t *Table) OnSuspect(f func()) { t.onSuspect = f }
 
 // Fingerprint identifies the content of a request: requests of the same team with the same path and body have the same
@@ -138,22 +148,22 @@
 
 // RecordCrash records that the upstream crashed while a request with this fingerprint ran on it.
 func (t *Table) RecordCrash(fingerprint uint64, upstream string) {
-	t.merge(Crash{Fingerprint: fingerprint, Upstream: xxhash.Sum64String(upstream), At: t.clock.Now()})
+	if t.merge(Crash{Fingerprint: fingerprint, Upstream: xxhash.Sum64String(upstream), At: t.clock.Now()}) {
+		t.onSuspect()
+	}
 }
 
-func (t *Table) merge(c Crash) {
-	isNew, isSuspect := t.add(c)
+// merge adds the crash and reports whether other hosts are to be told at once.
+func (t *Table) merge(c Crash) (isUrgent bool) {
+	isNew, isUrgent := t.add(c)
 	if isNew {
 		t.onNewCrash()
 	}
-	if isSuspect {
-		t.onSuspect()
-	}
+	return isUrgent
 }
 
-// add inserts the crash in time order and reports whether it is new, and whether its fingerprint is then likely to have
-// reached the threshold.
-func (t *Table) add(c Crash) (isNew, isSuspect bool) {
+// add inserts the crash in time order and reports whether it is new, and whether other hosts are to be told at once.
+func (t *Table) add(c Crash) (isNew, isUrgent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -168,6 +178,7 @@
 	t.crashes = append(t.crashes, Crash{})
 	copy(t.crashes[i+1:], t.crashes[i:])
 	t.crashes[i] = c
+	before := t.counts[c.Fingerprint]
 	t.counts[c.Fingerprint]++
 	if len(t.crashes) > maxCrashes {
 		t.dropOldest()
@@ -175,7 +186,21 @@
 	set := CrashSet{Upstream: c.Upstream, At: c.At}
 	set.requests.add(c.Fingerprint)
 	t.addSet(set)
-	return true, t.likelyCrashes(c.Fingerprint) >= t.limits.CrashThreshold
+	return true, before < t.limits.CrashThreshold && t.isNews(c.Fingerprint, now)
+}
+
+// isNews reports whether the fingerprint is likely to have reached the threshold, by a crash that is news. The caller holds
+// mu.
+func (t *Table) isNews(fingerprint uint64, now time.Time) bool {
+	if t.likelyCrashes(fingerprint) < t.limits.CrashThreshold {
+		return false
+	}
+	for _, s := range slices.Backward(t.sets) {
+		if s.requests.contains(fingerprint) {
+			return now.Sub(s.At) < newsTime
+		}
+	}
+	return false
 }
 
 // isKnown reports whether the same crash is already in the table. The caller holds mu.
@@ -251,8 +276,8 @@
 	return Records{Crashes: t.mostSuspect(), Sets: slices.Clone(t.sets[max(0, len(t.sets)-maxDigestSets):])}
 }
 
-// mostSuspect returns the crashes of the fingerprints that are likely to have most crashes, and of these the newest. The
-// caller holds mu.
+// mostSuspect returns the crashes of the fingerprints that are likely to have most crashes; of these the ones that were sent
+// least often, so that others follow if there are too many for one digest, and then the newest. The caller holds mu.
 func (t *Table) mostSuspect() []Crash {
 	if len(t.crashes) <= maxDigestCrashes {
 		return slices.Clone(t.crashes)
@@ -261,30 +286,56 @@
 	for fingerprint := range t.counts {
 		likely[fingerprint] = t.likelyCrashes(fingerprint)
 	}
-	first := make([]Crash, 0, maxDigestCrashes+1)
-	for _, c := range slices.Backward(t.crashes) {
+	first := make([]int, 0, maxDigestCrashes+1)
+	for i := range slices.Backward(t.crashes) {
 		at := len(first)
-		for at > 0 && likely[first[at-1].Fingerprint] < likely[c.Fingerprint] {
+		for at > 0 && t.precedes(i, first[at-1], likely) {
 			at--
 		}
 		if at < maxDigestCrashes {
-			first = slices.Insert(first, at, c)
+			first = slices.Insert(first, at, i)
 			first = first[:min(len(first), maxDigestCrashes)]
 		}
 	}
-	return first
+	crashes := make([]Crash, len(first))
+	for at, i := range first {
+		crashes[at] = t.crashes[i]
+		crashes[at].sent = 0
+		t.crashes[i].sent++
+	}
+	return crashes
+}
+
+// precedes reports whether the crash at i is sent before the one at j, which is newer. The caller holds mu.
+func (t *Table) precedes(i, j int, likely map[uint64]int) bool {
+	a, b := t.crashes[i], t.crashes[j]
+	return cmp.Or(cmp.Compare(likely[b.Fingerprint], likely[a.Fingerprint]), cmp.Compare(a.sent, b.sent)) < 0
 }
 
 // Merge merges the records of another host, and calls onNewCrash for each crash that is new to this host.
 func (t *Table) Merge(r Records) {
-	isSuspect := false
+	isUrgent := false
 	for _, s := range r.Sets {
-		isSuspect = t.mergeSet(s) || isSuspect
+		isUrgent = t.mergeSet(s) || isUrgent
 	}
 	for _, c := range r.Crashes {
-		t.merge(c)
+		isUrgent = t.merge(c) || isUrgent
+	}
+	if isUrgent {
+		t.relay()
+	}
+}
+
+// relay calls onSuspect for what another host told, unless it did so a short time ago.
+func (t *Table) relay() {
+	t.mu.Lock()
+	now := t.clock.Now()
+	isDue := now.Sub(t.relayedAt) >= minRelayInterval
+	if isDue {
+		t.relayedAt = now
 	}
-	if isSuspect {
+	t.mu.Unlock()
+	if isDue {
 		t.onSuspect()
 	}
 }
@@ -302,10 +353,12 @@
 // MergeState implements peers.Extension.
 func (t *Table) MergeState(d *gossippb.Digest) {
 	now := t.clock.Now()
+	var r Records
 	for _, c := range d.Strikes {
 		age := time.Duration(c.AgeMs) * time.Millisecond
-		t.merge(Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, At: now.Add(-age)})
+		r.Crashes = append(r.Crashes, Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, At: now.Add(-age)})
 	}
+	t.Merge(r)
 }
 
 // FingerprintState is the entry of a fingerprint in the state dump.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -175,6 +175,58 @@
 	is.True(suspected >= len(tables))
 }
 
+// Guards against records that are never sent, because as many others of equal weight always go first. Pattern: ten requests
+// ran on each of three upstreams that crashed.
+func TestRecordsThatDoNotFitIntoOneDigestFollow(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable(Limits{CrashThreshold: 3, Lifetime: time.Minute}, clock, nil)
+	for _, upstream := range []string{"a", "b", "c"} {
+		crashBeside(table, 0, 10, upstream)
+		clock.Advance(5 * time.Second)
+	}
+	other := NewTable(Limits{CrashThreshold: 3, Lifetime: time.Minute}, clock, nil)
+	for range 2 { // digests, each with 16 of the 30 records
+		other.Merge(table.Records())
+	}
+	for i := range uint64(10) {
+		verdict, _ := other.Check(spread(i))
+		is.Equal(verdict, Quarantined)
+	}
+}
+
+// Guards against announcements that grow with the load: a host told others at once of each part of what it heard.
+func TestNewsOfOtherHostsIsToldAtOnceOnlySoOften(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	from, to := NewTable(DefaultLimits, clock, nil), NewTable(DefaultLimits, clock, nil)
+	told := 0
+	to.OnSuspect(func() { told++ })
+	hear := func(request uint64, upstreams ...string) {
+		for _, upstream := range upstreams {
+			from.RecordCrash(spread(request), upstream)
+		}
+		to.Merge(from.Records())
+	}
+	hear(1, "a", "b")
+	is.Equal(told, 1)
+	hear(2, "a", "b") // a moment later
+	is.Equal(told, 1)
+	clock.Advance(minRelayInterval)
+	hear(2, "c") // it is quarantined here already
+	is.Equal(told, 1)
+	hear(3, "a", "b")
+	is.Equal(told, 2)
+	to.RecordCrash(spread(4), "a") // what the host sees itself
+	to.RecordCrash(spread(4), "b")
+	is.Equal(told, 3)
+	from.RecordCrash(spread(5), "a")
+	from.RecordCrash(spread(5), "b")
+	clock.Advance(newsTime)
+	to.Merge(from.Records())
+	is.Equal(told, 3)
+}
+
 // A set has no false negatives, few false positives, a fixed size, and survives its encoding.
 func TestCrashSet(t *testing.T) {
 	is := is.New(t)
