--- a/internal/testconn/testconn.go
+++ b/internal/testconn/testconn.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return 0
 	}
+	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return 0
 	}
