--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -68,9 +68,8 @@
 		return
 	}
 	t.recordChange(s, CauseLimit, source)
-	//nolint:zerologlint // unlock sends it
-	t.logLater(t.log.Info().Str("event", "upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
-		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", string(source)).Dur("age_ms", r.Age))
+	t.logLater("upstream-limit").Str("upstream", s.key.ID).Str("peer", s.key.Address).Bool("named", r.Named).
+		Float64("per_second", r.PerSecond).Float64("before", before.perSecond).Str("source", string(source)).Dur("age_ms", r.Age)
 }
 
 // limitReport returns the report of the limit.
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -118,8 +118,12 @@
 	}
 }
 
-// logLater makes unlock write the line, so that no request waits for mu while a line is written. The caller holds mu.
-func (t *Table) logLater(line *zerolog.Event) { t.lines = append(t.lines, line) }
+// logLater begins a log line that unlock writes, so that no request waits for mu while a line is written. The caller holds mu.
+func (t *Table) logLater(event string) *zerolog.Event {
+	line := t.log.Info().Str("event", event) //nolint:zerologlint // unlock sends it
+	t.lines = append(t.lines, line)
+	return line
+}
 
 // recordChange makes unlock pass on a change. Other hosts are told as well of what the upstream said to this one, except of
 // pauses, which are for this host only. The caller holds mu.
@@ -146,8 +150,8 @@
 	}
 	s.said.leaving = origin{now, source}
 	t.recordChange(s, CauseLeaving, source)
-	t.logLater(t.log.Info().Str("event", "upstream-leaving").Str("upstream", s.key.ID).Str("peer", s.key.Address).Str("source", string(source)).
-		Int("in_flight", s.inFlight))
+	t.logLater("upstream-leaving").Str("upstream", s.key.ID).Str("peer", s.key.Address).Str("source", string(source)).
+		Int("in_flight", s.inFlight)
 	return true
 }
 
@@ -160,8 +164,8 @@
 	bounded := min(pause, maxPause)
 	until := now.Add(bounded + time.Duration(rand.Float64()*pauseJitter*float64(bounded)))
 	if until.After(s.said.pausedUntil) {
-		t.logLater(t.log.Info().Str("event", "upstream-paused").Str("upstream", u.ID).Str("peer", u.Address).Dur("asked_ms", pause).
-			Dur("for_ms", until.Sub(now)).Int("in_flight", s.inFlight))
+		t.logLater("upstream-paused").Str("upstream", u.ID).Str("peer", u.Address).Dur("asked_ms", pause).
+			Dur("for_ms", until.Sub(now)).Int("in_flight", s.inFlight)
 		s.said.pausedAt, s.said.pausedUntil = now, until
 		t.recordChange(s, CausePause, SourceResponse)
 	}
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -125,8 +125,8 @@
 	if c.silent {
 		event = "upstream-silent"
 	}
-	t.logLater(t.log.Info().Str("event", event).Str("upstream", s.key.ID).Str("peer", s.key.Address).Dur("silence_ms", c.silence).
-		Int("in_flight", s.inFlight).Float64("load", c.load))
+	t.logLater(event).Str("upstream", s.key.ID).Str("peer", s.key.Address).Dur("silence_ms", c.silence).
+		Int("in_flight", s.inFlight).Float64("load", c.load)
 }
 
 // SilenceReports returns the upstreams that this host finds silent, at most maxSilenceReports, as far as data of them was
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -339,8 +339,7 @@
 	now := t.clock.Now()
 	s := t.stats(u.Key(), now)
 	if s.consecutiveFailures > 0 {
-		//nolint:zerologlint // unlock sends it
-		t.logLater(t.log.Info().Str("event", "upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", s.consecutiveFailures))
+		t.logLater("upstream-back").Str("upstream", u.ID).Str("peer", u.Address).Int("failures", s.consecutiveFailures)
 	}
 	s.consecutiveFailures, s.suspectUntil, s.respondedAt = 0, time.Time{}, now
 	t.path(u.DataCentre).responded(now)
@@ -443,8 +442,7 @@
 	defer t.unlock()
 	s := t.stats(u.Key(), t.clock.Now())
 	if !s.replaced {
-		//nolint:zerologlint // unlock sends it
-		t.logLater(t.log.Info().Str("event", "upstream-replaced").Str("upstream", u.ID).Str("peer", u.Address))
+		t.logLater("upstream-replaced").Str("upstream", u.ID).Str("peer", u.Address)
 	}
 	s.replaced = true
 }
--- a/internal/logread/events_test.go
+++ b/internal/logread/events_test.go
@@ -19,7 +19,7 @@
 }
 
 var (
-	writtenPattern = regexp.MustCompile(`(?:"event", "|event=|level, event :?= zerolog\.\w+, ")([a-z]+(?:-[a-z]+)*)`)
+	writtenPattern = regexp.MustCompile(`(?:"event", "|logLater\("|event=|level, event :?= zerolog\.\w+, ")([a-z]+(?:-[a-z]+)*)`)
 	listedPattern  = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|")
 )
 
