Bytes of digests are counted by part and kind of data centre

No metric told which part of the gossip grows with the fleet. fleet_digest_bytes counts what a host sends, in rounds and in replies: to hosts of its own data centre and of others, by members, published items, loads, crashes and prompts.

The parts add up to the bytes of all messages (TestDigestBytesAreCountedByPartAndDataCentre, which did not build before).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -110,6 +110,8 @@
 	watchClient *http.Client
 	rounds      tally.Counter
 	failures    tally.Counter
+	// localTraffic and remoteTraffic count digests to hosts of this and of other data centres.
+	localTraffic, remoteTraffic traffic
 	// snapshots limits the snapshots that are prepared at the same time.
 	snapshots chan struct{}
 	// announcements holds a token while Run is to exchange digests at once.
@@ -143,6 +145,7 @@
 		Options: o, client: &http.Client{Transport: o.Transport, Timeout: exchangeTimeout},
 		watchClient: &http.Client{Transport: o.Transport}, seeds: o.Seeds,
 		members: map[string]*member{}, dataCentreHash: uint32(loadbalancer.HashKey(o.DataCentre)),
+		localTraffic: newTraffic(o.Scope, "local"), remoteTraffic: newTraffic(o.Scope, "remote"),
 		snapshots: make(chan struct{}, maxSnapshots), announcements: make(chan struct{}, 1), rounds: o.Scope.Counter("fleet_rounds"), failures: o.Scope.Counter("fleet_failures"),
 	}
 }
@@ -186,7 +189,9 @@
 // exchangeWith exchanges digests with the host.
 func (f *Fleet) exchangeWith(ctx context.Context, address string) {
 	f.rounds.Inc(1)
-	digest := f.digest(f.dataCentreOf(address), unknownMembers)
+	dataCentreHash := f.dataCentreOf(address)
+	digest := f.digest(dataCentreHash, unknownMembers)
+	f.countSent(dataCentreHash, digest)
 	reply, err := fleetpb.NewFleetProtobufClient("http://"+address, f.client).Exchange(ctx, digest)
 	if err != nil {
 		f.failures.Inc(1)
@@ -213,6 +218,7 @@
 		kept := encodeMirror(0, f.Mirror.Kept())
 		reply.Mirror.Items, reply.Mirror.RestoredAt = append(reply.Mirror.Items, kept.GetItems()...), kept.GetRestoredAt()
 	}
+	f.countSent(d.GetSender().GetDataCentre(), reply)
 	return reply, nil
 }
 
