--- a/internal/peertls/peertls_test.go
+++ b/internal/peertls/peertls_test.go
@@ -1,6 +1,7 @@
 package peertls_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/peertls"
 	"github.com/orioleusher/orioleusher/internal/peertls/certtest"
 	"github.com/orioleusher/orioleusher/internal/settings"
@@ -93,6 +95,32 @@
 	}
 }
 
+// Guards against connections between hosts on which the scanner of requests breaks TLS, or does not see the requests.
+func TestAmbiguousRequestOfPeerIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newReloader(t, certtest.NewCA(t).Write(t.TempDir(), time.Time{}, serverIP), clockwork.NewRealClock())
+	listener, err := net.Listen("tcp", serverIP+":0")
+	is.NoErr(err)
+	reasons := make(chan framing.Reason, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	go func() {
+		_ = server.Serve(framing.Listen(r.Listener(listener), func(_ net.Addr, reason framing.Reason) { reasons <- reason }))
+	}()
+	t.Cleanup(func() { server.Close() })
+	address := listener.Addr().String()
+	is.NoErr(call(r, address))
+	c, err := r.Dial((&net.Dialer{}).DialContext)(t.Context(), "tcp", address)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	is.Equal(<-reasons, framing.BothLengths)
+}
+
 func TestPlaintextClientIsRefused(t *testing.T) {
 	is := is.New(t)
 	ours := certtest.NewCA(t)
