promptblame: a deadly segment in a third of the traffic is refused in time

Cause: crashes within 100 ms count as one, so that nine crashes within 0.2 s are a run of two or three, and four are needed. The evidence is there: the crashes end many different requests with the segment, and no host has seen it answered.

Change: before the first event, a segment that this host has not seen answered lately is also blamed if crashes that are 30 ms apart, beside at least four different requests, are as many as are needed. All else founds a blame as before. The bounds on the probability are the same. The line prompt-judged gains "dense".

The fixed cases of TestBlameNeedsEvidence fail without it.

--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -356,28 +356,40 @@
 	}{
 		{"single crashes", 7, 400 * time.Millisecond, 0, 1}, {"single crashes in a large fleet", 88, 100 * time.Millisecond, 0, 1},
 		{"half of the engines", 7, 4 * time.Second, 0, 5}, {"all engines", 7, 3200 * time.Millisecond, 0, 9},
-		{"one after another", 7, 4 * time.Second, 60 * time.Millisecond, 9},
+		{"one after another", 7, 4 * time.Second, 60 * time.Millisecond, 9}, {"one after another, quickly", 7, 4 * time.Second, 35 * time.Millisecond, 9},
 	} {
-		for seed := range seeds(5, tt.hosts) {
+		for seed := range seeds(7, tt.hosts) {
 			t.Run(fmt.Sprintf("%s, seed %d", tt.name, seed), func(t *testing.T) {
 				engines, perSecond := 9, 70.0
 				if tt.hosts > 10 {
 					engines, perSecond = 60, 400
 				}
-				f := newDeadlyFleet(tt.hosts, engines, 60, seed)
-				f.arrive(perSecond, 0)
-				f.after(2*time.Second, func() { f.crashRandomly(tt.interval, tt.gap, tt.count) })
-				f.runFor(40 * time.Second)
-				refused := 0
-				for _, n := range f.refused {
-					refused += n
-				}
-				is.New(t).Equal(refused, 0)
+				checkNoneRefused(t, newDeadlyFleet(tt.hosts, engines, 60, seed), perSecond, tt.interval, tt.gap, tt.count)
 			})
 		}
 	}
 }
 
+// checkNoneRefused plays sound requests beside crashes of random engines and checks that none is refused.
+func checkNoneRefused(t *testing.T, f *deadlyFleet, perSecond float64, interval, gap time.Duration, count int) {
+	t.Helper()
+	f.arrive(perSecond, 0)
+	f.after(2*time.Second, func() { f.crashRandomly(interval, gap, count) })
+	f.runFor(40 * time.Second)
+	is.New(t).Equal(sum(f.refused), 0)
+}
+
+// Guards against the same for segments that few requests have: two of them, each sent twice to engines that crash one after
+// another, a little more than 100 ms apart.
+func TestRareSegmentsAreServedBesideSlowCascade(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(7) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			checkNoneRefused(t, newDeadlyFleet(7, 9, 60, seed), 70, 4*time.Second, 110*time.Millisecond, 9)
+		})
+	}
+}
+
 // checkSoundServed checks that sound requests of these seconds are neither refused nor unanswered.
 func checkSoundServed(t *testing.T, f *deadlyFleet, from, to int) {
 	t.Helper()
--- a/internal/promptblame/judge.go
+++ b/internal/promptblame/judge.go
@@ -14,6 +14,9 @@
 	// minRequests is the least number of different requests in a run. A single request that crashes upstreams is
 	// quarantined by its content.
 	minRequests = 2
+	// minDenseRequests is the same for crashes of which many come within minCrashGap. A request that is sent again is beside the next
+	// of them more often than another one.
+	minDenseRequests = 4
 	// maxChance is the probability of a run, if its segment has nothing to do with crashes, up to which the segment is
 	// blamed.
 	maxChance = 1e-5
@@ -24,6 +27,8 @@
 	minLateRunLength = 4
 	// minCrashGap is the time from which on two crashes count as two. Upstreams that crash together have one cause.
 	minCrashGap = 100 * time.Millisecond
+	// minDenseCrashGap is the same if this host has not seen the segment answered lately.
+	minDenseCrashGap = 30 * time.Millisecond
 	// minOwnLateCrashes is the least number of this host's own attempts in a run after the first event.
 	minOwnLateCrashes = 2
 	// minAnswersBeside is the least number of answers to other prompts during a run of crashes after the first event.
@@ -45,6 +50,8 @@
 	segments []uint64
 	// length is the number of its crashes, of which those that happened together count once.
 	length int
+	// denseLength is the length with minDenseCrashGap.
+	denseLength int
 	// attempts and requests count the attempts and the different requests, own the attempts of this host.
 	attempts, requests, own int
 	// since is when its first attempt crashed.
@@ -60,7 +67,7 @@
 func (t *Table) findRun(segment uint64) run {
 	r := run{answeredLately: t.answeredLately(segment)}
 	now := t.clock.Now()
-	var lastCrash time.Time
+	var lastCrash, lastDense time.Time
 	requests, occurrences := map[uint64]bool{}, map[uint64]int{}
 	for i := range t.attempts {
 		a := &t.attempts[i]
@@ -82,6 +89,9 @@
 		if a.CrashedAt.Sub(lastCrash) >= minCrashGap {
 			r.length, lastCrash = r.length+1, a.CrashedAt
 		}
+		if a.CrashedAt.Sub(lastDense) >= minDenseCrashGap {
+			r.denseLength, lastDense = r.denseLength+1, a.CrashedAt
+		}
 	}
 	r.requests = len(requests)
 	for s, n := range occurrences {
@@ -114,12 +124,21 @@
 // After the first event it needs answers to other prompts beside it: where none comes so far, upstreams crash for another
 // reason. It also needs attempts of this host, as another one may have seen the segment answered since.
 func (v verdict) blamed() bool {
+	if v.isDense() {
+		return true
+	}
 	if v.length < v.needed || v.requests < minRequests {
 		return false
 	}
 	return v.stage == Beginning || v.answeredSince >= minAnswersBeside && v.own >= minOwnLateCrashes
 }
 
+// isDense reports whether the run founds a blame by crashes that are close together: upstreams that have only just begun to
+// answer the segment crash within a moment, while different requests ran there.
+func (v verdict) isDense() bool {
+	return v.stage == Beginning && !v.answeredLately && v.denseLength >= v.needed && v.requests >= minDenseRequests
+}
+
 // maxChance returns the probability by chance up to which the run founds a blame.
 func (v verdict) maxChance() float64 {
 	switch {
@@ -197,7 +216,7 @@
 }
 
 func (t *Table) logVerdict(v verdict, a Attempt) {
-	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatList(v.segments)).Int("stage", int(v.stage)).Int("run", v.length).Int("needed", v.needed).
+	t.log.Warn().Str("event", "prompt-judged").Str("segments", formatList(v.segments)).Int("stage", int(v.stage)).Int("run", v.length).Int("dense", v.denseLength).Int("needed", v.needed).
 		Int("requests", v.requests).Int("attempts", v.attempts).Int("answered", v.answered).Int("crashed", v.crashed).
 		Float64("crash_share", v.crashShare).Bool("explained", v.explained).Dur("run_age_ms", t.clock.Since(v.since)).Dur("age_ms", t.clock.Since(a.CrashedAt)).
 		Bool("own", a.own).Bool("blamed", v.blamed()).Send()
--- a/internal/promptblame/table_test.go
+++ b/internal/promptblame/table_test.go
@@ -79,6 +79,26 @@
 				f.crash(i%2, deadly)
 			}
 		}, true},
+		{"upstreams that crash 30 ms apart, with a segment that was never answered", func(f *fixture) {
+			for i := range uint64(minRunLength) {
+				f.RecordCrash(f.attempt(i, deadly))
+				f.clock.Advance(30 * time.Millisecond)
+			}
+		}, true},
+		{"upstreams that crash 30 ms apart, beside three requests", func(f *fixture) {
+			for i := range uint64(2 * (minDenseRequests - 1)) {
+				f.RecordCrash(f.attempt(i/2, deadly))
+				f.clock.Advance(30 * time.Millisecond)
+			}
+		}, false},
+		{"upstreams that crash 30 ms apart, with a segment that was answered lately", func(f *fixture) {
+			f.RecordPassed([]uint64{deadly}, Beginning, Answered)
+			f.clock.Advance(time.Second)
+			for i := range uint64(minRunLength) {
+				f.RecordCrash(f.attempt(i, deadly))
+				f.clock.Advance(30 * time.Millisecond)
+			}
+		}, false},
 		{"a crash too few", func(f *fixture) {
 			for i := range uint64(minRunLength - 1) {
 				f.crash(i, deadly)
