News of crashes is told at once for ten seconds

In a large fleet the crash sets themselves take some seconds, so that no host recognised the request in time and its records spread with the rounds alone.

--- /dev/null
+++ b/internal/fleet/crash_news_test.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/orioleusher/orioleusher/internal/quarantine"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
+)
+
+const (
+	// crashInterval is the time between the crashes, and soundBeside the number of sound requests beside each.
+	crashInterval, soundBeside = 2 * time.Second, 40
+	// newsTimeout ends a play in which the news does not reach all hosts.
+	newsTimeout = 2 * time.Minute
+)
+
+// newsTrouble is what delays the news of a crash.
+type newsTrouble struct {
+	name string
+	// loss is the share of messages that are lost.
+	loss float64
+	// cut is the time after the last crash until which the first data centre is cut off, and frozen that until which every fifth
+	// host sleeps. Both begin with the first crash.
+	cut, frozen time.Duration
+	// old makes every other host a build that knows no crash sets.
+	old bool
+}
+
+// newsFleet is a fleet of which the hosts tell each other of crashes. Its messages may be lost.
+type newsFleet struct {
+	*deadlyFleet
+	newsTrouble
+	index      map[*deadlyHost]int
+	dropped    *rand.Rand
+	lastCrash  time.Time
+	announcing map[*deadlyHost]bool
+}
+
+var errLost = errors.New("message lost")
+
+func newNewsFleet(hosts int, trouble newsTrouble, seed uint64) *newsFleet {
+	f := &newsFleet{
+		deadlyFleet: newDeadlyFleet(hosts, 1, 1, seed), newsTrouble: trouble, index: map[*deadlyHost]int{},
+		dropped: rand.New(rand.NewPCG(seed, 2)), announcing: map[*deadlyHost]bool{},
+	}
+	f.events = nil // rounds with messages that may be lost replace the others
+	f.lastCrash = f.start.Add(deadlyStart + (repeatCrashes-1)*crashInterval)
+	for i, h := range f.hosts {
+		f.index[h] = i
+		if !f.isOld(h) {
+			h.crashes.OnSuspect(func() { f.announce(h) })
+		}
+		f.after(time.Duration(f.rand.Float64()*float64(h.GossipInterval)), func() { f.round(h) })
+	}
+	return f
+}
+
+func (f *newsFleet) isOld(h *deadlyHost) bool { return f.old && f.index[h]%2 == 1 }
+
+// sleeps reports whether the host is frozen.
+func (f *newsFleet) sleeps(h *deadlyHost) bool {
+	return f.index[h]%5 == 4 && f.during(f.frozen)
+}
+
+// during reports whether it is before the end of a trouble, which is given from the last crash on.
+func (f *newsFleet) during(end time.Duration) bool {
+	now := f.clock.Now()
+	return end > 0 && !now.Before(f.start.Add(deadlyStart)) && now.Before(f.lastCrash.Add(end))
+}
+
+// loses reports whether a message between the hosts is lost.
+func (f *newsFleet) loses(a, b *deadlyHost) bool {
+	isCut := f.during(f.cut) && (a.DataCentre == f.hosts[0].DataCentre) != (b.DataCentre == f.hosts[0].DataCentre)
+	return isCut || f.sleeps(b) || f.dropped.Float64() < f.loss
+}
+
+func (f *newsFleet) round(h *deadlyHost) {
+	if other := f.byName[h.pickTarget()]; other != nil && !f.sleeps(h) {
+		f.exchangeOrLose(h, other)
+	}
+	f.after(h.GossipInterval, func() { f.round(h) })
+}
+
+// announce exchanges digests with several hosts, as runAnnouncements does. Announcements that are pending are one.
+func (f *newsFleet) announce(h *deadlyHost) {
+	if f.announcing[h] {
+		return
+	}
+	f.announcing[h] = true
+	f.after(announceDelay+networkDelay, func() {
+		f.announcing[h] = false
+		for _, address := range h.pickReachable(announceFanout) {
+			if !f.sleeps(h) {
+				f.exchangeOrLose(h, f.byName[address])
+			}
+		}
+	})
+}
+
+func (f *newsFleet) exchangeOrLose(h, other *deadlyHost) {
+	digest := f.written(h, h.digest(other.dataCentreHash, unknownMembers))
+	if f.loses(h, other) {
+		f.fail(h, other)
+		return
+	}
+	reply, err := other.Exchange(context.Background(), f.read(other, digest))
+	if err != nil {
+		panic(err) // Exchange calls no other host
+	}
+	if f.loses(h, other) {
+		f.fail(h, other)
+		return
+	}
+	reply = f.read(h, f.written(other, reply))
+	f.after(networkDelay, func() {
+		h.merge(reply)
+		h.recordReachable(other.Self)
+	})
+}
+
+func (f *newsFleet) fail(h, other *deadlyHost) {
+	f.after(exchangeTimeout, func() { h.recordUnreachable(other.Self, errLost) })
+}
+
+// written returns a digest as the build of the host writes it, and read as it reads it.
+func (f *newsFleet) written(h *deadlyHost, d *fleetpb.Digest) *fleetpb.Digest {
+	if f.isOld(h) {
+		d.CrashSets = nil
+	}
+	return d
+}
+
+func (f *newsFleet) read(h *deadlyHost, d *fleetpb.Digest) *fleetpb.Digest { return f.written(h, d) }
+
+// crashBesideSound makes a host that is awake see a crash of the engine under the deadly request and sound ones. Those ran at
+// other hosts as well.
+func (f *newsFleet) crashBesideSound(engine int) {
+	host := f.randomAwakeHost()
+	for range soundBeside {
+		f.randomAwakeHost().crashes.RecordCrash(f.rand.Uint64(), fmt.Sprint(engine))
+	}
+	host.crashes.RecordCrash(deadlyFingerprint, fmt.Sprint(engine))
+}
+
+func (f *newsFleet) randomAwakeHost() *deadlyHost {
+	for {
+		if h := f.hosts[f.rand.IntN(len(f.hosts))]; !f.sleeps(h) {
+			return h
+		}
+	}
+}
+
+// play returns the times from the last crash until half of the hosts and until all of them refuse the request. A host that
+// sleeps or is cut off does not delay the others.
+func (f *newsFleet) play() (half, all time.Duration) {
+	for i := range repeatCrashes {
+		f.after(deadlyStart+time.Duration(i)*crashInterval, func() { f.crashBesideSound(i) })
+	}
+	half, all = newsTimeout, newsTimeout
+	f.after(f.lastCrash.Sub(f.start), func() { f.check(&half, &all) })
+	f.runFor(f.lastCrash.Sub(f.start) + newsTimeout)
+	return half, all
+}
+
+// check notes when half of the hosts and all of them refuse the request, and ends the play then.
+func (f *newsFleet) check(half, all *time.Duration) {
+	refusing := 0
+	for _, h := range f.hosts {
+		if verdict, _ := h.crashes.Check(deadlyFingerprint); verdict == quarantine.Quarantined {
+			refusing++
+		}
+	}
+	since := f.clock.Since(f.lastCrash)
+	if 2*refusing >= len(f.hosts) {
+		*half = min(*half, since)
+	}
+	if refusing == len(f.hosts) {
+		*all, f.events = since, nil
+		return
+	}
+	f.after(10*time.Millisecond, func() { f.check(half, all) })
+}
+
+// Guards against news of a crash that does not reach all hosts, or too late, when it is told at once only for a short time. A
+// request is to be refused everywhere within stableTime after its third crash, or after the end of what cut hosts off.
+func TestNewsOfThirdCrashReachesAllHosts(t *testing.T) {
+	t.Parallel()
+	const seeds = 4
+	for _, hosts := range []int{30, 300} {
+		for _, trouble := range []newsTrouble{
+			{name: "quiet"},
+			{name: "5% lost", loss: 0.05},
+			{name: "data centre cut off", cut: 10 * time.Second},
+			{name: "fifth frozen", frozen: 10 * time.Second},
+			{name: "half old", old: true},
+		} {
+			t.Run(fmt.Sprintf("%d hosts, %s", hosts, trouble.name), func(t *testing.T) {
+				is := is.New(t)
+				var worstHalf, worst time.Duration
+				for seed := range uint64(seeds) {
+					half, all := newNewsFleet(hosts, trouble, seed).play()
+					worstHalf, worst = max(worstHalf, half), max(worst, all)
+				}
+				t.Logf("worst of %d plays: half of the hosts after %v, all after %v", seeds, worstHalf, worst)
+				is.True(worst <= max(trouble.cut, trouble.frozen)+stableTime)
+			})
+		}
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -43,7 +43,7 @@
 	// maxDigestCrashes bounds the crashes in one digest, which holds those of the fingerprints with most crashes.
 	maxDigestCrashes = 16
 	// newsTime is how long a crash is news of which other hosts are told at once. Later they hear of it in gossip rounds.
-	newsTime = time.Second
+	newsTime = 10 * time.Second
 	// minRelayInterval is the time between two calls of onSuspect for what other hosts told.
 	minRelayInterval = 60 * time.Millisecond
 )
