News of crashes is told at once whatever its age

Cause: with a limit of ten seconds nothing was told at once of crashes that a data centre missed while it was cut off.

--- a/internal/quarantine/sets.go
+++ b/internal/quarantine/sets.go
@@ -94,8 +94,7 @@
 	return requestSet{}, s.requests
 }
 
-// mergeSet merges a set of another host and reports whether it is news that makes a request with a record here likely to be
-// quarantined.
+// mergeSet merges a set of another host and reports whether it makes a request with a record here likely to be quarantined.
 func (t *Table) mergeSet(s CrashSet) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,7 +108,10 @@
 		return false
 	}
 	for fingerprint, known := range t.counts {
-		if known < t.limits.CrashThreshold && after.contains(fingerprint) && !before.contains(fingerprint) && t.isNews(fingerprint, now) {
+		if known >= t.limits.CrashThreshold || before.contains(fingerprint) || !after.contains(fingerprint) {
+			continue
+		}
+		if t.likelyCrashes(fingerprint) >= t.limits.CrashThreshold {
 			return true
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -42,8 +42,6 @@
 	duplicateWindow = 2 * time.Second
 	// maxDigestCrashes bounds the crashes in one digest, which holds those of the fingerprints with most crashes.
 	maxDigestCrashes = 16
-	// newsTime is how long a crash is news of which other hosts are told at once. Later they hear of it in gossip rounds.
-	newsTime = 10 * time.Second
 	// minRelayInterval is the time between two calls of onSuspect for what other hosts told.
 	minRelayInterval = 60 * time.Millisecond
 )
@@ -186,21 +184,7 @@
 	set := CrashSet{Upstream: c.Upstream, At: c.At}
 	set.requests.add(c.Fingerprint)
 	t.addSet(set)
-	return true, before < t.limits.CrashThreshold && t.isNews(c.Fingerprint, now)
-}
-
-// isNews reports whether the fingerprint is likely to have reached the threshold, by a crash that is news. The caller holds
-// mu.
-func (t *Table) isNews(fingerprint uint64, now time.Time) bool {
-	if t.likelyCrashes(fingerprint) < t.limits.CrashThreshold {
-		return false
-	}
-	for _, s := range slices.Backward(t.sets) {
-		if s.requests.contains(fingerprint) {
-			return now.Sub(s.At) < newsTime
-		}
-	}
-	return false
+	return true, before < t.limits.CrashThreshold && t.likelyCrashes(c.Fingerprint) >= t.limits.CrashThreshold
 }
 
 // isKnown reports whether the same crash is already in the table. The caller holds mu.
