--- a/internal/balance/statistics_test.go
+++ b/internal/balance/statistics_test.go
@@ -65,6 +65,12 @@
 	endSecond()
 	is.True(strings.Contains(chosen(), "v1"))
 	is.Equal(len(table.poolStats["s"].waiting), 0)
+	snap.Upstreams["s"] = append(snap.Upstreams["s"], &catalog.Upstream{ID: "free", Service: "s", Address: "10.0.1.1:80", DataCentre: "a", Version: "v3"})
+	next := *snap
+	defer table.WaitForVersion(&next, "s", "v3")()
+	c := selector.Select(&next, "s", Criteria{})
+	is.True(c != nil)
+	is.Equal(c.ID, "free") // it has no limit that the waiting requests would need
 	newer, _ := newTable()
 	newer.WaitForVersion(snap, "s", "v1")() // before any choice
 }
@@ -81,8 +87,12 @@
 		}
 		is.Equal(len(table.TakeObservations()), min(count, maxObservations))
 		is.Equal(len(table.TakeObservations()), 0)
-		is.Equal(len(table.Reports()), min(count, maxReports))
 	}
+	table, _ := newTable()
+	for _, u := range snapshotOf(maxReports+1, "a").Upstreams["s"] {
+		table.RecordLoad(u.Key(), 1)
+	}
+	is.New(t).Equal(len(table.Reports()), maxReports)
 }
 
 // Guards against reports of unknown upstreams, and older ones that replace newer ones.
@@ -111,7 +121,7 @@
 	u := snapshotOf(1, "a").Upstreams["s"][0]
 	share := func() float64 { return table.State()[0].FailureShare }
 	near := func(want float64) { t.Helper(); is.True(math.Abs(share()-want) < 1e-9) }
-	table.RecordOutcome(u, true)
+	is.True(!table.RecordBrokenResponse(u, errors.New("reset"))) // the first one
 	near(0.1)
 	is.True(!table.RecordConnectFailure(u, errors.New("refused")))
 	near(0.19)
