--- a/internal/fleet/crash_news_test.go
+++ b/internal/fleet/crash_news_test.go
@@ -98,7 +98,7 @@
 	f.announcing[h] = true
 	f.after(announceDelay+networkDelay, func() {
 		f.announcing[h] = false
-		for _, address := range h.pickReachable(announceFanout) {
+		for _, address := range h.pickAnnounced() {
 			if !f.sleeps(h) {
 				f.exchangeOrLose(h, f.byName[address])
 			}
--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -129,7 +129,7 @@
 		Rand: rand.New(rand.NewPCG(seed, uint64(i))), Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	h.prompts.OnBlame(func() {
-		for _, address := range h.pickReachable(announceFanout) {
+		for _, address := range h.pickAnnounced() {
 			f.after(networkDelay, func() { f.exchange(h, f.byName[address]) })
 		}
 	})
--- a/internal/fleet/deadly_request_test.go
+++ b/internal/fleet/deadly_request_test.go
@@ -72,7 +72,7 @@
 	f.announcing[h] = true
 	f.after(announceDelay+networkDelay, func() {
 		f.announcing[h] = false
-		for _, address := range h.pickReachable(announceFanout) {
+		for _, address := range h.pickAnnounced() {
 			f.exchange(h, f.byName[address])
 		}
 	})
--- a/internal/fleet/prompts.go
+++ b/internal/fleet/prompts.go
@@ -63,7 +63,7 @@
 
 // announce exchanges digests with announceFanout hosts.
 func (f *Fleet) announce(ctx context.Context) {
-	for _, address := range f.pickReachable(announceFanout) {
+	for _, address := range f.pickAnnounced() {
 		go f.exchangeWith(ctx, address)
 	}
 }
--- a/internal/fleet/selection.go
+++ b/internal/fleet/selection.go
@@ -42,8 +42,8 @@
 	return candidates[f.Rand.IntN(len(candidates))]
 }
 
-// pickReachable returns up to n random members that respond and are not leaving.
-func (f *Fleet) pickReachable(n int) []string {
+// pickAnnounced returns up to announceFanout random members that respond and are not leaving.
+func (f *Fleet) pickAnnounced() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var candidates []string
@@ -54,7 +54,7 @@
 	}
 	slices.Sort(candidates) // map order would make runs with one random seed differ
 	f.Rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates[:min(len(candidates), n)]
+	return candidates[:min(len(candidates), announceFanout)]
 }
 
 // localHosts returns the number of other hosts in the local data centre. The caller holds mu.
