fleet: new simulations play less in short tests

New simulations play fewer seeds and the largest fleets once in short tests; what was played before is played as before, all in the full form.

--- a/internal/fleet/crash_news_test.go
+++ b/internal/fleet/crash_news_test.go
@@ -222,6 +222,9 @@
 			{name: "fifth frozen", frozen: 10 * time.Second},
 			{name: "half old", old: true},
 		} {
+			if testing.Short() && hosts > 30 && trouble != quiet {
+				continue // take a minute with the race detector
+			}
 			t.Run(fmt.Sprintf("%d hosts, %s", hosts, trouble.name), func(t *testing.T) {
 				is := is.New(t)
 				var half, all time.Duration
--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -359,6 +359,9 @@
 		{"one after another", 7, 4 * time.Second, 60 * time.Millisecond, 9}, {"one after another, quickly", 7, 4 * time.Second, 35 * time.Millisecond, 9},
 	} {
 		for seed := range seeds(7, tt.hosts) {
+			if testing.Short() && seed > 4 {
+				continue
+			}
 			t.Run(fmt.Sprintf("%s, seed %d", tt.name, seed), func(t *testing.T) {
 				engines, perSecond := 9, 70.0
 				if tt.hosts > 10 {
@@ -384,6 +387,9 @@
 func TestRareSegmentsAreServedBesideSlowCascade(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(7) {
+		if testing.Short() && seed > 1 {
+			continue
+		}
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			checkNoneRefused(t, newDeadlyFleet(7, 9, 60, seed), 70, 4*time.Second, 110*time.Millisecond, 9)
 		})
--- a/internal/fleet/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -99,6 +99,9 @@
 // Guards against control bytes that no metric shows: the parts must add up to what is sent.
 func TestDigestBytesAreCountedByPartAndDataCentre(t *testing.T) {
 	for _, hosts := range []int{30, 300} {
+		if testing.Short() && hosts > 30 {
+			continue // takes most of a minute with the race detector
+		}
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			is := is.New(t)
 			const rounds, dataCentres, upstreams = 30, 6, 128
