allowance: limiter and retry budget keep divisions in one way

The retry budget repeated the upstream limiter's cache of how a limit is divided, with another test for an empty entry. Both call divisions.of now.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -40,6 +40,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// divisions are how the slack is divided among the hosts.
+	divisions divisions
 }
 
 // account is the retry budget of a service.
@@ -50,8 +52,6 @@
 	hasSlack  bool
 	// recent is what the requests of the last window added less what was withdrawn meanwhile.
 	recent windowSum
-	// division is how the slack is divided among the hosts.
-	division division
 }
 
 // windowSlots is the number of parts of a window whose sums are kept.
@@ -84,7 +84,7 @@
 
 // NewRetryBudget returns a budget without its share of the slack.
 func NewRetryBudget(limits RetryLimits, fleet FleetView, clock clockwork.Clock) *RetryBudget {
-	return &RetryBudget{limits: limits, fleet: fleet, clock: clock, startedAt: clock.Now(), accounts: map[string]*account{}}
+	return &RetryBudget{limits: limits, fleet: fleet, clock: clock, startedAt: clock.Now(), accounts: map[string]*account{}, divisions: newDivisions(fleet)}
 }
 
 // share returns this host's share of the slack. Within a time window at most a full balance and what the requests of the
@@ -114,21 +114,18 @@
 
 // holdsSlack reports whether this host may hold a retry of the slack. If the slack has less than one for each host, some
 // hosts may. The caller holds mu.
-func (r *RetryBudget) holdsSlack(a *account, service string) bool {
+func (r *RetryBudget) holdsSlack(service string) bool {
 	if r.share() >= 1 {
 		return true
 	}
-	if now := r.clock.Now(); a.division.at.IsZero() || now.Sub(a.division.at) >= divisionTTL {
-		a.division = newDivision(r.fleet, service, now)
-	}
 	limit := RateLimit{Requests: int(splitFraction * r.limits.Slack), Max: int(r.limits.Slack)}
-	return limit.Requests > 0 && a.division.share(Target{Service: service}, limit) > 0
+	return limit.Requests > 0 && r.divisions.of(service, r.clock.Now()).share(Target{Service: service}, limit) > 0
 }
 
 // available reports whether the balance of the service allows a retry. A host without a part of the slack must have earned
 // it within the last window. The caller holds mu.
 func (r *RetryBudget) available(a *account, service string) bool {
-	return a.balance >= 1 && (r.holdsSlack(a, service) || a.recent.total(r.slot()) >= 1)
+	return a.balance >= 1 && (r.holdsSlack(service) || a.recent.total(r.slot()) >= 1)
 }
 
 // RecordRequest counts a request for the service.
--- a/internal/allowance/upstream.go
+++ b/internal/allowance/upstream.go
@@ -74,14 +74,12 @@
 
 // UpstreamLimiter limits this host's requests to single upstreams to its share. It is safe for concurrent use.
 type UpstreamLimiter struct {
-	fleet FleetView
 	clock clockwork.Clock
 
 	mu sync.Mutex
 	// sent are the times of this host's recent requests by upstream.
-	sent map[string][]time.Time
-	// divisions are how limits are divided among the hosts, by service.
-	divisions map[string]division
+	sent      map[string][]time.Time
+	divisions divisions
 	// sweptAt is when the records of upstreams without recent requests were last deleted.
 	sweptAt time.Time
 }
@@ -102,7 +100,7 @@
 
 // NewUpstreamLimiter returns a limiter without recorded requests.
 func NewUpstreamLimiter(fleet FleetView, clock clockwork.Clock) *UpstreamLimiter {
-	return &UpstreamLimiter{fleet: fleet, clock: clock, sent: map[string][]time.Time{}, divisions: map[string]division{}}
+	return &UpstreamLimiter{clock: clock, sent: map[string][]time.Time{}, divisions: newDivisions(fleet)}
 }
 
 // Available reports whether this host may send a request to the upstream now.
@@ -140,7 +138,7 @@
 
 // available reports whether the host's requests are below its share of each limit. The caller holds mu.
 func (l *UpstreamLimiter) available(target Target, limits []RateLimit, now time.Time) bool {
-	d := l.division(target.Service, now)
+	d := l.divisions.of(target.Service, now)
 	for _, limit := range limits {
 		if countSince(l.sent[target.ID], now.Add(-limit.Window)) >= d.share(target, limit) {
 			return false
@@ -181,15 +179,25 @@
 	return int(math.Ceil(0.86 * math.Sqrt(math.Sqrt(float64(d.hosts)))))
 }
 
-// division returns how the limits of the service's upstreams are divided. The caller holds mu.
-func (l *UpstreamLimiter) division(service string, now time.Time) division {
-	d, ok := l.divisions[service]
-	if ok && now.Sub(d.at) < divisionTTL {
-		return d
+// divisions keeps the divisions of services. It is not safe for concurrent use.
+type divisions struct {
+	fleet     FleetView
+	byService map[string]division
+}
+
+func newDivisions(fleet FleetView) divisions {
+	return divisions{fleet: fleet, byService: map[string]division{}}
+}
+
+// of returns how the limits of the service are divided.
+func (d divisions) of(service string, now time.Time) division {
+	kept, ok := d.byService[service]
+	if ok && now.Sub(kept.at) < divisionTTL {
+		return kept
 	}
-	d = newDivision(l.fleet, service, now)
-	l.divisions[service] = d
-	return d
+	current := newDivision(d.fleet, service, now)
+	d.byService[service] = current
+	return current
 }
 
 // newDivision returns how the limits of the service are divided now.
