Tests of allowances share the play of hosts that send as often as they may

The tests of cold and of named limits drew the same values in the same order in two copies of one loop. The bounds that they check are the same.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -184,30 +184,39 @@
 	return most
 }
 
+// pattern bounds how hosts try to send.
+type pattern struct{ maxSteps, maxPauseMS, maxTries int }
+
+// sendFromAll lets hosts with views of their own send to one upstream as often as they may, and returns the times.
+func sendFromAll(t *rapid.T, p pattern, limit func() RateLimit) []time.Time {
+	position := rapid.Float64Range(0, 0.99).Draw(t, "position")
+	clock := clockwork.NewFakeClock()
+	list := drawViews(t)
+	hosts := make([]*UpstreamLimiter, len(list))
+	for i, v := range list {
+		hosts[i] = NewUpstreamLimiter(v, clock)
+	}
+	var sent []time.Time
+	for range rapid.IntRange(1, p.maxSteps).Draw(t, "steps") {
+		clock.Advance(time.Duration(rapid.IntRange(0, p.maxPauseMS).Draw(t, "pause")) * time.Millisecond)
+		for _, h := range hosts {
+			for range rapid.IntRange(0, p.maxTries).Draw(t, "tries") {
+				if h.TryAcquire(Target{ID: "u", Position: position}, limit()) {
+					sent = append(sent, clock.Now())
+				}
+			}
+		}
+	}
+	return sent
+}
+
 // In any second all hosts together must not exceed the limit for a cold upstream, even if hosts are unaware of some
 // others.
 func TestColdLimitHoldsInAnySecond(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const rate = 16
 		limits := ColdLimits{Overage: 1.5, Slack: 5}
-		position := rapid.Float64Range(0, 0.99).Draw(t, "position")
-		clock := clockwork.NewFakeClock()
-		list := drawViews(t)
-		hosts := make([]*UpstreamLimiter, len(list))
-		for i, v := range list {
-			hosts[i] = NewUpstreamLimiter(v, clock)
-		}
-		var sent []time.Time
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			clock.Advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			for _, h := range hosts {
-				for range rapid.IntRange(0, 4).Draw(t, "tries") {
-					if h.TryAcquire(Target{ID: "u", Position: position}, limits.RateLimit(rate)) {
-						sent = append(sent, clock.Now())
-					}
-				}
-			}
-		}
+		sent := sendFromAll(t, pattern{maxSteps: 40, maxPauseMS: 400, maxTries: 4}, func() RateLimit { return limits.RateLimit(rate) })
 		if n := mostInWindow(sent, time.Second); float64(n) > rate*limits.Overage+limits.Slack {
 			t.Fatalf("%d requests in a second", n)
 		}
@@ -250,24 +259,7 @@
 func checkNamedLimit(t *rapid.T, choose func(RateLimit) RateLimit) {
 	perSecond := rapid.Float64Range(0, 40).Draw(t, "per second")
 	limit := NamedRateLimit(perSecond)
-	position := rapid.Float64Range(0, 0.99).Draw(t, "position")
-	clock := clockwork.NewFakeClock()
-	list := drawViews(t)
-	hosts := make([]*UpstreamLimiter, len(list))
-	for i, v := range list {
-		hosts[i] = NewUpstreamLimiter(v, clock)
-	}
-	var sent []time.Time
-	for range rapid.IntRange(1, 12).Draw(t, "steps") {
-		clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
-		for _, h := range hosts {
-			for range rapid.IntRange(0, 40).Draw(t, "tries") {
-				if h.TryAcquire(Target{ID: "u", Position: position}, choose(limit)) {
-					sent = append(sent, clock.Now())
-				}
-			}
-		}
-	}
+	sent := sendFromAll(t, pattern{maxSteps: 12, maxPauseMS: 3000, maxTries: 40}, func() RateLimit { return choose(limit) })
 	if n := mostInWindow(sent, namedWindow); float64(n) > namedOverage*perSecond*4+namedSlack {
 		t.Fatalf("%d requests in four seconds at %.2f a second", n, perSecond)
 	}
