Simulated fleets announce in one way

The fleets of repeated requests and of news of crashes each had a copy of how announcements are joined; the second also wrapped one function in another.

--- a/internal/fleet/crash_news_test.go
+++ b/internal/fleet/crash_news_test.go
@@ -37,10 +37,9 @@
 type newsFleet struct {
 	*deadlyFleet
 	newsTrouble
-	index      map[*deadlyHost]int
-	dropped    *rand.Rand
-	lastCrash  time.Time
-	announcing map[*deadlyHost]bool
+	index     map[*deadlyHost]int
+	dropped   *rand.Rand
+	lastCrash time.Time
 	// half and all are the times from the last crash until half of the hosts and all of them refuse the request.
 	half, all time.Duration
 }
@@ -50,14 +49,14 @@
 func newNewsFleet(hosts int, trouble newsTrouble, seed uint64) *newsFleet {
 	f := &newsFleet{
 		deadlyFleet: newDeadlyFleet(hosts, 1, 1, seed), newsTrouble: trouble, index: map[*deadlyHost]int{},
-		dropped: rand.New(rand.NewPCG(seed, 2)), announcing: map[*deadlyHost]bool{},
+		dropped: rand.New(rand.NewPCG(seed, 2)),
 	}
 	f.events = nil // rounds with messages that may be lost replace the others
 	f.lastCrash = f.start.Add(deadlyStart + (repeatCrashes-1)*crashInterval)
 	for i, h := range f.hosts {
 		f.index[h] = i
 		if !f.isOld(h) {
-			h.crashes.OnSuspect(func() { f.announce(h) })
+			h.crashes.OnSuspect(func() { f.announceSoon(h, f.exchangeOrLose) })
 		}
 		f.after(time.Duration(f.rand.Float64()*float64(h.GossipInterval)), func() { f.round(h) })
 	}
@@ -84,35 +83,23 @@
 }
 
 func (f *newsFleet) round(h *deadlyHost) {
-	if other := f.byName[h.pickTarget()]; other != nil && !f.sleeps(h) {
+	if other := f.byName[h.pickTarget()]; other != nil {
 		f.exchangeOrLose(h, other)
 	}
 	f.after(h.GossipInterval, func() { f.round(h) })
 }
 
-// announce exchanges digests with several hosts, as runAnnouncements does. Announcements that are pending are one.
-func (f *newsFleet) announce(h *deadlyHost) {
-	if f.announcing[h] {
+// exchangeOrLose exchanges digests with the other host, unless this one sleeps or a message is lost.
+func (f *newsFleet) exchangeOrLose(h, other *deadlyHost) {
+	if f.sleeps(h) {
 		return
 	}
-	f.announcing[h] = true
-	f.after(announceDelay+networkDelay, func() {
-		f.announcing[h] = false
-		for _, address := range h.pickAnnounced() {
-			if !f.sleeps(h) {
-				f.exchangeOrLose(h, f.byName[address])
-			}
-		}
-	})
-}
-
-func (f *newsFleet) exchangeOrLose(h, other *deadlyHost) {
-	digest := f.written(h, h.digest(other.dataCentreHash, unknownMembers))
+	digest := f.known(h, h.digest(other.dataCentreHash, unknownMembers))
 	if f.loses(h, other) {
 		f.fail(h, other)
 		return
 	}
-	reply, err := other.Exchange(context.Background(), f.read(other, digest))
+	reply, err := other.Exchange(context.Background(), f.known(other, digest))
 	if err != nil {
 		panic(err) // Exchange calls no other host
 	}
@@ -120,7 +107,7 @@
 		f.fail(h, other)
 		return
 	}
-	reply = f.read(h, f.written(other, reply))
+	reply = f.known(h, f.known(other, reply))
 	f.after(networkDelay, func() {
 		h.merge(reply)
 		h.recordReachable(other.Self)
@@ -131,16 +118,14 @@
 	f.after(exchangeTimeout, func() { h.recordUnreachable(other.Self, errLost) })
 }
 
-// written returns a digest as the build of the host writes it, and read as it reads it.
-func (f *newsFleet) written(h *deadlyHost, d *fleetpb.Digest) *fleetpb.Digest {
+// known returns what the build of the host knows of a digest.
+func (f *newsFleet) known(h *deadlyHost, d *fleetpb.Digest) *fleetpb.Digest {
 	if f.isOld(h) {
 		d.CrashSets = nil
 	}
 	return d
 }
 
-func (f *newsFleet) read(h *deadlyHost, d *fleetpb.Digest) *fleetpb.Digest { return f.written(h, d) }
-
 // crashBesideSound makes a host that is awake see a crash of the engine under the deadly request and sound ones. Those ran at
 // other hosts as well.
 func (f *newsFleet) crashBesideSound(engine int) {
--- a/internal/fleet/deadly_prompt_test.go
+++ b/internal/fleet/deadly_prompt_test.go
@@ -50,6 +50,8 @@
 	byName  map[string]*deadlyHost
 	engines []*deadlyEngine
 	things  int
+	// announcing are the hosts with a pending announcement.
+	announcing map[*deadlyHost]bool
 	// crashDelay is the time from the first event of an answer to a deadly prompt to the crash; 0 if it has no event.
 	crashDelay time.Duration
 
@@ -97,7 +99,7 @@
 func newDeadlyFleet(hosts, engines, things int, seed uint64) *deadlyFleet {
 	f := &deadlyFleet{
 		simulation: newSimulation(), rand: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*deadlyHost{}, things: things,
-		onDigest: func(int) {}, sound: map[int]int{}, refused: map[int]int{}, begun: map[int]int{},
+		onDigest: func(int) {}, sound: map[int]int{}, refused: map[int]int{}, begun: map[int]int{}, announcing: map[*deadlyHost]bool{},
 	}
 	for i := range engines {
 		f.engines = append(f.engines, &deadlyEngine{id: uint64(i + 1)})
@@ -161,6 +163,20 @@
 	f.after(networkDelay, func() { h.merge(reply) })
 }
 
+// announceSoon makes the host exchange digests with several others. Announcements that are pending are one.
+func (f *deadlyFleet) announceSoon(h *deadlyHost, exchange func(h, other *deadlyHost)) {
+	if f.announcing[h] {
+		return
+	}
+	f.announcing[h] = true
+	f.after(announceDelay+networkDelay, func() {
+		f.announcing[h] = false
+		for _, address := range h.pickAnnounced() {
+			exchange(h, f.byName[address])
+		}
+	})
+}
+
 func (f *deadlyFleet) exchangePrompts(h, other *deadlyHost) {
 	other.prompts.Merge(h.prompts.Records())
 	reply := other.prompts.Records()
--- a/internal/fleet/deadly_request_test.go
+++ b/internal/fleet/deadly_request_test.go
@@ -33,8 +33,6 @@
 	perSecond float64
 	attempts  int
 	running   map[*deadlyEngine]map[*repeatAttempt]bool
-	// announcing are the hosts with a pending announcement.
-	announcing map[*deadlyHost]bool
 	// sent and largest are the bytes of all digests and of the largest one.
 	sent, largest int
 	// sound and refused count the sound streams and those that were refused.
@@ -52,32 +50,18 @@
 func newRepeatFleet(p repeatPattern, seed uint64) *repeatFleet {
 	f := &repeatFleet{
 		deadlyFleet: newDeadlyFleet(p.hosts, p.engines, 1, seed), perSecond: p.perSecond, attempts: p.attempts,
-		running: map[*deadlyEngine]map[*repeatAttempt]bool{}, announcing: map[*deadlyHost]bool{},
+		running: map[*deadlyEngine]map[*repeatAttempt]bool{},
 	}
 	for _, e := range f.engines {
 		f.running[e] = map[*repeatAttempt]bool{}
 	}
 	for _, h := range f.hosts {
-		h.crashes.OnSuspect(func() { f.announce(h) })
+		h.crashes.OnSuspect(func() { f.announceSoon(h, f.exchange) })
 	}
 	f.onDigest = func(size int) { f.sent, f.largest = f.sent+size, max(f.largest, size) }
 	return f
 }
 
-// announce makes the host exchange digests with several others. Announcements that are pending are one.
-func (f *repeatFleet) announce(h *deadlyHost) {
-	if f.announcing[h] {
-		return
-	}
-	f.announcing[h] = true
-	f.after(announceDelay+networkDelay, func() {
-		f.announcing[h] = false
-		for _, address := range h.pickAnnounced() {
-			f.exchange(h, f.byName[address])
-		}
-	})
-}
-
 func (f *repeatFleet) randomHost() *deadlyHost { return f.hosts[f.rand.IntN(len(f.hosts))] }
 
 // arriveSound makes sound streams arrive at random hosts.
