direct: the trail tells the upstream's status and whether a send counts as not executed

A 503 of the upstream's own and a 200 were both 'answered' in the trail, so that logs could not distinguish a refusal that the upstream had stated from one that only its status suggested. No change of logic.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -36,7 +36,9 @@
 	notRun bool
 	// unproven is set if nothing was sent since it is not proven which incarnation of the upstream would receive it.
 	unproven bool
-	err      error
+	// status is the status of the upstream's response; 0 without one.
+	status int
+	err    error
 }
 
 // attemptSend sends the request to the upstream once.
@@ -153,7 +155,6 @@
 
 // send sends the request on the connection and handles the response.
 func (d *dispatchFilter) send(ctx context.Context, req *Request, u *catalog.Upstream, conn *upconn.Conn) attemptResult {
-	key := u.Key()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, conn.Close)
@@ -169,18 +170,26 @@
 		conn.Close()
 		return d.connectionFailed(ctx, req, u, err)
 	}
-	meta := d.codec.DecodeResponse(resp.StatusCode, resp.Header)
-	d.balancer.RecordResponseStart(u)
-	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(u) }}
-	if !meta.WrongInstance {
-		d.recordSelfReport(u, meta)
-	}
-	release := func(whole bool) {
+	res := d.handleResponse(ctx, req, u, conn, resp, inactivity, func(whole bool) {
 		if whole && stop() {
 			d.keep(conn, u)
 			return
 		}
 		conn.Close()
+	})
+	res.status = resp.StatusCode
+	return res
+}
+
+// handleResponse relays the upstream's response, or finds out what follows from it. release is called once the connection is no
+// longer needed.
+func (d *dispatchFilter) handleResponse(ctx context.Context, req *Request, u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, inactivity *inactivityTimer, release func(whole bool)) attemptResult {
+	key := u.Key()
+	meta := d.codec.DecodeResponse(resp.StatusCode, resp.Header)
+	d.balancer.RecordResponseStart(u)
+	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(u) }}
+	if !meta.WrongInstance {
+		d.recordSelfReport(u, meta)
 	}
 	switch {
 	case meta.NotRun:
--- a/internal/direct/attempt_log.go
+++ b/internal/direct/attempt_log.go
@@ -33,12 +33,15 @@
 	// startOffset is the time from the request's start to the attempt's, duration the time that the attempt took.
 	startOffset, duration time.Duration
 	result                string
+	// status is the status of the upstream's response, 0 without one; notRun is set if it proved that the request was not executed.
+	status int
+	notRun bool
 }
 
 func newAttemptRecord(req *Request, c *balance.Choice, start, end time.Time, res attemptResult) attemptRecord {
 	rec := attemptRecord{
 		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, load: c.Load, loadKnown: c.LoadKnown, silence: c.Silence, tier: c.Tier, startOffset: start.Sub(req.Start),
-		duration: end.Sub(start), result: "answered",
+		duration: end.Sub(start), result: "answered", status: res.status, notRun: res.notRun,
 	}
 	if !res.responded {
 		rec.result = "failed"
@@ -50,8 +53,8 @@
 }
 
 // formatAttempts returns the attempts as one text: upstream@data centre, its software version, the load on which the selection was based
-// (with ? if it was not reported recently), how long nothing had been heard of the upstream, the tier, the start offset, the duration and the
-// result.
+// (with ? if it was not reported recently), how long nothing had been heard of the upstream, the tier, the start offset, the duration, the
+// result, the status of the upstream's response and whether it is proven that the upstream did not execute the request.
 func (req *Request) formatAttempts() string {
 	var b strings.Builder
 	for i, a := range req.attempts {
@@ -62,8 +65,8 @@
 		if !a.loadKnown {
 			unknownMark = "?"
 		}
-		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,silence:%dms,tier:%d,at:%dms,took:%dms,%s", a.upstream, a.dataCentre, a.version, a.load, unknownMark,
-			a.silence.Milliseconds(), a.tier, a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result)
+		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,silence:%dms,tier:%d,at:%dms,took:%dms,%s,status:%d,not_run:%t", a.upstream, a.dataCentre, a.version, a.load, unknownMark,
+			a.silence.Milliseconds(), a.tier, a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result, a.status, a.notRun)
 	}
 	return b.String()
 }
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -114,7 +114,7 @@
 		d.metrics.refused.Inc(1)
 	}
 	event := d.log.Info().Str("event", "retry").Str("request", req.ID).Str("route", req.Route.Name).Str("kind", string(req.Route.Kind)).
-		Bool("not_run", res.notRun).Bool("sent", res.sent).Int("runs", req.runs).Int("sends", req.sends).Str("peer", req.lastTriedID()).
+		Bool("not_run", res.notRun).Int("status", res.status).Bool("sent", res.sent).Int("runs", req.runs).Int("sends", req.sends).Str("peer", req.lastTriedID()).
 		Bool("begun", req.response.begun()).Str("segments", req.formatSegments())
 	var refusal *outcome.Refusal
 	if errors.As(res.err, &refusal) {
