direct: a refusal of the upstream's own is not passed on as a promise

Callers saw: 408, 429 or 503 for a request that an upstream had executed and then refused itself, without stating that it was not executed. For callers these statuses promise 'not run, and never will be', and they send the request again. Cause: the response of an upstream was relayed by its bytes; only the statement of the upstream was meant as proof, and the status reached the caller all the same. A 429 or 408 was even taken for a success of the upstream. Ruled out on the way: a refusal of the router beside a send (heads, bodies, stops: nothing is sent before they end). Change: a response with such a status and without proof counts as an unknown outcome: 502 (504 after the deadline) without the upstream's signature, or another attempt where the route allows it. That holds on all routes, since the promise is made on all. Why here: the one place that reads the status before anything is relayed; long bodies and streams pass it as well.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -195,6 +195,8 @@
 	case meta.NotRun:
 		req.rejectedBy = append(req.rejectedBy, key)
 		return d.notExecuted(u, conn, resp, meta, release)
+	case promisesNotRun(resp.StatusCode):
+		return d.refusedWithoutProof(req, u, conn, resp, release)
 	case resp.StatusCode < http.StatusMultipleChoices && !meta.Signed:
 		release(false)
 		d.balancer.RecordBrokenResponse(u, errors.New("response is not signed by the upstream"))
@@ -288,3 +290,21 @@
 	d.balancer.MarkFull(key)
 	return notRunResult(true, "upstream-full", "the upstream did not take the request", key, nil)
 }
+
+// promisesNotRun reports whether the status tells a caller that its request was not executed and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// refusedWithoutProof handles a response whose status promises the caller that the request was not executed, although the
+// upstream does not say so.
+func (d *dispatchFilter) refusedWithoutProof(req *Request, u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, release func(bool)) attemptResult {
+	release(conn.Discard(resp))
+	d.balancer.RecordOutcome(u, resp.StatusCode >= minFailureStatus)
+	return d.outcomeUnknown(req, "refused-without-proof", "the upstream refused the request without saying that it was not executed", u.Key(), nil)
+}
--- /dev/null
+++ b/internal/direct/not_run_test.go
@@ -0,0 +1,50 @@
+package direct
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// ownStatus returns the behaviour of an upstream that executes the request and responds with the status, with the headers and a
+// body.
+func ownStatus(status int, headers, body string) behaviour {
+	return behaviour{fmt.Sprint(status), func(c net.Conn, r *http.Request) bool {
+		writeText(c, fmt.Sprintf("HTTP/1.1 %d Own\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Id"), headers, len(body), body))
+		return true
+	}, true}
+}
+
+// Guards against callers that are told that a request was not executed although an upstream has executed it and refused it with
+// a status of its own.
+func TestOwnRefusalOfUpstreamIsNotPassedOnAsPromise(t *testing.T) {
+	long := string(make([]byte, maxBufferedBytes+1))
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, u := range map[string]behaviour{
+			"signed":      ownStatus(status, "X-Signed: 1\r\n", "busy"),
+			"unsigned":    ownStatus(status, "", "busy"),
+			"retry later": ownStatus(status, "X-Signed: 1\r\nRetry-After: 1\r\n", ""),
+			"long":        ownStatus(status, "X-Signed: 1\r\n", long),
+		} {
+			for _, kind := range []catalog.Kind{catalog.Unsafe, catalog.Safe, catalog.Stream} {
+				t.Run(fmt.Sprintf("%d %s %s", status, name, kind), func(t *testing.T) {
+					is := is.New(t)
+					script := []behaviour{u}
+					if kind == catalog.Safe {
+						script = append(script, u) // may be executed twice
+					}
+					got := newHarness(t, kind, false, script...).call(http.MethodPost, "/r/", "hello")
+					is.NoErr(got.err)
+					is.Equal(got.status, http.StatusBadGateway)
+					is.Equal(got.header.Get("X-Signed"), "") // the upstream did not give this status
+					is.Equal(got.header.Get("Retry-After"), "")
+				})
+			}
+		}
+	}
+}
