direct: only a statement about the request proves that it was not executed

Callers saw: a request that must run once was executed by two upstreams, or was refused as not run although it had been. Cause: a send counted as not executed by status 421 alone, which the users' rules and their protocol page read differently ('no other response states this'), and by a statement in a response that names no request, if it came first on a connection. Evidence: TestOnlyStatementAboutRequestProvesThatItWasNotExecuted, 6 of 9 cases failed before (all of the kinds that may run once), 0 now. Change: the statement and the ID of the request, both. A bare 421 still marks the address as another instance's; the request ends with 502, or goes on at another upstream if it may run twice. Changes to tests: three stand-ins answered 421 without the statement, against the protocol page; they send it now, and what they sent before is a case of the new test.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -192,7 +192,7 @@
 		d.recordSelfReport(u, meta)
 	}
 	switch {
-	case meta.NotRun:
+	case meta.NotRun && meta.ID == req.ID: // a response that names no request may be about another one
 		req.rejectedBy = append(req.rejectedBy, key)
 		return d.notExecuted(u, conn, resp, meta, release)
 	case promisesNotRun(resp.StatusCode):
@@ -305,6 +305,10 @@
 // upstream does not say so.
 func (d *dispatchFilter) refusedWithoutProof(req *Request, u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, release func(bool)) attemptResult {
 	release(conn.Discard(resp))
-	d.balancer.RecordOutcome(u, resp.StatusCode >= minFailureStatus)
+	if d.codec.DecodeResponse(resp.StatusCode, resp.Header).WrongInstance {
+		d.balancer.MarkReplaced(u)
+	} else {
+		d.balancer.RecordOutcome(u, resp.StatusCode >= minFailureStatus)
+	}
 	return d.outcomeUnknown(req, "refused-without-proof", "the upstream refused the request without saying that it was not executed", u.Key(), nil)
 }
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -56,9 +56,9 @@
 	ID string
 	// Signed is set if the response carries the upstream's signature.
 	Signed bool
-	// NotRun is set if the upstream did not execute the request and never will.
+	// NotRun is set if the response states that the upstream did not execute the request and never will.
 	NotRun bool
-	// WrongInstance is set if another incarnation has the address.
+	// WrongInstance is set if the response says that another incarnation has the address.
 	WrongInstance bool
 	// Load is nil if the upstream does not report it.
 	Load *Load
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -61,7 +61,7 @@
 
 func (testCodec) DecodeResponse(status int, h http.Header) ResponseMetadata {
 	meta := ResponseMetadata{
-		ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "",
 		WrongInstance: status == http.StatusMisdirectedRequest,
 	}
 	meta.Leaving = h.Get("X-Leaving") != ""
@@ -121,7 +121,7 @@
 		return true
 	}, false}
 	otherInstance = behaviour{"another instance", func(c net.Conn, r *http.Request) bool {
-		writeText(c, "HTTP/1.1 421 Misdirected\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 0\r\n\r\n")
+		writeText(c, "HTTP/1.1 421 Misdirected\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}, false}
 	resets    = behaviour{"reset", func(c net.Conn, _ *http.Request) bool { resetConn(c); return false }, true}
--- a/internal/direct/not_run_test.go
+++ b/internal/direct/not_run_test.go
@@ -48,3 +48,32 @@
 		}
 	}
 }
+
+// Guards against requests that are executed twice, or refused although they were executed, because a send counted as not
+// executed without a statement of the upstream about this request.
+func TestOnlyStatementAboutRequestProvesThatItWasNotExecuted(t *testing.T) {
+	unnamed := func(status int) behaviour {
+		return behaviour{fmt.Sprint(status, " without ID"), func(c net.Conn, _ *http.Request) bool {
+			writeText(c, fmt.Sprintf("HTTP/1.1 %d Own\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status))
+			return false
+		}, true}
+	}
+	for _, u := range []behaviour{ownStatus(http.StatusMisdirectedRequest, "", ""), unnamed(http.StatusServiceUnavailable), unnamed(http.StatusMisdirectedRequest)} {
+		for _, kind := range []catalog.Kind{catalog.Unsafe, catalog.Stream} {
+			t.Run(u.name+" "+string(kind), func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, kind, false, u)
+				got := h.call(http.MethodPost, "/r/", "hello")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusBadGateway)
+				_, _, ran, _ := h.record()
+				is.Equal(ran, 1)
+			})
+		}
+		t.Run(u.name+" safe", func(t *testing.T) {
+			is := is.New(t)
+			got := newHarness(t, catalog.Safe, false, u, ok).call(http.MethodGet, "/r/", "")
+			is.Equal(got.status, http.StatusOK)
+		})
+	}
+}
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -220,7 +220,7 @@
 		head += "Server-Leaving: 1\r\n"
 	}
 	if r.Header.Get("Orioleusher-Expect-Instance") != instance {
-		return s.refuse(c, v, "421 Misdirected", head)
+		return s.refuse(c, v, "421 Misdirected", head+"Orioleusher-Not-Executed: 1\r\n")
 	}
 	if pause > 0 {
 		v.pause = pause
