--- a/internal/balance/path.go
+++ b/internal/balance/path.go
@@ -38,6 +38,20 @@
 	data *moment
 }
 
+// ForgetFailures forgets what connections and responses that failed told of upstreams and paths: the fault was this host's own.
+func (t *Table) ForgetFailures() {
+	t.mu.Lock()
+	defer t.unlock()
+	now := t.clock.Now()
+	t.resumedAt = now
+	for _, s := range t.statsByKey {
+		s.consecutiveFailures, s.suspectUntil, s.avgFailureShare = 0, time.Time{}, 0
+	}
+	for _, p := range t.paths {
+		p.responded(now)
+	}
+}
+
 // path returns the path to the data centre. The caller holds mu.
 func (t *Table) path(dataCentre string) *path {
 	p := t.paths[dataCentre]
--- /dev/null
+++ b/internal/detour/peers.go
@@ -0,0 +1,137 @@
+package detour
+
+import (
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// skipTime is how long a host that refused a detour, or did not respond, is not asked again.
+	skipTime = time.Second
+	// provenTime is how long a host that has served a detour is preferred.
+	provenTime = 2 * time.Second
+	// One in exploreInterval detours goes to a host that has not served one lately, so that the load spreads.
+	exploreInterval = 8
+	// listTime is how long the list of hosts is used until it is asked for again.
+	listTime = 200 * time.Millisecond
+)
+
+// Peers chooses the hosts through which detours go. It is safe for concurrent use.
+type Peers struct {
+	reachable func() []string
+	port      string
+	clock     clockwork.Clock
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	list   []string
+	listAt time.Time
+	states map[string]*peerState
+}
+
+// peerState is what is known of a host as a way to the upstreams.
+type peerState struct {
+	inFlight               int
+	skipUntil, provenUntil time.Time
+}
+
+// NewPeers returns a chooser among the hosts at the peer addresses that reachable returns. All of them take detours at the port.
+func NewPeers(reachable func() []string, port string, clock clockwork.Clock, r *rand.Rand) *Peers {
+	return &Peers{reachable: reachable, port: port, clock: clock, rand: r, states: map[string]*peerState{}}
+}
+
+// Choose returns the address to which the next detour goes, other than those in tried, or "" if there is none.
+func (p *Peers) Choose(tried []string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var proven, unproven []string
+	for _, address := range p.addresses(now) {
+		s := p.states[address]
+		switch {
+		case slices.Contains(tried, address) || s != nil && now.Before(s.skipUntil):
+		case s != nil && now.Before(s.provenUntil):
+			proven = append(proven, address)
+		default:
+			unproven = append(unproven, address)
+		}
+	}
+	if len(proven) == 0 || len(unproven) > 0 && p.rand.IntN(exploreInterval) == 0 {
+		return p.lessLoaded(unproven)
+	}
+	return p.lessLoaded(proven)
+}
+
+// addresses returns the addresses of the reachable hosts. The caller holds mu.
+func (p *Peers) addresses(now time.Time) []string {
+	if p.list != nil && now.Sub(p.listAt) < listTime {
+		return p.list
+	}
+	p.list, p.listAt = []string{}, now
+	for _, peer := range p.reachable() {
+		if host, _, err := net.SplitHostPort(peer); err == nil {
+			p.list = append(p.list, net.JoinHostPort(host, p.port))
+		}
+	}
+	for address, s := range p.states {
+		if s.inFlight == 0 && !slices.Contains(p.list, address) {
+			delete(p.states, address)
+		}
+	}
+	return p.list
+}
+
+// lessLoaded returns the one of two random addresses that has fewer detours of this host. The caller holds mu.
+func (p *Peers) lessLoaded(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	a, b := list[p.rand.IntN(len(list))], list[p.rand.IntN(len(list))]
+	if p.state(b).inFlight < p.state(a).inFlight {
+		return b
+	}
+	return a
+}
+
+// state returns the state of the address and creates it if needed. The caller holds mu.
+func (p *Peers) state(address string) *peerState {
+	s := p.states[address]
+	if s == nil {
+		s = &peerState{}
+		p.states[address] = s
+	}
+	return s
+}
+
+// Begin counts a detour through the host until the returned function is called.
+func (p *Peers) Begin(address string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(address)
+	s.inFlight++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		s.inFlight--
+	}
+}
+
+// RecordServed records that the host reached an upstream for this one.
+func (p *Peers) RecordServed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(address).provenUntil = p.clock.Now().Add(provenTime)
+}
+
+// RecordRefused records that the host takes no detours now, or does not respond.
+func (p *Peers) RecordRefused(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(address)
+	s.skipUntil, s.provenUntil = p.clock.Now().Add(skipTime), time.Time{}
+}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -36,6 +37,10 @@
 	notRun bool
 	// unproven is set if nothing was sent since it is not proven which incarnation of the upstream would receive it.
 	unproven bool
+	// peerRefused is why the other host through which the attempt was to go did not take it, so that nothing was sent.
+	peerRefused error
+	// noPath is set if nothing was sent since no upstream can be reached from here, nor through another host.
+	noPath bool
 	// status is the status of the upstream's response; 0 without one.
 	status int
 	err    error
@@ -43,50 +48,82 @@
 
 // attemptSend sends the request to the upstream once.
 func (d *dispatchFilter) attemptSend(ctx context.Context, req *Request, u *catalog.Upstream) attemptResult {
+	req.peer = ""
+	if d.reach.CutOff() {
+		return d.sendByDetour(ctx, req, u)
+	}
 	key := u.Key()
 	conn, err := d.connect(ctx, req, u)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.recordPath(u, d.balancer.RecordConnectFailure(u, err))
-			d.pool.CloseIdle(u.Address)
-			if balance.IsTimeout(err) {
-				req.unreached = append(req.unreached, u.DataCentre)
-			}
+			d.recordConnectFailure(req, u, err)
 		}
 		req.tried = append(req.tried, key)
 		return notRunResult(false, "connect-failed", "the upstream could not be reached", key, err)
 	}
-	// Connecting takes time, so the configuration and the upstream's state may have changed since the selection.
-	snap := d.store.Current()
-	if err := resolveRoute(req, snap.Config); err != nil || !isUsable(snap, u) || !d.balancer.AcceptsWork(key) {
-		d.keep(conn, u)
-		return notRunResult(false, "upstream-left", "the upstream was taken out", key, err)
-	}
-	if err := checkPrompt(d.prompts, req); err != nil {
+	if denied := d.recheck(req, u); denied != nil {
 		d.keep(conn, u)
-		return attemptResult{notRun: true, err: err}
+		return *denied
 	}
 	if !d.mayContinue(ctx, req, u, conn) {
 		return attemptResult{unproven: true}
 	}
-	req.conn = conn
+	req.process = conn
 	d.balancer.RecordRequestStart(key)
 	defer d.balancer.RecordRequestEnd(key)
+	d.countSend(req, key)
+	return d.send(ctx, req, u, conn)
+}
+
+// recheck returns the result of a send that is no longer allowed, or nil: connecting takes time, so the configuration and the
+// upstream's state may have changed since the selection.
+func (d *dispatchFilter) recheck(req *Request, u *catalog.Upstream) *attemptResult {
+	snap, key := d.store.Current(), u.Key()
+	if err := resolveRoute(req, snap.Config); err != nil || !isUsable(snap, u) || !d.balancer.AcceptsWork(key) {
+		denied := notRunResult(false, "upstream-left", "the upstream was taken out", key, err)
+		return &denied
+	}
+	if err := checkPrompt(d.prompts, req); err != nil {
+		return &attemptResult{notRun: true, err: err}
+	}
+	return nil
+}
+
+// countSend counts a send that begins.
+func (d *dispatchFilter) countSend(req *Request, key catalog.UpstreamKey) {
 	req.tried = append(req.tried, key)
 	req.sends++
 	d.metrics.sends.Inc(1)
 	if _, limited := d.balancer.RequestLimit(key); limited {
 		d.metrics.sendsLimited.Inc(1)
 	}
-	return d.send(ctx, req, u, conn)
+}
+
+// recordConnectFailure records that no connection to the upstream could be established.
+func (d *dispatchFilter) recordConnectFailure(req *Request, u *catalog.Upstream, err error) {
+	d.reach.RecordFailure(u.Address, true)
+	d.recordPath(u, d.balancer.RecordConnectFailure(u, err))
+	d.pool.CloseIdle(u.Address)
+	if balance.IsTimeout(err) {
+		req.unreached = append(req.unreached, u.DataCentre)
+	}
 }
 
 // connect returns a connection to the upstream. A new connection must be established within half of the request's
 // latency objective, so that an unresponsive upstream leaves time to try another one.
 func (d *dispatchFilter) connect(ctx context.Context, req *Request, u *catalog.Upstream) (*upconn.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout))
+	return d.connectWithin(ctx, u, min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout))
+}
+
+// connectWithin returns a connection to the upstream that is established within the timeout.
+func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration) (*upconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return d.pool.Get(ctx, u.Address)
+	conn, err := d.pool.Get(ctx, u.Address)
+	if err == nil && !conn.WriteStarted {
+		d.reach.RecordConnected()
+	}
+	return conn, err
 }
 
 // idleConnFraction is the fraction of the connections that an upstream accepts from all hosts that may be idle. The others are
@@ -102,8 +139,12 @@
 	return max(1, int(idleConnFraction*float64(limit))/d.hosts.ShareCount())
 }
 
-// keep returns a connection to the pool, unless its upstream is leaving.
+// keep returns a connection to the pool, unless it leads to an upstream that is leaving.
 func (d *dispatchFilter) keep(conn *upconn.Conn, u *catalog.Upstream) {
+	if conn.Address() != u.Address { // the connection leads to another host
+		d.pool.Put(conn, upconn.MaxIdlePerUpstream)
+		return
+	}
 	d.pool.Put(conn, d.maxIdleConns(u.Service))
 	if key := u.Key(); d.balancer.Leaving(key) { // asked last, since the upstream may say so meanwhile
 		d.pool.CloseIdle(key.Address)
@@ -161,33 +202,49 @@
 	defer stop()
 	inactivity := d.newInactivityTimer(req, u, cancel)
 	defer func() { req.next = inactivity.stop() }()
+	out, err := d.newUpstreamRequest(req, u)
+	if err != nil {
+		conn.Close()
+		return attemptResult{notRun: true, err: err}
+	}
 	//nolint:bodyclose // release closes the connection under the body, or gives it back after the body's end
-	resp, err := conn.RoundTrip(d.newUpstreamRequest(req, u), req.Body, func(_ int, h http.Header) bool {
-		id := d.codec.DecodeResponse(0, h).ID
-		return id == req.ID || id == "" && !conn.Reused
+	resp, err := conn.RoundTrip(out, req.Body, func(_ int, h http.Header) bool {
+		return req.peer != "" && detour.HasReport(h) || d.belongs(req.ID, h, conn)
 	})
 	if err != nil {
 		conn.Close()
 		return d.connectionFailed(ctx, req, u, err)
 	}
-	res := d.handleResponse(ctx, req, u, conn, resp, inactivity, func(whole bool) {
+	release := func(whole bool) {
 		if whole && stop() {
 			d.keep(conn, u)
 			return
 		}
 		conn.Close()
-	})
+	}
+	if req.peer != "" {
+		if res := d.checkReport(req, u, conn, resp, release); res != nil {
+			return *res
+		}
+	}
+	res := d.handleResponse(ctx, req, u, conn, resp, inactivity, release)
 	res.status = resp.StatusCode
 	return res
 }
 
+// belongs reports whether a response on the connection belongs to the request with the ID.
+func (d *dispatchFilter) belongs(request string, h http.Header, conn *upconn.Conn) bool {
+	id := d.codec.DecodeResponse(0, h).ID
+	return id == request || id == "" && !conn.Reused
+}
+
 // handleResponse relays the upstream's response, or finds out what follows from it. release is called once the connection is no
 // longer needed.
 func (d *dispatchFilter) handleResponse(ctx context.Context, req *Request, u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, inactivity *inactivityTimer, release func(whole bool)) attemptResult {
 	key := u.Key()
 	meta := d.codec.DecodeResponse(resp.StatusCode, resp.Header)
 	d.balancer.RecordResponseStart(u)
-	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.balancer.RecordData(u) }}
+	resp.Body = &dataRecorder{ReadCloser: resp.Body, record: func() { d.recordData(req, u) }}
 	if !meta.WrongInstance {
 		d.recordSelfReport(u, meta)
 	}
@@ -222,8 +279,16 @@
 	}
 }
 
+// recordData records that data of the upstream's response has arrived.
+func (d *dispatchFilter) recordData(req *Request, u *catalog.Upstream) {
+	d.balancer.RecordData(u)
+	if req.peer == "" {
+		d.reach.RecordData()
+	}
+}
+
 // newUpstreamRequest builds the request for the upstream.
-func (d *dispatchFilter) newUpstreamRequest(req *Request, u *catalog.Upstream) *http.Request {
+func (d *dispatchFilter) newUpstreamRequest(req *Request, u *catalog.Upstream) (*http.Request, error) {
 	in := req.HTTP
 	snap := d.store.Current()
 	engine, holder := snap.Config.Services[u.Service].Engine, ""
@@ -243,12 +308,23 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // a missing key would make net/http send its default
 	}
+	if req.peer != "" {
+		order := detour.NewOrder(u, d.stop.bound(req.Deadline).Sub(d.clock.Now()))
+		order.ProveVersion = req.origin != nil
+		if err := detour.SetOrder(header, order); err != nil {
+			return nil, err
+		}
+	}
+	return newBodyRequest(in, header, req.Body), nil
+}
+
+// newBodyRequest returns a request with the method and the target of the received one, and with the headers and the body.
+func newBodyRequest(in *http.Request, header http.Header, body []byte) *http.Request {
 	out := &http.Request{
-		Method: in.Method, Host: in.Host, Header: header, ContentLength: int64(len(req.Body)), ProtoMajor: 1, ProtoMinor: 1,
-		URL: upstreamURL(in),
+		Method: in.Method, Host: in.Host, Header: header, ContentLength: int64(len(body)), ProtoMajor: 1, ProtoMinor: 1, URL: upstreamURL(in),
 	}
-	if len(req.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+	if len(body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	return out
 }
@@ -259,7 +335,7 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, balance.ErrResponseTimeout):
-		d.recordPath(u, d.balancer.RecordBrokenResponse(u, cause))
+		d.recordSilence(req, u, cause)
 		return d.outcomeUnknown(req, "silent", "the upstream stayed silent", key, cause)
 	case errors.Is(cause, errStopped):
 		return d.outcomeUnknown(req, "stopping", "the router stopped before the upstream had answered", key, cause)
@@ -271,13 +347,37 @@
 		d.log.Warn().Str("event", "answer-too-large").Str("request", req.ID).Str("upstream", key.ID).Str("peer", key.Address).Err(err).Send()
 		return d.outcomeUnknown(req, "answer-too-large", "the upstream's answer is too large", key, err)
 	default:
-		d.balancer.RecordBrokenResponse(u, err)
+		d.recordBroken(req, u, err)
 		d.crashes.recordBrokenResponse(u, newSuspect(req, d.clock.Now()))
-		d.pool.CloseIdle(key.Address)
 		return d.outcomeUnknown(req, "no-answer", "the upstream did not answer", key, err)
 	}
 }
 
+// recordSilence records that the upstream sent no data within the time limit.
+func (d *dispatchFilter) recordSilence(req *Request, u *catalog.Upstream, cause error) {
+	if req.peer != "" {
+		d.balancer.RecordBrokenResponse(u, errors.WithMessagef(errSilentDetour, "detour through %s", req.peer))
+		return
+	}
+	d.reach.RecordFailure(u.Address, false)
+	if !d.reach.CutOff() { // else the fault is not the upstream's
+		d.recordPath(u, d.balancer.RecordBrokenResponse(u, cause))
+	}
+}
+
+// recordBroken records that the response of the upstream broke off.
+func (d *dispatchFilter) recordBroken(req *Request, u *catalog.Upstream, err error) {
+	if req.peer != "" {
+		d.balancer.RecordBrokenResponse(u, err)
+		return
+	}
+	d.reach.RecordFailure(u.Address, false)
+	if !d.reach.CutOff() {
+		d.balancer.RecordBrokenResponse(u, err)
+	}
+	d.pool.CloseIdle(u.Address)
+}
+
 // notExecuted handles a response by which the upstream reports that it did not execute the request.
 func (d *dispatchFilter) notExecuted(u *catalog.Upstream, conn *upconn.Conn, resp *http.Response, meta ResponseMetadata, release func(bool)) attemptResult {
 	key := u.Key()
--- a/internal/direct/attempt_log.go
+++ b/internal/direct/attempt_log.go
@@ -30,6 +30,8 @@
 	loadKnown  bool
 	silence    time.Duration
 	tier       int
+	// peer is the address of the host through which the attempt went; empty if it went directly.
+	peer string
 	// startOffset is the time from the request's start to the attempt's, duration the time that the attempt took.
 	startOffset, duration time.Duration
 	result                string
@@ -40,7 +42,7 @@
 
 func newAttemptRecord(req *Request, c *balance.Choice, start, end time.Time, res attemptResult) attemptRecord {
 	rec := attemptRecord{
-		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, load: c.Load, loadKnown: c.LoadKnown, silence: c.Silence, tier: c.Tier, startOffset: start.Sub(req.Start),
+		upstream: c.ID, dataCentre: c.DataCentre, version: c.Version, peer: req.peer, load: c.Load, loadKnown: c.LoadKnown, silence: c.Silence, tier: c.Tier, startOffset: start.Sub(req.Start),
 		duration: end.Sub(start), result: "answered", status: res.status, notRun: res.notRun,
 	}
 	if !res.responded {
@@ -52,7 +54,7 @@
 	return rec
 }
 
-// formatAttempts returns the attempts as one text: upstream@data centre, its software version, the load on which the selection was based
+// formatAttempts returns the attempts as one text: upstream@data centre, the host through which it went, if any, its software version, the load on which the selection was based
 // (with ? if it was not reported recently), how long nothing had been heard of the upstream, the tier, the start offset, the duration, the
 // result, the status of the upstream's response and whether it is proven that the upstream did not execute the request.
 func (req *Request) formatAttempts() string {
@@ -65,7 +67,11 @@
 		if !a.loadKnown {
 			unknownMark = "?"
 		}
-		fmt.Fprintf(&b, "%s@%s,software:%s,load:%.0f%s,silence:%dms,tier:%d,at:%dms,took:%dms,%s,status:%d,not_run:%t", a.upstream, a.dataCentre, a.version, a.load, unknownMark,
+		via := ""
+		if a.peer != "" {
+			via = ",via:" + a.peer
+		}
+		fmt.Fprintf(&b, "%s@%s%s,software:%s,load:%.0f%s,silence:%dms,tier:%d,at:%dms,took:%dms,%s,status:%d,not_run:%t", a.upstream, a.dataCentre, via, a.version, a.load, unknownMark,
 			a.silence.Milliseconds(), a.tier, a.startOffset.Milliseconds(), a.duration.Milliseconds(), a.result, a.status, a.notRun)
 	}
 	return b.String()
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -15,22 +15,31 @@
 	return []Filter{
 		&admissionFilter{store: s.Store, clock: s.Clock},
 		&deadlineFilter{clock: s.Clock},
-		&bodyFilter{store: s.Store, bodies: inbound.NewByteBudget(s.BodyBytes), stop: s.stop, clock: s.Clock},
+		&bodyFilter{store: s.Store, bodies: s.dispatch.bodies, stop: s.stop, clock: s.Clock},
 		&quarantineFilter{quarantine: s.Quarantine},
 		&originFilter{store: s.Store, resolver: s.Origins},
-		&dispatchFilter{
-			shareOrigin:  s.ShareOrigin,
-			incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
-			store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts,
-			retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
-			reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
-			responses:    inbound.NewByteBudget(s.ResponseBytes), log: s.Log, metrics: newDispatchMetrics(s.Scope), crashes: &crashDetector{
-				quarantine: s.Quarantine, prompts: s.Prompts, dial: s.Pool.Dial, clock: s.Clock, log: s.Log, suspects: map[catalog.UpstreamKey][]suspect{},
-			},
-		},
+		s.dispatch,
 	}
 }
 
+// newDispatchFilter returns the last filter, which also serves the detours of other hosts.
+func (s *Server) newDispatchFilter() *dispatchFilter {
+	d := &dispatchFilter{
+		shareOrigin:  s.ShareOrigin,
+		incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
+		store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts, reach: s.Reach, detours: s.DetourPeers,
+		retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
+		reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
+		bodies:       inbound.NewByteBudget(s.BodyBytes), responses: inbound.NewByteBudget(s.ResponseBytes), log: s.Log,
+		metrics: newDispatchMetrics(s.Scope),
+	}
+	d.crashes = &crashDetector{
+		quarantine: s.Quarantine, prompts: s.Prompts, refuses: d.refusesConnections, clock: s.Clock, log: s.Log,
+		suspects: map[catalog.UpstreamKey][]suspect{},
+	}
+	return d
+}
+
 // deadlineFilter cancels the rest of the chain at the request's deadline.
 type deadlineFilter struct {
 	clock clockwork.Clock
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -37,9 +34,10 @@
 type crashDetector struct {
 	quarantine *quarantine.Table
 	prompts    *promptblame.Table
-	dial       func(ctx context.Context, network, address string) (net.Conn, error)
-	clock      clockwork.Clock
-	log        zerolog.Logger
+	// refuses reports whether the upstream refuses connections.
+	refuses func(ctx context.Context, u *catalog.Upstream) bool
+	clock   clockwork.Clock
+	log     zerolog.Logger
 
 	mu sync.Mutex
 	// suspects holds the requests whose responses broke off, by upstream with a pending probe.
@@ -69,23 +67,20 @@
 	probePending := len(d.suspects[key]) > 0
 	d.suspects[key] = append(d.suspects[key], s)
 	if !probePending {
-		d.clock.AfterFunc(crashProbeDelay, func() { d.probe(key) })
+		d.clock.AfterFunc(crashProbeDelay, func() { d.probe(u) })
 	}
 }
 
 // probe records a crash for each request that was running on the upstream if the upstream refuses connections.
-func (d *crashDetector) probe(key catalog.UpstreamKey) {
+func (d *crashDetector) probe(u *catalog.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, "tcp", key.Address)
-	if err == nil {
-		_ = conn.Close()
-	}
+	refuses, key := d.refuses(ctx, u), u.Key()
 	d.mu.Lock()
 	suspects := d.suspects[key]
 	delete(d.suspects, key)
 	d.mu.Unlock()
-	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+	if !refuses {
 		return
 	}
 	d.log.Warn().Str("event", "upstream-died").Str("upstream", key.ID).Str("peer", key.Address).Int("requests", len(suspects)).Send()
@@ -99,6 +94,22 @@
 	}
 }
 
+// refusesConnections reports whether the upstream refuses connections, and not only those of this host.
+func (d *dispatchFilter) refusesConnections(ctx context.Context, u *catalog.Upstream) bool {
+	if !d.reach.CutOff() {
+		conn, err := d.pool.Dial(ctx, "tcp", u.Address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		if !isRefusal(err) || !d.reach.Confirm(ctx) {
+			return isRefusal(err)
+		}
+	}
+	refuses, err := d.refusesByDetour(ctx, u)
+	d.log.Info().Str("event", "crash-probed-by-detour").Str("upstream", u.ID).Str("peer", u.Address).Bool("refuses", refuses).Err(err).Send()
+	return refuses
+}
+
 // quarantineFilter refuses requests that are quarantined because upstreams crashed while running them.
 type quarantineFilter struct {
 	quarantine *quarantine.Table
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"syscall"
 	"testing"
@@ -35,17 +34,15 @@
 			d := &crashDetector{
 				quarantine: quarantine.NewTable(QuarantineLimits, clock, nil), clock: clock, log: zerolog.Nop(),
 				suspects: map[catalog.UpstreamKey][]suspect{},
-				dial: func(context.Context, string, string) (net.Conn, error) {
+				refuses: func(context.Context, *catalog.Upstream) bool {
 					dials++
-					local, remote := net.Pipe()
-					remote.Close()
-					return local, tt.err
+					return isRefusal(tt.err)
 				},
 			}
 			u := &catalog.Upstream{ID: "u", Address: "10.0.0.1:80"}
 			d.recordBrokenResponse(u, suspect{fingerprint: 7})
 			d.recordBrokenResponse(u, suspect{fingerprint: 8}) // shares the probe
-			d.probe(u.Key())
+			d.probe(u)
 			is.Equal(dials, 1)
 			for _, fingerprint := range []uint64{7, 8} {
 				verdict, _ := d.quarantine.Check(fingerprint)
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -91,32 +91,38 @@
 		{stream, []behaviour{cutBefore}, 502, "", 1},
 		{stream, []behaviour{shed, streams}, 200, wholeStream(), 1},
 	}
-	for _, tt := range tests {
-		var name []string
-		for _, b := range tt.script {
-			name = append(name, b.name)
-		}
-		k := kinds[tt.kind]
-		t.Run(string(k.kind)+": "+strings.Join(name, ", "), func(t *testing.T) {
-			is := is.New(t)
-			h := newHarness(t, k.kind, k.resumable, tt.script...)
-			got := h.call(http.MethodPost, "/r/x%2fy?q=1", "hello")
-			is.NoErr(got.err)
-			is.Equal(got.status, tt.status)
-			if tt.body != "" {
-				is.Equal(got.body, tt.body)
-				is.Equal(got.header.Get("X-Signed"), "1")
+	for _, byDetour := range []bool{false, true} {
+		for _, tt := range tests {
+			var name []string
+			for _, b := range tt.script {
+				name = append(name, b.name)
 			}
-			seen, bodies, ran, left := h.record()
-			is.Equal(ran, tt.ran)
-			is.Equal(left, 0) // the whole script was used
-			for i, r := range seen {
-				is.Equal(r.RequestURI, "/r/x%2fy?q=1")
-				is.Equal(bodies[i], "hello")
-				is.Equal(r.Header.Get("X-Team"), "team")
-				is.Equal(r.Header.Get("X-Key"), "")
-			}
-		})
+			k := kinds[tt.kind]
+			t.Run(fmt.Sprintf("%s, by detour %t: %s", k.kind, byDetour, strings.Join(name, ", ")), func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, k.kind, k.resumable, tt.script...)
+				if byDetour {
+					h.cutOffBeside(h.startPeer())
+				}
+				got := h.call(http.MethodPost, "/r/x%2fy?q=1", "hello")
+				is.NoErr(got.err)
+				is.Equal(got.status, tt.status)
+				if tt.body != "" {
+					is.Equal(got.body, tt.body)
+					is.Equal(got.header.Get("X-Signed"), "1")
+				}
+				seen, bodies, ran, left := h.record()
+				is.Equal(ran, tt.ran)
+				is.Equal(left, 0) // the whole script was used
+				for i, r := range seen {
+					is.Equal(r.RequestURI, "/r/x%2fy?q=1")
+					is.Equal(bodies[i], "hello")
+					is.Equal(r.Header.Get("X-Team"), "team")
+					is.Equal(r.Header.Get("X-Key"), "")
+					is.Equal(r.Header.Get("Oriole-Detour"), "")
+				}
+			})
+		}
 	}
 }
 
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/origin"
@@ -56,21 +57,26 @@
 	incarnations *incarnationCheck
 	// reachability tells whether silent upstreams accept connections.
 	reachability *reachability
-	prompts      *promptblame.Table
-	shareOrigin  func(origin.Record)
+	// reach tells whether this host is cut off from the upstreams, and detours chooses the hosts that are not.
+	reach       Reachability
+	detours     *detour.Peers
+	prompts     *promptblame.Table
+	shareOrigin func(origin.Record)
+	// bodies limits the memory for the bodies of requests.
+	bodies *inbound.ByteBudget
 	// responses limits the memory for the bodies of responses that are held.
 	responses *inbound.ByteBudget
 }
 
 type dispatchMetrics struct {
-	sends, sendsLimited, retries, resumes, refused, notRun, outcomeUnknown, tooLarge tally.Counter
+	sends, sendsLimited, retries, resumes, refused, notRun, outcomeUnknown, tooLarge, detours, noDetour tally.Counter
 }
 
 func newDispatchMetrics(scope tally.Scope) dispatchMetrics {
 	return dispatchMetrics{
 		sends: scope.Counter("sends"), sendsLimited: scope.Counter("sends_limited"), retries: scope.Counter("retries"), resumes: scope.Counter("stream_resumes"),
 		refused: scope.Counter("retries_refused"), notRun: scope.Counter("sends_not_run"), outcomeUnknown: scope.Counter("sends_unknown"),
-		tooLarge: scope.Counter("answers_too_large"),
+		tooLarge: scope.Counter("answers_too_large"), detours: scope.Counter("detours"), noDetour: scope.Counter("detours_missing"),
 	}
 }
 
@@ -143,6 +149,8 @@
 		return "begun"
 	case req.sendsExhausted():
 		return "sends"
+	case res.noPath:
+		return "cut-off"
 	case res.notRun:
 		return ""
 	case !req.Route.Repeatable():
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +24,7 @@
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -286,6 +289,10 @@
 	// listing tells how recent the published upstreams are, which have published themselves within the registration time.
 	listing      Listing
 	registration time.Duration
+	// reach tells whether the server is cut off from the upstreams. peers are the hosts that may take its detours at peerPort.
+	reach    *testReach
+	peers    func() []string
+	peerPort string
 	// maxConns limits the callers' connections of a server that is started with serve.
 	maxConns int
 	*upstreams
@@ -327,7 +334,7 @@
 	h.quarantine = quarantine.NewTable(QuarantineLimits, clock, nil)
 	h.prompts = promptblame.NewTable(1, clock, log)
 	h.origins, h.soleVersion = origin.NewTable(clock), new(string)
-	h.listing = freshListing{}
+	h.listing, h.reach, h.peers = freshListing{}, &testReach{}, func() []string { return nil }
 	h.config = &catalog.Config{
 		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
 		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
@@ -352,6 +359,8 @@
 	h.server = New(Options{
 		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Hosts: oneHost{}, Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
+		Reach:       h.reach,
+		DetourPeers: detour.NewPeers(h.peers, h.peerPort, clock, rand.New(rand.NewPCG(1, 1))), MaxDetours: 100,
 		Origins:     h,
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
 		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}, clock), Selector: balance.NewSelector(
@@ -441,3 +450,15 @@
 
 func (freshListing) DataAge() time.Duration                   { return 0 }
 func (freshListing) Refresh(context.Context, time.Time) error { return nil }
+
+// testReach is a Reachability that tests set.
+type testReach struct {
+	cutOff   atomic.Bool
+	failures atomic.Int64
+}
+
+func (r *testReach) CutOff() bool                 { return r.cutOff.Load() }
+func (r *testReach) Confirm(context.Context) bool { return r.cutOff.Load() }
+func (r *testReach) RecordData()                  {}
+func (r *testReach) RecordConnected()             {}
+func (r *testReach) RecordFailure(string, bool)   { r.failures.Add(1) }
--- a/internal/direct/inactivity.go
+++ b/internal/direct/inactivity.go
@@ -69,6 +69,11 @@
 	return inactivityLimits{unreachable: limit, reachable: max(limit, min(silenceTimeout, patience))}
 }
 
+// assumeReachable returns the limits of an upstream that this host cannot probe.
+func (l inactivityLimits) assumeReachable() inactivityLimits {
+	return inactivityLimits{unreachable: l.reachable, reachable: l.reachable}
+}
+
 // callersPatience returns for how long the callers of a stream wait for data, less the part that is left to the next send.
 func callersPatience(route *catalog.Route) time.Duration {
 	patience := max(minPatience, patienceFactor*route.LatencyObjective, patienceGapFactor*route.MaxEventGap)
@@ -89,6 +94,9 @@
 		reserve:   d.newReserveFunc(req), giveUp: giveUp, address: u.Address, reachability: d.reachability, logSilence: d.newSilenceLog(req, u),
 		version: req.version(),
 	}
+	if req.peer != "" {
+		first, t.gapLimits = first.assumeReachable(), t.gapLimits.assumeReachable()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(first.unreachable, t.expire)
--- a/internal/direct/incarnation.go
+++ b/internal/direct/incarnation.go
@@ -40,16 +40,22 @@
 	replaced
 )
 
+// servingProcess is a process that serves at the address of an upstream.
+type servingProcess interface {
+	// ServedSince returns a time since which the process has served.
+	ServedSince() time.Time
+}
+
 // known returns the verdict by what this host knows of published upstreams: a process that has served for longer than an
 // upstream takes to publish itself is the one that is published.
-func (c *incarnationCheck) known(u *catalog.Upstream, conn *upconn.Conn) verdict {
-	return c.verdict(u, conn, c.clock.Now().Add(-c.listing.DataAge()))
+func (c *incarnationCheck) known(u *catalog.Upstream, process servingProcess) verdict {
+	return c.verdict(u, process, c.clock.Now().Add(-c.listing.DataAge()))
 }
 
 // refreshed is like known and first reads what is published if that decides.
-func (c *incarnationCheck) refreshed(ctx context.Context, u *catalog.Upstream, conn *upconn.Conn) verdict {
-	v := c.known(u, conn)
-	due := conn.ServedSince().Add(c.registration)
+func (c *incarnationCheck) refreshed(ctx context.Context, u *catalog.Upstream, process servingProcess) verdict {
+	v := c.known(u, process)
+	due := process.ServedSince().Add(c.registration)
 	if v != unproven || c.clock.Now().Before(due) {
 		return v
 	}
@@ -57,15 +63,15 @@
 		c.log.Warn().Str("event", "versions-not-refreshed").Str("service", u.Service).Str("peer", u.ID).Err(err).Send()
 		return unproven
 	}
-	return c.verdict(u, conn, due)
+	return c.verdict(u, process, due)
 }
 
 // verdict returns the verdict by what had been published at the given time.
-func (c *incarnationCheck) verdict(u *catalog.Upstream, conn *upconn.Conn, asOf time.Time) verdict {
+func (c *incarnationCheck) verdict(u *catalog.Upstream, process servingProcess, asOf time.Time) verdict {
 	if c.isReplaced(u) {
 		return replaced
 	}
-	if asOf.Before(conn.ServedSince().Add(c.registration)) {
+	if asOf.Before(process.ServedSince().Add(c.registration)) {
 		return unproven
 	}
 	return proven
@@ -76,10 +82,10 @@
 	return ok && version != u.Version
 }
 
-// provisionalOrigin is the origin of a stream that is not proven yet: the upstream that the stream's connection was to lead to.
+// provisionalOrigin is the origin of a stream that is not proven yet: the upstream whose process was to receive the request.
 type provisionalOrigin struct {
 	upstream *catalog.Upstream
-	conn     *upconn.Conn
+	process  servingProcess
 }
 
 // originPollInterval is how often a provisional origin is checked.
@@ -88,14 +94,14 @@
 // shareProvisional shares the origin of a stream, and shares it again as soon as it is proven.
 func (d *dispatchFilter) shareProvisional(r origin.Record, p provisionalOrigin) {
 	open := r
-	open.Upstream, open.Due = p.upstream.ID, p.conn.ServedSince().Add(d.incarnations.registration)
+	open.Upstream, open.Due = p.upstream.ID, p.process.ServedSince().Add(d.incarnations.registration)
 	d.shareOrigin(open)
 	d.clock.AfterFunc(originPollInterval, func() { d.shareOnceProven(r, p) })
 }
 
 // shareOnceProven shares the origin of a stream as soon as it is proven.
 func (d *dispatchFilter) shareOnceProven(r origin.Record, p provisionalOrigin) {
-	switch d.incarnations.known(p.upstream, p.conn) {
+	switch d.incarnations.known(p.upstream, p.process) {
 	case proven:
 		d.shareOrigin(r)
 	case unproven:
@@ -114,7 +120,7 @@
 	if p == nil {
 		return proven
 	}
-	v := d.incarnations.refreshed(ctx, p.upstream, p.conn)
+	v := d.incarnations.refreshed(ctx, p.upstream, p.process)
 	if v == proven {
 		req.provisional = nil
 	}
@@ -128,6 +134,13 @@
 		req.provenUntil, req.unprovenUntil = time.Time{}, nil
 		return true
 	}
+	d.deferUnproven(req, u)
+	d.pool.PutUnused(conn)
+	return false
+}
+
+// deferUnproven keeps the request, which continues a stream, from the upstream until its incarnation is checked again.
+func (d *dispatchFilter) deferUnproven(req *Request, u *catalog.Upstream) {
 	now := d.clock.Now()
 	if req.provenUntil.IsZero() {
 		req.provenUntil = now.Add(req.Deadline.Sub(now) / boundWaitDivisor)
@@ -136,8 +149,6 @@
 		req.unprovenUntil = map[catalog.UpstreamKey]time.Time{}
 	}
 	req.unprovenUntil[u.Key()] = now.Add(originPollInterval)
-	d.pool.PutUnused(conn)
-	return false
 }
 
 // excluded returns the upstreams that cannot receive the request now: those that did not execute it, and those whose
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -45,8 +45,8 @@
 func (d *dispatchFilter) bindStream(req *Request, u *catalog.Upstream) {
 	if req.origin == nil {
 		req.origin = &origin.Origin{Service: u.Service, Version: u.Version}
-		if d.incarnations.known(u, req.conn) != proven {
-			req.provisional = &provisionalOrigin{upstream: u, conn: req.conn}
+		if d.incarnations.known(u, req.process) != proven {
+			req.provisional = &provisionalOrigin{upstream: u, process: req.process}
 		}
 	}
 	if !req.Route.Repeatable() || req.firstID() == "" {
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -231,9 +231,14 @@
 		return
 	}
 	c.headerSent, c.status, c.firstByteAfter, c.mediaType = true, status, c.clock.Since(c.start), mediaType(header)
-	to := c.writer.Header()
+	copyResponseHeader(c.writer.Header(), header, c.isEndToEnd)
+	c.writeHeader(status)
+}
+
+// copyResponseHeader adds the headers of a response that concern all recipients, except the length of the body.
+func copyResponseHeader(to, header http.Header, isEndToEnd func(name string) bool) {
 	from := header.Clone()
-	hopheader.DropExcept(from, c.isEndToEnd)
+	hopheader.DropExcept(from, isEndToEnd)
 	from.Del("Content-Length")
 	for name, values := range from {
 		to[name] = values
@@ -243,7 +248,6 @@
 			to[name] = nil // a missing key would make net/http send its default
 		}
 	}
-	c.writeHeader(status)
 }
 
 // writeHeader writes the status and the headers. In a planned stop the connection ends with the response.
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -18,7 +18,6 @@
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
-	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
 // Request is one request of a caller, with the state that the filters attach to it. A retry by the caller is a new
@@ -67,10 +66,12 @@
 	reserved int64
 	// origin is the service and version of the upstream that began the stream; nil before its first byte.
 	origin *origin.Origin
-	// conn is the connection on which the request was last sent. provisional is set while it is not proven that origin is that of
-	// the upstream that began the stream.
-	conn        *upconn.Conn
+	// process is that to which the request was last sent. provisional is set while it is not proven that origin is that of the
+	// upstream that began the stream.
+	process     servingProcess
 	provisional *provisionalOrigin
+	// peer is the address of the host through which the present attempt goes; empty if it goes directly to the upstream.
+	peer string
 	// unprovenUntil holds the upstreams of the stream's version whose incarnation is not proven, with the times at which they are
 	// checked again; provenUntil is when the request no longer waits for that.
 	unprovenUntil map[catalog.UpstreamKey]time.Time
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -22,6 +22,7 @@
 	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/chain"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/inbound"
 	"github.com/orioleusher/orioleusher/internal/origin"
@@ -41,6 +42,11 @@
 	Pool        *upconn.Pool
 	Hosts       HostCount
 	Codec       Codec
+	// Reach tells whether this host is cut off from the upstreams. DetourPeers chooses the hosts through which it sends requests
+	// then, and MaxDetours limits the requests of other hosts in flight through this one.
+	Reach       Reachability
+	DetourPeers *detour.Peers
+	MaxDetours  int
 	// Quarantine holds the requests that were running on upstreams when these crashed.
 	Quarantine *quarantine.Table
 	// Prompts holds the prompt segments that crash upstreams.
@@ -70,13 +76,15 @@
 // Server serves callers' requests.
 type Server struct {
 	Options
-	chain     Next
-	stop      *plannedStop
-	inFlight  atomic.Int64
-	latency   map[catalog.Kind]tally.Histogram
-	responses *responseCounters
-	conns     *callerconn.Tracker
-	returns   *retryafter.Advisor
+	chain         Next
+	stop          *plannedStop
+	dispatch      *dispatchFilter
+	detourHandler *detourHandler
+	inFlight      atomic.Int64
+	latency       map[catalog.Kind]tally.Histogram
+	responses     *responseCounters
+	conns         *callerconn.Tracker
+	returns       *retryafter.Advisor
 }
 
 // Timeouts of callers' connections where the configuration does not set them.
@@ -111,10 +119,17 @@
 		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes, OnAmbiguous: s.reportAmbiguous,
 	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
-	s.chain = chain.Compose(s.filters()...)
+	s.assemble()
 	return s
 }
 
+// assemble builds what handles the requests of callers and of other hosts.
+func (s *Server) assemble() {
+	s.dispatch = s.newDispatchFilter()
+	s.detourHandler = &detourHandler{dispatchFilter: s.dispatch, server: s, max: int64(s.MaxDetours)}
+	s.chain = chain.Compose(s.filters()...)
+}
+
 // recordUpstreamChange counts a change in what an upstream says of itself, and closes the idle connections to one that is
 // leaving.
 func (s *Server) recordUpstreamChange(c balance.Change) {
--- a/internal/direct/standstill_test.go
+++ b/internal/direct/standstill_test.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
-	"github.com/orioleusher/orioleusher/internal/chain"
 )
 
 // standsStill returns an upstream that sends the first events of a stream, stands still, and goes on.
@@ -69,7 +68,7 @@
 	}
 	h := newHarness(t, catalog.Stream, true, script...)
 	h.server.Log = zerolog.New(log)
-	h.server.chain = chain.Compose(h.server.filters()...)
+	h.server.assemble()
 	h.leaveOnly()
 	replies := make(chan reply, count)
 	for range count {
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -95,6 +95,21 @@
 	s.conns.CutOff()
 }
 
-// AwaitConns ends callers' connections that wait for a request, and waits until all connections have ended or the context is
-// done, in which case it returns an error.
-func (s *Server) AwaitConns(ctx context.Context) error { return s.conns.Drain(ctx) }
+// AwaitConns ends callers' connections that wait for a request, and waits until all connections and the requests of other hosts
+// have ended or the context is done, in which case it returns an error.
+func (s *Server) AwaitConns(ctx context.Context) error {
+	if err := s.conns.Drain(ctx); err != nil {
+		return err
+	}
+	for s.Detours() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for requests of other hosts")
+		case <-s.Clock.After(detourPollInterval):
+		}
+	}
+	return nil
+}
+
+// detourPollInterval is how often a stopping process checks whether requests of other hosts are left.
+const detourPollInterval = 10 * time.Millisecond
--- a/internal/fleet/selection.go
+++ b/internal/fleet/selection.go
@@ -90,6 +90,19 @@
 	return dataCentreHash == 0 || dataCentreHash == f.dataCentreHash || f.localHosts() < minLocalHosts
 }
 
+// Reachable returns the peer addresses of the hosts that responded when this one last asked, and are not leaving.
+func (f *Fleet) Reachable() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for address, m := range f.members {
+		if !m.leaving && !m.unreachable {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // ShareCount implements allowance.FleetView.
 func (f *Fleet) ShareCount() int {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/callerconn"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/direct"
 	"github.com/orioleusher/orioleusher/internal/fleet"
 	"github.com/orioleusher/orioleusher/internal/framing"
@@ -31,6 +32,7 @@
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
+	"github.com/orioleusher/orioleusher/internal/reach"
 	"github.com/orioleusher/orioleusher/internal/schedlag"
 	"github.com/orioleusher/orioleusher/internal/settings"
 	"github.com/orioleusher/orioleusher/internal/upconn"
@@ -66,6 +68,8 @@
 	// request on it, except what the other budgets count.
 	connMemoryFraction = 0.25
 	connBytes          = 40 << 10
+	// detourMemoryFraction is the fraction of the memory that requests of other hosts may use, except what the other budgets count.
+	detourMemoryFraction = 0.1
 	// idleSweepInterval is how often connections that have been idle for too long are closed.
 	idleSweepInterval = time.Second
 	// watchTimeout is how long the store may hold a watch call open. Each upstream updates its entry about once a second,
@@ -112,6 +116,7 @@
 	fleet           *fleet.Fleet
 	balancer        *balance.Table
 	pool            *upconn.Pool
+	reach           *reach.Detector
 	server          *direct.Server
 	quarantineTable *quarantine.Table
 	prompts         *promptblame.Table
@@ -179,10 +184,61 @@
 	}
 	origins := g.newOrigins()
 	g.fleet.Origins = origins
+	g.reach = g.newReach()
 	g.server = g.newServer(a, origins)
 	return g
 }
 
+// newReach returns the detector of cuts between this host and the upstreams.
+func (g *Gateway) newReach() *reach.Detector {
+	return reach.New(reach.Options{
+		DataCentre: g.settings.DataCentre, Targets: g.probeTargets, OnChange: g.recordCut, Clock: g.clock,
+		Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 3)), Log: g.log, Scope: g.metrics.Scope,
+		Connect: func(ctx context.Context, address string) error {
+			conn, err := g.pool.Dial(ctx, "tcp", address)
+			if err == nil {
+				err = conn.Close()
+			}
+			return err
+		},
+	})
+}
+
+// probeTargets returns the upstreams that receive new requests.
+func (g *Gateway) probeTargets() []reach.Target {
+	snap := g.store.Current()
+	var targets []reach.Target
+	for _, list := range snap.Upstreams {
+		for _, u := range list {
+			if snap.AcceptsNewWork(u) {
+				targets = append(targets, reach.Target{Address: u.Address, DataCentre: u.DataCentre})
+			}
+		}
+	}
+	return targets
+}
+
+// recordCut forgets what this host concluded from failures of its own path, when it is cut off and when it is no longer. Its idle
+// connections may have been broken without notice.
+func (g *Gateway) recordCut(bool) {
+	g.balancer.ForgetFailures()
+	for _, list := range g.store.Current().Upstreams {
+		for _, u := range list {
+			g.pool.CloseIdle(u.Address)
+		}
+	}
+}
+
+// newDetourPeers returns the chooser of the hosts through which this one sends requests while it is cut off.
+func (g *Gateway) newDetourPeers() *detour.Peers {
+	_, port, err := net.SplitHostPort(g.settings.DetourAddress)
+	reachable := g.fleet.Reachable
+	if err != nil { // there is no address, and so no other host has one either
+		reachable = func() []string { return nil }
+	}
+	return detour.NewPeers(reachable, port, g.clock, mathrand.New(mathrand.NewPCG(g.incarnation, 4)))
+}
+
 // newOrigins returns the resolver of the origins of streams, and sets what records and tells them.
 func (g *Gateway) newOrigins() *origin.Resolver {
 	maxAge := g.settings.Timeouts.MaxStaleness()
@@ -216,6 +272,7 @@
 		Selector: balance.NewSelector(g.balancer, allowance.NewUpstreamLimiter(g.fleet, g.clock),
 			allowance.ColdLimits{Overage: c.Overage, Slack: c.Slack}, g.clock),
 		BodyBytes: int64(bodyMemoryFraction * memory), ResponseBytes: int64(responseMemoryFraction * memory),
+		Reach: g.reach, DetourPeers: g.newDetourPeers(), MaxDetours: int(detourMemoryFraction * memory / connBytes),
 		HeadBytes: int64(headMemoryFraction * memory),
 		MaxConns:  cmp.Or(g.settings.MaxCallerConns, int(connMemoryFraction*memory/connBytes)),
 		Clock:     g.clock, Log: g.log, Scope: g.metrics.Scope,
@@ -244,7 +301,7 @@
 		stopLoops()
 		return errors.Wrap(err, "run router")
 	}
-	serveErrors := make(chan error, 4)
+	serveErrors := make(chan error, 5)
 	callers, err := net.Listen("tcp", g.settings.CallerAddress)
 	if err != nil {
 		stopLoops()
@@ -257,14 +314,15 @@
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
 	}()
-	for _, s := range []struct {
-		name, address string
-		server        *http.Server
-	}{
+	servers := []addressedServer{
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
 		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
-	} {
+	}
+	if g.settings.DetourAddress != "" {
+		servers = append(servers, addressedServer{"detour", g.settings.DetourAddress, g.server.DetourServer()})
+	}
+	for _, s := range servers {
 		go serve(s.server, s.name, s.address, framing.NewReport(s.name, g.log, g.metrics.Scope), serveErrors)
 	}
 	g.log.Info().Str("event", "started").Uint64("incarnation", g.incarnation).Str("version", process.Version).
@@ -303,6 +361,12 @@
 	return nil
 }
 
+// addressedServer is a server with the address on which it listens.
+type addressedServer struct {
+	name, address string
+	server        *http.Server
+}
+
 func serve(s *http.Server, name, address string, report framing.Report, errs chan<- error) {
 	listener, err := net.Listen("tcp", address)
 	if err == nil {
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,129 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+)
+
+// network holds which upstreams accept connections.
+type network struct {
+	mu      sync.Mutex
+	reaches func(Target) bool
+	dials   int
+}
+
+func (n *network) set(reaches func(Target) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reaches = reaches
+}
+
+// targets are two upstreams in each of four data centres.
+func targets() []Target {
+	var list []Target
+	for dc := range 4 {
+		for n := range 2 {
+			list = append(list, Target{Address: fmt.Sprintf("%d-%d", dc, n), DataCentre: fmt.Sprintf("dc%d", dc)})
+		}
+	}
+	return list
+}
+
+func newDetector(n *network, changes chan bool) (*Detector, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	byAddress := map[string]Target{}
+	for _, t := range targets() {
+		byAddress[t.Address] = t
+	}
+	d := New(Options{
+		DataCentre: "dc0", Targets: targets, Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
+		OnChange: func(cutOff bool) { changes <- cutOff },
+		Connect: func(_ context.Context, address string) error {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.dials++
+			if n.reaches(byAddress[address]) {
+				return nil
+			}
+			return errors.New("unreachable")
+		},
+	})
+	clock.Advance(time.Second)
+	return d, clock
+}
+
+func none(Target) bool  { return false }
+func every(Target) bool { return true }
+
+// confirm runs a round of probes and returns its conclusion.
+func confirm(d *Detector, clock *clockwork.FakeClock) bool {
+	clock.Advance(roundInterval)
+	return d.Confirm(context.Background())
+}
+
+// Guards against a host that cannot tell that it is cut off, or that takes faults of upstreams or of other data centres for that.
+func TestHostIsCutOffOnlyIfItReachesNoUpstream(t *testing.T) {
+	for name, tt := range map[string]struct {
+		reaches func(Target) bool
+		want    bool
+	}{
+		"none":              {none, true},
+		"every":             {every, false},
+		"own data centre":   {func(t Target) bool { return t.DataCentre == "dc0" }, false},
+		"other data centre": {func(t Target) bool { return t.DataCentre != "dc0" }, false},
+		"half":              {func(t Target) bool { return t.Address[2] == '0' }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := &network{reaches: tt.reaches}
+			d, clock := newDetector(n, make(chan bool, 1))
+			is.Equal(confirm(d, clock), tt.want)
+		})
+	}
+}
+
+// Guards against a host that stays cut off after its path works again, and against one that counts as reconnected by one upstream.
+func TestHostIsReconnectedOnceMostProbesSucceed(t *testing.T) {
+	is := is.New(t)
+	n, changes := &network{reaches: none}, make(chan bool, 1)
+	d, clock := newDetector(n, changes)
+	is.True(confirm(d, clock))
+	is.True(<-changes)
+	n.set(func(t Target) bool { return t.DataCentre == "dc0" })
+	clock.Advance(roundInterval)
+	is.NoErr(clock.BlockUntilContext(context.Background(), 1)) // the next round is planned
+	is.True(d.CutOff())
+	n.set(every)
+	clock.Advance(roundInterval)
+	is.True(!<-changes)
+	is.True(!d.CutOff())
+}
+
+// Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
+func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
+	is := is.New(t)
+	n, changes := &network{reaches: none}, make(chan bool, 1)
+	d, _ := newDetector(n, changes)
+	d.RecordData()
+	for range 9 {
+		d.RecordFailure("0-0", true)
+	}
+	is.Equal(n.dials, 0)
+	d.RecordConnected()
+	d.RecordFailure("0-0", true)
+	d.RecordFailure("1-0", true)
+	d.RecordFailure("1-1", false) // a broken response
+	is.Equal(n.dials, 0)
+	d.RecordFailure("2-0", true)
+	is.True(<-changes)
+}
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -45,6 +45,9 @@
 // buffer, so that the write does not block on the upstream.
 const maxInlineBodyBytes = 8 << 10
 
+// Address is the address to which the connection leads.
+func (c *Conn) Address() string { return c.address }
+
 // Close closes the connection; pending reads and writes fail.
 func (c *Conn) Close() {
 	_ = c.raw.Close()
