soak: routers that are cut off from all servers, RECOVER

Hosts that clients, the store and the other hosts reach, but that reach no server, serve clients' first tries far less often than the others. Change: TestRoutersCutOffFromServers, 6 hosts in 4 data centres, 9 engines, 4 plain servers; safe, unsafe and resumable streams sent once each, 82 a second; a key is rotated and a server drains meanwhile. The bound is the users': from 3 s after the cut began, less than two thirds as often as at the others, and more than 10 + 1 in 50 of all first tries failed there. Besides all promises of the other runs: what a cut keeps in the kernel and delivers after it counts as run, streams at two servers later than 0.4 s, and requests that ran and ended without a response (3 allowed). After the cut the same bound holds for the routers that were cut off. Besides: sendMix numbers its requests from a given one on, callers' keys are read under their lock, since a key may change meanwhile.

--- a/internal/proofs/soak/check_test.go
+++ b/internal/proofs/soak/check_test.go
@@ -30,6 +30,8 @@
 // faultLog records the faults and planned changes of a run.
 type faultLog struct {
 	disturbances []disturbance
+	// strands are the periods in which routers were cut off from servers, which excuses nothing.
+	strands []strand
 	// drainStarted is the time at which each draining instance announced that it leaves.
 	drainStarted map[string]time.Time
 	// serving lists the periods in which instances were published as ready.
--- a/internal/proofs/soak/client_test.go
+++ b/internal/proofs/soak/client_test.go
@@ -102,9 +102,7 @@
 		}
 		team := fmt.Sprintf("t%d", r.IntN(teams))
 		v := call{id: fmt.Sprintf("%d-%d", n, i), path: c.paths[r.IntN(len(c.paths))], team: team, router: routers[r.IntN(len(routers))]}
-		c.mu.Lock()
-		v.key = c.keys[v.team]
-		c.mu.Unlock()
+		v.key = c.key(team)
 		if c.dropShare > 0 && r.Float64() < c.dropShare {
 			v.dropAfter = 1 + r.IntN(streamLength-1)
 		}
@@ -114,6 +112,13 @@
 	}
 }
 
+// key returns the current API key of the team.
+func (c *clients) key(team string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keys[team]
+}
+
 // sendAndRecord sends the request, and records and returns the result.
 func (c *clients) sendAndRecord(client *http.Client, v call) call {
 	send(client, &v)
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -77,6 +77,8 @@
 	// routeTimeout is the timeout of all routes; 0 if each has its own.
 	routeTimeout time.Duration
 	fleet        fleet
+	// stranded are the IPs of the routers that were cut off from servers last.
+	stranded []string
 	// keys are the API keys in the configuration by team.
 	keys map[string][]string
 }
@@ -484,7 +486,7 @@
 	defer client.CloseIdleConnections()
 	for n := range routerCount {
 		f.clients.sendAndRecord(client, call{
-			id: fmt.Sprintf("old-%d-%d", f.version, n), path: "/safe/", team: team, router: routerIP(n) + ":8080", key: old,
+			id: fmt.Sprintf("old-%d-%d", f.version, n), path: f.fleet.paths[0], team: team, router: routerIP(n) + ":8080", key: old,
 			revoked: true,
 		})
 	}
--- a/internal/proofs/soak/stalled_servers_test.go
+++ b/internal/proofs/soak/stalled_servers_test.go
@@ -119,7 +119,7 @@
 	if p.engines > 0 {
 		background.Go(func() { f.stallServers(p, stop) })
 	}
-	f.sendMix(rand.New(rand.NewPCG(seed, 2)), p.streams, time.Now().Add(*stallLength))
+	f.sendMix(rand.New(rand.NewPCG(seed, 2)), 0, p.streams, time.Now().Add(*stallLength))
 	close(stop)
 	background.Wait()
 	testfleet.Eventually(t, 5*time.Second, "all servers are done", f.servers.idle)
@@ -177,15 +177,16 @@
 	}
 }
 
-// sendMix sends the mix with the given number of streams a second until the end, however long responses take.
-func (f *soakRun) sendMix(r *rand.Rand, streams float64, end time.Time) {
+// sendMix sends the mix with the given number of streams a second until the end, however long responses take. The requests are
+// numbered from first on.
+func (f *soakRun) sendMix(r *rand.Rand, first int, streams float64, end time.Time) {
 	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 100, IdleConnTimeout: idleReuse}
 	client := &http.Client{Timeout: longDeadline + time.Second, Transport: transport}
 	defer client.CloseIdleConnections()
 	all, mixed := mixRates()
 	perSecond := all * streams / mixed
 	var wg sync.WaitGroup
-	for i, at := 0, time.Now(); at.Before(end); i++ {
+	for i, at := first, time.Now(); at.Before(end); i++ {
 		at = at.Add(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(at))
 		v := f.drawCall(r, i)
@@ -205,7 +206,7 @@
 	}
 	host := []int{0, 1, 2, 3, 4, 4, 5, 5}[r.IntN(8)]
 	team := fmt.Sprintf("t%d", r.IntN(teams))
-	v := call{id: fmt.Sprint(n), path: kind.path, team: team, key: f.clients.keys[team], router: routerIP(host) + ":8080"}
+	v := call{id: fmt.Sprint(n), path: kind.path, team: team, key: f.clients.key(team), router: routerIP(host) + ":8080"}
 	if kind.templates > 0 {
 		session := drawSkewed(r, kind.sessions)
 		v.prompt = fmt.Sprintf("%x%04x:%d,%x%06x:%d,%x%08x:%d", kind.templates, session%kind.templates, kind.templateTokens,
--- /dev/null
+++ b/internal/proofs/soak/stranded_check_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of the promises about routers that are cut off from all servers, as the users' documentation states them.
+const (
+	strandedAfter  = 3 * time.Second
+	strandedSlack  = 10
+	strandedShare  = 1.0 / 50
+	servedShare    = 2.0 / 3
+	maxLostRequest = 3
+)
+
+// strand is a period in which routers were cut off from servers.
+type strand struct {
+	routers []string // IPs
+	// fromAll is set if the routers reached no server.
+	fromAll  bool
+	from, to time.Time
+}
+
+// tries counts requests that clients sent for the first time.
+type tries struct{ sent, served int }
+
+func (t tries) share() float64 { return float64(t.served) / float64(max(1, t.sent)) }
+
+// strandedTries counts first tries at routers that are cut off, and at the others.
+type strandedTries struct{ cut, others tries }
+
+func (s strandedTries) broken() bool {
+	failed, all := s.cut.sent-s.cut.served, s.cut.sent+s.others.sent
+	return s.cut.share() < servedShare*s.others.share() && float64(failed) > strandedSlack+strandedShare*float64(all)
+}
+
+func (s strandedTries) String() string {
+	return fmt.Sprintf("%d of %d first tries served at routers that are cut off, %d of %d at the others", s.cut.served, s.cut.sent, s.others.served, s.others.sent)
+}
+
+// countTries counts the first tries at undisturbed routers that clients sent in the period, from strandedAfter on.
+func countTries(calls []call, s strand, f *faultLog) (n strandedTries) {
+	for i := range calls {
+		c := &calls[i]
+		ip := c.routerIP()
+		if c.resumes != "" || c.revoked || c.started.Before(s.from.Add(strandedAfter)) || !c.started.Before(s.to) ||
+			!f.undisturbed(ip, c.started) || !f.undisturbed(ip, c.ended) {
+			continue
+		}
+		t := &n.others
+		if slices.Contains(s.routers, ip) {
+			t = &n.cut
+		}
+		t.sent++
+		t.served += count(c.status == http.StatusOK && c.complete && c.ended.Sub(c.started) <= routes[c.path].timeout)
+	}
+	return n
+}
+
+func (c *call) routerIP() string {
+	ip, _, _ := strings.Cut(c.router, ":")
+	return ip
+}
+
+// cutOff reports whether the router was cut off from servers at some time between the two.
+func (f *faultLog) cutOff(router string, from, to time.Time) bool {
+	return slices.ContainsFunc(f.strands, func(s strand) bool {
+		return slices.Contains(s.routers, router) && s.from.Before(to) && s.to.After(from)
+	})
+}
+
+// strandedOverlaps returns the streams that went on at another server while the one before still had them, although the router
+// that had sent them there ran and reached it.
+func strandedOverlaps(runs []arrival, f *faultLog) []overlap {
+	return slices.DeleteFunc(overlaps(runs), func(o overlap) bool {
+		router, at := o.before.routerIP, o.next.at
+		return !f.undisturbed(router, at) || f.cutOff(router, at.Add(-recoveryWindow), at.Add(overlapLimit))
+	})
+}
+
+// unansweredRuns returns the requests that reached a server and ended without a response although their router ran.
+func unansweredRuns(calls []call, runs []arrival, f *faultLog) (ids []string) {
+	ran := writersByRequest(runs)
+	for i := range calls {
+		c := &calls[i]
+		if c.lost() && c.status == 0 && len(ran[c.id]) > 0 && f.undisturbed(c.routerIP(), c.started) && f.undisturbed(c.routerIP(), c.ended) {
+			ids = append(ids, c.id)
+		}
+	}
+	return ids
+}
+
+// strandedViolations returns every violation of the promises about routers that are cut off.
+func strandedViolations(calls []call, runs []arrival, f *faultLog) (violations []string) {
+	for _, s := range f.strands {
+		if n := countTries(calls, s, f); s.fromAll && n.broken() {
+			violations = append(violations, fmt.Sprintf("only %v", n))
+		}
+	}
+	for _, o := range strandedOverlaps(runs, f) {
+		violations = append(violations, fmt.Sprintf("a stream went on at another server while the one before had it over %v later: %v", overlapLimit, o))
+	}
+	if ids := unansweredRuns(calls, runs, f); len(ids) > maxLostRequest {
+		violations = append(violations, fmt.Sprintf("%d requests reached servers and ended without a response: %v", len(ids), ids))
+	}
+	return violations
+}
--- /dev/null
+++ b/internal/proofs/soak/stranded_test.go
@@ -0,0 +1,232 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/orioleusher/orioleusher/internal/testfleet"
+)
+
+var (
+	firstStrandedSeed = flag.Uint64("soak.stranded.seed", 1, "first seed of the runs with routers that are cut off from servers")
+	strandedLength    = flag.Duration("soak.stranded.length", 7*time.Second, "length of the cut of each run with routers that are cut off")
+	strandedStreams   = flag.Float64("soak.stranded.streams", 60, "streams a second of the runs with routers that are cut off")
+)
+
+const (
+	// beforeStrand and afterHeal are how long clients send before and after a cut. What a partition has kept in the kernel of a
+	// router arrives by then.
+	beforeStrand = 1500 * time.Millisecond
+	afterHeal    = 7 * time.Second
+	// flapPeriod is how long cuts that come and go last, and how long they are away.
+	flapPeriod, flaps = time.Second, 3
+	// inStrand is the time after the cut at which something else happens.
+	inStrand = 3500 * time.Millisecond
+	// surgeNumber is the number of the first request of a surge.
+	surgeNumber = 1 << 20
+)
+
+// strandedPlay is a run in which routers are cut off from servers while clients, the store and the other routers reach them.
+type strandedPlay struct {
+	name string
+	how  testfleet.Cut
+	// zone is the data centre whose routers are cut off; if it is empty, most of all are.
+	zone string
+	// left is the number of servers that the routers still reach.
+	left int
+	// flaps is set if shorter cuts come first.
+	flaps bool
+	// meanwhile happens during the cut.
+	meanwhile func(*soakRun)
+	long      bool
+}
+
+const mostRouters = 4
+
+var strandedPlays = []strandedPlay{
+	{name: "most, no answer", how: testfleet.CutDrop},
+	{name: "most, open connections live on", how: testfleet.CutNew},
+	{name: "data centre, no answer", how: testfleet.CutDrop, zone: "a", long: true},
+	{name: "most, refused", how: testfleet.CutRefuse, long: true},
+	{name: "data centre, refused", how: testfleet.CutRefuse, zone: "a", long: true},
+	{name: "most, accepted and silent", how: testfleet.CutBlackhole, long: true},
+	{name: "most, all servers but one", how: testfleet.CutDrop, left: 1, long: true},
+	{name: "most, coming and going", how: testfleet.CutDrop, flaps: true, long: true},
+	{name: "most, another router killed", how: testfleet.CutDrop, meanwhile: (*soakRun).killServing, long: true},
+	{name: "most, another router stopped", how: testfleet.CutDrop, meanwhile: (*soakRun).stopServing, long: true},
+	{name: "most, surge", how: testfleet.CutDrop, meanwhile: (*soakRun).surge, long: true},
+}
+
+// Guards against routers that serve nothing while they are cut off from all servers, although other routers reach both, and
+// against requests that run twice, or after they have been refused, because of what a cut keeps and delivers later.
+func TestRoutersCutOffFromServers(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstStrandedSeed + uint64(i)
+		for _, play := range strandedPlays {
+			if play.long && testing.Short() {
+				continue
+			}
+			t.Run(fmt.Sprintf("seed %d, %s", seed, play.name), func(t *testing.T) { play.run(t, seed) })
+		}
+	}
+}
+
+func (p strandedPlay) run(t *testing.T, seed uint64) {
+	fleet := largeFleet
+	fleet.unproxied = false
+	f := startFleet(t, fleet, seed, 0)
+	f.servers.mu.Lock()
+	f.servers.firstEvent, f.servers.eventInterval = 62*time.Millisecond, 15*time.Millisecond
+	f.servers.mu.Unlock()
+	stop := make(chan struct{})
+	var background, play sync.WaitGroup
+	background.Go(func() { f.publishHeartbeats(stop) })
+	length := beforeStrand + *strandedLength + afterHeal
+	if p.flaps {
+		length += 2 * flaps * flapPeriod
+	}
+	play.Go(func() { f.sendMix(rand.New(rand.NewPCG(seed, 2)), 0, *strandedStreams, time.Now().Add(length)) })
+	play.Go(f.rotateKey)
+	time.Sleep(beforeStrand)
+	healed := p.strand(f)
+	play.Wait()
+	healed.to = time.Now()
+	close(stop)
+	background.Wait()
+	testfleet.Eventually(t, 5*time.Second, "all servers are done", f.servers.idle)
+	f.checkResults()
+	f.checkStranded(healed)
+}
+
+// strand cuts routers off and heals the cut. It returns the period that begins then.
+func (p strandedPlay) strand(f *soakRun) (healed strand) {
+	chosen := p.chooseRouters(f)
+	if p.flaps {
+		for range flaps {
+			f.cutOff(p, chosen, flapPeriod)
+			time.Sleep(flapPeriod)
+		}
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(inStrand)
+		f.drainServer()
+	})
+	if p.meanwhile != nil {
+		wg.Go(func() {
+			time.Sleep(inStrand)
+			p.meanwhile(f)
+		})
+	}
+	f.cutOff(p, chosen, *strandedLength)
+	healed = strand{routers: routerIPs(chosen), from: time.Now()}
+	wg.Wait()
+	return healed
+}
+
+func routerIPs(routers []int) (ips []string) {
+	for _, n := range routers {
+		ips = append(ips, routerIP(n))
+	}
+	return ips
+}
+
+// chooseRouters draws the routers that are cut off.
+func (p strandedPlay) chooseRouters(f *soakRun) (chosen []int) {
+	if p.zone == "" {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.rand.Perm(len(f.routers))[:mostRouters]
+	}
+	for n, zone := range f.fleet.hosts {
+		if zone == p.zone {
+			chosen = append(chosen, n)
+		}
+	}
+	return chosen
+}
+
+// cutOff cuts the routers off from servers for a while.
+func (f *soakRun) cutOff(p strandedPlay, chosen []int, length time.Duration) {
+	s := strand{routers: routerIPs(chosen), fromAll: p.left == 0, from: time.Now()}
+	for _, router := range s.routers {
+		for n := range f.servers.list[p.left:] {
+			f.network.Cut(router, serverIP(p.left+n), p.how)
+		}
+	}
+	f.mu.Lock()
+	f.stranded = s.routers
+	f.mu.Unlock()
+	time.Sleep(length)
+	s.to = time.Now()
+	f.network.Heal()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults.strands = append(f.faults.strands, s)
+}
+
+// servingRouter draws a router that reaches servers.
+func (f *soakRun) servingRouter() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for {
+		if n := f.rand.IntN(len(f.routers)); !slices.Contains(f.stranded, routerIP(n)) {
+			return n
+		}
+	}
+}
+
+func (f *soakRun) killServing() {
+	n := f.servingRouter()
+	defer f.disturb(routerIP(n))()
+	f.routers[n].Kill()
+	f.sleepRandom(100, 500)
+	f.routers[n].Restart()
+	f.waitReady(n)
+}
+
+func (f *soakRun) stopServing() {
+	n := f.servingRouter()
+	defer f.disturb(routerIP(n))()
+	f.routers[n].Stop()
+	f.routers[n].Restart()
+	f.waitReady(n)
+}
+
+// surge sends as much again as the mix for a while.
+func (f *soakRun) surge() {
+	f.sendMix(rand.New(rand.NewPCG(uint64(f.randomInt(surgeNumber)), 3)), surgeNumber, *strandedStreams, time.Now().Add(inStrand))
+}
+
+// checkStranded checks what clients and servers observed while routers were cut off, and after that in the given period.
+func (f *soakRun) checkStranded(healed strand) {
+	f.servers.mu.Lock()
+	defer f.servers.mu.Unlock()
+	calls, runs := f.clients.calls, f.servers.arrivals
+	for _, s := range f.faults.strands {
+		f.t.Logf("cut for %v: %v", s.to.Sub(s.from).Round(time.Millisecond), countTries(calls, s, &f.faults))
+	}
+	for _, violation := range strandedViolations(calls, runs, &f.faults) {
+		f.t.Error(violation)
+	}
+	n := countTries(calls, healed, &f.faults)
+	f.t.Logf("after the cut: %v", n)
+	if n.broken() {
+		f.t.Errorf("after the cut only %v", n)
+	}
+	statuses := map[bool]map[int]int{true: {}, false: {}}
+	for i := range calls {
+		if c := &calls[i]; f.faults.cutOff(c.routerIP(), c.started, c.ended) {
+			statuses[true][c.status]++
+		} else {
+			statuses[false][c.status]++
+		}
+	}
+	f.t.Logf("statuses at routers while they are cut off %v, else %v; %d requests that ran without a response, %d overlaps",
+		statuses[true], statuses[false], len(unansweredRuns(calls, runs, &f.faults)), len(strandedOverlaps(runs, &f.faults)))
+}
