direct: a late copy of a statement does not speak of the next send

Callers saw: 503, "not run", for a request that an upstream was executing, or its execution by a second upstream. Cause: a kept connection carried the same request twice. An upstream that states that it did not execute a request is excluded by its key, but the next entry at its address has another key: another ID after a restart (two entries for some heartbeats), or the same ID with another start time. A late copy of the first statement names the request and was taken for one about the second send. Ruled out: other late copies (they name another request), upstreams with one key (excluded), sends after a connection failed (new connection). Change: a request that goes on at an address where it was tried gets a new connection. That also holds after responses that are no statement, since their copies would be taken for the response as well. Changes to tests: the harness can publish the start time of an upstream.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -112,14 +112,20 @@
 // connect returns a connection to the upstream. A new connection must be established within half of the request's
 // latency objective, so that an unresponsive upstream leaves time to try another one.
 func (d *dispatchFilter) connect(ctx context.Context, req *Request, u *catalog.Upstream) (*upconn.Conn, error) {
-	return d.connectWithin(ctx, u, min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout))
+	timeout := min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout)
+	// On a kept connection a copy of the response to the earlier send may still arrive.
+	return d.connectWithin(ctx, u, timeout, req.triedAddress(u.Address))
 }
 
-// connectWithin returns a connection to the upstream that is established within the timeout.
-func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration) (*upconn.Conn, error) {
+// connectWithin returns a connection to the upstream that is established within the timeout. A new one is opened if fresh is set.
+func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration, fresh bool) (*upconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := d.pool.Get(ctx, u.Address)
+	get := d.pool.Get
+	if fresh {
+		get = d.pool.Connect
+	}
+	conn, err := get(ctx, u.Address)
 	if err == nil && !conn.WriteStarted {
 		d.reach.RecordConnected()
 	}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -402,6 +402,9 @@
 	if version, ok := strings.CutPrefix(fields[3], "version-"); ok {
 		u.Version = version
 	}
+	if started, ok := strings.CutPrefix(fields[3], "started-"); ok {
+		u.StartedAtMs, _ = strconv.ParseInt(started, 10, 64)
+	}
 	if fields[3] == "cold" {
 		u.ColdUntil = time.Now().Add(time.Hour)
 	}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -219,6 +220,12 @@
 // lastEventID returns the last event of a stream that the caller has received.
 func (req *Request) lastEventID() int64 { return max(req.LastEventID, req.response.stream.LastID) }
 
+// triedAddress reports whether an upstream at the address was tried. Upstreams that follow one another at an address, or that start
+// again under their ID, have different keys.
+func (req *Request) triedAddress(address string) bool {
+	return slices.ContainsFunc(req.tried, func(key catalog.UpstreamKey) bool { return key.Address == address })
+}
+
 // lastTriedID returns the ID of the upstream that was tried last; empty if none was.
 func (req *Request) lastTriedID() string {
 	if len(req.tried) == 0 {
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -106,11 +106,11 @@
 		}
 		c.Close()
 	}
-	return p.connect(ctx, address)
+	return p.Connect(ctx, address)
 }
 
-// connect opens a connection to the address.
-func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
+// Connect opens a connection to the address.
+func (p *Pool) Connect(ctx context.Context, address string) (*Conn, error) {
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -182,7 +182,7 @@
 
 // Open opens a connection to the address and keeps it for reuse.
 func (p *Pool) Open(ctx context.Context, address string) error {
-	c, err := p.connect(ctx, address)
+	c, err := p.Connect(ctx, address)
 	if err != nil {
 		return err
 	}
