direct: a request without ID has no statement about it

Callers saw: a request without an ID was executed by two upstreams. Cause: the ID of a statement was compared with that of the request, and a statement that names no request equals a request without ID. Ruled out: requests with an ID, which the same test covers. The platform's callers send one with each request. Change: the statement must name a request.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -255,7 +255,7 @@
 		d.recordSelfReport(u, meta)
 	}
 	switch {
-	case meta.NotRun && meta.ID == req.ID: // a response that names no request may be about another one
+	case meta.NotRun && meta.ID == req.ID && meta.ID != "": // a response that names no request may be about another one
 		req.rejectedBy = append(req.rejectedBy, key)
 		return d.notExecuted(u, conn, resp, meta, release)
 	case promisesNotRun(resp.StatusCode):
--- a/internal/direct/not_run_test.go
+++ b/internal/direct/not_run_test.go
@@ -72,6 +72,13 @@
 				is.Equal(ran, 1)
 			})
 		}
+		t.Run(u.name+" to a request without ID", func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, catalog.Unsafe, false, u, ok)
+			is.Equal(h.call(http.MethodPost, "/r/", "hello", "X-Id", "").status, http.StatusBadGateway)
+			_, _, ran, _ := h.record()
+			is.Equal(ran, 1)
+		})
 		t.Run(u.name+" safe", func(t *testing.T) {
 			is := is.New(t)
 			got := newHarness(t, catalog.Safe, false, u, ok).call(http.MethodGet, "/r/", "")
