direct: a request is not repeated on a route that forbids it

Callers saw: a request of a route whose requests run once was executed by two upstreams, when the configuration changed meanwhile. Cause: whether a request that may have been executed may be sent again was decided by the route of the send before, and the route was then looked up again: the kind may have changed, or the route is removed and a wider one of another kind matches. Ruled out: the other direction (a send on a route that forbids repeats ends the request before the next look-up), and streams that have begun (they keep their route). Change: the look-up refuses the request if an earlier send may have been executed; the caller gets 502.

--- a/internal/direct/admit.go
+++ b/internal/direct/admit.go
@@ -114,6 +114,9 @@
 	if route == nil {
 		return outcome.Refuse(stepAdmit, http.StatusNotFound, "no-route", "no route matches")
 	}
+	if req.outcomeUnknown && !route.Repeatable() {
+		return outcome.Unavailable(stepAdmit, "not-repeatable", "the route no longer allows the request to be repeated")
+	}
 	if c.Teams != nil && !route.AllowsAnonymous {
 		req.Team = c.Teams[req.APIKey]
 		if req.Team == nil {
--- a/internal/direct/not_run_test.go
+++ b/internal/direct/not_run_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,29 @@
 		}
 	}
 }
+
+// Guards against a request that may have been executed on a route whose requests may be repeated, and is sent again although the
+// route that matches it now does not allow that.
+func TestRequestIsNotRepeatedOnRouteThatForbidsIt(t *testing.T) {
+	for name, change := range map[string]func(r *catalog.Route){
+		"kind changed":  func(r *catalog.Route) { r.Kind = catalog.Unsafe },
+		"route removed": func(r *catalog.Route) { r.Name, r.Prefix, r.Kind = "wider", "/", catalog.Unsafe },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var h *harness
+			breaks := behaviour{"breaks off", func(net.Conn, *http.Request) bool {
+				config := *h.config
+				config.Version, config.Routes = config.Version+1, slices.Clone(config.Routes)
+				change(&config.Routes[0])
+				h.config = &config
+				h.publish("config")
+				return false
+			}, true}
+			h = newHarness(t, catalog.Safe, false, breaks, ok)
+			is.Equal(h.call(http.MethodGet, "/r/", "").status, http.StatusBadGateway)
+			_, _, ran, _ := h.record()
+			is.Equal(ran, 1)
+		})
+	}
+}
