direct: the host of a detour sends on a new connection where the direct send would

A request that goes on at an address where it was tried needs a connection that carries nothing else, since a late copy of the response to its first send would be taken for the response to the next. Over a detour it is the other host that has the kept connection, so that the order says it. TestLateCopyOfStatementDoesNotSpeakOfNextSend plays both ways; its cases by detour fail without the field.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -48,7 +48,8 @@
 
 // attemptSend sends the request to the upstream once.
 func (d *dispatchFilter) attemptSend(ctx context.Context, req *Request, u *catalog.Upstream) attemptResult {
-	req.peer = ""
+	// On a kept connection a copy of the response to an earlier send may still arrive.
+	req.peer, req.needsNewConn = "", req.triedAddress(u.Address)
 	if d.reach.CutOff() {
 		return d.sendByDetour(ctx, req, u)
 	}
@@ -113,8 +114,7 @@
 // latency objective, so that an unresponsive upstream leaves time to try another one.
 func (d *dispatchFilter) connect(ctx context.Context, req *Request, u *catalog.Upstream) (*upconn.Conn, error) {
 	timeout := min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout)
-	// On a kept connection a copy of the response to the earlier send may still arrive.
-	return d.connectWithin(ctx, u, timeout, req.triedAddress(u.Address))
+	return d.connectWithin(ctx, u, timeout, req.needsNewConn)
 }
 
 // connectWithin returns a connection to the upstream that is established within the timeout. A new one is opened if fresh is set.
@@ -316,7 +316,7 @@
 	}
 	if req.peer != "" {
 		order := detour.NewOrder(u, d.stop.bound(req.Deadline).Sub(d.clock.Now()))
-		order.ProveVersion = req.origin != nil
+		order.ProveVersion, order.NewConn = req.origin != nil, req.needsNewConn
 		if err := detour.SetOrder(header, order); err != nil {
 			return nil, err
 		}
--- a/internal/direct/not_run_test.go
+++ b/internal/direct/not_run_test.go
@@ -98,30 +98,35 @@
 		{"another ID at the address", "421 Misdirected", "up/u4/%s", otherInstance},
 		{"the same ID, started again", "503 Busy", "up/u1/%s/started-2", shed},
 	} {
-		for _, kind := range []catalog.Kind{catalog.Unsafe, catalog.Stream} {
-			t.Run(tt.name+" "+string(kind), func(t *testing.T) {
-				is := is.New(t)
-				var h *harness
-				var first net.Conn
-				states := behaviour{tt.first.name, func(c net.Conn, r *http.Request) bool {
-					first = c
-					h.publish(fmt.Sprintf(tt.next, c.LocalAddr()))
-					return tt.first.serve(c, r)
-				}, false}
-				runs := behaviour{"runs", func(c net.Conn, r *http.Request) bool {
-					writeText(first, strings.Replace(refusalTo(r.Header.Get("X-Id")), "503 Busy", tt.status, 1))
-					time.Sleep(20 * time.Millisecond)
-					writeText(c, response200(r.Header.Get("X-Id"), event(1)))
-					return true
-				}, true}
-				h = newHarness(t, kind, false, states, runs, runs)
-				h.leaveOnly()
-				got := h.call(http.MethodPost, "/r/", "hello")
-				is.NoErr(got.err)
-				is.Equal(got.status, http.StatusOK)
-				_, _, ran, _ := h.record()
-				is.Equal(ran, 1)
-			})
+		for _, byDetour := range []bool{false, true} {
+			for _, kind := range []catalog.Kind{catalog.Unsafe, catalog.Stream} {
+				t.Run(fmt.Sprintf("%s %s, by detour %t", tt.name, kind, byDetour), func(t *testing.T) {
+					is := is.New(t)
+					var h *harness
+					var first net.Conn
+					states := behaviour{tt.first.name, func(c net.Conn, r *http.Request) bool {
+						first = c
+						h.publish(fmt.Sprintf(tt.next, c.LocalAddr()))
+						return tt.first.serve(c, r)
+					}, false}
+					runs := behaviour{"runs", func(c net.Conn, r *http.Request) bool {
+						writeText(first, strings.Replace(refusalTo(r.Header.Get("X-Id")), "503 Busy", tt.status, 1))
+						time.Sleep(20 * time.Millisecond)
+						writeText(c, response200(r.Header.Get("X-Id"), event(1)))
+						return true
+					}, true}
+					h = newHarness(t, kind, false, states, runs, runs)
+					h.leaveOnly()
+					if byDetour {
+						h.cutOffBeside(h.startPeer())
+					}
+					got := h.call(http.MethodPost, "/r/", "hello")
+					is.NoErr(got.err)
+					is.Equal(got.status, http.StatusOK)
+					_, _, ran, _ := h.record()
+					is.Equal(ran, 1)
+				})
+			}
 		}
 	}
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -73,6 +73,8 @@
 	provisional *provisionalOrigin
 	// peer is the address of the host through which the present attempt goes; empty if it goes directly to the upstream.
 	peer string
+	// needsNewConn is set if the present attempt may not go on a connection to the upstream that has carried another request.
+	needsNewConn bool
 	// unprovenUntil holds the upstreams of the stream's version whose incarnation is not proven, with the times at which they are
 	// checked again; provenUntil is when the request no longer waits for that.
 	unprovenUntil map[catalog.UpstreamKey]time.Time
