direct: no connection carries a request twice

Cause: each send to an address where the request was tried opened a new connection. A send that continues a stream waits until the connection is proven to lead to the version that began it, and puts it back meanwhile; the next one was new again. Ruled out: requests that are bound to no version; they need no proof. Change: only connections that have carried the request are passed over; one that was opened for it and is not yet proven is used. Over a detour, where the other host does not know which of its connections carried the request, it takes one that has carried none; an upstream that is not proven there does not count as tried.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -28,8 +28,9 @@
 	TimeoutMs int64 `json:"timeout_ms"`
 	// ProveVersion is set if the request may only be sent to a process that is proven to have the published software version.
 	ProveVersion bool `json:"prove_version,omitempty"`
-	// NewConn is set if the request may not be sent on a connection that has carried another one.
-	NewConn bool `json:"new_conn,omitempty"`
+	// UnusedConn is set if the request may not be sent on a connection that has carried one: on that a copy of the response to an
+	// earlier send may still arrive.
+	UnusedConn bool `json:"unused_conn,omitempty"`
 	// Probe is set if nothing is to be sent: the report says whether the upstream refuses connections.
 	Probe bool `json:"probe,omitempty"`
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,8 +49,7 @@
 
 // attemptSend sends the request to the upstream once.
 func (d *dispatchFilter) attemptSend(ctx context.Context, req *Request, u *catalog.Upstream) attemptResult {
-	// On a kept connection a copy of the response to an earlier send may still arrive.
-	req.peer, req.needsNewConn = "", req.triedAddress(u.Address)
+	req.peer = ""
 	if d.reach.CutOff() {
 		return d.sendByDetour(ctx, req, u)
 	}
@@ -69,7 +69,7 @@
 	if !d.mayContinue(ctx, req, u, conn) {
 		return attemptResult{unproven: true}
 	}
-	req.process = conn
+	req.process, req.conns = conn, append(req.conns, conn)
 	d.balancer.RecordRequestStart(key)
 	defer d.balancer.RecordRequestEnd(key)
 	d.countSend(req, key)
@@ -114,17 +114,18 @@
 // latency objective, so that an unresponsive upstream leaves time to try another one.
 func (d *dispatchFilter) connect(ctx context.Context, req *Request, u *catalog.Upstream) (*upconn.Conn, error) {
 	timeout := min(max(req.Route.LatencyObjective/2, minConnectTimeout), maxConnectTimeout)
-	return d.connectWithin(ctx, u, timeout, req.needsNewConn)
+	conn, err := d.connectWithin(ctx, u, timeout, d.pool.Get)
+	if err != nil || !slices.Contains(req.conns, conn) {
+		return conn, err
+	}
+	d.keep(conn, u) // a copy of the response to the earlier send may still arrive on it
+	return d.connectWithin(ctx, u, timeout, d.pool.Connect)
 }
 
-// connectWithin returns a connection to the upstream that is established within the timeout. A new one is opened if fresh is set.
-func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration, fresh bool) (*upconn.Conn, error) {
+// connectWithin returns a connection to the upstream that is established within the timeout.
+func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration, get func(context.Context, string) (*upconn.Conn, error)) (*upconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	get := d.pool.Get
-	if fresh {
-		get = d.pool.Connect
-	}
 	conn, err := get(ctx, u.Address)
 	if err == nil && !conn.WriteStarted {
 		d.reach.RecordConnected()
@@ -316,7 +317,7 @@
 	}
 	if req.peer != "" {
 		order := detour.NewOrder(u, d.stop.bound(req.Deadline).Sub(d.clock.Now()))
-		order.ProveVersion, order.NewConn = req.origin != nil, req.needsNewConn
+		order.ProveVersion, order.UnusedConn = req.origin != nil, req.needsUnusedConn
 		if err := detour.SetOrder(header, order); err != nil {
 			return nil, err
 		}
--- a/internal/direct/detour.go
+++ b/internal/direct/detour.go
@@ -31,12 +31,15 @@
 
 // sendByDetour sends the request to the upstream once, through another host.
 func (d *dispatchFilter) sendByDetour(ctx context.Context, req *Request, u *catalog.Upstream) attemptResult {
-	key := u.Key()
-	d.countSend(req, key)
+	req.needsUnusedConn = req.triedAddress(u.Address)
+	d.countSend(req, u.Key())
 	res := d.tryPeers(ctx, req, u)
 	if !res.sent {
 		req.sends--
 	}
+	if res.unproven { // the upstream is asked again
+		req.tried = req.tried[:len(req.tried)-1]
+	}
 	return res
 }
 
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -132,7 +132,11 @@
 
 // send sends the request to the upstream and relays the response.
 func (h *detourHandler) send(ctx context.Context, a *detourAttempt, u *catalog.Upstream) {
-	conn, err := h.connectWithin(ctx, u, maxConnectTimeout, a.order.NewConn)
+	get := h.pool.Get
+	if a.order.UnusedConn {
+		get = h.pool.GetUnused
+	}
+	conn, err := h.connectWithin(ctx, u, maxConnectTimeout, get)
 	if err != nil {
 		if ctx.Err() == nil {
 			h.reach.RecordFailure(u.Address, true)
--- a/internal/direct/incarnation_test.go
+++ b/internal/direct/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -105,3 +106,26 @@
 	}
 	is.True(!time.Now().Before(r.Due))
 }
+
+// Guards against a stream that is lost, and connections that are opened one after another, because the connection on which it could
+// go on at the only upstream of its version is replaced before the upstream is proven to be the one that began it.
+func TestStreamGoesOnAtItsOnlyUpstreamOnceProven(t *testing.T) {
+	for _, byDetour := range []bool{false, true} {
+		t.Run(fmt.Sprintf("by detour %t", byDetour), func(t *testing.T) {
+			is := is.New(t)
+			h, _ := newLateHarness(t, cutStream, streams)
+			h.listing = freshListing{}
+			h.registration = 400 * time.Millisecond
+			h.front.Close()
+			h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 100}, 1<<20)
+			h.leaveOnly()
+			if byDetour {
+				h.cutOffBeside(h.startPeer())
+			}
+			got := h.call(http.MethodPost, "/r/", "")
+			is.NoErr(got.err)
+			is.Equal(got.body, event(1)+event(2)+event(3)+event(4)+event(5))
+			is.True(h.connCount() <= 3) // the first send, a probe for a crash and the second send
+		})
+	}
+}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -19,6 +19,7 @@
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
+	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
 // Request is one request of a caller, with the state that the filters attach to it. A retry by the caller is a new
@@ -73,8 +74,11 @@
 	provisional *provisionalOrigin
 	// peer is the address of the host through which the present attempt goes; empty if it goes directly to the upstream.
 	peer string
-	// needsNewConn is set if the present attempt may not go on a connection to the upstream that has carried another request.
-	needsNewConn bool
+	// needsUnusedConn is set if the present attempt may not go on a connection of the peer that has carried a request.
+	needsUnusedConn bool
+	// conns holds all connections on which the request was sent. None carries it twice: upstreams that follow one another at an address
+	// have different keys, and a late copy of the response to one send would be taken for that to the next.
+	conns []*upconn.Conn
 	// unprovenUntil holds the upstreams of the stream's version whose incarnation is not proven, with the times at which they are
 	// checked again; provenUntil is when the request no longer waits for that.
 	unprovenUntil map[catalog.UpstreamKey]time.Time
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -95,8 +96,17 @@
 
 // Get returns a connection to the address: an idle one that is still healthy, or a new one.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	return p.get(ctx, address, func(*Conn) bool { return true })
+}
+
+// GetUnused is like Get for a connection that has carried no request.
+func (p *Pool) GetUnused(ctx context.Context, address string) (*Conn, error) {
+	return p.get(ctx, address, func(c *Conn) bool { return !c.WriteStarted })
+}
+
+func (p *Pool) get(ctx context.Context, address string, accepts func(*Conn) bool) (*Conn, error) {
 	for {
-		c, expired := p.popIdle(address)
+		c, expired := p.popIdle(address, accepts)
 		if c == nil {
 			break
 		}
@@ -216,22 +226,21 @@
 	return now.Sub(c.idleSince) > timeout
 }
 
-// popIdle returns the idle connection to the address that was put back last, and whether it has been idle for too long. It is
-// nil if there is none.
-func (p *Pool) popIdle(address string) (c *Conn, expired bool) {
+// popIdle returns the idle connection to the address that was put back last among those that are accepted, and whether it has been
+// idle for too long. It is nil if there is none.
+func (p *Pool) popIdle(address string, accepts func(*Conn) bool) (c *Conn, expired bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil, false
-	}
-	c = list[len(list)-1]
-	if len(list) == 1 {
-		delete(p.idle, address)
-	} else {
-		p.idle[address] = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; accepts(c) {
+			if p.idle[address] = slices.Delete(list, i, i+1); len(list) == 1 {
+				delete(p.idle, address)
+			}
+			return c, p.expired(c, p.clock.Now())
+		}
 	}
-	return c, p.expired(c, p.clock.Now())
+	return nil, false
 }
 
 // Put returns a connection to the pool after its last response has been read to the end. It closes connections that
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -134,6 +134,28 @@
 	is.Equal(len(p.open[address]), 0)
 }
 
+func TestUnusedConnectionHasCarriedNoRequest(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil, clockwork.NewRealClock())
+	address := startServer(t, respondWith(okResponse("")))
+	is.NoErr(p.Open(context.Background(), address))
+	unused, err := p.Get(context.Background(), address)
+	is.NoErr(err)
+	roundTrip(t, p, address, []byte("b")) // leaves a used connection
+	p.PutUnused(unused)
+	roundTrip(t, p, address, []byte("b")) // takes the one that was put back last
+	is.Equal(p.idleCount(address), 2)
+	c, err := p.GetUnused(context.Background(), address)
+	is.NoErr(err)
+	is.True(!c.WriteStarted)
+	is.Equal(p.idleCount(address), 2) // it is new, and the used ones stay
+	p.PutUnused(c)
+	again, err := p.GetUnused(context.Background(), address)
+	is.NoErr(err)
+	is.True(again == c)
+	again.Close()
+}
+
 // Guards against a request that is sent on a connection which the upstream is just closing, since its keep-alive timeout is
 // applied only to the connections on which it was told.
 func TestKeepAliveTimeoutAppliesToAllConnectionsOfUpstream(t *testing.T) {
