direct: a detour that waits for the proof of a version keeps its connection

Callers saw: a stream that they took up again at a host that is cut off was refused with 503 after a quarter of its time, although its upstream was proven in time; a direct send waits and goes on. The process behind a new connection is never proven. Ruled out: the wait itself, which ends where that of direct sends does.

--- a/internal/direct/detour.go
+++ b/internal/direct/detour.go
@@ -99,6 +99,7 @@
 	if err == nil && report.Outcome == detour.Relayed {
 		d.detours.RecordServed(req.peer)
 		req.process = servedSince(d.clock.Now().Add(-report.Served()))
+		req.provenUntil, req.unprovenUntil = time.Time{}, nil
 		return nil
 	}
 	release(conn.Discard(resp))
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -454,14 +454,14 @@
 func (freshListing) DataAge() time.Duration                   { return 0 }
 func (freshListing) Refresh(context.Context, time.Time) error { return nil }
 
-// testReach is a Reachability that tests set.
+// testReach is a Reachability that tests set. confirmed is set if the host is cut off and does not know yet.
 type testReach struct {
-	cutOff   atomic.Bool
-	failures atomic.Int64
+	cutOff, confirmed atomic.Bool
+	failures          atomic.Int64
 }
 
 func (r *testReach) CutOff() bool                 { return r.cutOff.Load() }
-func (r *testReach) Confirm(context.Context) bool { return r.cutOff.Load() }
+func (r *testReach) Confirm(context.Context) bool { return r.cutOff.Load() || r.confirmed.Load() }
 func (r *testReach) RecordData()                  {}
 func (r *testReach) RecordConnected()             {}
 func (r *testReach) RecordFailure(string, bool)   { r.failures.Add(1) }
