direct: the end of another host is not taken for a fault of the upstream

Callers saw: after another host had ended, stood still or answered something else, the cut-off host avoided the upstreams of the requests that went through it (after two in a row; after a TCP timeout at once, with the path to the data centre), and sent further ones to it. Cause: a hop that broke counted as a broken response of the upstream. Class: a host judges others by its own path, here by the new hop. Ruled out: a report that is lost. A host that lives reports, or sends the head of the response and then breaks off. Change: a hop that ends without a report counts against the other host: left alone for a second if the connection was new, else, and after a silence, only used if no other host serves. A response that breaks off before its body still brings its head, which names the upstream.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -68,6 +68,21 @@
 	is.True(chosen["10.0.0.3:7340"] > 0 && chosen["10.0.0.4:7340"] > 0)
 }
 
+// Guards against detours that keep going to a host that has ceased to respond, and against none at all if it is the only one.
+func TestHostInDoubtIsOnlyUsedIfNoOtherServes(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPeers("10.0.0.1", "10.0.0.2")
+	p.RecordServed("10.0.0.1:7340")
+	p.RecordServed("10.0.0.2:7340")
+	p.RecordDoubt("10.0.0.1:7340")
+	chosen := map[string]int{}
+	for range 100 {
+		chosen[p.Choose(nil)]++
+	}
+	is.True(chosen["10.0.0.2:7340"] > 70)
+	is.Equal(p.Choose([]string{"10.0.0.2:7340"}), "10.0.0.1:7340")
+}
+
 func TestLoadOfDetoursThatHaveEndedDoesNotCount(t *testing.T) {
 	is := is.New(t)
 	p, clock := newPeers("10.0.0.1")
--- a/internal/detour/peers.go
+++ b/internal/detour/peers.go
@@ -135,3 +135,10 @@
 	s := p.state(address)
 	s.skipUntil, s.provenUntil = p.clock.Now().Add(skipTime), time.Time{}
 }
+
+// RecordDoubt records that the host may no longer reach the upstreams, or be gone: others are preferred.
+func (p *Peers) RecordDoubt(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(address).provenUntil = time.Time{}
+}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -220,6 +220,9 @@
 	})
 	if err != nil {
 		conn.Close()
+		if req.peer != "" && context.Cause(ctx) == nil && !errors.Is(err, upconn.ErrResponseTooLarge) {
+			return d.peerFailed(req, u, conn, err)
+		}
 		return d.connectionFailed(ctx, req, u, err)
 	}
 	release := func(whole bool) {
@@ -364,6 +367,7 @@
 func (d *dispatchFilter) recordSilence(req *Request, u *catalog.Upstream, cause error) {
 	if req.peer != "" {
 		d.balancer.RecordBrokenResponse(u, errors.WithMessagef(errSilentDetour, "detour through %s", req.peer))
+		d.detours.RecordDoubt(req.peer)
 		return
 	}
 	d.reach.RecordFailure(u.Address, false)
--- a/internal/direct/detour.go
+++ b/internal/direct/detour.go
@@ -112,6 +112,7 @@
 	key := u.Key()
 	switch {
 	case err != nil:
+		d.detours.RecordRefused(req.peer)
 		return d.outcomeUnknown(req, "no-answer", "the other host did not answer", key, err)
 	case report.Outcome == detour.PeerRefused:
 		return attemptResult{notRun: true, peerRefused: errors.Errorf("host %s takes no detour: %s", req.peer, report.Reason)}
@@ -132,6 +133,17 @@
 	}
 }
 
+// peerFailed returns the result of a send through another host that ended without a report. That says nothing about the upstream: a
+// host that lives reports what became of the attempt.
+func (d *dispatchFilter) peerFailed(req *Request, u *catalog.Upstream, conn *upconn.Conn, err error) attemptResult {
+	if conn.Reused { // the host may only have closed a kept connection
+		d.detours.RecordDoubt(req.peer)
+	} else {
+		d.detours.RecordRefused(req.peer)
+	}
+	return d.outcomeUnknown(req, "no-answer", "the other host did not answer", u.Key(), err)
+}
+
 // servedSince is a process that has served since the time, and maybe for longer.
 type servedSince time.Time
 
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -216,7 +216,8 @@
 	release(err == nil)
 	if err != nil {
 		h.log.Warn().Str("event", "detour-served").Func(a.fields(h.clock.Now())).Int("status", resp.StatusCode).Str("outcome", "broken-off").Err(err).Send()
-		panic(http.ErrAbortHandler) // the other host must not take the response for complete
+		_ = http.NewResponseController(a.writer).Flush() // the head tells the other host that the fault is the upstream's
+		panic(http.ErrAbortHandler)                      // which must not take the response for complete
 	}
 	h.detoursServed(detour.Relayed).Inc(1)
 	if loadbalancer.HashKey(a.request)%servedLogSampling == 0 {
