direct: a host that learns of its own cut by a detour refuses it

Callers saw: while many hosts were cut off at once, hosts that knew it avoided upstreams because one that did not know yet could not reach them. Cause: the host of a detour reported that the upstream could not be reached, without asking whose fault that was. Ruled out: the check for a known cut before the attempt; it says nothing of a cut that this attempt is the first to meet. Change: after a failed connection it runs the round of probes first, and refuses the detour if it is cut off. Nothing was sent, so that another host can be asked. Evidence: TestPeerThatLearnsOfItsCutRefusesDetour failed before ('connect-failed' for 'cut-off', three upstreams suspect).

--- /dev/null
+++ b/internal/direct/detour_cut_test.go
@@ -0,0 +1,27 @@
+package direct
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleusher/orioleusher/internal/catalog"
+)
+
+// Guards against upstreams that are avoided because another host does not reach them, which is cut off and learns that only now.
+func TestPeerThatLearnsOfItsCutRefusesDetour(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Unsafe, false)
+	p := h.startPeer()
+	h.cutOffBeside(p)
+	p.reach.confirmed.Store(true)
+	for _, l := range h.listeners {
+		l.Close()
+	}
+	got := h.call(http.MethodPost, "/r/", "hello")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.body, `"cut-off"`))
+	is.Equal(len(h.suspects()), 0)
+}
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -138,12 +138,7 @@
 	}
 	conn, err := h.connectWithin(ctx, u, maxConnectTimeout, get)
 	if err != nil {
-		if ctx.Err() == nil {
-			h.reach.RecordFailure(u.Address, true)
-			h.recordPath(u, h.balancer.RecordConnectFailure(u, err))
-			h.pool.CloseIdle(u.Address)
-		}
-		h.report(a, detour.NotSent, detour.ReasonConnectFailed, err)
+		h.reportUnreached(ctx, a, u, err)
 		return
 	}
 	if h.usable(a.order) == nil { // connecting takes time
@@ -180,6 +175,21 @@
 	h.relay(a, u, conn, resp, release)
 }
 
+// reportUnreached reports that no connection to the upstream could be established. Many hosts may be cut off at once, and this one
+// may learn that only now.
+func (h *detourHandler) reportUnreached(ctx context.Context, a *detourAttempt, u *catalog.Upstream, cause error) {
+	if ctx.Err() == nil {
+		h.reach.RecordFailure(u.Address, true)
+		if h.reach.Confirm(ctx) {
+			h.report(a, detour.PeerRefused, detour.ReasonCutOff, cause)
+			return
+		}
+		h.recordPath(u, h.balancer.RecordConnectFailure(u, cause))
+		h.pool.CloseIdle(u.Address)
+	}
+	h.report(a, detour.NotSent, detour.ReasonConnectFailed, cause)
+}
+
 // upstreamRequest returns the request as the other host would send it to the upstream itself.
 func (a *detourAttempt) upstreamRequest() *http.Request {
 	header := a.in.Header.Clone()
