direct: a host that is cut off does not vouch for a crash

Callers saw: possible while the connections of many hosts are refused: requests whose responses broke off count as killers of upstreams that live, and are quarantined. Cause: a cut-off host asks another one whether the upstream refuses connections; that one took its own refused connection as proof. Ruled out: the check for a known cut, which answers before the probe. Change: a refused connection counts only after the round of probes that the cut-off host makes itself in the same place. Evidence: TestCutOfAskedHostIsNotTakenForCrash failed before.

--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -88,11 +88,14 @@
 	if err == nil {
 		_ = conn.Close()
 	}
-	outcome := detour.Accepts
-	if isRefusal(err) {
-		outcome = detour.Refuses
+	switch {
+	case !isRefusal(err):
+		h.report(a, detour.Accepts, "", err)
+	case h.reach.Confirm(ctx):
+		h.report(a, detour.PeerRefused, detour.ReasonCutOff, err)
+	default:
+		h.report(a, detour.Refuses, "", err)
 	}
-	h.report(a, outcome, "", err)
 }
 
 // forward reads the body and sends the request to the upstream.
