reach: a cut-off host goes on probing while few upstreams are published

Callers saw: possible when entries of upstreams lapse during a cut (the store away, an evacuation of all but one data centre): the host counts as cut off for good, and refuses whatever no other host takes. Cause: a round that could not start planned no further one, and a cut-off host sends nothing itself that would start one. Ruled out: callers' requests as a trigger; they go by detours, which do not touch the detector. Change: a round that finds too few upstreams is tried again. Evidence: TestHostIsReconnectedAfterUpstreamsWereUnpublished failed before (no round planned).

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -225,7 +225,11 @@
 func (d *Detector) probeAgain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.CutOff() {
-		d.startRound()
+	if !d.CutOff() {
+		return
+	}
+	due := d.Clock.Since(d.roundAt) >= roundInterval
+	if d.startRound(); due && d.round == nil { // too few upstreams are published now
+		d.Clock.AfterFunc(roundInterval, d.probeAgain)
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +110,32 @@
 	is.True(!d.CutOff())
 }
 
+// Guards against a host that stays cut off for good because too few upstreams were published at the moment of a round.
+func TestHostIsReconnectedAfterUpstreamsWereUnpublished(t *testing.T) {
+	is := is.New(t)
+	n, changes := &network{reaches: none}, make(chan bool, 1)
+	d, clock := newDetector(n, changes)
+	var gone atomic.Bool
+	d.Targets = func() []Target {
+		if gone.Load() {
+			return nil
+		}
+		return targets()
+	}
+	is.True(confirm(d, clock))
+	is.True(<-changes)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	gone.Store(true)
+	is.NoErr(clock.BlockUntilContext(ctx, 1)) // the next round is planned
+	clock.Advance(roundInterval)
+	is.NoErr(clock.BlockUntilContext(ctx, 1))
+	gone.Store(false)
+	n.set(every)
+	clock.Advance(roundInterval)
+	is.True(!<-changes)
+}
+
 // Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
 func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
 	is := is.New(t)
