upconn: a cancelled request gets no idle connection

Callers saw nothing; upstreams may see a request whose caller left while it waited for the configuration, its origin or a proof (GONE): only a dial noticed that the context had ended, and an idle connection needs none. Found by reading. TestCancelledRequestGetsNoIdleConnection failed before.

--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -105,6 +105,9 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string, accepts func(*Conn) bool) (*Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
 	for {
 		c, expired := p.popIdle(address, accepts)
 		if c == nil {
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/orioleusher/orioleusher/internal/testconn"
@@ -134,6 +135,19 @@
 	is.Equal(len(p.open[address]), 0)
 }
 
+// Guards against a request that is sent after its caller has left, because an idle connection needs no dial that would fail.
+func TestCancelledRequestGetsNoIdleConnection(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil, clockwork.NewRealClock())
+	address := startServer(t, respondWith(okResponse("")))
+	is.NoErr(p.Open(context.Background(), address))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := p.Get(ctx, address)
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(p.idleCount(address), 1)
+}
+
 func TestUnusedConnectionHasCarriedNoRequest(t *testing.T) {
 	is := is.New(t)
 	p := NewPool(nil, clockwork.NewRealClock())
