--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,12 +20,8 @@
 const (
 	// probeTimeout limits the time for a new connection of a probe. Hosts and upstreams of one region are milliseconds apart.
 	probeTimeout = 200 * time.Millisecond
-	// roundInterval is the time between the ends and the starts of two rounds of probes, and soonRoundInterval the same while no
-	// request can be served.
-	roundInterval     = 400 * time.Millisecond
-	soonRoundInterval = 200 * time.Millisecond
-	// detourTime is how long a request that another host has served shows that it reaches the upstreams.
-	detourTime = time.Second
+	// roundInterval is the time between the ends and the starts of two rounds of probes.
+	roundInterval = 400 * time.Millisecond
 	// localProbes and remoteProbes are the greatest numbers of upstreams of this and of other data centres in a round.
 	localProbes  = 1
 	remoteProbes = 3
@@ -64,12 +60,11 @@
 type Detector struct {
 	Options
 	start time.Time
-	// cutOff is set while the host is cut off. dataAt is when data of an upstream last arrived, and detourAt when another host last
-	// served a request of this one, as nanoseconds since start; 0 if that never happened.
-	cutOff           atomic.Bool
-	dataAt, detourAt atomic.Int64
-	gauge            tally.Gauge
-	rounds           tally.Counter
+	// cutOff is set while the host is cut off, dataAt is when data of an upstream last arrived, as nanoseconds since start.
+	cutOff atomic.Bool
+	dataAt atomic.Int64
+	gauge  tally.Gauge
+	rounds tally.Counter
 
 	mu sync.Mutex
 	// failed holds the addresses to which connections failed since the last one that was established.
@@ -77,8 +72,6 @@
 	// round is closed at the end of the round that runs; nil if none does.
 	round   chan struct{}
 	roundAt time.Time
-	// next is the timer of the next round while the host is cut off.
-	next clockwork.Timer
 	// since is when the host was cut off.
 	since time.Time
 }
@@ -96,9 +89,6 @@
 // RecordData records that data of an upstream arrived on a connection of this host.
 func (d *Detector) RecordData() { d.dataAt.Store(int64(d.Clock.Since(d.start))) }
 
-// RecordDetour records that another host has served a request of this one.
-func (d *Detector) RecordDetour() { d.detourAt.Store(int64(d.Clock.Since(d.start))) }
-
 // RecordConnected records that this host established a connection to an upstream.
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
@@ -120,19 +110,9 @@
 	d.startRound()
 }
 
-func (d *Detector) hasRecentData() bool { return d.isRecent(&d.dataAt, recentData) }
-
-func (d *Detector) isRecent(at *atomic.Int64, within time.Duration) bool {
-	since := at.Load()
-	return since > 0 && d.Clock.Since(d.start)-time.Duration(since) < within
-}
-
-// interval returns the time between two rounds.
-func (d *Detector) interval() time.Duration {
-	if d.CutOff() && !d.isRecent(&d.detourAt, detourTime) {
-		return soonRoundInterval
-	}
-	return roundInterval
+func (d *Detector) hasRecentData() bool {
+	at := d.dataAt.Load()
+	return at > 0 && d.Clock.Since(d.start)-time.Duration(at) < recentData
 }
 
 // Confirm reports whether this host is cut off, after a round of probes if that is not certain.
@@ -156,7 +136,7 @@
 
 // startRound starts a round of probes, unless one runs or has just ended. The caller holds mu.
 func (d *Detector) startRound() {
-	if d.round != nil || d.Clock.Since(d.roundAt) < d.interval() {
+	if d.round != nil || d.Clock.Since(d.roundAt) < roundInterval {
 		return
 	}
 	targets := d.choose(d.Targets())
@@ -168,26 +148,27 @@
 	go d.runRound(targets)
 }
 
-// choose returns the upstreams to probe: at random, those of this data centre first and then from as many others as possible. The
-// caller holds mu.
+// choose returns the upstreams to probe: at random, from as many data centres as possible. The caller holds mu.
 func (d *Detector) choose(all []Target) []Target {
 	d.Rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	var local, remote, spare []Target
-	seen := map[string]bool{}
+	var chosen, spare []Target
+	local, seen := 0, map[string]bool{}
 	for _, t := range all {
 		switch {
 		case t.DataCentre == d.DataCentre:
-			local = append(local, t)
+			if local < localProbes {
+				chosen = append(chosen, t)
+				local++
+			}
 		case !seen[t.DataCentre]:
 			seen[t.DataCentre] = true
-			remote = append(remote, t)
+			chosen = append(chosen, t)
 		default:
 			spare = append(spare, t)
 		}
 	}
-	local = local[:min(len(local), localProbes)]
-	remote = append(remote, spare...)
-	return append(local, remote[:min(len(remote), remoteProbes)]...)
+	chosen = append(chosen, spare...)
+	return chosen[:min(len(chosen), local+remoteProbes)]
 }
 
 // runRound probes the targets and draws the conclusion.
@@ -220,15 +201,14 @@
 		clear(d.failed)
 	}
 	was := d.CutOff()
-	// Where no other host serves either, the upstreams may return one by one.
-	is := reached == 0 || was && 2*reached <= probes && d.isRecent(&d.detourAt, detourTime)
-	d.cutOff.Store(is)
+	is := reached == 0 || was && 2*reached <= probes
 	if is {
-		d.planRound(d.interval())
+		d.Clock.AfterFunc(roundInterval, d.probeAgain)
 	}
 	if is == was {
 		return false
 	}
+	d.cutOff.Store(is)
 	if is {
 		d.since = now
 		d.gauge.Update(1)
@@ -241,23 +221,15 @@
 	return true
 }
 
-// planRound makes probeAgain run after the time, and not earlier. The caller holds mu.
-func (d *Detector) planRound(after time.Duration) {
-	if d.next != nil {
-		d.next.Stop()
-	}
-	d.next = d.Clock.AfterFunc(after, d.probeAgain)
-}
-
-// probeAgain starts the next round while the host is cut off. It is too early for one if another host has served a request since, and
-// too few upstreams may be published now.
+// probeAgain starts the next round while the host is cut off.
 func (d *Detector) probeAgain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.CutOff() {
 		return
 	}
-	if d.startRound(); d.round == nil {
-		d.planRound(max(soonRoundInterval, d.interval()-d.Clock.Since(d.roundAt)))
+	due := d.Clock.Since(d.roundAt) >= roundInterval
+	if d.startRound(); due && d.round == nil { // too few upstreams are published now
+		d.Clock.AfterFunc(roundInterval, d.probeAgain)
 	}
 }
