reach: each round probes the own data centre, and enough upstreams of it where others have none

Callers saw: with all upstreams in one data centre, what they saw before there were detours: a cut-off host refuses or holds what it gets. With upstreams in five data centres or more, a host that reaches only its own could count as cut off and send by detour what it reaches. Cause: at most one upstream of the own data centre was chosen, two are needed; and the random order could leave it out. Ruled out: the least number of probes, which keeps one crashed upstream from counting as a cut. Change: the one of the own data centre comes first, others of it last, four in all. Evidence: both tests failed before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +23,7 @@
 	probeTimeout = 200 * time.Millisecond
 	// roundInterval is the time between the ends and the starts of two rounds of probes.
 	roundInterval = 400 * time.Millisecond
-	// localProbes and remoteProbes are the greatest numbers of upstreams of this and of other data centres in a round.
+	// localProbes and remoteProbes are the numbers of upstreams of this and of other data centres in a round, if there are as many.
 	localProbes  = 1
 	remoteProbes = 3
 	// minProbes is the least number of probes that show anything.
@@ -148,27 +149,26 @@
 	go d.runRound(targets)
 }
 
-// choose returns the upstreams to probe: at random, from as many data centres as possible. The caller holds mu.
+// choose returns the upstreams to probe: at random, one of this data centre and the others from as many more as possible. The caller
+// holds mu.
 func (d *Detector) choose(all []Target) []Target {
 	d.Rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	var chosen, spare []Target
-	local, seen := 0, map[string]bool{}
+	var local, remote, spare []Target
+	seen := map[string]bool{}
 	for _, t := range all {
 		switch {
 		case t.DataCentre == d.DataCentre:
-			if local < localProbes {
-				chosen = append(chosen, t)
-				local++
-			}
+			local = append(local, t)
 		case !seen[t.DataCentre]:
 			seen[t.DataCentre] = true
-			chosen = append(chosen, t)
+			remote = append(remote, t)
 		default:
 			spare = append(spare, t)
 		}
 	}
-	chosen = append(chosen, spare...)
-	return chosen[:min(len(chosen), local+remoteProbes)]
+	first := min(len(local), localProbes)
+	chosen := slices.Concat(local[:first], remote, spare, local[first:])
+	return chosen[:min(len(chosen), localProbes+remoteProbes)]
 }
 
 // runRound probes the targets and draws the conclusion.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -136,6 +137,31 @@
 	is.True(!<-changes)
 }
 
+// Guards against a cut that goes unnoticed because all upstreams are in this host's data centre.
+func TestCutIsNoticedWithUpstreamsOfOneDataCentre(t *testing.T) {
+	is := is.New(t)
+	n := &network{reaches: none}
+	d, clock := newDetector(n, make(chan bool, 1))
+	d.Targets = func() []Target { return targets()[:2] }
+	is.True(confirm(d, clock))
+}
+
+// Guards against a host that takes a cut between data centres for its own because it asks no upstream of its own data centre, where
+// there are many others.
+func TestEachRoundProbesOwnDataCentre(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDetector(&network{reaches: none}, make(chan bool, 1))
+	var list []Target
+	for dc := range 9 {
+		list = append(list, Target{Address: fmt.Sprintf("%d-0", dc), DataCentre: fmt.Sprintf("dc%d", dc)})
+	}
+	for range 50 {
+		chosen := d.choose(list)
+		is.Equal(len(chosen), localProbes+remoteProbes)
+		is.True(slices.ContainsFunc(chosen, func(t Target) bool { return t.DataCentre == "dc0" }))
+	}
+}
+
 // Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
 func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
 	is := is.New(t)
