reach: a crash of many upstreams at once is not taken for a cut

Callers saw: possible when many upstreams crash within seconds: hosts refuse with 503 'cut-off' what the upstreams that are left could serve. By chance alone four probes meet only crashed ones in 6% of the rounds with half of the upstreams down, 41% with four in five; such a host needed three of four probes to succeed to count as reconnected. Cause: too few probes decided, and connections of the host's own during the round did not count. Ruled out: data that arrives, as open connections live on in some cuts; refusals as a sign of life, since some cuts refuse.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,8 +1,8 @@
 // Package reach finds out whether this host is cut off from the upstreams, so that the fault is that of its own network path and
 // not of the upstreams.
 //
-// Single failures start a round of probes: new connections to some upstreams of this and of other data centres. The host counts as
-// cut off once all of them fail, and no longer once most of them succeed.
+// Single failures start a round of probes: new connections to some upstreams of this and of other data centres, and to more of them
+// if all fail. The host counts as cut off if these fail too, and no longer once most of a round succeed, or some in two rounds.
 package reach
 
 import (
@@ -26,6 +26,11 @@
 	// localProbes and remoteProbes are the numbers of upstreams of this and of other data centres in a round, if there are as many.
 	localProbes  = 1
 	remoteProbes = 3
+	firstProbes  = localProbes + remoteProbes
+	// secondProbes is the number of further upstreams that must fail as well: many may have crashed at once.
+	secondProbes = 8
+	// secondDelay is how long the first upstreams may take to accept before further ones are probed.
+	secondDelay = probeTimeout / 4
 	// minProbes is the least number of probes that show anything.
 	minProbes = 2
 	// recentData is the time within which data of an upstream shows that the network path works.
@@ -70,9 +75,13 @@
 	mu sync.Mutex
 	// failed holds the addresses to which connections failed since the last one that was established.
 	failed map[string]struct{}
-	// round is closed at the end of the round that runs; nil if none does.
+	// connectedAt is when this host last established a connection to an upstream itself.
+	connectedAt time.Time
+	// round is closed at the end of the round that runs; nil if none does. roundAt is the end of the last one, and partial is set if
+	// some of its probes succeeded.
 	round   chan struct{}
 	roundAt time.Time
+	partial bool
 	// since is when the host was cut off.
 	since time.Time
 }
@@ -94,6 +103,7 @@
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.connectedAt = d.Clock.Now()
 	clear(d.failed)
 }
 
@@ -146,7 +156,7 @@
 	}
 	d.round = make(chan struct{})
 	d.rounds.Inc(1)
-	go d.runRound(targets)
+	go d.runRound(targets, d.Clock.Now())
 }
 
 // choose returns the upstreams to probe: at random, one of this data centre and the others from as many more as possible. The caller
@@ -168,40 +178,70 @@
 	}
 	first := min(len(local), localProbes)
 	chosen := slices.Concat(local[:first], remote, spare, local[first:])
-	return chosen[:min(len(chosen), localProbes+remoteProbes)]
+	return chosen[:min(len(chosen), firstProbes+secondProbes)]
 }
 
-// runRound probes the targets and draws the conclusion.
-func (d *Detector) runRound(targets []Target) {
-	var reached atomic.Int64
-	var probes sync.WaitGroup
+// runRound probes the first targets, and the others if that may show that the host is cut off, and draws the conclusion.
+func (d *Detector) runRound(targets []Target, start time.Time) {
+	probes := min(len(targets), firstProbes)
+	first, second := d.startProbes(targets[:probes]), &wave{}
+	select {
+	case <-first.done():
+	case <-time.After(secondDelay):
+	}
+	if first.reached.Load() == 0 && !d.CutOff() {
+		second, probes = d.startProbes(targets[probes:]), len(targets)
+	}
+	first.Wait()
+	second.Wait()
+	if changed := d.endRound(start, probes, int(first.reached.Load()+second.reached.Load())); changed {
+		d.OnChange(d.CutOff())
+	}
+}
+
+// wave is a number of probes that run at the same time.
+type wave struct {
+	sync.WaitGroup
+	reached atomic.Int64
+}
+
+// done returns a channel that is closed at the end of the probes.
+func (w *wave) done() <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Wait()
+	}()
+	return done
+}
+
+// startProbes starts to probe the targets.
+func (d *Detector) startProbes(targets []Target) *wave {
+	w := &wave{}
 	for _, t := range targets {
-		probes.Go(func() {
+		w.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
 			if d.Connect(ctx, t.Address) == nil {
-				reached.Add(1)
+				w.reached.Add(1)
 			}
 		})
 	}
-	probes.Wait()
-	if changed := d.endRound(len(targets), int(reached.Load())); changed {
-		d.OnChange(d.CutOff())
-	}
+	return w
 }
 
-// endRound records the result of a round and reports whether the conclusion has changed.
-func (d *Detector) endRound(probes, reached int) (changed bool) {
+// endRound records the result of a round that began at the start and reports whether the conclusion has changed.
+func (d *Detector) endRound(start time.Time, probes, reached int) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
+	now, was := d.Clock.Now(), d.CutOff()
 	defer close(d.round) // once the conclusion is recorded
 	d.round, d.roundAt = nil, now
 	if reached > 0 {
 		clear(d.failed)
 	}
-	was := d.CutOff()
-	is := reached == 0 || was && 2*reached <= probes
+	is := d.conclude(start, probes, reached)
+	d.partial = reached > 0
 	if is {
 		d.Clock.AfterFunc(roundInterval, d.probeAgain)
 	}
@@ -221,6 +261,18 @@
 	return true
 }
 
+// conclude reports whether the host is cut off, by the result of a round that began at the start. The caller holds mu.
+func (d *Detector) conclude(start time.Time, probes, reached int) bool {
+	switch {
+	case reached == 0:
+		return d.CutOff() || !d.connectedAt.After(start)
+	case d.CutOff():
+		return 2*reached <= probes && !d.partial
+	default:
+		return false
+	}
+}
+
 // probeAgain starts the next round while the host is cut off.
 func (d *Detector) probeAgain() {
 	d.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -44,7 +44,7 @@
 func newDetector(n *network, changes chan bool) (*Detector, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	byAddress := map[string]Target{}
-	for _, t := range targets() {
+	for _, t := range manyTargets() { // they include targets
 		byAddress[t.Address] = t
 	}
 	d := New(Options{
@@ -156,9 +156,70 @@
 		list = append(list, Target{Address: fmt.Sprintf("%d-0", dc), DataCentre: fmt.Sprintf("dc%d", dc)})
 	}
 	for range 50 {
-		chosen := d.choose(list)
-		is.Equal(len(chosen), localProbes+remoteProbes)
-		is.True(slices.ContainsFunc(chosen, func(t Target) bool { return t.DataCentre == "dc0" }))
+		first := d.choose(list)[:firstProbes]
+		is.True(slices.ContainsFunc(first, func(t Target) bool { return t.DataCentre == "dc0" }))
+	}
+}
+
+// Guards against a host that takes a crash of many upstreams at once for its own cut, by the chance that a few probes meet only those.
+func TestCrashOfHalfOfUpstreamsIsNotTakenForCut(t *testing.T) {
+	cutOff := 0
+	for seed := range uint64(200) {
+		n := &network{reaches: func(t Target) bool { return t.Address[2]%2 == 0 }}
+		d, clock := newDetector(n, make(chan bool, 1))
+		d.Rand = rand.New(rand.NewPCG(seed, 1))
+		d.Targets = manyTargets
+		if confirm(d, clock) {
+			cutOff++
+		}
+	}
+	is.New(t).Equal(cutOff, 0)
+}
+
+// manyTargets are eight upstreams in each of four data centres.
+func manyTargets() []Target {
+	var list []Target
+	for dc := range 4 {
+		for n := range 8 {
+			list = append(list, Target{Address: fmt.Sprintf("%d-%d", dc, n), DataCentre: fmt.Sprintf("dc%d", dc)})
+		}
+	}
+	return list
+}
+
+// Guards against a host that counts as cut off although it has just established a connection of its own.
+func TestConnectionDuringRoundShowsThatHostIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	n := &network{}
+	d, clock := newDetector(n, make(chan bool, 1))
+	n.reaches = func(Target) bool {
+		clock.Advance(time.Millisecond)
+		d.RecordConnected()
+		return false
+	}
+	is.True(!confirm(d, clock))
+}
+
+// Guards against a host that stays cut off while most upstreams are down, although it reaches others again.
+func TestHostIsReconnectedOnceProbesSucceedInTwoRounds(t *testing.T) {
+	is := is.New(t)
+	n, changes := &network{reaches: none}, make(chan bool, 1)
+	d, clock := newDetector(n, changes)
+	is.True(confirm(d, clock))
+	is.True(<-changes)
+	n.set(func(t Target) bool { return t.DataCentre == "dc0" })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	for range 2 {
+		is.NoErr(clock.BlockUntilContext(ctx, 1))
+		is.True(d.CutOff())
+		clock.Advance(roundInterval)
+	}
+	select {
+	case cutOff := <-changes:
+		is.True(!cutOff)
+	case <-ctx.Done():
+		t.Fatal("still cut off")
 	}
 }
 
