direct: another host takes the longest head of a caller with the order

Callers saw: at a host that is cut off, a request whose head is just under the limit of 256 KiB gets 502, though it was not sent. Cause: the server for other hosts has the limit of callers' heads, and the order and the upstream's headers make them longer. Ruled out: other changes on the hop. Change: room for them.

--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -32,7 +32,8 @@
 // DetourServer returns the HTTP server for hosts that are cut off.
 func (s *Server) DetourServer() *http.Server {
 	return &http.Server{
-		Handler: s.detourHandler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: detourIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.detourHandler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: detourIdleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes + maxAddedHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
 }
@@ -40,6 +41,9 @@
 // detourIdleTimeout is how long idle connections of other hosts stay open. It exceeds the time for which those use them.
 const detourIdleTimeout = 10 * time.Second
 
+// maxAddedHeaderBytes is more than hosts add to the headers of a caller: the order and those of the upstream's protocol.
+const maxAddedHeaderBytes = 8 << 10
+
 // Detours returns the number of other hosts' requests in flight.
 func (s *Server) Detours() int64 { return s.detourHandler.inFlight.Load() }
 
