detour: an order names the software version of the upstream

Callers saw: possible where entries do not tell the start of their process: a stream that goes on at another software version. Cause: the other host looked for the incarnation of the order only. If it knew of a later version under the same entry, it proved that one, and the host that sent the order took it for the version that it knew. Ruled out: entries with a start, whose incarnations differ. Change: the order carries the version, and the other host refuses one that it does not know under that entry. Evidence: TestPeerSendsNothingToOtherVersion failed before; the request reached the upstream.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -24,6 +24,8 @@
 	Upstream    string `json:"upstream"`
 	Address     string `json:"address"`
 	StartedAtMs int64  `json:"started_at_ms,omitempty"`
+	// Version is the upstream's software version as the sender knows it.
+	Version string `json:"version,omitempty"`
 	// TimeoutMs is how long the attempt may take.
 	TimeoutMs int64 `json:"timeout_ms"`
 	// ProveVersion is set if the request may only be sent to a process that is proven to have the published software version.
@@ -37,7 +39,7 @@
 
 // NewOrder returns the order to send a request to the upstream within the timeout.
 func NewOrder(u *catalog.Upstream, timeout time.Duration) Order {
-	return Order{Service: u.Service, Upstream: u.ID, Address: u.Address, StartedAtMs: u.StartedAtMs, TimeoutMs: max(1, timeout.Milliseconds())}
+	return Order{Service: u.Service, Upstream: u.ID, Address: u.Address, StartedAtMs: u.StartedAtMs, Version: u.Version, TimeoutMs: max(1, timeout.Milliseconds())}
 }
 
 // Key identifies the incarnation of the upstream.
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -130,7 +130,7 @@
 func (h *detourHandler) usable(o detour.Order) *catalog.Upstream {
 	snap, key := h.store.Current(), o.Key()
 	for _, u := range snap.Upstreams[o.Service] {
-		if u.Key() == key && snap.AcceptsNewWork(u) && h.balancer.AcceptsWork(key) {
+		if u.Key() == key && u.Version == o.Version && snap.AcceptsNewWork(u) && h.balancer.AcceptsWork(key) {
 			return u
 		}
 	}
--- a/internal/direct/detour_proof_test.go
+++ b/internal/direct/detour_proof_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/detour"
 )
 
 // Guards against streams that are not continued by a detour although the version of their upstream is proven in time: the upstream
@@ -29,3 +30,22 @@
 		is.Equal(got.body, event(3)+event(4)+event(5))
 	}
 }
+
+// Guards against a stream that goes on at another software version because another host has learnt of a later one under the same
+// entry.
+func TestPeerSendsNothingToOtherVersion(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, catalog.Stream, true)
+	p := h.startPeer()
+	u := *h.store.Current().Upstreams["s"][0]
+	u.Version = "earlier"
+	req := h.newRequest(http.MethodPost, "/r/", "hello")
+	req.URL.Host = p.address
+	is.NoErr(detour.SetOrder(req.Header, detour.NewOrder(&u, time.Second)))
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	report, err := detour.TakeReport(resp.Header)
+	is.NoErr(err)
+	is.Equal(report, detour.Report{Outcome: detour.NotSent, Reason: detour.ReasonUpstreamLeft})
+}
