reach: hosts find upstreams sooner while nobody serves

Cause: a round every 400 ms, and one reached upstream in a round was not enough, which is right only where other hosts serve meanwhile. Change: while no other host has served a request for a second, rounds are 200 ms apart and one success ends the cut; one timer plans rounds.

--- a/internal/direct/detour.go
+++ b/internal/direct/detour.go
@@ -26,6 +26,8 @@
 	Confirm(ctx context.Context) bool
 	RecordData()
 	RecordConnected()
+	// RecordDetour records that another host has served a request of this one.
+	RecordDetour()
 	RecordFailure(address string, newConn bool)
 }
 
@@ -98,6 +100,7 @@
 	report, err := detour.TakeReport(resp.Header)
 	if err == nil && report.Outcome == detour.Relayed {
 		d.detours.RecordServed(req.peer)
+		d.reach.RecordDetour()
 		req.process = servedSince(d.clock.Now().Add(-report.Served()))
 		req.provenUntil, req.unprovenUntil = time.Time{}, nil
 		return nil
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -464,4 +464,5 @@
 func (r *testReach) Confirm(context.Context) bool { return r.cutOff.Load() || r.confirmed.Load() }
 func (r *testReach) RecordData()                  {}
 func (r *testReach) RecordConnected()             {}
+func (r *testReach) RecordDetour()                {}
 func (r *testReach) RecordFailure(string, bool)   { r.failures.Add(1) }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -21,8 +21,12 @@
 const (
 	// probeTimeout limits the time for a new connection of a probe. Hosts and upstreams of one region are milliseconds apart.
 	probeTimeout = 200 * time.Millisecond
-	// roundInterval is the time between the ends and the starts of two rounds of probes.
-	roundInterval = 400 * time.Millisecond
+	// roundInterval is the time between the ends and the starts of two rounds of probes, and soonRoundInterval the same while no
+	// request can be served.
+	roundInterval     = 400 * time.Millisecond
+	soonRoundInterval = 200 * time.Millisecond
+	// detourTime is how long a request that another host has served shows that it reaches the upstreams.
+	detourTime = time.Second
 	// localProbes and remoteProbes are the numbers of upstreams of this and of other data centres in a round, if there are as many.
 	localProbes  = 1
 	remoteProbes = 3
@@ -66,11 +70,12 @@
 type Detector struct {
 	Options
 	start time.Time
-	// cutOff is set while the host is cut off, dataAt is when data of an upstream last arrived, as nanoseconds since start.
-	cutOff atomic.Bool
-	dataAt atomic.Int64
-	gauge  tally.Gauge
-	rounds tally.Counter
+	// cutOff is set while the host is cut off. dataAt is when data of an upstream last arrived, and detourAt when another host last
+	// served a request of this one, as nanoseconds since start; 0 if that never happened.
+	cutOff           atomic.Bool
+	dataAt, detourAt atomic.Int64
+	gauge            tally.Gauge
+	rounds           tally.Counter
 
 	mu sync.Mutex
 	// failed holds the addresses to which connections failed since the last one that was established.
@@ -82,6 +87,8 @@
 	round   chan struct{}
 	roundAt time.Time
 	partial bool
+	// next is the timer of the next round while the host is cut off.
+	next clockwork.Timer
 	// since is when the host was cut off.
 	since time.Time
 }
@@ -99,6 +106,9 @@
 // RecordData records that data of an upstream arrived on a connection of this host.
 func (d *Detector) RecordData() { d.dataAt.Store(int64(d.Clock.Since(d.start))) }
 
+// RecordDetour records that another host has served a request of this one.
+func (d *Detector) RecordDetour() { d.detourAt.Store(int64(d.Clock.Since(d.start))) }
+
 // RecordConnected records that this host established a connection to an upstream.
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
@@ -121,9 +131,22 @@
 	d.startRound()
 }
 
-func (d *Detector) hasRecentData() bool {
-	at := d.dataAt.Load()
-	return at > 0 && d.Clock.Since(d.start)-time.Duration(at) < recentData
+func (d *Detector) hasRecentData() bool { return d.isRecent(&d.dataAt, recentData) }
+
+func (d *Detector) isRecent(at *atomic.Int64, within time.Duration) bool {
+	since := at.Load()
+	return since > 0 && d.Clock.Since(d.start)-time.Duration(since) < within
+}
+
+// othersServe reports whether another host has served a request of this one lately.
+func (d *Detector) othersServe() bool { return d.isRecent(&d.detourAt, detourTime) }
+
+// interval returns the time between two rounds.
+func (d *Detector) interval() time.Duration {
+	if d.CutOff() && !d.othersServe() {
+		return soonRoundInterval
+	}
+	return roundInterval
 }
 
 // Confirm reports whether this host is cut off, after a round of probes if that is not certain.
@@ -147,7 +170,7 @@
 
 // startRound starts a round of probes, unless one runs or has just ended. The caller holds mu.
 func (d *Detector) startRound() {
-	if d.round != nil || d.Clock.Since(d.roundAt) < roundInterval {
+	if d.round != nil || d.Clock.Since(d.roundAt) < d.interval() {
 		return
 	}
 	targets := d.choose(d.Targets())
@@ -242,13 +265,13 @@
 	}
 	is := d.conclude(start, probes, reached)
 	d.partial = reached > 0
+	d.cutOff.Store(is)
 	if is {
-		d.Clock.AfterFunc(roundInterval, d.probeAgain)
+		d.planRound(d.interval())
 	}
 	if is == was {
 		return false
 	}
-	d.cutOff.Store(is)
 	if is {
 		d.since = now
 		d.gauge.Update(1)
@@ -267,21 +290,30 @@
 	case reached == 0:
 		return d.CutOff() || !d.connectedAt.After(start)
 	case d.CutOff():
-		return 2*reached <= probes && !d.partial
+		// Where no other host serves either, the upstreams may return one by one.
+		return 2*reached <= probes && !d.partial && d.othersServe()
 	default:
 		return false
 	}
 }
 
-// probeAgain starts the next round while the host is cut off.
+// planRound makes probeAgain run after the time, and not earlier. The caller holds mu.
+func (d *Detector) planRound(after time.Duration) {
+	if d.next != nil {
+		d.next.Stop()
+	}
+	d.next = d.Clock.AfterFunc(after, d.probeAgain)
+}
+
+// probeAgain starts the next round while the host is cut off. It is too early for one if another host has served a request since, and
+// too few upstreams may be published now.
 func (d *Detector) probeAgain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.CutOff() {
 		return
 	}
-	due := d.Clock.Since(d.roundAt) >= roundInterval
-	if d.startRound(); due && d.round == nil { // too few upstreams are published now
-		d.Clock.AfterFunc(roundInterval, d.probeAgain)
+	if d.startRound(); d.round == nil {
+		d.planRound(max(soonRoundInterval, d.interval()-d.Clock.Since(d.roundAt)))
 	}
 }
