--- a/internal/proofs/soak/stranded_check_self_test.go
+++ b/internal/proofs/soak/stranded_check_self_test.go
@@ -91,3 +91,25 @@
 	f := &faultLog{disturbances: []disturbance{{router: "frozen", from: at(-time.Second), to: at(time.Second)}}}
 	is.Equal(len(unansweredRuns(calls, runs, f)), 1)
 }
+
+// Guards against a check of attempts that excuses more than runs that a cut broke off.
+func TestStrandedCheckFindsRequestsWithTooManyAttempts(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	run := func(request, router string) arrival {
+		return arrival{request: request, path: "/tag/", routerIP: router, executed: true, at: start}
+	}
+	f := &faultLog{strands: []strand{{routers: []string{"cut"}, from: start, to: start.Add(time.Second)}}}
+	var runs []arrival
+	for _, id := range []string{"a", "b", "c", "d"} {
+		runs = append(runs, run(id, "r"), run(id, "r"), run(id+"-cut", "cut"), run(id+"-cut", "r"), run(id+"-cut", "r"))
+	}
+	is.Equal(len(overAttempts(runs, f)), 0)
+	is.Equal(len(strandedViolations(nil, runs, f)), 0)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		runs = append(runs, run(id, "s"))
+	}
+	is.Equal(len(overAttempts(runs, f)), 4)
+	is.Equal(len(strandedViolations(nil, runs, f)), 1)
+	is.Equal(arrivedLate([]call{{id: "a", ended: start.Add(-1)}, {id: "b", ended: start}}, []arrival{run("a", "r"), run("b", "r")}), 1)
+}
--- a/internal/proofs/soak/stranded_check_test.go
+++ b/internal/proofs/soak/stranded_check_test.go
@@ -15,6 +15,8 @@
 	strandedShare  = 1.0 / 50
 	servedShare    = 2.0 / 3
 	maxLostRequest = 3
+	// maxOverAttempts is how many requests may run at more servers than their route allows.
+	maxOverAttempts = 3
 )
 
 // strand is a period in which routers were cut off from servers.
@@ -94,6 +96,32 @@
 	return ids
 }
 
+// overAttempts returns the requests that ran at more servers than their route allows. Runs that a cut broke off don't count.
+func overAttempts(runs []arrival, f *faultLog) (ids []string) {
+	ran := map[string]int{}
+	for _, r := range runs {
+		if !r.executed || f.cutOff(r.routerIP, r.at, r.at.Add(routes[r.path].timeout)) {
+			continue
+		}
+		if ran[r.request]++; ran[r.request] == routes[r.path].attempts+1 {
+			ids = append(ids, r.request)
+		}
+	}
+	return ids
+}
+
+// arrivedLate returns the number of requests that arrived at a server after their client had got its response.
+func arrivedLate(calls []call, runs []arrival) (n int) {
+	ended := map[string]time.Time{}
+	for i := range calls {
+		ended[calls[i].id] = calls[i].ended
+	}
+	for _, r := range runs {
+		n += count(r.at.After(ended[r.request]))
+	}
+	return n
+}
+
 // strandedViolations returns every violation of the promises about routers that are cut off.
 func strandedViolations(calls []call, runs []arrival, f *faultLog) (violations []string) {
 	for _, s := range f.strands {
@@ -107,5 +135,8 @@
 	if ids := unansweredRuns(calls, runs, f); len(ids) > maxLostRequest {
 		violations = append(violations, fmt.Sprintf("%d requests reached servers and ended without a response: %v", len(ids), ids))
 	}
+	if ids := overAttempts(runs, f); len(ids) > maxOverAttempts {
+		violations = append(violations, fmt.Sprintf("%d requests ran at more servers than their route allows: %v", len(ids), ids))
+	}
 	return violations
 }
