--- a/internal/testfleet/network_test.go
+++ b/internal/testfleet/network_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,27 +92,54 @@
 	again.Close()
 }
 
-// Guards against a cut of new connections that harms open ones.
-func TestOpenConnectionsLiveOnWhileNewOnesAreRefused(t *testing.T) {
-	is := is.New(t)
-	n, client, server := startEcho(t)
-	open, err := dialFrom(client, server)
-	is.NoErr(err)
-	defer open.Close()
-	err = echo(open, "a")
-	is.NoErr(err)
-	n.Cut(client, server, CutNew)
-	err = echo(open, "b")
-	is.NoErr(err)
-	if c, err := dialFrom(client, server); err == nil {
-		err = echo(c, "c")
-		is.True(err != nil)
-		c.Close()
+// Guards against cuts that refuse connections otherwise than a firewall does, and against a cut of new connections that harms
+// open ones.
+func TestNewConnectionsAreRefused(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		how     Cut
+		livesOn bool
+	}{
+		{"all", CutReject, false},
+		{"new ones", CutNew, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if !maySendRaw(t) {
+				t.Skip("needs CAP_NET_RAW")
+			}
+			is := is.New(t)
+			n, client, server := startEcho(t)
+			open, err := dialFrom(client, server)
+			is.NoErr(err)
+			defer open.Close()
+			is.NoErr(echo(open, "a"))
+			n.Cut(client, server, test.how)
+			err = echo(open, "b")
+			is.Equal(err == nil, test.livesOn)
+			is.Equal(errors.Is(err, syscall.ECONNRESET), !test.livesOn)
+			began := time.Now()
+			_, err = dialFrom(client, server)
+			is.True(errors.Is(err, syscall.ECONNREFUSED))
+			is.True(time.Since(began) < cutTime/2)
+			other, err := dialFrom(fmt.Sprintf("127.%d.1.2", networkBlock), server)
+			is.NoErr(err) // other links are not cut
+			defer other.Close()
+			is.NoErr(echo(other, "c"))
+			n.Heal()
+			again, err := dialFrom(client, server)
+			is.NoErr(err)
+			defer again.Close()
+			is.NoErr(echo(again, "d"))
+		})
 	}
-	n.Heal()
-	again, err := dialFrom(client, server)
-	is.NoErr(err)
-	defer again.Close()
-	err = echo(again, "d")
-	is.NoErr(err)
+}
+
+func maySendRaw(t *testing.T) bool {
+	conn, err := net.ListenIP("ip4:tcp", &net.IPAddr{IP: net.IPv4(127, networkBlock, 2, 1)})
+	if err != nil {
+		t.Logf("raw sockets: %v", err)
+		return false
+	}
+	conn.Close()
+	return true
 }
