--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -23,6 +23,8 @@
 	executed                           bool
 	// version is the version of the server's software.
 	version string
+	// timeLeft is the deadline that the request names; 0 if it names none.
+	timeLeft time.Duration
 	// resumedAfter is the last event that the client received; 0 for a new stream.
 	resumedAfter int
 	// limit is the request limit that the response named, in requests per second; 0 if it named none.
@@ -208,9 +210,11 @@
 	s.mu.Unlock()
 	id := r.Header.Get("Orioleusher-Request-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	timeLeftMS, _ := strconv.Atoi(r.Header.Get("Orioleusher-Deadline-Ms"))
 	v := arrival{
 		request: id, instance: instance, version: version, team: r.Header.Get("Orioleusher-Tenant-Id"), key: r.Header.Get("Api-Key"),
 		path: r.URL.Path, routerIP: c.RemoteAddr().(*net.TCPAddr).IP.String(), at: time.Now(), executed: true, resumedAfter: after, limit: limit, leaving: leaving,
+		timeLeft: time.Duration(timeLeftMS) * time.Millisecond,
 	}
 	head := "Orioleusher-Request-Id: " + id + "\r\n"
 	if limit > 0 {
--- a/internal/proofs/soak/stalled_servers_test.go
+++ b/internal/proofs/soak/stalled_servers_test.go
@@ -56,13 +56,16 @@
 }
 
 var mix = []traffic{
-	{"/diagnosis/", 16.8, 3, 512, 38, 10000, 1300},
+	{longStream, 16.8, 3, 512, 38, 10000, 1300},
 	{"/question/", 23.7, 20, 119, 80, 580, 130},
 	{"/tag/", 32.9, 40, 341, 74, 1700, 360},
 	{"/charge/", 18.3, 0, 0, 0, 0, 0},
 	{"/lookup/", 8.0, 0, 0, 0, 0, 0},
 }
 
+// longStream is the path of the longest streams of the mix.
+const longStream = "/diagnosis/"
+
 // mixRates returns the requests and the streams a second in the mix.
 func mixRates() (all, streams float64) {
 	for _, kind := range mix {
@@ -190,6 +193,9 @@
 		at = at.Add(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(at))
 		v := f.drawCall(r, i)
+		if v.path == longStream && f.clients.dropShare > 0 && r.Float64() < f.clients.dropShare {
+			v.dropAfter = 1
+		}
 		wg.Go(func() { f.clients.sendAndRecord(client, v) })
 	}
 	wg.Wait()
--- a/internal/proofs/soak/stranded_check_self_test.go
+++ b/internal/proofs/soak/stranded_check_self_test.go
@@ -113,3 +113,42 @@
 	is.Equal(len(strandedViolations(nil, runs, f)), 1)
 	is.Equal(arrivedLate([]call{{id: "a", ended: start.Add(-1)}, {id: "b", ended: start}}, []arrival{run("a", "r"), run("b", "r")}), 1)
 }
+
+// Guards against checks of deadlines and of streams whose clients have closed that pass whatever servers observe.
+func TestStrandedChecksFindLateDeadlinesAndWorkForNobody(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	own := routes[longStream].timeout
+	c := call{id: "a", path: longStream, router: "r:8080", started: start, ended: start, status: 200, body: streamEvent("a", 1, writer{}), dropAfter: 1}
+	run := func(after, timeLeft, took time.Duration) arrival {
+		return arrival{request: "a", path: longStream, executed: true, at: start.Add(after), timeLeft: timeLeft, ended: start.Add(took)}
+	}
+	for _, test := range []struct {
+		runs []arrival
+		want int
+	}{
+		{[]arrival{run(0, own, 0), run(time.Second, own-time.Second, 0)}, 0},
+		{[]arrival{run(0, 0, 0)}, 1},
+		{[]arrival{run(0, own+deadlineSlack, 0)}, 0},
+		{[]arrival{run(0, own+deadlineSlack+1, 0)}, 1},
+		{[]arrival{run(0, own, 0), run(time.Second, own, 0)}, 1},
+		{[]arrival{run(0, own, 0), run(deadlineSlack, own, 0)}, 0},
+	} {
+		bad, all := badDeadlines([]call{c}, test.runs)
+		is.Equal(bad, test.want)
+		is.Equal(all, len(test.runs))
+	}
+	var late []arrival
+	for range lateDeadlines + 1 {
+		late = append(late, run(0, 0, 0))
+	}
+	is.Equal(len(strandedViolations([]call{c}, late, &faultLog{})), 1)
+	is.Equal(len(strandedViolations([]call{c}, late[1:], &faultLog{})), 0)
+	for took, want := range map[time.Duration]int{closeLimit: 0, closeLimit + 1: 1} {
+		worked, all := droppedStreams([]call{c}, []arrival{run(0, own, took)}, &faultLog{}, 15*time.Millisecond)
+		is.Equal(worked, want)
+		is.Equal(all, 1)
+	}
+	_, all := droppedStreams([]call{c}, nil, &faultLog{}, time.Millisecond)
+	is.Equal(all, 0) // it had less to go
+}
--- a/internal/proofs/soak/stranded_check_test.go
+++ b/internal/proofs/soak/stranded_check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +16,12 @@
 	strandedShare  = 1.0 / 50
 	servedShare    = 2.0 / 3
 	maxLostRequest = 3
+	// From lateDeadlines on and a lateDeadlineShare of the requests, too many are handed on with a deadline that is missing or
+	// over deadlineSlack too late.
+	lateDeadlines, lateDeadlineShare = 20, 1.0 / 5
+	deadlineSlack                    = 500 * time.Millisecond
+	// closeLimit is how long a server may be at work after its client has closed, goneShare for which share it may be longer.
+	closeLimit, goneShare = 500 * time.Millisecond, 1.0 / 4
 	// maxOverAttempts is how many requests may run at more servers than their route allows.
 	maxOverAttempts = 3
 )
@@ -58,11 +65,17 @@
 			t = &n.cut
 		}
 		t.sent++
-		t.served += count(c.status == http.StatusOK && c.complete && c.ended.Sub(c.started) <= routes[c.path].timeout)
+		t.served += count(c.served())
 	}
 	return n
 }
 
+// served reports whether the client got what it waited for in time.
+func (c *call) served() bool {
+	dropped := c.dropAfter > 0 && c.lastEvent() >= c.dropAfter
+	return c.status == http.StatusOK && (c.complete || dropped) && c.ended.Sub(c.started) <= routes[c.path].timeout
+}
+
 func (c *call) routerIP() string {
 	ip, _, _ := strings.Cut(c.router, ":")
 	return ip
@@ -122,6 +135,52 @@
 	return n
 }
 
+// badDeadlines counts the runs, and those with a deadline that is missing or too late.
+func badDeadlines(calls []call, runs []arrival) (bad, all int) {
+	byID := map[string]*call{}
+	for i := range calls {
+		byID[calls[i].id] = &calls[i]
+	}
+	first := map[string]arrival{}
+	for _, r := range runs {
+		c := byID[r.request]
+		if c == nil {
+			continue
+		}
+		before, again := first[r.request]
+		if !again {
+			first[r.request] = r
+		}
+		own := cmp.Or(c.timeLeft, routes[c.path].timeout)
+		sentLater := again && r.at.Sub(before.at) > deadlineSlack
+		endsLater := r.at.Add(r.timeLeft).Sub(c.started.Add(own)) > deadlineSlack
+		all++
+		bad += count(r.timeLeft == 0 || r.timeLeft-own > deadlineSlack || sentLater && endsLater)
+	}
+	return bad, all
+}
+
+// droppedStreams counts the streams whose client closed while they had longer to go than closeLimit, and those that a server
+// went on with for longer.
+func droppedStreams(calls []call, runs []arrival, f *faultLog, eventInterval time.Duration) (worked, all int) {
+	ended := map[string]time.Time{}
+	for _, r := range runs {
+		if r.executed && r.ended.After(ended[r.request]) {
+			ended[r.request] = r.ended
+		}
+	}
+	for i := range calls {
+		c := &calls[i]
+		rest := time.Duration(routes[c.path].events-c.dropAfter) * eventInterval
+		if c.dropAfter == 0 || !c.served() || rest <= closeLimit || !f.undisturbed(c.routerIP(), c.ended) {
+			continue
+		}
+		all++
+		worked += count(ended[c.id].Sub(c.ended) > closeLimit)
+	}
+	return worked, all
+}
+
 // strandedViolations returns every violation of the promises about routers that are cut off.
 func strandedViolations(calls []call, runs []arrival, f *faultLog) (violations []string) {
 	for _, s := range f.strands {
@@ -138,5 +197,8 @@
 	if ids := overAttempts(runs, f); len(ids) > maxOverAttempts {
 		violations = append(violations, fmt.Sprintf("%d requests ran at more servers than their route allows: %v", len(ids), ids))
 	}
+	if bad, all := badDeadlines(calls, runs); bad > lateDeadlines && float64(bad) > lateDeadlineShare*float64(all) {
+		violations = append(violations, fmt.Sprintf("%d of %d runs had no deadline or a later one than their client", bad, all))
+	}
 	return violations
 }
--- a/internal/proofs/soak/stranded_test.go
+++ b/internal/proofs/soak/stranded_test.go
@@ -51,25 +51,37 @@
 
 var strandedPlays = []strandedPlay{
 	{name: "most, no answer", how: testfleet.CutDrop},
-	{name: "most, open connections live on", how: testfleet.CutNew},
+	{name: "most, another router killed", how: testfleet.CutDrop, meanwhile: (*soakRun).killServing},
 	{name: "data centre, no answer", how: testfleet.CutDrop, zone: "a", long: true},
-	{name: "most, refused", how: testfleet.CutRefuse, long: true},
-	{name: "data centre, refused", how: testfleet.CutRefuse, zone: "a", long: true},
-	{name: "most, accepted and silent", how: testfleet.CutBlackhole, long: true},
+	{name: "most, refused", how: testfleet.CutReject, long: true},
+	{name: "data centre, refused", how: testfleet.CutReject, zone: "a", long: true},
+	{name: "most, open connections live on", how: testfleet.CutNew, long: true},
 	{name: "most, all servers but one", how: testfleet.CutDrop, left: 1, long: true},
 	{name: "most, coming and going", how: testfleet.CutDrop, flaps: true, long: true},
-	{name: "most, another router killed", how: testfleet.CutDrop, meanwhile: (*soakRun).killServing, long: true},
+	{name: "most, refused, coming and going", how: testfleet.CutReject, flaps: true, long: true},
 	{name: "most, another router stands still", how: testfleet.CutDrop, meanwhile: (*soakRun).freezeServing, long: true},
 	{name: "most, another router stopped", how: testfleet.CutDrop, meanwhile: (*soakRun).stopServing, long: true},
+	{name: "most, servers in need", how: testfleet.CutDrop, meanwhile: (*soakRun).needServers, long: true},
 	{name: "most, surge", how: testfleet.CutDrop, meanwhile: (*soakRun).surge, long: true},
 }
 
+// deafPlays are cuts behind something that accepts connections in the servers' place.
+var deafPlays = []strandedPlay{
+	{name: "most, accepted and closed", how: testfleet.CutRefuse, long: true},
+	{name: "most, accepted and silent", how: testfleet.CutBlackhole, long: true},
+}
+
 // Guards against routers that serve nothing while they are cut off from all servers, although other routers reach both, and
 // against requests that run twice, or after they have been refused, because of what a cut keeps and delivers later.
-func TestRoutersCutOffFromServers(t *testing.T) {
+func TestRoutersCutOffFromServers(t *testing.T) { runStranded(t, strandedPlays) }
+
+// Guards against routers that take a connection that something between them and the server accepts for one to the server.
+func TestRoutersCutOffBehindOpenPorts(t *testing.T) { runStranded(t, deafPlays) }
+
+func runStranded(t *testing.T, plays []strandedPlay) {
 	for i := range *seeds {
 		seed := *firstStrandedSeed + uint64(i)
-		for _, play := range strandedPlays {
+		for _, play := range plays {
 			if play.long && testing.Short() {
 				continue
 			}
@@ -85,6 +97,7 @@
 	f.servers.mu.Lock()
 	f.servers.firstEvent, f.servers.eventInterval = 62*time.Millisecond, 15*time.Millisecond
 	f.servers.mu.Unlock()
+	f.clients.dropShare = 0.15
 	stop := make(chan struct{})
 	var background, play sync.WaitGroup
 	background.Go(func() { f.publishHeartbeats(stop) })
@@ -196,7 +209,7 @@
 	f.mu.Lock()
 	chosen := f.rand.Perm(len(f.routers))[:1+f.rand.IntN(len(f.routers))]
 	f.mu.Unlock()
-	how := []testfleet.Cut{testfleet.CutDrop, testfleet.CutNew, testfleet.CutRefuse}[f.randomInt(3)]
+	how := []testfleet.Cut{testfleet.CutDrop, testfleet.CutNew, testfleet.CutReject}[f.randomInt(3)]
 	length := time.Duration(500+f.randomInt(7500)) * time.Millisecond
 	f.cutOff(how, 0, chosen, length)
 }
@@ -243,6 +256,15 @@
 	f.sendMix(rand.New(rand.NewPCG(uint64(f.randomInt(surgeNumber)), 3)), surgeNumber, *strandedStreams, time.Now().Add(inStrand))
 }
 
+// needServers makes servers name limits, refuse for a time and say that they leave.
+func (f *soakRun) needServers() {
+	var wg sync.WaitGroup
+	for _, need := range []func(){f.limitServer, f.pauseServer, f.leaveUnpublished} {
+		wg.Go(need)
+	}
+	wg.Wait()
+}
+
 // checkStranded checks what clients and servers observed while routers were cut off.
 func (f *soakRun) checkStranded() {
 	f.servers.mu.Lock()
@@ -254,6 +276,12 @@
 	for _, violation := range strandedViolations(calls, runs, &f.faults) {
 		f.t.Error(violation)
 	}
+	worked, dropped := droppedStreams(calls, runs, &f.faults, f.servers.eventInterval)
+	if float64(worked) > goneShare*float64(dropped) {
+		f.t.Errorf("servers were at work on %d of %d streams over %v after their clients had closed", worked, dropped, closeLimit)
+	}
+	bad, _ := badDeadlines(calls, runs)
+	f.t.Logf("%d of %d streams worked on after their clients had closed; %d bad deadlines", worked, dropped, bad)
 	statuses := map[bool]map[int]int{true: {}, false: {}}
 	for i := range calls {
 		if c := &calls[i]; f.faults.cutOff(c.routerIP(), c.started, c.ended) {
