--- a/internal/proofs/soak/stranded_test.go
+++ b/internal/proofs/soak/stranded_test.go
@@ -38,8 +38,12 @@
 	how  testfleet.Cut
 	// zone is the data centre whose routers are cut off; if it is empty, most of all are.
 	zone string
+	// all is set if the routers of all data centres are cut off.
+	all bool
 	// left is the number of servers that the routers still reach.
 	left int
+	// twice is set if the cut lasts twice as long.
+	twice bool
 	// flaps is set if shorter cuts come first.
 	flaps bool
 	// meanwhile happens during the cut.
@@ -61,6 +65,8 @@
 	{name: "most, refused, coming and going", how: testfleet.CutReject, flaps: true, long: true},
 	{name: "most, another router stands still", how: testfleet.CutDrop, meanwhile: (*soakRun).freezeServing, long: true},
 	{name: "most, another router stopped", how: testfleet.CutDrop, meanwhile: (*soakRun).stopServing, long: true},
+	{name: "most, a router that is cut off restarts", how: testfleet.CutDrop, meanwhile: (*soakRun).killStranded, twice: true, long: true},
+	{name: "all, no answer", how: testfleet.CutDrop, all: true, long: true},
 	{name: "most, servers in need", how: testfleet.CutDrop, meanwhile: (*soakRun).needServers, long: true},
 	{name: "most, surge", how: testfleet.CutDrop, meanwhile: (*soakRun).surge, long: true},
 }
@@ -101,7 +107,7 @@
 	stop := make(chan struct{})
 	var background, play sync.WaitGroup
 	background.Go(func() { f.publishHeartbeats(stop) })
-	length := beforeStrand + *strandedLength + afterHeal
+	length := beforeStrand + p.length() + afterHeal
 	if p.flaps {
 		length += 2 * flaps * flapPeriod
 	}
@@ -114,15 +120,35 @@
 	close(stop)
 	background.Wait()
 	testfleet.Eventually(t, 5*time.Second, "all servers are done", f.servers.idle)
-	f.checkResults()
+	if p.all {
+		f.checkSafety()
+	} else {
+		f.checkResults()
+	}
 	f.checkStranded()
 	n := countTries(f.clients.calls, healed, &f.faults)
 	f.t.Logf("after the cut: %v", n)
-	if n.broken() {
+	if n.broken() || p.all && n.cut.share() < servedShare {
 		f.t.Errorf("after the cut only %v", n)
 	}
 }
 
+// checkSafety checks all promises but how many requests are served.
+func (f *soakRun) checkSafety() {
+	f.servers.mu.Lock()
+	defer f.servers.mu.Unlock()
+	f.checkMemory()
+	f.checkPromises()
+}
+
+// length returns the length of the cut.
+func (p strandedPlay) length() time.Duration {
+	if p.twice {
+		return 2 * *strandedLength
+	}
+	return *strandedLength
+}
+
 // strand cuts routers off and heals the cut. It returns the period that begins then.
 func (p strandedPlay) strand(f *soakRun) (healed strand) {
 	chosen := p.chooseRouters(f)
@@ -143,7 +169,7 @@
 			p.meanwhile(f)
 		})
 	}
-	f.cutOff(p.how, p.left, chosen, *strandedLength)
+	f.cutOff(p.how, p.left, chosen, p.length())
 	healed = strand{routers: routerIPs(chosen), from: time.Now()}
 	wg.Wait()
 	return healed
@@ -158,13 +184,13 @@
 
 // chooseRouters draws the routers that are cut off.
 func (p strandedPlay) chooseRouters(f *soakRun) (chosen []int) {
-	if p.zone == "" {
+	if p.zone == "" && !p.all {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.rand.Perm(len(f.routers))[:mostRouters]
 	}
 	for n, zone := range f.fleet.hosts {
-		if zone == p.zone {
+		if p.all || zone == p.zone {
 			chosen = append(chosen, n)
 		}
 	}
@@ -225,8 +251,20 @@
 	}
 }
 
-func (f *soakRun) killServing() {
-	n := f.servingRouter()
+func (f *soakRun) killServing() { f.killRouter(f.servingRouter()) }
+
+// killStranded kills a router that is cut off. It starts without any connection to a server.
+func (f *soakRun) killStranded() {
+	f.mu.Lock()
+	n := 0
+	for !slices.Contains(f.stranded, routerIP(n)) {
+		n++
+	}
+	f.mu.Unlock()
+	f.killRouter(n)
+}
+
+func (f *soakRun) killRouter(n int) {
 	defer f.disturb(routerIP(n))()
 	f.routers[n].Kill()
 	f.sleepRandom(100, 500)
