reach: a connection that is closed at once does not count as reached

Cause: probes only connected. Ruled out: the attempts themselves, whose broken responses start the rounds as they should. Change: a new connection must stay open for 20 ms to count.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,10 +196,11 @@
 		Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 3)), Log: g.log, Scope: g.metrics.Scope,
 		Connect: func(ctx context.Context, address string) error {
 			conn, err := g.pool.Dial(ctx, "tcp", address)
-			if err == nil {
-				err = conn.Close()
+			if err != nil {
+				return err
 			}
-			return err
+			defer conn.Close()
+			return reach.CheckOpen(conn)
 		},
 	})
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -8,12 +8,15 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 )
@@ -35,6 +38,8 @@
 	secondProbes = 8
 	// secondDelay is how long the first upstreams may take to accept before further ones are probed.
 	secondDelay = probeTimeout / 4
+	// openTime is how long a new connection must stay open to count.
+	openTime = 20 * time.Millisecond
 	// minProbes is the least number of probes that show anything.
 	minProbes = 2
 	// recentData is the time within which data of an upstream shows that the network path works.
@@ -56,7 +61,7 @@
 	DataCentre string
 	// Targets returns the published upstreams.
 	Targets func() []Target
-	// Connect opens a connection to the address and closes it.
+	// Connect opens a connection to the address, checks that it stays open and closes it.
 	Connect func(ctx context.Context, address string) error
 	// OnChange is called after the host was cut off, or is no longer.
 	OnChange func(cutOff bool)
@@ -109,6 +114,19 @@
 // RecordDetour records that another host has served a request of this one.
 func (d *Detector) RecordDetour() { d.detourAt.Store(int64(d.Clock.Since(d.start))) }
 
+// CheckOpen returns an error if the other end closes or resets a new connection at once, as what stands in for upstreams that it does
+// not reach either may do.
+func CheckOpen(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(openTime)); err != nil {
+		return errors.Wrapf(err, "probe %s", conn.RemoteAddr())
+	}
+	_, err := conn.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return errors.Wrapf(err, "probe %s", conn.RemoteAddr())
+}
+
 // RecordConnected records that this host established a connection to an upstream.
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -263,6 +264,33 @@
 	}
 }
 
+// Guards against a cut that goes unnoticed because something accepts the connections in the place of the upstreams and closes them.
+func TestConnectionThatIsClosedAtOnceDoesNotCount(t *testing.T) {
+	for name, serve := range map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { c.Close() },
+		"reset": func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"open": func(net.Conn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			accepted, err := l.Accept()
+			is.NoErr(err)
+			defer accepted.Close()
+			serve(accepted)
+			is.Equal(CheckOpen(conn) == nil, name == "open")
+		})
+	}
+}
+
 // Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
 func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
 	is := is.New(t)
