reach: silent upstreams are asked for a response before they count as reached

Callers saw: hosts that are cut off by something that accepts connections in the place of the upstreams and stays silent served 43 of 252 first tries, the others 93 of 93. Cause: probes only connected; and a connection of the host's own, which such a thing accepts as well, counted against the cut. Change: once three upstreams were silent since data last arrived, a round sends health checks and wants any response; what counts against a cut is a response on a new connection.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -71,6 +71,8 @@
 	MaxConnections int
 	// Engine is set for pools of model engines.
 	Engine bool
+	// HealthPath is the path of health checks; empty if that is not known.
+	HealthPath string
 }
 
 // Team is a group of callers that share keys.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -126,11 +126,7 @@
 func (d *dispatchFilter) connectWithin(ctx context.Context, u *catalog.Upstream, timeout time.Duration, get func(context.Context, string) (*upconn.Conn, error)) (*upconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := get(ctx, u.Address)
-	if err == nil && !conn.WriteStarted {
-		d.reach.RecordConnected()
-	}
-	return conn, err
+	return get(ctx, u.Address)
 }
 
 // idleConnFraction is the fraction of the connections that an upstream accepts from all hosts that may be idle. The others are
@@ -237,6 +233,9 @@
 			return *res
 		}
 	}
+	if req.peer == "" && !conn.Reused {
+		d.reach.RecordConnected()
+	}
 	res := d.handleResponse(ctx, req, u, conn, resp, inactivity, release)
 	res.status = resp.StatusCode
 	return res
@@ -350,6 +349,9 @@
 	case errors.Is(cause, errStopped):
 		return d.outcomeUnknown(req, "stopping", "the router stopped before the upstream had answered", key, cause)
 	case cause != nil:
+		if req.peer == "" && !req.response.headerSent && errors.Is(cause, context.DeadlineExceeded) {
+			d.reach.RecordSilence(u.Address)
+		}
 		return d.outcomeUnknown(req, "over", "the time is over", key, cause)
 	case errors.Is(err, upconn.ErrResponseTooLarge):
 		d.balancer.RecordBrokenResponse(u, err)
@@ -370,7 +372,7 @@
 		d.detours.RecordDoubt(req.peer)
 		return
 	}
-	d.reach.RecordFailure(u.Address, false)
+	d.reach.RecordSilence(u.Address)
 	if !d.reach.CutOff() { // else the fault is not the upstream's
 		d.recordPath(u, d.balancer.RecordBrokenResponse(u, cause))
 	}
--- a/internal/direct/detour.go
+++ b/internal/direct/detour.go
@@ -29,6 +29,8 @@
 	// RecordDetour records that another host has served a request of this one.
 	RecordDetour()
 	RecordFailure(address string, newConn bool)
+	// RecordSilence records that an upstream sent no response in time.
+	RecordSilence(address string)
 }
 
 // sendByDetour sends the request to the upstream once, through another host.
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -179,6 +179,9 @@
 		}
 		conn.Close()
 	}
+	if !conn.Reused {
+		h.reach.RecordConnected()
+	}
 	h.relay(a, u, conn, resp, release)
 }
 
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -466,3 +466,4 @@
 func (r *testReach) RecordConnected()             {}
 func (r *testReach) RecordDetour()                {}
 func (r *testReach) RecordFailure(string, bool)   { r.failures.Add(1) }
+func (r *testReach) RecordSilence(string)         { r.failures.Add(1) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,25 +194,54 @@
 	return reach.New(reach.Options{
 		DataCentre: g.settings.DataCentre, Targets: g.probeTargets, OnChange: g.recordCut, Clock: g.clock,
 		Rand: mathrand.New(mathrand.NewPCG(g.incarnation, 3)), Log: g.log, Scope: g.metrics.Scope,
-		Connect: func(ctx context.Context, address string) error {
-			conn, err := g.pool.Dial(ctx, "tcp", address)
-			if err != nil {
-				return err
-			}
-			defer conn.Close()
-			return reach.CheckOpen(conn)
-		},
+		Connect: g.probeConnection, Ask: g.probeResponse,
 	})
 }
 
+// probeConnection opens a connection to the upstream and checks that it stays open.
+func (g *Gateway) probeConnection(ctx context.Context, t reach.Target) error {
+	conn, err := g.pool.Dial(ctx, "tcp", t.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return reach.CheckOpen(conn)
+}
+
+// probeResponse sends a health check to the upstream and waits for the first byte of any response.
+func (g *Gateway) probeResponse(ctx context.Context, t reach.Target) error {
+	if t.HealthPath == "" {
+		return g.probeConnection(ctx, t)
+	}
+	conn, err := g.pool.Dial(ctx, "tcp", t.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	req, err := http.NewRequest(http.MethodGet, "http://"+t.Address+t.HealthPath, http.NoBody)
+	if err == nil {
+		req.Close = true
+		err = req.Write(conn)
+	}
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	return errors.Wrapf(err, "health check of %s", t.Address)
+}
+
 // probeTargets returns the upstreams that receive new requests.
 func (g *Gateway) probeTargets() []reach.Target {
 	snap := g.store.Current()
 	var targets []reach.Target
-	for _, list := range snap.Upstreams {
+	for service, list := range snap.Upstreams {
+		path := ""
+		if snap.Config != nil {
+			path = snap.Config.Services[service].HealthPath
+		}
 		for _, u := range list {
 			if snap.AcceptsNewWork(u) {
-				targets = append(targets, reach.Target{Address: u.Address, DataCentre: u.DataCentre})
+				targets = append(targets, reach.Target{Address: u.Address, DataCentre: u.DataCentre, HealthPath: path})
 			}
 		}
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -47,12 +47,17 @@
 	// failuresDespiteData is the number of upstreams to which new connections must have failed, with none that succeeded in
 	// between, to start a round while open connections still bring data.
 	failuresDespiteData = 3
+	// silentForRound is the number of upstreams that must have been silent since data last arrived to start a round that asks for
+	// responses.
+	silentForRound = 3
 )
 
 // Target is an upstream that can be probed.
 type Target struct {
 	Address    string
 	DataCentre string
+	// HealthPath is where the upstream responds to health checks; empty if that is not known.
+	HealthPath string
 }
 
 // Options configures New.
@@ -61,8 +66,10 @@
 	DataCentre string
 	// Targets returns the published upstreams.
 	Targets func() []Target
-	// Connect opens a connection to the address, checks that it stays open and closes it.
-	Connect func(ctx context.Context, address string) error
+	// Connect opens a connection to the target, checks that it stays open and closes it.
+	Connect func(ctx context.Context, t Target) error
+	// Ask sends a health check to the target and waits for any response.
+	Ask func(ctx context.Context, t Target) error
 	// OnChange is called after the host was cut off, or is no longer.
 	OnChange func(cutOff bool)
 	Clock    clockwork.Clock
@@ -83,9 +90,13 @@
 	rounds           tally.Counter
 
 	mu sync.Mutex
-	// failed holds the addresses to which connections failed since the last one that was established.
+	// failed holds the addresses to which connections failed since a new one last brought a response.
 	failed map[string]struct{}
-	// connectedAt is when this host last established a connection to an upstream itself.
+	// silent holds the addresses of upstreams that sent no response in time, and when.
+	silent map[string]time.Duration
+	// asks is set if the latest round asks for responses, and asked if such a round found that the host is cut off.
+	asks, asked bool
+	// connectedAt is when an upstream last responded on a new connection of this host.
 	connectedAt time.Time
 	// round is closed at the end of the round that runs; nil if none does. roundAt is the end of the last one, and partial is set if
 	// some of its probes succeeded.
@@ -101,7 +112,7 @@
 // New returns a detector of a host that is not cut off.
 func New(o Options) *Detector {
 	return &Detector{
-		Options: o, start: o.Clock.Now(), failed: map[string]struct{}{}, gauge: o.Scope.Gauge("cut_off"), rounds: o.Scope.Counter("reach_rounds"),
+		Options: o, start: o.Clock.Now(), failed: map[string]struct{}{}, silent: map[string]time.Duration{}, gauge: o.Scope.Gauge("cut_off"), rounds: o.Scope.Counter("reach_rounds"),
 	}
 }
 
@@ -127,7 +138,7 @@
 	return errors.Wrapf(err, "probe %s", conn.RemoteAddr())
 }
 
-// RecordConnected records that this host established a connection to an upstream.
+// RecordConnected records that an upstream responded on a new connection of this host.
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -149,6 +160,27 @@
 	d.startRound()
 }
 
+// RecordSilence records that an upstream sent no response in time, and starts a round of probes like RecordFailure. Something may accept
+// connections in the place of upstreams: once several were silent, the round asks for responses.
+func (d *Detector) RecordSilence(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[address] = d.Clock.Since(d.start)
+	if !d.hasRecentData() {
+		d.startRound()
+	}
+}
+
+// silentUpstreams returns how many upstreams were silent since data last arrived. The caller holds mu.
+func (d *Detector) silentUpstreams() int {
+	for address, at := range d.silent {
+		if at <= time.Duration(d.dataAt.Load()) {
+			delete(d.silent, address)
+		}
+	}
+	return len(d.silent)
+}
+
 func (d *Detector) hasRecentData() bool { return d.isRecent(&d.dataAt, recentData) }
 
 func (d *Detector) isRecent(at *atomic.Int64, within time.Duration) bool {
@@ -197,7 +229,11 @@
 	}
 	d.round = make(chan struct{})
 	d.rounds.Inc(1)
-	go d.runRound(targets, d.Clock.Now())
+	connect := d.Connect
+	if d.asks = d.asked || d.silentUpstreams() >= silentForRound; d.asks {
+		connect = d.Ask
+	}
+	go d.runRound(targets, connect, d.Clock.Now())
 }
 
 // choose returns the upstreams to probe: at random, one of this data centre and the others from as many more as possible. The caller
@@ -223,15 +259,15 @@
 }
 
 // runRound probes the first targets, and the others if that may show that the host is cut off, and draws the conclusion.
-func (d *Detector) runRound(targets []Target, start time.Time) {
+func (d *Detector) runRound(targets []Target, connect func(context.Context, Target) error, start time.Time) {
 	probes := min(len(targets), firstProbes)
-	first, second := d.startProbes(targets[:probes]), &wave{}
+	first, second := startProbes(targets[:probes], connect), &wave{}
 	select {
 	case <-first.done():
 	case <-time.After(secondDelay):
 	}
 	if first.reached.Load() == 0 && !d.CutOff() {
-		second, probes = d.startProbes(targets[probes:]), len(targets)
+		second, probes = startProbes(targets[probes:], connect), len(targets)
 	}
 	first.Wait()
 	second.Wait()
@@ -257,13 +293,13 @@
 }
 
 // startProbes starts to probe the targets.
-func (d *Detector) startProbes(targets []Target) *wave {
+func startProbes(targets []Target, connect func(context.Context, Target) error) *wave {
 	w := &wave{}
 	for _, t := range targets {
 		w.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
-			if d.Connect(ctx, t.Address) == nil {
+			if connect(ctx, t) == nil {
 				w.reached.Add(1)
 			}
 		})
@@ -282,7 +318,7 @@
 		clear(d.failed)
 	}
 	is := d.conclude(start, probes, reached)
-	d.partial = reached > 0
+	d.partial, d.asked = reached > 0, is && d.asks
 	d.cutOff.Store(is)
 	if is {
 		d.planRound(d.interval())
@@ -293,7 +329,7 @@
 	if is {
 		d.since = now
 		d.gauge.Update(1)
-		d.Log.Warn().Str("event", "host-cut-off").Int("probes", probes).Int("reached", reached).Int("failed_upstreams", len(d.failed)).
+		d.Log.Warn().Str("event", "host-cut-off").Int("probes", probes).Int("reached", reached).Bool("asked", d.asked).Int("failed_upstreams", len(d.failed)).Int("silent_upstreams", len(d.silent)).
 			Dur("data_age_ms", d.Clock.Since(d.start)-time.Duration(d.dataAt.Load())).Send()
 		return true
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -20,9 +20,20 @@
 
 // network holds which upstreams accept connections.
 type network struct {
-	mu      sync.Mutex
-	reaches func(Target) bool
-	dials   int
+	mu sync.Mutex
+	// reaches tells which upstreams accept connections, and responds which respond.
+	reaches, responds func(Target) bool
+	dials, asked      int
+}
+
+func (n *network) probe(count *int, succeeds func(Target) bool, t Target) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	*count++
+	if succeeds(t) {
+		return nil
+	}
+	return errors.New("unreachable")
 }
 
 func (n *network) set(reaches func(Target) bool) {
@@ -44,22 +55,11 @@
 
 func newDetector(n *network, changes chan bool) (*Detector, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
-	byAddress := map[string]Target{}
-	for _, t := range manyTargets() { // they include targets
-		byAddress[t.Address] = t
-	}
 	d := New(Options{
 		DataCentre: "dc0", Targets: targets, Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 		OnChange: func(cutOff bool) { changes <- cutOff },
-		Connect: func(_ context.Context, address string) error {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.dials++
-			if n.reaches(byAddress[address]) {
-				return nil
-			}
-			return errors.New("unreachable")
-		},
+		Connect:  func(_ context.Context, t Target) error { return n.probe(&n.dials, n.reaches, t) },
+		Ask:      func(_ context.Context, t Target) error { return n.probe(&n.asked, n.responds, t) },
 	})
 	clock.Advance(time.Second)
 	return d, clock
@@ -95,13 +95,19 @@
 	}
 }
 
+// counts returns the numbers of probes that connected and that asked for a response.
+func (n *network) counts() (dials, asked int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials, n.asked
+}
+
 // awaitRound waits until a round after the given number of dials has ended.
 func awaitRound(t *testing.T, d *Detector, n *network, dials int) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		n.mu.Lock()
-		begun := n.dials > dials
-		n.mu.Unlock()
+		connected, asked := n.counts()
+		begun := connected+asked > dials
 		d.mu.Lock()
 		ended := d.round == nil
 		d.mu.Unlock()
@@ -291,6 +297,40 @@
 	}
 }
 
+// Guards against a cut that goes unnoticed because something accepts the connections in the place of the upstreams and is silent,
+// and against health checks because of a silent upstream.
+func TestSilenceOfSeveralUpstreamsIsNoticedByTheirResponses(t *testing.T) {
+	is := is.New(t)
+	n, changes := &network{reaches: every, responds: none}, make(chan bool, 1)
+	d, clock := newDetector(n, changes)
+	silence := func(address string) {
+		clock.Advance(roundInterval)
+		dials, asked := n.counts()
+		d.RecordSilence(address)
+		awaitRound(t, d, n, dials+asked)
+	}
+	silence("0-0")
+	silence("1-0")
+	_, asked := n.counts()
+	is.Equal(asked, 0)
+	is.True(!d.CutOff())
+	d.RecordData()
+	silence("2-0") // the others have been heard since, as far as is known
+	_, asked = n.counts()
+	is.Equal(asked, 0)
+	silence("0-0")
+	silence("1-0")
+	is.True(<-changes)
+	n.set(every)
+	clock.Advance(roundInterval)
+	is.True(d.CutOff()) // they accept connections but do not respond
+	n.mu.Lock()
+	n.responds = every
+	n.mu.Unlock()
+	clock.Advance(roundInterval)
+	is.True(!<-changes)
+}
+
 // Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
 func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
 	is := is.New(t)
