--- a/internal/detour/peers.go
+++ b/internal/detour/peers.go
@@ -29,13 +29,16 @@
 
 	mu     sync.Mutex
 	rand   *rand.Rand
-	list   []string
+	list   []*peerState
 	listAt time.Time
 	states map[string]*peerState
+	// proven, unproven and doubted are reused by each choice.
+	proven, unproven, doubted []*peerState
 }
 
 // peerState is what is known of a host as a way to the upstreams.
 type peerState struct {
+	address                            string
 	inFlight                           int
 	skipUntil, provenUntil, doubtUntil time.Time
 }
@@ -50,19 +53,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	var proven, unproven, doubted []string
-	for _, address := range p.addresses(now) {
-		s := p.states[address]
+	proven, unproven, doubted := p.proven[:0], p.unproven[:0], p.doubted[:0]
+	for _, s := range p.peers(now) {
 		switch {
-		case slices.Contains(tried, address) || s != nil && now.Before(s.skipUntil):
-		case s != nil && now.Before(s.provenUntil):
-			proven = append(proven, address)
-		case s != nil && now.Before(s.doubtUntil):
-			doubted = append(doubted, address)
+		case now.Before(s.skipUntil) || slices.Contains(tried, s.address):
+		case now.Before(s.provenUntil):
+			proven = append(proven, s)
+		case now.Before(s.doubtUntil):
+			doubted = append(doubted, s)
 		default:
-			unproven = append(unproven, address)
+			unproven = append(unproven, s)
 		}
 	}
+	p.proven, p.unproven, p.doubted = proven, unproven, doubted
 	if len(proven)+len(unproven) == 0 {
 		return p.lessLoaded(doubted)
 	}
@@ -72,42 +75,45 @@
 	return p.lessLoaded(proven)
 }
 
-// addresses returns the addresses of the reachable hosts. The caller holds mu.
-func (p *Peers) addresses(now time.Time) []string {
+// peers returns the states of the reachable hosts. The caller holds mu.
+func (p *Peers) peers(now time.Time) []*peerState {
 	if p.list != nil && now.Sub(p.listAt) < listTime {
 		return p.list
 	}
-	p.list, p.listAt = []string{}, now
+	p.list, p.listAt = []*peerState{}, now
+	reachable := map[string]bool{}
 	for _, peer := range p.reachable() {
 		if host, _, err := net.SplitHostPort(peer); err == nil {
-			p.list = append(p.list, net.JoinHostPort(host, p.port))
+			address := net.JoinHostPort(host, p.port)
+			reachable[address] = true
+			p.list = append(p.list, p.state(address))
 		}
 	}
 	for address, s := range p.states {
-		if s.inFlight == 0 && !slices.Contains(p.list, address) {
+		if s.inFlight == 0 && !reachable[address] {
 			delete(p.states, address)
 		}
 	}
 	return p.list
 }
 
-// lessLoaded returns the one of two random addresses that has fewer detours of this host. The caller holds mu.
-func (p *Peers) lessLoaded(list []string) string {
+// lessLoaded returns the one of two random hosts that has fewer detours of this host. The caller holds mu.
+func (p *Peers) lessLoaded(list []*peerState) string {
 	if len(list) == 0 {
 		return ""
 	}
 	a, b := list[p.rand.IntN(len(list))], list[p.rand.IntN(len(list))]
-	if p.state(b).inFlight < p.state(a).inFlight {
-		return b
+	if b.inFlight < a.inFlight {
+		return b.address
 	}
-	return a
+	return a.address
 }
 
 // state returns the state of the address and creates it if needed. The caller holds mu.
 func (p *Peers) state(address string) *peerState {
 	s := p.states[address]
 	if s == nil {
-		s = &peerState{}
+		s = &peerState{address: address}
 		p.states[address] = s
 	}
 	return s
