reach: a lack of descriptors is not taken for a cut

Callers saw: possible under a flood of connections: the host closes the connections to upstreams that it has, and refuses with 503 'cut-off', since it cannot connect to other hosts either. Cause: probes that failed for lack of descriptors, ports or memory of the host counted like upstreams that are not reached. Ruled out: data of upstreams as evidence to the contrary; three failed new connections start a round beside it. Change: such a probe does not speak for a cut. Evidence: TestLackOfDescriptorsIsNotTakenForCut failed before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -299,7 +300,7 @@
 		w.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
-			if connect(ctx, t) == nil {
+			if err := connect(ctx, t); err == nil || isOwnLack(err) {
 				w.reached.Add(1)
 			}
 		})
@@ -307,6 +308,12 @@
 	return w
 }
 
+// isOwnLack reports whether a connection failed for lack of descriptors, ports or memory of this host, which says nothing about its
+// network path.
+func isOwnLack(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS)
+}
+
 // endRound records the result of a round that began at the start and reports whether the conclusion has changed.
 func (d *Detector) endRound(start time.Time, probes, reached int) (changed bool) {
 	d.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -331,6 +333,18 @@
 	is.True(!<-changes)
 }
 
+// Guards against a host that takes its own lack of descriptors or ports for a cut, and then closes the connections that it has.
+func TestLackOfDescriptorsIsNotTakenForCut(t *testing.T) {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS} {
+		is := is.New(t)
+		d, clock := newDetector(&network{reaches: none}, make(chan bool, 1))
+		d.Connect = func(context.Context, Target) error {
+			return &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", cause)}
+		}
+		is.True(!confirm(d, clock))
+	}
+}
+
 // Guards against probes for each failure of a single upstream, and against a cut that is not noticed while open connections live on.
 func TestDataOfOtherUpstreamsSavesProbes(t *testing.T) {
 	is := is.New(t)
