reach: four probes decide again, and most of a round ends a cut while others serve

A crash of many upstreams is answered by what came since: while no other host serves, one success ends the cut.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,8 +1,8 @@
 // Package reach finds out whether this host is cut off from the upstreams, so that the fault is that of its own network path and
 // not of the upstreams.
 //
-// Single failures start a round of probes: new connections to some upstreams of this and of other data centres, and to more of them
-// if all fail. The host counts as cut off if these fail too, and no longer once most of a round succeed, or some in two rounds.
+// Single failures start a round of probes: new connections to some upstreams of this and of other data centres. The host counts as
+// cut off once all of them fail, and no longer once most of them succeed, or one while no other host serves.
 package reach
 
 import (
@@ -35,10 +35,6 @@
 	localProbes  = 1
 	remoteProbes = 3
 	firstProbes  = localProbes + remoteProbes
-	// secondProbes is the number of further upstreams that must fail as well: many may have crashed at once.
-	secondProbes = 8
-	// secondDelay is how long the first upstreams may take to accept before further ones are probed.
-	secondDelay = probeTimeout / 4
 	// openTime is how long a new connection must stay open to count.
 	openTime = 20 * time.Millisecond
 	// minProbes is the least number of probes that show anything.
@@ -97,13 +93,9 @@
 	silent map[string]time.Duration
 	// asks is set if the latest round asks for responses, and asked if such a round found that the host is cut off.
 	asks, asked bool
-	// connectedAt is when an upstream last responded on a new connection of this host.
-	connectedAt time.Time
-	// round is closed at the end of the round that runs; nil if none does. roundAt is the end of the last one, and partial is set if
-	// some of its probes succeeded.
+	// round is closed at the end of the round that runs; nil if none does. roundAt is the end of the last one.
 	round   chan struct{}
 	roundAt time.Time
-	partial bool
 	// next is the timer of the next round while the host is cut off.
 	next clockwork.Timer
 	// since is when the host was cut off.
@@ -143,7 +135,6 @@
 func (d *Detector) RecordConnected() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.connectedAt = d.Clock.Now()
 	clear(d.failed)
 }
 
@@ -234,7 +225,7 @@
 	if d.asks = d.asked || d.silentUpstreams() >= silentForRound; d.asks {
 		connect = d.Ask
 	}
-	go d.runRound(targets, connect, d.Clock.Now())
+	go d.runRound(targets, connect)
 }
 
 // choose returns the upstreams to probe: at random, one of this data centre and the others from as many more as possible. The caller
@@ -256,56 +247,26 @@
 	}
 	first := min(len(local), localProbes)
 	chosen := slices.Concat(local[:first], remote, spare, local[first:])
-	return chosen[:min(len(chosen), firstProbes+secondProbes)]
+	return chosen[:min(len(chosen), firstProbes)]
 }
 
-// runRound probes the first targets, and the others if that may show that the host is cut off, and draws the conclusion.
-func (d *Detector) runRound(targets []Target, connect func(context.Context, Target) error, start time.Time) {
-	probes := min(len(targets), firstProbes)
-	first, second := startProbes(targets[:probes], connect), &wave{}
-	select {
-	case <-first.done():
-	case <-time.After(secondDelay):
-	}
-	if first.reached.Load() == 0 && !d.CutOff() {
-		second, probes = startProbes(targets[probes:], connect), len(targets)
-	}
-	first.Wait()
-	second.Wait()
-	if changed := d.endRound(start, probes, int(first.reached.Load()+second.reached.Load())); changed {
-		d.OnChange(d.CutOff())
-	}
-}
-
-// wave is a number of probes that run at the same time.
-type wave struct {
-	sync.WaitGroup
-	reached atomic.Int64
-}
-
-// done returns a channel that is closed at the end of the probes.
-func (w *wave) done() <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		w.Wait()
-	}()
-	return done
-}
-
-// startProbes starts to probe the targets.
-func startProbes(targets []Target, connect func(context.Context, Target) error) *wave {
-	w := &wave{}
+// runRound probes the targets and draws the conclusion.
+func (d *Detector) runRound(targets []Target, connect func(context.Context, Target) error) {
+	var reached atomic.Int64
+	var probes sync.WaitGroup
 	for _, t := range targets {
-		w.Go(func() {
+		probes.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
 			if err := connect(ctx, t); err == nil || isOwnLack(err) {
-				w.reached.Add(1)
+				reached.Add(1)
 			}
 		})
 	}
-	return w
+	probes.Wait()
+	if changed := d.endRound(len(targets), int(reached.Load())); changed {
+		d.OnChange(d.CutOff())
+	}
 }
 
 // isOwnLack reports whether a connection failed for lack of descriptors, ports or memory of this host, which says nothing about its
@@ -314,8 +275,8 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS)
 }
 
-// endRound records the result of a round that began at the start and reports whether the conclusion has changed.
-func (d *Detector) endRound(start time.Time, probes, reached int) (changed bool) {
+// endRound records the result of a round and reports whether the conclusion has changed.
+func (d *Detector) endRound(probes, reached int) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, was := d.Clock.Now(), d.CutOff()
@@ -324,8 +285,8 @@
 	if reached > 0 {
 		clear(d.failed)
 	}
-	is := d.conclude(start, probes, reached)
-	d.partial, d.asked = reached > 0, is && d.asks
+	is := d.conclude(probes, reached)
+	d.asked = is && d.asks
 	d.cutOff.Store(is)
 	if is {
 		d.planRound(d.interval())
@@ -345,14 +306,14 @@
 	return true
 }
 
-// conclude reports whether the host is cut off, by the result of a round that began at the start. The caller holds mu.
-func (d *Detector) conclude(start time.Time, probes, reached int) bool {
+// conclude reports whether the host is cut off, by the result of a round. The caller holds mu.
+func (d *Detector) conclude(probes, reached int) bool {
 	switch {
 	case reached == 0:
-		return d.CutOff() || !d.connectedAt.After(start)
+		return true
 	case d.CutOff():
 		// Where no other host serves either, the upstreams may return one by one.
-		return 2*reached <= probes && !d.partial && d.othersServe()
+		return 2*reached <= probes && d.othersServe()
 	default:
 		return false
 	}
