balance, direct: hosts know which services are brittle, who said so and what was rejected

Change: the header is decoded and kept for the service; log lines service-brittle and upstream-rejected, the metric sends_rejected, notices with the cause 'brittle', and in the state dump of each upstream its rejections and the notice with source and age. No decision uses it yet. Tests: TestBrittleNoticeIsShownWithSourceAndAge, TestBrittleNoticeEndsWithResponsesThatDoNotSaySo, TestDecodeBrittle.

--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -93,6 +93,7 @@
 	CauseLimit   Cause = "limit"
 	CauseLeaving Cause = "leaving"
 	CausePause   Cause = "pause"
+	CauseBrittle Cause = "brittle"
 )
 
 // Change is a change in what this host knows that an upstream said of itself, to this host or another one.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -49,11 +49,13 @@
 
 // poolStats are this host's statistics of a service.
 type poolStats struct {
+	service string
 	// meanLoad is the mean load at the latest decision.
 	meanLoad float64
 	// waiting counts the requests that wait for an upstream of a certain software version.
 	waiting map[string]int
 	silence silenceLimits
+	brittle brittleNotice
 }
 
 // stats are this host's statistics of one incarnation of an upstream.
@@ -91,6 +93,8 @@
 	failedAt        time.Time
 	suspectUntil    time.Time
 	fullUntil       time.Time
+	// rejections counts the requests that the upstream rejected for lack of capacity.
+	rejections int
 	// said is what the upstream says of itself.
 	said selfReport
 	// replaced is true once another instance responded at the address.
@@ -213,17 +217,25 @@
 			})
 		}
 		t.pools[service] = members
-		if t.poolStats[service] == nil {
-			t.poolStats[service] = &poolStats{waiting: map[string]int{}}
-		}
-		t.poolStats[service].silence = newSilenceLimits(snap.Config, service)
+		pool := t.pool(service)
+		pool.silence = newSilenceLimits(snap.Config, service)
 		for _, m := range members {
-			m.stats.pool = t.poolStats[service]
+			m.stats.pool = pool
 		}
 	}
 	return members
 }
 
+// pool returns the statistics of the service and creates them if needed. The caller holds mu.
+func (t *Table) pool(service string) *poolStats {
+	pool := t.poolStats[service]
+	if pool == nil {
+		pool = &poolStats{service: service, waiting: map[string]int{}}
+		t.poolStats[service] = pool
+	}
+	return pool
+}
+
 // latestStarts returns the latest start of an upstream at each address.
 func latestStarts(upstreams []*catalog.Upstream) map[string]int64 {
 	starts := make(map[string]int64, len(upstreams))
@@ -452,7 +464,9 @@
 	t.mu.Lock()
 	defer t.unlock()
 	now := t.clock.Now()
-	t.stats(key, now).fullUntil = now.Add(fullTime)
+	s := t.stats(key, now)
+	s.fullUntil = now.Add(fullTime)
+	t.recordRejection(s, now)
 }
 
 // UpstreamState is an upstream's entry in the state dump.
@@ -479,6 +493,13 @@
 	// Paused is how long the upstream still wants nothing from this host, and PausedAge the time since it said so.
 	Paused    time.Duration `json:"paused_ns,omitempty"`
 	PausedAge time.Duration `json:"paused_age_ns,omitempty"`
+	// Rejections counts the requests of this host that the upstream rejected for lack of capacity.
+	Rejections int `json:"rejections,omitempty"`
+	// Brittle is the number of requests that the upstream may reject in a second without falling over, and BrittleAge the time
+	// since an upstream of its service last said so; both are absent if none does.
+	Brittle       *int          `json:"brittle,omitempty"`
+	BrittleAge    time.Duration `json:"brittle_age_ns,omitempty"`
+	BrittleSource Source        `json:"brittle_source,omitempty"`
 }
 
 // State returns the state of every upstream for the state dump.
@@ -493,6 +514,7 @@
 			FailureShare: s.failureShare(now), Suspect: now.Before(s.suspectUntil),
 		}
 		s.said.fill(&state, now)
+		s.fillBrittle(&state, now)
 		states = append(states, state)
 	}
 	return states
--- a/internal/ctl/top.go
+++ b/internal/ctl/top.go
@@ -199,6 +199,9 @@
 	if u.RequestLimit != nil {
 		add(fmt.Sprintf("limit %g/s", *u.RequestLimit), u.RequestLimitSource, u.RequestLimitAge)
 	}
+	if u.Brittle != nil {
+		add(fmt.Sprintf("brittle, %d rejections/s", *u.Brittle), u.BrittleSource, u.BrittleAge)
+	}
 	if u.Paused > 0 {
 		add("pause for "+u.Paused.Round(time.Millisecond).String(), balance.SourceResponse, u.PausedAge)
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -280,6 +280,7 @@
 		d.balancer.RecordLoad(u.Key(), meta.Load.Running+meta.Load.Waiting)
 	}
 	d.balancer.RecordRequestLimit(u, meta.RequestLimit)
+	d.balancer.RecordBrittle(u, meta.Brittle)
 	if meta.Leaving {
 		d.balancer.MarkLeaving(u)
 	}
@@ -400,6 +401,7 @@
 		d.balancer.MarkReplaced(u)
 		return notRunResult(true, "wrong-instance", "another upstream has the address", key, nil)
 	}
+	d.metrics.rejected.Inc(1)
 	d.balancer.MarkFull(key)
 	return notRunResult(true, "upstream-full", "the upstream did not take the request", key, nil)
 }
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -65,6 +65,8 @@
 	// RequestLimit is the number of requests per second that the upstream accepts from all hosts together; nil if it names
 	// no limit.
 	RequestLimit *float64
+	// Brittle is the number of requests that the upstream may reject in a second without falling over; nil if it names none.
+	Brittle *int
 	// Leaving is set if the upstream is leaving and accepts no new requests.
 	Leaving bool
 	// RetryAfter is how long the upstream, which turned the request away, wants nothing more from this host; 0 if not
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -69,13 +69,13 @@
 }
 
 type dispatchMetrics struct {
-	sends, sendsLimited, retries, resumes, refused, notRun, outcomeUnknown, tooLarge, detours, noDetour tally.Counter
+	sends, sendsLimited, retries, resumes, refused, notRun, rejected, outcomeUnknown, tooLarge, detours, noDetour tally.Counter
 }
 
 func newDispatchMetrics(scope tally.Scope) dispatchMetrics {
 	return dispatchMetrics{
 		sends: scope.Counter("sends"), sendsLimited: scope.Counter("sends_limited"), retries: scope.Counter("retries"), resumes: scope.Counter("stream_resumes"),
-		refused: scope.Counter("retries_refused"), notRun: scope.Counter("sends_not_run"), outcomeUnknown: scope.Counter("sends_unknown"),
+		refused: scope.Counter("retries_refused"), notRun: scope.Counter("sends_not_run"), rejected: scope.Counter("sends_rejected"), outcomeUnknown: scope.Counter("sends_unknown"),
 		tooLarge: scope.Counter("answers_too_large"), detours: scope.Counter("detours"), noDetour: scope.Counter("detours_missing"),
 	}
 }
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -71,6 +71,9 @@
 	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil && status == http.StatusServiceUnavailable {
 		meta.RetryAfter = time.Duration(seconds) * time.Second
 	}
+	if rejections, err := strconv.Atoi(h.Get("X-Brittle")); err == nil {
+		meta.Brittle = &rejections
+	}
 	if limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		meta.RequestLimit = &limit
 	}
