direct: hosts share the room of brittle upstreams, so that none is felled

Callers saw: while the upstreams of a service were brittle, nearly all requests were refused or failed. Cause: nothing bounded what all hosts hold at an upstream together. Requests beyond its room were sent all the same, to one upstream after another, and a rejection only made it less preferred for 150 ms; an upstream that came back looked empty to every host at once. Ruled out: a single host with much traffic. Change: the notice holds for the service and is told to other hosts by datagram and gossip (BrittleNotice; older builds skip it and send none, which says nothing). While it is in force each host takes at most its fixed share of the places at an upstream, slots plus the rejections that it survives; a place is taken from the selection to the end of the send, and by a rejection for 1.05 s. All hosts together then cause at most as many rejections in a second as an upstream survives. Requests without a place wait as before and are refused with 'upstreams-brittle'.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -286,18 +286,7 @@
 			for _, perSecond := range []float64{0.1, 1, 3.8, 40, 400} {
 				t.Run(fmt.Sprintf("%d hosts, unaware %.2f, limit %.1f", hosts, unaware, perSecond), func(t *testing.T) {
 					is := is.New(t)
-					random := rand.New(rand.NewPCG(1, uint64(hosts)))
-					all := names(hosts)
-					limiters := make([]*UpstreamLimiter, hosts)
-					for i, name := range all {
-						v := &testView{self: name, minShares: 8, known: []string{name}}
-						for _, other := range all {
-							if other != name && random.Float64() >= unaware {
-								v.known = append(v.known, other)
-							}
-						}
-						limiters[i] = NewUpstreamLimiter(v, clockwork.NewFakeClock())
-					}
+					limiters := newLimiters(hosts, unaware)
 					total := 0
 					for upstream := range 20 {
 						sent := 0
@@ -333,3 +322,48 @@
 		is.Equal(sent, 1)
 	}
 }
+
+// Guards against hosts that together send a brittle upstream more than it has slots and survives to reject, and against hosts that
+// leave its slots unused.
+func TestPlacesAtUpstreamAreDividedAmongHosts(t *testing.T) {
+	for _, hosts := range []int{7, 88, 295, 850} {
+		for _, unaware := range []float64{0, 0.25} {
+			for _, size := range []struct{ slots, rejections int }{{1, 0}, {4, 0}, {4, 1}, {4, 4}, {8, 4}, {32, 4}, {64, 30}} {
+				t.Run(fmt.Sprintf("%d hosts, unaware %.2f, %d slots, %d rejections", hosts, unaware, size.slots, size.rejections), func(t *testing.T) {
+					is := is.New(t)
+					limiters := newLimiters(hosts, unaware)
+					total := 0
+					const upstreams = 20
+					for n := range upstreams {
+						places := 0
+						for _, l := range limiters {
+							places += l.Places(Target{Service: "s", ID: fmt.Sprint(n), Position: float64(n) / upstreams}, size.slots, size.rejections)
+						}
+						is.True(unaware > 0 || places <= size.slots+size.rejections)
+						is.True(unaware > 0 || size.rejections == 0 || float64(places) >= math.Floor(0.7*float64(size.slots)))
+						is.True(unaware > 0 || places > 0)
+						total += places
+					}
+					is.True(size.slots == 1 || total <= upstreams*(size.slots+size.rejections))
+				})
+			}
+		}
+	}
+}
+
+// newLimiters returns the limiters of hosts each of which is unaware of a share of the others.
+func newLimiters(hosts int, unaware float64) []*UpstreamLimiter {
+	random := rand.New(rand.NewPCG(1, uint64(hosts)))
+	all := names(hosts)
+	limiters := make([]*UpstreamLimiter, hosts)
+	for i, name := range all {
+		v := &testView{self: name, minShares: 8, known: []string{name}}
+		for _, other := range all {
+			if other != name && random.Float64() >= unaware {
+				v.known = append(v.known, other)
+			}
+		}
+		limiters[i] = NewUpstreamLimiter(v, clockwork.NewFakeClock())
+	}
+	return limiters
+}
--- a/internal/allowance/upstream.go
+++ b/internal/allowance/upstream.go
@@ -47,6 +47,8 @@
 	namedSlack   = 5
 	// maxNamedLimit is far beyond what any upstream can handle.
 	maxNamedLimit = 1e6
+	// maxPlaces is far beyond what any upstream can hold.
+	maxPlaces = 1 << 20
 )
 
 // NamedRateLimit returns the limit for an upstream that accepts perSecond requests a second from all hosts together. At
@@ -110,6 +112,14 @@
 	return l.available(target, limits, l.clock.Now())
 }
 
+// Places returns how many places this host may take at an upstream that has as many slots and survives as many rejections in a
+// second. A place is taken by a request that is selected or in flight there, or was rejected within the second.
+func (l *UpstreamLimiter) Places(target Target, slots, rejections int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.divisions.of(target.Service, l.clock.Now()).places(target, slots, rejections)
+}
+
 // TryAcquire counts one request to the upstream. It returns false if this host has used up its share of one of the limits.
 func (l *UpstreamLimiter) TryAcquire(target Target, limits ...RateLimit) bool {
 	l.mu.Lock()
@@ -164,8 +174,28 @@
 	if share == 0 {
 		extra = max(1, extra)
 	}
+	if d.isAmong(extra, target) {
+		share++
+	}
+	return share
+}
+
+// isAmong reports whether the host is among as many that begin with the one at the upstream's position.
+func (d division) isAmong(count int, target Target) bool {
 	first := int(target.Position * float64(d.hosts))
-	if (d.rank-first+d.hosts)%d.hosts < extra {
+	return (d.rank-first+d.hosts)%d.hosts < count
+}
+
+// places returns the host's share of the places at an upstream. Beyond its slots the upstream rejects as many requests as it
+// survives, also if each host is unaware of a quarter of the others. The slots are used in any case if it survives a rejection.
+func (d division) places(target Target, slots, rejections int) int {
+	slots, rejections = min(max(1, slots), maxPlaces), min(max(0, rejections), maxPlaces)
+	all := max(1, int(splitFraction*float64(slots+rejections))-d.rankMargin())
+	if rejections > 0 {
+		all = max(all, int(splitFraction*float64(slots)))
+	}
+	share := all / d.shares
+	if d.isAmong(all%d.shares, target) {
 		share++
 	}
 	return share
--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -50,3 +50,24 @@
 		})
 	}
 }
+
+// BenchmarkSelectBrittle selects among upstreams that are brittle and have room.
+func BenchmarkSelectBrittle(b *testing.B) {
+	for _, n := range []int{9, 230, 3000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			table, clock := newTable()
+			snap := snapshotOf(n, "a", "b", "c", "d")
+			s := newSelector(table, clock)
+			table.Order(snap, "s", engineCriteria)
+			table.RecordBrittle(snap.Upstreams["s"][0], rejections(4))
+			b.ReportAllocs()
+			for b.Loop() {
+				c := s.Select(snap, "s", engineCriteria)
+				if c == nil {
+					b.Fatal("no upstream can be selected")
+				}
+				s.Finish(c)
+			}
+		})
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -86,8 +86,13 @@
 	Tier   int
 	limits []allowance.RateLimit
 	target allowance.Target
+	// places is how many places this host may take at the upstream; noPlaceLimit if there is no limit.
+	places int
 }
 
+// noPlaceLimit stands for no limit on the places at an upstream.
+const noPlaceLimit = -1
+
 // maxChoices is the maximum length of an order. It exceeds the number of attempts of any request, since cold upstreams
 // may be skipped.
 const maxChoices = 16
@@ -105,22 +110,23 @@
 	silent   bool
 	score    uint64
 	limits   []allowance.RateLimit
+	places   int
 }
 
 // Order returns the usable upstreams of the service in the order in which the request should try them, at most
 // maxChoices.
 func (t *Table) Order(snap *catalog.Snapshot, service string, criteria Criteria) []Choice {
-	return t.order(snap, service, criteria, func(*member) ([]allowance.RateLimit, bool) { return nil, true })
+	return t.order(snap, service, criteria, func(*member) (available, bool) { return available{places: noPlaceLimit}, true })
 }
 
 // order returns the order of the upstreams that are available within their limits. The others only count for the mean load.
-func (t *Table) order(snap *catalog.Snapshot, service string, criteria Criteria, available availableFunc) []Choice {
+func (t *Table) order(snap *catalog.Snapshot, service string, criteria Criteria, isAvailable availableFunc) []Choice {
 	t.mu.Lock()
 	defer t.unlock()
 	list := t.candidates(snap, service, criteria)
 	mean := meanLoad(list)
 	t.poolStats[service].meanLoad = mean
-	list = selectAvailable(list, criteria, available)
+	list = selectAvailable(list, criteria, isAvailable)
 	less := lessByLoad
 	if criteria.Engine && criteria.AffinityHash != 0 {
 		less = lessByAffinity
@@ -133,7 +139,7 @@
 	first := selectFirst(buffer[:0], list, less)
 	order := make([]Choice, len(first))
 	for i, c := range first {
-		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Silence: c.silence, Silent: c.silent, Tier: c.tier, limits: c.limits, target: c.member.target()}
+		order[i] = Choice{Upstream: c.member.upstream, Load: c.load, LoadKnown: c.known, Silence: c.silence, Silent: c.silent, Tier: c.tier, limits: c.limits, places: c.places, target: c.member.target()}
 	}
 	return order
 }
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -39,34 +39,58 @@
 func (s *Selector) selectFrom(snap *catalog.Snapshot, service string, criteria Criteria, accepts func(*Choice) bool) *Choice {
 	order := s.order(snap, service, criteria, s.clock.Now())
 	for i := range order {
-		if u := &order[i]; accepts(u) && (len(u.limits) == 0 || s.limiter.TryAcquire(u.target, u.limits...)) {
+		if u := &order[i]; accepts(u) && s.tryAcquire(u) {
 			return u
 		}
 	}
 	return nil
 }
 
+// tryAcquire counts a request against the limits of the upstream, and takes a place there.
+func (s *Selector) tryAcquire(c *Choice) bool {
+	if len(c.limits) > 0 && !s.limiter.TryAcquire(c.target, c.limits...) {
+		return false
+	}
+	if s.table.hold(c.Key(), c.places) {
+		return true
+	}
+	if len(c.limits) > 0 {
+		s.limiter.Release(c.target)
+	}
+	return false
+}
+
 // Release takes back the request that was counted against the limits of the selected upstream, and is not sent.
 func (s *Selector) Release(c *Choice) {
 	if len(c.limits) > 0 {
 		s.limiter.Release(c.target)
 	}
+	s.Finish(c)
 }
 
-// availableFunc returns the limits on requests to an upstream, and whether they allow one now. It is called with the
-// table's lock held.
-type availableFunc func(*member) (limits []allowance.RateLimit, ok bool)
+// Finish ends the send for which the upstream was selected.
+func (s *Selector) Finish(c *Choice) { s.table.unhold(c.Key()) }
+
+// available is what an upstream that is available allows.
+type available struct {
+	limits []allowance.RateLimit
+	// places is how many places this host may take; noPlaceLimit if there is no limit.
+	places int
+}
+
+// availableFunc returns what the upstream allows, and whether that is a request now. It is called with the table's lock held.
+type availableFunc func(*member) (allowed available, ok bool)
 
 // selectAvailable keeps the candidates that are available and may receive the request, with their limits.
-func selectAvailable(list []candidate, criteria Criteria, available availableFunc) []candidate {
+func selectAvailable(list []candidate, criteria Criteria, isAvailable availableFunc) []candidate {
 	kept := list[:0]
 	for i := range list {
 		c := &list[i]
 		if slices.Contains(criteria.Rejected, c.member.key) || !criteria.accepts(c.member.upstream) {
 			continue
 		}
-		var ok bool
-		if c.limits, ok = available(c.member); ok {
+		if allowed, ok := isAvailable(c.member); ok {
+			c.limits, c.places = allowed.limits, allowed.places
 			kept = append(kept, *c)
 		}
 	}
@@ -75,12 +99,16 @@
 
 // order returns the upstreams that their limits allow to receive a request, in the order of preference.
 func (s *Selector) order(snap *catalog.Snapshot, service string, criteria Criteria, now time.Time) []Choice {
-	return s.table.order(snap, service, criteria, func(m *member) ([]allowance.RateLimit, bool) {
+	return s.table.order(snap, service, criteria, func(m *member) (available, bool) {
+		places := s.places(m, now)
+		if places != noPlaceLimit && m.stats.places(now) >= places {
+			return available{}, false
+		}
 		limits := s.limits(snap, m.upstream, m.stats.said.limit, criteria, now)
 		if len(limits) > 0 && criteria.Version == nil && m.stats.pool.waiting[m.upstream.Version] > 0 {
-			return nil, false
+			return available{}, false
 		}
-		return limits, len(limits) == 0 || s.limiter.Available(m.target(), limits...)
+		return available{limits, places}, len(limits) == 0 || s.limiter.Available(m.target(), limits...)
 	})
 }
 
@@ -99,3 +127,12 @@
 	}
 	return limits
 }
+
+// places returns how many places this host may take at the upstream; noPlaceLimit if there is no limit.
+func (s *Selector) places(m *member, now time.Time) int {
+	pool := m.stats.pool
+	if pool == nil || !pool.brittle.inForce(now) {
+		return noPlaceLimit
+	}
+	return s.limiter.Places(m.target(), m.upstream.Slots, pool.brittle.rejections)
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -95,6 +95,10 @@
 	fullUntil       time.Time
 	// rejections counts the requests that the upstream rejected for lack of capacity.
 	rejections int
+	// held counts this host's requests for which the upstream was selected and whose sends have not ended, and rejectedAt holds
+	// the recent rejections while the upstream is brittle.
+	held       int
+	rejectedAt []time.Time
 	// said is what the upstream says of itself.
 	said selfReport
 	// replaced is true once another instance responded at the address.
@@ -144,6 +148,9 @@
 	// changedLimits are the statistics of the upstreams whose request limit a response to this host changed since the last
 	// call of TakeChangedLimits.
 	changedLimits []*stats
+	// changedBrittle are the services whose upstreams began to say to this host that they are brittle, since the last call of
+	// TakeChangedBrittle.
+	changedBrittle []*poolStats
 	// silenceReportedAt is when SilenceReports was last called, and resumedAt when this process last went on after a pause.
 	silenceReportedAt, resumedAt time.Time
 	paths                        map[string]*path
@@ -270,7 +277,7 @@
 	}
 	t.lastSweep = now
 	for key, s := range t.statsByKey {
-		if s.inFlight == 0 && now.Sub(s.lastUsed) > statsExpiry && !s.hasNotice(now) {
+		if s.inFlight == 0 && s.held == 0 && now.Sub(s.lastUsed) > statsExpiry && !s.hasNotice(now) {
 			delete(t.statsByKey, key)
 			delete(t.statsByID, s.id)
 			t.dataOf.Delete(key)
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -95,7 +95,7 @@
 			return d.finishFailed(ctx, req, err)
 		}
 		start := d.clock.Now()
-		res := d.attemptSend(ctx, req, choice.Upstream)
+		res := d.attemptSelected(ctx, req, choice)
 		if res.unproven {
 			continue
 		}
@@ -109,6 +109,12 @@
 	}
 }
 
+// attemptSelected sends the request to the selected upstream once.
+func (d *dispatchFilter) attemptSelected(ctx context.Context, req *Request, choice *balance.Choice) attemptResult {
+	defer d.selector.Finish(choice)
+	return d.attemptSend(ctx, req, choice.Upstream)
+}
+
 // shouldRetry decides whether the request is sent again after an attempt that gave the caller no complete response.
 func (d *dispatchFilter) shouldRetry(ctx context.Context, req *Request, res attemptResult) bool {
 	reason := req.retryDenialReason(res)
@@ -229,8 +235,7 @@
 				WithRetryAfter(until.Sub(now))
 		}
 		if !now.Before(waitUntil) {
-			return nil, outcome.Unavailable(stepDispatch, "no-upstream", "no upstream can take the request").
-				WithRetryAfter(defaultRetryAfter)
+			return nil, d.noUpstream(req.Service).WithRetryAfter(defaultRetryAfter)
 		}
 		select {
 		case <-ctx.Done():
@@ -240,6 +245,14 @@
 	}
 }
 
+// noUpstream returns the refusal of a request that no upstream can take.
+func (d *dispatchFilter) noUpstream(service string) *outcome.Refusal {
+	if d.balancer.Brittle(service) {
+		return outcome.Unavailable(stepDispatch, "upstreams-brittle", "the upstreams are brittle and have no room")
+	}
+	return outcome.Unavailable(stepDispatch, "no-upstream", "no upstream can take the request")
+}
+
 // waitEnded returns the refusal of a request whose wait for an upstream was ended by its context.
 func waitEnded(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), errStopped) {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -99,6 +99,7 @@
 	d.Prompts = encodePrompts(f.Prompts.Records(), now)
 	// Loads calls this fleet to divide limits, so that it must not be called with mu held.
 	d.Limits = loadshare.EncodeLimits(f.Loads.LimitReports())
+	d.Brittle = loadshare.EncodeBrittle(f.Loads.BrittleReports())
 	if f.sendsLoads(dataCentreHash) {
 		d.Loads = encodeLoads(f.Loads.Reports())
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	MergeReports([]balance.LoadReport)
 	LimitReports() []balance.LimitReport
 	MergeLimitReports([]balance.LimitReport)
+	BrittleReports() []balance.BrittleReport
+	MergeBrittleReports([]balance.BrittleReport)
 }
 
 // CrashRecords holds the upstream crashes that hosts exchange.
@@ -237,6 +239,7 @@
 	f.mergeMirror(d.GetSender().GetAddress(), d.GetMirror())
 	f.Loads.MergeReports(decodeLoads(d.GetLoads()))
 	f.Loads.MergeLimitReports(loadshare.DecodeLimits(d.GetLimits()))
+	f.Loads.MergeBrittleReports(loadshare.DecodeBrittle(d.GetBrittle()))
 	now := f.Clock.Now()
 	f.Crashes.Merge(decodeCrashes(d, now))
 	f.Prompts.Merge(decodePrompts(d.GetPrompts(), now))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,10 +27,14 @@
 type fakeLoads struct {
 	own       []balance.LoadReport
 	ownLimits []balance.LimitReport
+	// ownBrittle are the services whose upstreams said that they are brittle.
+	ownBrittle []balance.BrittleReport
 
 	mu             sync.Mutex
 	received       []balance.LoadReport
 	receivedLimits []balance.LimitReport
+	// receivedBrittle are those of other hosts.
+	receivedBrittle []balance.BrittleReport
 }
 
 func (l *fakeLoads) LimitReports() []balance.LimitReport { return l.ownLimits }
@@ -40,6 +44,13 @@
 	l.receivedLimits = append(l.receivedLimits, reports...)
 }
 
+func (l *fakeLoads) BrittleReports() []balance.BrittleReport { return l.ownBrittle }
+func (l *fakeLoads) MergeBrittleReports(reports []balance.BrittleReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.receivedBrittle = append(l.receivedBrittle, reports...)
+}
+
 func (l *fakeLoads) Reports() []balance.LoadReport { return l.own }
 func (l *fakeLoads) MergeReports(reports []balance.LoadReport) {
 	l.mu.Lock()
@@ -229,3 +240,16 @@
 	is.Equal(one.loads.receivedLimits, limits[1:])
 	is.Equal(other.loads.receivedLimits, limits[:1])
 }
+
+// Hosts of all data centres must learn that the upstreams of a service are brittle.
+func TestBrittleNoticesReachHostsOfOtherDataCentres(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	one := startHostIn(t, "dc-1", clock)
+	other := startHostIn(t, "dc-2", clock, one.Self)
+	notices := []balance.BrittleReport{{Service: "a", Rejections: 4, Age: 300 * time.Millisecond}, {Service: "b", Age: 2 * time.Second}}
+	one.loads.ownBrittle, other.loads.ownBrittle = notices[:1], notices[1:]
+	other.GossipRound(context.Background())
+	is.Equal(one.loads.receivedBrittle, notices[1:])
+	is.Equal(other.loads.receivedBrittle, notices[:1])
+}
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -18,6 +18,7 @@
 type limitedPool struct {
 	*surge
 	selectors map[*surgeHost]*balance.Selector
+	views     map[*surgeHost]*partialView
 	// limits are the limits that engines name, in requests per second. Engines that are missing name none.
 	limits map[string]*float64
 	// leaving are the engines that say in their answers that they leave.
@@ -77,7 +78,8 @@
 // newLimitedPool returns a fleet whose hosts are each unaware of a share of the others.
 func newLimitedPool(hosts, dataCentres, engines int, unaware float64, seed uint64) *limitedPool {
 	p := &limitedPool{
-		surge: newSurge(hosts, dataCentres, engines, seed), selectors: map[*surgeHost]*balance.Selector{}, limits: map[string]*float64{}, leaving: map[string]bool{},
+		surge: newSurge(hosts, dataCentres, engines, seed), selectors: map[*surgeHost]*balance.Selector{},
+		views: map[*surgeHost]*partialView{}, limits: map[string]*float64{}, leaving: map[string]bool{},
 		told: map[*surgeHost]map[string]time.Time{}, received: map[string][]arrival{}, served: map[*surgeHost]int{}, refused: map[*surgeHost]int{},
 	}
 	p.deliver = p.send
@@ -89,6 +91,7 @@
 				view.unaware[other.Self] = true
 			}
 		}
+		p.views[h] = view
 		p.selectors[h] = balance.NewSelector(h.table, allowance.NewUpstreamLimiter(view, p.clock), allowance.ColdLimits{}, p.clock)
 		p.told[h] = map[string]time.Time{}
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -37,13 +37,15 @@
 	errorLogInterval = 10 * time.Second
 )
 
-// Observations holds the loads that responses reported, the request limits that they changed, and the upstreams that are
-// silent.
+// Observations holds the loads that responses reported, the request limits that they changed, the upstreams that are silent, and
+// the services whose upstreams are brittle.
 type Observations interface {
 	TakeObservations() []balance.LoadReport
 	MergeObservations([]balance.LoadReport)
 	TakeChangedLimits() []balance.LimitReport
 	MergeLimitReports([]balance.LimitReport)
+	TakeChangedBrittle() []balance.BrittleReport
+	MergeBrittleReports([]balance.BrittleReport)
 	SilenceReports() []balance.SilenceReport
 	MergeSilenceReports([]balance.SilenceReport)
 }
@@ -143,10 +145,11 @@
 // that is nothing.
 func (s *Sharer) Datagram() ([]byte, error) {
 	reports, limits, silences := s.Loads.TakeObservations(), s.Loads.TakeChangedLimits(), s.Loads.SilenceReports()
-	if len(reports) == 0 && len(limits) == 0 && len(silences) == 0 {
+	brittle := s.Loads.TakeChangedBrittle()
+	if len(reports) == 0 && len(limits) == 0 && len(silences) == 0 && len(brittle) == 0 {
 		return nil, nil
 	}
-	loads := &fleetpb.Loads{Limits: EncodeLimits(limits)}
+	loads := &fleetpb.Loads{Limits: EncodeLimits(limits), Brittle: EncodeBrittle(brittle)}
 	for _, r := range reports {
 		loads.Upstream = append(loads.Upstream, r.IncarnationID)
 		loads.LoadTenths = append(loads.LoadTenths, uint32(max(0, r.Load*tenths)))
@@ -182,6 +185,7 @@
 	s.Loads.MergeObservations(reports)
 	s.Loads.MergeSilenceReports(decodeSilences(loads))
 	s.Loads.MergeLimitReports(DecodeLimits(loads.GetLimits()))
+	s.Loads.MergeBrittleReports(DecodeBrittle(loads.GetBrittle()))
 	for _, o := range loads.GetOrigins() {
 		s.Origins.Add(origin.Decode(o, s.Clock.Now()))
 	}
@@ -225,6 +229,28 @@
 	return reports
 }
 
+// EncodeBrittle returns the message with the notices of services whose upstreams are brittle.
+func EncodeBrittle(reports []balance.BrittleReport) []*fleetpb.BrittleNotice {
+	notices := make([]*fleetpb.BrittleNotice, len(reports))
+	for i, r := range reports {
+		notices[i] = &fleetpb.BrittleNotice{
+			Service: r.Service, Rejections: uint32(min(max(0, r.Rejections), math.MaxInt32)), AgeMs: uint32(min(max(0, r.Age.Milliseconds()), math.MaxUint32)),
+		}
+	}
+	return notices
+}
+
+// DecodeBrittle returns the notices in the message.
+func DecodeBrittle(notices []*fleetpb.BrittleNotice) []balance.BrittleReport {
+	reports := make([]balance.BrittleReport, len(notices))
+	for i, n := range notices {
+		reports[i] = balance.BrittleReport{
+			Service: n.GetService(), Rejections: int(min(n.GetRejections(), math.MaxInt32)), Age: time.Duration(n.GetAgeMs()) * time.Millisecond,
+		}
+	}
+	return reports
+}
+
 // receive merges datagrams until the connection is closed.
 func (s *Sharer) receive() {
 	buf := make([]byte, maxDatagramBytes)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -28,6 +28,7 @@
 	mergedLimits []balance.LimitReport
 
 	silences, mergedSilences []balance.SilenceReport
+	brittle, mergedBrittle   []balance.BrittleReport
 }
 
 func (l *fakeLoads) TakeObservations() []balance.LoadReport {
@@ -44,6 +45,14 @@
 
 func (l *fakeLoads) MergeLimitReports(limits []balance.LimitReport) { l.mergedLimits = limits }
 
+func (l *fakeLoads) TakeChangedBrittle() []balance.BrittleReport {
+	brittle := l.brittle
+	l.brittle = nil
+	return brittle
+}
+
+func (l *fakeLoads) MergeBrittleReports(reports []balance.BrittleReport) { l.mergedBrittle = reports }
+
 func (l *fakeLoads) MergeObservations(reports []balance.LoadReport) { l.merged <- reports }
 
 func (l *fakeLoads) SilenceReports() []balance.SilenceReport { return l.silences }
@@ -182,6 +191,23 @@
 	is.True(datagram == nil) // nothing changed since
 }
 
+func TestDatagramHoldsBrittleServices(t *testing.T) {
+	is := is.New(t)
+	sender, loads := newSharer(t)
+	defer sender.Conn.Close()
+	receiver, received := newSharer(t)
+	defer receiver.Conn.Close()
+	loads.brittle = []balance.BrittleReport{{Service: "a", Rejections: 4, Age: 40 * time.Millisecond}, {Service: "b"}}
+	want := loads.brittle
+	datagram, err := sender.Datagram()
+	is.NoErr(err)
+	is.NoErr(receiver.Merge(datagram))
+	is.Equal(received.mergedBrittle, want)
+	datagram, err = sender.Datagram()
+	is.NoErr(err)
+	is.True(datagram == nil) // nothing changed since
+}
+
 func TestDatagramHoldsSilentUpstreams(t *testing.T) {
 	is := is.New(t)
 	sender, loads := newSharer(t)
--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -91,6 +91,8 @@
 	pause    time.Duration
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// rejections makes the server queue and turn away requests; nil if it runs all at once.
+	rejections *rejections
 	// crashedInstance is the last instance that a deadly prompt crashed.
 	crashedInstance string
 }
@@ -206,7 +208,7 @@
 // answer serves one request. It returns false if the connection must be closed.
 func (s *server) answer(c net.Conn, r *http.Request) bool {
 	s.mu.Lock()
-	instance, version, limit, leaving, pause := s.instance, s.version, s.limit, s.leaving, s.pause
+	instance, version, limit, leaving, pause, rejections := s.instance, s.version, s.limit, s.leaving, s.pause, s.rejections
 	s.mu.Unlock()
 	id := r.Header.Get("Orioleusher-Request-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -230,6 +232,15 @@
 		v.pause = pause
 		return s.refuse(c, v, "503 Busy", head+fmt.Sprintf("Orioleusher-Not-Executed: 1\r\nRetry-After: %.2f\r\n", pause.Seconds()))
 	}
+	if rejections != nil {
+		head += rejections.notice()
+		end := rejections.admit()
+		if end == nil {
+			return s.refuse(c, v, "503 Busy", head+"Orioleusher-Not-Executed: 1\r\n")
+		}
+		defer end()
+		s.work(brittleWork)
+	}
 	faulty, kind := s.all.drawFault()
 	if faulty && kind == 0 {
 		return s.refuse(c, v, "503 Busy", head+"Orioleusher-Not-Executed: 1\r\n")
