--- a/internal/proofs/soak/stranded_test.go
+++ b/internal/proofs/soak/stranded_test.go
@@ -66,6 +66,7 @@
 	{name: "most, another router stands still", how: testfleet.CutDrop, meanwhile: (*soakRun).freezeServing, long: true},
 	{name: "most, another router stopped", how: testfleet.CutDrop, meanwhile: (*soakRun).stopServing, long: true},
 	{name: "most, a router that is cut off restarts", how: testfleet.CutDrop, meanwhile: (*soakRun).killStranded, twice: true, long: true},
+	{name: "most, all routers stopped in turn", how: testfleet.CutDrop, meanwhile: (*soakRun).stopAllInTurn, twice: true, long: true},
 	{name: "all, no answer", how: testfleet.CutDrop, all: true, long: true},
 	{name: "most, servers in need", how: testfleet.CutDrop, meanwhile: (*soakRun).needServers, long: true},
 	{name: "most, surge", how: testfleet.CutDrop, meanwhile: (*soakRun).surge, long: true},
@@ -281,8 +282,15 @@
 	f.addDisturbance(d)
 }
 
-func (f *soakRun) stopServing() {
-	n := f.servingRouter()
+func (f *soakRun) stopServing() { f.stopRouter(f.servingRouter()) }
+
+func (f *soakRun) stopAllInTurn() {
+	for n := range f.routers {
+		f.stopRouter(n)
+	}
+}
+
+func (f *soakRun) stopRouter(n int) {
 	defer f.disturb(routerIP(n))()
 	f.routers[n].Stop()
 	f.routers[n].Restart()
