direct: a host that has stood still sends no order of a host that has left

Cause: the order waits in the kernel of the host that stands still. The cut-off host gives it up after its silence limit and sends the request through another host. The first one goes on, finds the order and the close of its connection, and sends the request (0.1 ms later net/http notices the close), which runs beside the other run. Ruled out: an order that is sent twice (each host's log has one), connections of upstreams that carry older bytes. Change: before it sends, the host looks whether the connection of the other one has ended, and reports not-sent (host-left in the log). Not closed: a host that is stopped between that look and the write.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -86,6 +86,8 @@
 	// ReasonUnproven is that of an upstream whose software version is not proven, if the request needs that.
 	ReasonUnproven   Reason = "unproven"
 	ReasonNoResponse Reason = "no-response"
+	// ReasonHostLeft is for the log: the host that sent the order has closed its connection.
+	ReasonHostLeft Reason = "host-left"
 )
 
 // Report is what the other host tells about the attempt.
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/hopheader"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
+	"github.com/orioleusher/orioleusher/internal/rawsocket"
 	"github.com/orioleusher/orioleusher/internal/upconn"
 )
 
@@ -35,9 +37,26 @@
 		Handler: s.detourHandler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: detourIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes + maxAddedHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnContext:                  withPeerConn,
 	}
 }
 
+// peerConn is the key of the other host's connection in the context of its requests.
+type peerConn struct{}
+
+func withPeerConn(ctx context.Context, c net.Conn) context.Context {
+	if scanned, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = scanned.NetConn()
+	}
+	return context.WithValue(ctx, peerConn{}, c)
+}
+
+// hasLeft reports whether the other host has closed its connection. net/http cancels the request's context then, but may do so too
+// late for an order that this process finds after it has stood still: the other host may have sent the request elsewhere since.
+func (a *detourAttempt) hasLeft() bool {
+	return a.in.Context().Err() != nil || rawsocket.HasEnded(a.in.Context().Value(peerConn{}))
+}
+
 // detourIdleTimeout is how long idle connections of other hosts stay open. It exceeds the time for which those use them.
 const detourIdleTimeout = 10 * time.Second
 
@@ -158,6 +177,11 @@
 		h.report(a, detour.NotSent, detour.ReasonUnproven, nil)
 		return
 	}
+	if a.hasLeft() {
+		h.pool.PutUnused(conn)
+		h.report(a, detour.NotSent, detour.ReasonHostLeft, nil)
+		return
+	}
 	h.balancer.RecordRequestStart(u.Key())
 	defer h.balancer.RecordRequestEnd(u.Key())
 	stop := context.AfterFunc(ctx, conn.Close)
--- a/internal/framing/listener.go
+++ b/internal/framing/listener.go
@@ -48,6 +48,9 @@
 	reported bool
 }
 
+// NetConn returns the connection that is scanned, as that of a tls.Conn does.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.scanner.Reason() != "" {
