soak: a request for another instance does not count as one to a leaving server

Trace: the router had that instance as leaving for 2.2 s. It meant the request for an earlier instance at the same address, which a restored store listed again, and said so; the server answered 421 (wrong-instance, not_run=true in the router's log), and the request was refused as not run, truly. Cause: the check counted requests that are answered 421. The users' rule on leaving servers does not ("requests that get 421 don't count"). Change to the check: arrivals that the server answers with 421 because they name another instance don't count; all others count as before. Ruled out: a router that learnt of the leaving too late.

--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -21,6 +21,8 @@
 	routerIP                           string // the IP of the router
 	at                                 time.Time
 	executed                           bool
+	// misdirected is set if the request was meant for another instance, which the response said.
+	misdirected bool
 	// version is the version of the server's software.
 	version string
 	// timeLeft is the deadline that the request names; 0 if it names none.
@@ -226,6 +228,7 @@
 		head += "Server-Leaving: 1\r\n"
 	}
 	if r.Header.Get("Orioleusher-Expect-Instance") != instance {
+		v.misdirected = true
 		return s.refuse(c, v, "421 Misdirected", head+"Orioleusher-Not-Executed: 1\r\n")
 	}
 	if pause > 0 {
