direct: a connection that is not proven uses no share of a limit

Callers saw 503 (no-upstream) for a stream that they took up at an upstream that names a limit (LOST). A stream goes on only on a connection that is proven to lead to its version; until then the request looks for an upstream anew every tenth of a second. Each look used up a request of the host's share of the limit, although nothing was sent: where the share is one request in four seconds, the first look took it, and the connection was proven too late.

Ruled out: other requests in the way (the test sends none), and an upstream that is left out because its connection is not proven (without a limit the stream goes on).

The share is given back when nothing is sent for want of proof. TestUnprovenConnectionUsesNoShareOfLimit failed before: 503 after 2.5 s; now the stream goes on after 0.9 s.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -97,6 +97,7 @@
 		start := d.clock.Now()
 		res := d.attemptSelected(ctx, req, choice)
 		if res.unproven {
+			d.selector.Release(choice)
 			continue
 		}
 		req.attempts = append(req.attempts, newAttemptRecord(req, choice, start, d.clock.Now(), res))
--- a/internal/direct/incarnation_test.go
+++ b/internal/direct/incarnation_test.go
@@ -129,3 +129,23 @@
 		})
 	}
 }
+
+// Guards against streams that are refused when callers take them up at a limited upstream (LOST): while it is not proven where a
+// connection leads, each look at it used up a request of the host's share, though nothing was sent.
+func TestUnprovenConnectionUsesNoShareOfLimit(t *testing.T) {
+	is := is.New(t)
+	h, _ := newLateHarness(t, streams)
+	h.listing = freshListing{}
+	h.registration = 900 * time.Millisecond // nine looks, where the share is four requests
+	h.front.Close()
+	h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 100}, 1<<20)
+	h.publishVersions("1", "2", "2")
+	limit := 0.25
+	h.server.Balancer.RecordRequestLimit(h.store.Current().Upstreams["s"][0], &limit)
+	h.origins.Add(origin.Record{
+		Stream: origin.HashRequestID("first"), Origin: origin.Origin{Service: "s", Version: "1"}, Expires: time.Now().Add(time.Minute),
+	})
+	got := h.call(http.MethodPost, "/r/", "", "X-Id", "second", "X-Resumes", "first", "X-Last", "2")
+	is.Equal(got.refusalCode(), "")
+	is.Equal(got.status, http.StatusOK)
+}
