A stream that a caller takes up may use another host's part of a limit

After a crash many streams are taken up at hosts that have few parts of the limits of the upstreams that are left, while other hosts have parts that they do not use.

Ruled out: limits without room as the only cause (at 90 hosts 28 of 60 streams went on beside 75 parts), and hosts that disagree about their parts (the same figures if each is unaware of none or a quarter of the others).

A host without a part now borrows one: it asks a random host that has one (call Lend), which counts the request against its own part and names an upstream. It counts as sent at the end of the loan's validity, and the borrower counts the validity from before its question, so that the sum over all hosts holds whatever is lost, for differing views, and without a word in return. Only streams that callers take up borrow. A host asks once in 20 ms, and is asked in vain at most 200 times a second.

The simulation now asks for loans where the request waits, loses one question and one answer in a hundred, and sends what is borrowed at a random time of its validity; its checks are unchanged. TestStreamIsTakenUpWithinShareOfAnotherHost fails without loans; TestLentRequestsStayWithinShareInAnyWindow fails if a loan counts as sent at once, TestLoanIsKeptUntilConnectionIsProven if a loan is dropped where nothing is sent, TestNewRequestsDoNotBorrow if any request may borrow.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -16,6 +16,8 @@
 	ShareCount() int
 	// Rank returns this host's position in the rendezvous order of all known hosts for the key, and their number.
 	Rank(key uint64) (rank, hosts int)
+	// Ranked returns the addresses of all known hosts, this one included, in the rendezvous order for the key.
+	Ranked(key uint64) []string
 }
 
 // splitFraction is the fraction of a limit that is split over the hosts. A host that is unaware of a quarter of the
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -1,9 +1,11 @@
 package allowance
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +34,12 @@
 	return rank, max(1, len(v.known))
 }
 
+func (v *testView) Ranked(key uint64) []string {
+	ranked := slices.Clone(v.known)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(loadbalancer.Score(key, b), loadbalancer.Score(key, a)) })
+	return ranked
+}
+
 // testColdLimit is the limit of 29 requests a second.
 var testColdLimit = ColdLimits{Overage: 1.5, Slack: 5}.RateLimit(16)
 
@@ -279,6 +287,55 @@
 	})
 }
 
+// Guards against an upstream that receives more than a host's share because the host sends again as soon as it may after lending
+// a request, while the other host has not sent that yet.
+func TestLentRequestsStayWithinShareInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		l := NewUpstreamLimiter(&testView{minShares: 1}, clock)
+		target, limit := Target{Service: "s", ID: "u"}, RateLimit{Requests: rapid.IntRange(1, 5).Draw(t, "share"), Max: 100, Window: namedWindow}
+		const within = 500 * time.Millisecond
+		var sent []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			switch {
+			case rapid.Bool().Draw(t, "own"):
+				if l.TryAcquire(target, limit) {
+					sent = append(sent, clock.Now())
+				}
+			case l.TryLend(target, within, limit):
+				sent = append(sent, clock.Now().Add(time.Duration(rapid.IntRange(0, int(within.Milliseconds())).Draw(t, "sent after"))*time.Millisecond))
+			}
+		}
+		slices.SortFunc(sent, time.Time.Compare)
+		if n := mostInWindow(sent, limit.Window); n > limit.Requests {
+			t.Fatalf("%d requests in a window, of a share of %d", n, limit.Requests)
+		}
+	})
+}
+
+// Guards against questions to hosts that have nothing to lend, and against hosts that are never asked though they have.
+func TestHoldersAreTheOtherHostsWithShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := names(rapid.IntRange(1, 88).Draw(t, "hosts"))
+		target := Target{Service: "s", ID: "u", Position: rapid.Float64Range(0, 0.99).Draw(t, "position")}
+		limit := NamedRateLimit(rapid.Float64Range(0, 40).Draw(t, "per second")).Tolerated()
+		self := rapid.SampledFrom(all).Draw(t, "self")
+		var want []string
+		for _, name := range all {
+			if l := NewUpstreamLimiter(&testView{self: name, known: all, minShares: 8}, clockwork.NewFakeClock()); name != self && l.Available(target, limit) {
+				want = append(want, name)
+			}
+		}
+		holders, hosts := NewUpstreamLimiter(&testView{self: self, known: all, minShares: 8}, clockwork.NewFakeClock()).Holders(target, limit)
+		slices.Sort(want)
+		slices.Sort(holders)
+		if !slices.Equal(holders, want) || hosts != len(all) {
+			t.Fatalf("%v of %d hosts, want %v", holders, hosts, want)
+		}
+	})
+}
+
 // At sizes of today and to come, hosts whose views differ use the limit and stay below what is tolerated.
 func TestNamedLimitIsUsedAtAllSizes(t *testing.T) {
 	for _, hosts := range []int{7, 90, 295, 850} {
--- a/internal/allowance/upstream.go
+++ b/internal/allowance/upstream.go
@@ -41,6 +41,8 @@
 	// namedWindow is the time window of a limit that an upstream names. It is long enough for limits below one request a
 	// second.
 	namedWindow = 4 * time.Second
+	// LongestWindow is the longest window of a limit.
+	LongestWindow = namedWindow
 	// Hosts that are unaware of each other may exceed what a named limit allows in a window namedOverage times, plus
 	// namedSlack requests.
 	namedOverage = 1.5
@@ -77,9 +79,11 @@
 // UpstreamLimiter limits this host's requests to single upstreams to its share. It is safe for concurrent use.
 type UpstreamLimiter struct {
 	clock clockwork.Clock
+	fleet FleetView
 
 	mu sync.Mutex
-	// sent are the times of this host's recent requests by upstream.
+	// sent are the times of this host's recent requests by upstream, in ascending order. Those of lent requests may be in the
+	// future.
 	sent      map[string][]time.Time
 	divisions divisions
 	// sweptAt is when the records of upstreams without recent requests were last deleted.
@@ -97,12 +101,12 @@
 	// divisionTTL is how long a division is kept before it is computed again. The fleet's membership changes slowly.
 	divisionTTL = time.Second
 	// sentTTL is how long requests are recorded. No window is longer.
-	sentTTL = namedWindow
+	sentTTL = LongestWindow
 )
 
 // NewUpstreamLimiter returns a limiter without recorded requests.
 func NewUpstreamLimiter(fleet FleetView, clock clockwork.Clock) *UpstreamLimiter {
-	return &UpstreamLimiter{clock: clock, sent: map[string][]time.Time{}, divisions: newDivisions(fleet)}
+	return &UpstreamLimiter{clock: clock, fleet: fleet, sent: map[string][]time.Time{}, divisions: newDivisions(fleet)}
 }
 
 // Available reports whether this host may send a request to the upstream now.
@@ -122,6 +126,16 @@
 
 // TryAcquire counts one request to the upstream. It returns false if this host has used up its share of one of the limits.
 func (l *UpstreamLimiter) TryAcquire(target Target, limits ...RateLimit) bool {
+	return l.tryAcquire(target, 0, limits)
+}
+
+// TryLend counts one request to the upstream that another host may send within the given time. It counts as sent at the end of
+// that time, so that the limits hold whenever it is sent, and if it never is.
+func (l *UpstreamLimiter) TryLend(target Target, within time.Duration, limits ...RateLimit) bool {
+	return l.tryAcquire(target, within, limits)
+}
+
+func (l *UpstreamLimiter) tryAcquire(target Target, within time.Duration, limits []RateLimit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
@@ -129,11 +143,28 @@
 	if !l.available(target, limits, now) {
 		return false
 	}
-	recent := slices.DeleteFunc(l.sent[target.ID], func(at time.Time) bool { return now.Sub(at) >= sentTTL })
-	l.sent[target.ID] = append(recent, now)
+	sent := slices.DeleteFunc(l.sent[target.ID], func(at time.Time) bool { return now.Sub(at) >= sentTTL })
+	at := now.Add(within)
+	next, _ := slices.BinarySearchFunc(sent, at, time.Time.Compare)
+	l.sent[target.ID] = slices.Insert(sent, next, at)
 	return true
 }
 
+// Holders returns the other hosts that have a share of all limits on requests to the upstream, and the number of all hosts, as
+// far as this host knows.
+func (l *UpstreamLimiter) Holders(target Target, limits ...RateLimit) (holders []string, hosts int) {
+	d := newDivision(l.fleet, target.Service, l.clock.Now())
+	self := d.rank
+	for rank, host := range l.fleet.Ranked(loadbalancer.HashKey(target.Service)) {
+		d.rank = rank
+		hasNoShare := func(limit RateLimit) bool { return d.share(target, limit) == 0 }
+		if rank != self && !slices.ContainsFunc(limits, hasNoShare) {
+			holders = append(holders, host)
+		}
+	}
+	return holders, d.hosts
+}
+
 // Release takes back one request that was counted and is not sent. The oldest record is deleted, so that those that are
 // left never count for less than what was sent.
 func (l *UpstreamLimiter) Release(target Target) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -83,7 +83,11 @@
 	Silence time.Duration
 	Silent  bool
 	// Tier is the priority tier; 0 is the most preferred.
-	Tier   int
+	Tier int
+	// Borrowed is set if the request counts against the share of another host. It must then be sent before SendBefore.
+	Borrowed   bool
+	SendBefore time.Time
+
 	limits []allowance.RateLimit
 	target allowance.Target
 	// places is how many places this host may take at the upstream; noPlaceLimit if there is no limit.
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/orioleusher/orioleusher/internal/allowance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
@@ -16,6 +17,7 @@
 
 func (oneHost) ShareCount() int               { return 1 }
 func (oneHost) Rank(uint64) (rank, hosts int) { return 0, 1 }
+func (oneHost) Ranked(uint64) []string        { return []string{""} }
 
 func perSecond(n float64) *float64 { return &n }
 
@@ -240,3 +242,49 @@
 		is.True(s.RequestLimit == nil)
 	}
 }
+
+// Guards against a host that lends what it needs itself, or more than its share, and against loans of upstreams that no limit
+// protects.
+func TestHostLendsWhatItDoesNotNeed(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	snap := snapshotOfVersions("1", "1")
+	s := newSelector(table, clock)
+	table.Order(snap, "s", engineCriteria)
+	version := "1"
+	takenUp := engineCriteria
+	takenUp.Version, takenUp.TakenUp = &version, true
+	lend := func(excluded ...uint32) (uint32, bool) { return s.Lend(snap, "s", takenUp, excluded, time.Second) }
+	_, ok := lend()
+	is.True(!ok) // no limit is known
+	limited := snap.Upstreams["s"][0]
+	table.RecordRequestLimit(limited, perSecond(0.25))
+	id := IncarnationID(limited.Key())
+	_, ok = lend(id)
+	is.True(!ok)
+	end := table.WaitForVersion(snap, "s", version)
+	_, ok = lend()
+	is.True(!ok)
+	end()
+	for range 4 { // three quarters of the six that are tolerated in four seconds
+		lent, ok := lend()
+		is.True(ok)
+		is.Equal(lent, id)
+	}
+	_, ok = lend()
+	is.True(!ok)
+	exhausted := s.Exhausted(snap, "s", takenUp)
+	is.Equal(len(exhausted), 1)
+	is.Equal(exhausted[0].target.ID, limited.ID)
+	table.RecordConnectFailure(limited, errors.New("refused"))
+	is.Equal(len(s.Exhausted(snap, "s", takenUp)), 0) // a loan would be lost
+	clock.Advance(minSuspectTime)
+	choice := s.Borrowed(snap, "s", takenUp, id, clock.Now().Add(time.Second))
+	is.Equal(choice.ID, limited.ID)
+	s.Release(choice) // counts at the host that lent it
+	_, ok = lend()
+	is.True(!ok)
+	other := "2"
+	takenUp.Version = &other
+	is.True(s.Borrowed(snap, "s", takenUp, id, clock.Now()) == nil)
+}
--- a/internal/balance/select.go
+++ b/internal/balance/select.go
@@ -51,23 +51,29 @@
 	if len(c.limits) > 0 && !s.limiter.TryAcquire(c.target, c.limits...) {
 		return false
 	}
-	if s.table.hold(c.Key(), c.places) {
+	if s.Hold(c) {
 		return true
 	}
-	if len(c.limits) > 0 {
-		s.limiter.Release(c.target)
-	}
+	s.Refund(c)
 	return false
 }
 
 // Release takes back the request that was counted against the limits of the selected upstream, and is not sent.
 func (s *Selector) Release(c *Choice) {
+	s.Refund(c)
+	s.Finish(c)
+}
+
+// Refund takes back the request that was counted against the limits of the upstream, after Finish.
+func (s *Selector) Refund(c *Choice) {
 	if len(c.limits) > 0 {
 		s.limiter.Release(c.target)
 	}
-	s.Finish(c)
 }
 
+// Hold takes a place at the upstream until Finish, and reports whether this host may take one.
+func (s *Selector) Hold(c *Choice) bool { return s.table.hold(c.Key(), c.places) }
+
 // Finish ends the send for which the upstream was selected.
 func (s *Selector) Finish(c *Choice) { s.table.unhold(c.Key()) }
 
@@ -136,3 +142,66 @@
 	}
 	return s.limiter.Places(m.target(), m.upstream.Slots, pool.brittle.rejections)
 }
+
+// Exhausted is an upstream that could take a request, if this host had not used up its share of the upstream's limits.
+type Exhausted struct {
+	target allowance.Target
+	limits []allowance.RateLimit
+}
+
+// Exhausted returns the upstreams that could take the request and probably respond at once, if this host had not used up its
+// share of their limits.
+func (s *Selector) Exhausted(snap *catalog.Snapshot, service string, criteria Criteria) []Exhausted {
+	var list []Exhausted
+	now := s.clock.Now()
+	s.table.order(snap, service, criteria, func(m *member) (available, bool) {
+		limits := s.limits(snap, m.upstream, m.stats.said.limit, criteria, now)
+		if len(limits) > 0 && s.table.responsive(m.stats, now) && !s.limiter.Available(m.target(), limits...) {
+			list = append(list, Exhausted{m.target(), limits})
+		}
+		return available{}, false
+	})
+	return list
+}
+
+// Holders returns the other hosts that have a share of the limits of the upstream, and the number of all hosts, as far as this
+// host knows.
+func (s *Selector) Holders(e Exhausted) (holders []string, hosts int) {
+	return s.limiter.Holders(e.target, e.limits...)
+}
+
+// Lend counts a request that another host may send within the given time against this host's share of the limits of an
+// upstream, and returns the upstream's incarnation, which is none of the excluded ones. A host lends nothing while a request of
+// its own waits for the software version.
+func (s *Selector) Lend(snap *catalog.Snapshot, service string, criteria Criteria, excluded []uint32, within time.Duration) (incarnationID uint32, ok bool) {
+	now := s.clock.Now()
+	order := s.table.order(snap, service, criteria, func(m *member) (available, bool) {
+		limits := s.limits(snap, m.upstream, m.stats.said.limit, criteria, now)
+		if len(limits) == 0 || m.stats.pool.waiting[m.upstream.Version] > 0 || slices.Contains(excluded, m.stats.id) {
+			return available{}, false
+		}
+		return available{limits: limits, places: noPlaceLimit}, s.limiter.Available(m.target(), limits...)
+	})
+	for i := range order {
+		u := &order[i]
+		if u.Tier < tierTried && !u.Silent && s.limiter.TryLend(u.target, within, u.limits...) {
+			return IncarnationID(u.Key()), true
+		}
+	}
+	return 0, false
+}
+
+// Borrowed returns the upstream with the incarnation if it may receive the request, or nil. The request counts against the
+// share of the host that lent it, and must be sent before the given time.
+func (s *Selector) Borrowed(snap *catalog.Snapshot, service string, criteria Criteria, incarnationID uint32, sendBefore time.Time) *Choice {
+	now := s.clock.Now()
+	order := s.table.order(snap, service, criteria, func(m *member) (available, bool) {
+		return available{places: s.places(m, now)}, m.stats.id == incarnationID
+	})
+	if len(order) == 0 || !s.Hold(&order[0]) {
+		return nil
+	}
+	choice := &order[0]
+	choice.Borrowed, choice.SendBefore = true, sendBefore
+	return choice
+}
--- a/internal/direct/chain.go
+++ b/internal/direct/chain.go
@@ -27,7 +27,7 @@
 	d := &dispatchFilter{
 		shareOrigin:  s.ShareOrigin,
 		incarnations: &incarnationCheck{store: s.Store, listing: s.Listing, registration: s.RegistrationTime, clock: s.Clock, log: s.Log},
-		store:        s.Store, balancer: s.Balancer, selector: s.Selector, prompts: s.Prompts, reach: s.Reach, detours: s.DetourPeers,
+		store:        s.Store, balancer: s.Balancer, selector: s.Selector, desk: s.desk, prompts: s.Prompts, reach: s.Reach, detours: s.DetourPeers,
 		retryBudget: s.RetryBudget, pool: s.Pool, hosts: s.Hosts, codec: s.Codec, clock: s.Clock, stop: s.stop,
 		reachability: &reachability{open: s.Pool.Open, clock: s.Clock, probes: map[string]*probe{}},
 		bodies:       inbound.NewByteBudget(s.BodyBytes), responses: inbound.NewByteBudget(s.ResponseBytes), log: s.Log,
--- a/internal/direct/codec.go
+++ b/internal/direct/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/lending"
 )
 
 // PromptSegment is one segment of a request's prompt. Requests whose prompts start with the same segments can share an
@@ -84,6 +85,12 @@
 	ShareCount() int
 }
 
+// Hosts are the other hosts of the fleet.
+type Hosts interface {
+	HostCount
+	lending.Peers
+}
+
 // Codec translates between the wire format and this package's types. Implementations are safe for concurrent use.
 type Codec interface {
 	// DecodeRequest decodes the metadata of a caller's request.
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/inbound"
+	"github.com/orioleusher/orioleusher/internal/lending"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
@@ -46,6 +47,7 @@
 	balancer     *balance.Table
 	retryBudget  *allowance.RetryBudget
 	selector     *balance.Selector
+	desk         *lending.Desk
 	pool         *upconn.Pool
 	hosts        HostCount
 	codec        Codec
@@ -97,7 +99,7 @@
 		start := d.clock.Now()
 		res := d.attemptSelected(ctx, req, choice)
 		if res.unproven {
-			d.selector.Release(choice)
+			d.giveBack(req, choice)
 			continue
 		}
 		req.attempts = append(req.attempts, newAttemptRecord(req, choice, start, d.clock.Now(), res))
@@ -282,7 +284,14 @@
 		if next := d.takeNext(snap, req); next != nil {
 			return next, nil
 		}
-		return d.selector.Select(snap, req.Service, req.criteria(snap, d.clock.Now())), nil
+		criteria := req.criteria(snap, d.clock.Now())
+		if kept := d.takeBorrowed(snap, req, criteria); kept != nil {
+			return kept, nil
+		}
+		if choice := d.selector.Select(snap, req.Service, criteria); choice != nil {
+			return choice, nil
+		}
+		return d.borrow(ctx, snap, req, criteria), nil
 	case replaced:
 		return nil, outcome.Unavailable(stepDispatch, "stream-version-unproven", "it is not known which software version began the stream")
 	default:
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -25,6 +26,7 @@
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
 	"github.com/orioleusher/orioleusher/internal/detour"
+	"github.com/orioleusher/orioleusher/internal/lending"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -310,6 +312,7 @@
 	soleVersion *string
 	// prompts is the server's table of prompt segments that crash upstreams.
 	prompts *promptblame.Table
+	hosts   fleetHosts
 	front   *httptest.Server
 }
 
@@ -317,6 +320,19 @@
 
 func (oneHost) ShareCount() int               { return 1 }
 func (oneHost) Rank(uint64) (rank, hosts int) { return 0, 1 }
+func (oneHost) Ranked(uint64) []string        { return []string{""} }
+
+func (oneHost) AskLoan(context.Context, string, lending.Question) (uint32, bool, error) {
+	return 0, false, errors.New("there is no other host")
+}
+
+func (oneHost) OnAskLoan(func(lending.Question) (uint32, bool)) {}
+
+// fleetHosts are the hosts of the fleet, as the limits and the server need them.
+type fleetHosts interface {
+	allowance.FleetView
+	lending.Peers
+}
 
 // hangs returns a behaviour that never responds, and a channel that is closed when its connection has ended.
 func hangs() (behaviour, <-chan struct{}) {
@@ -338,6 +354,7 @@
 	h.prompts = promptblame.NewTable(1, clock, log)
 	h.origins, h.soleVersion = origin.NewTable(clock), new(string)
 	h.listing, h.reach, h.peers = freshListing{}, &testReach{}, func() []string { return nil }
+	h.hosts = oneHost{}
 	h.config = &catalog.Config{
 		Version: 1, Services: map[string]catalog.Service{"s": {Name: "s"}},
 		Teams: map[string]*catalog.Team{"key": {Name: "team"}},
@@ -360,14 +377,14 @@
 	clock, log := clockwork.NewRealClock(), zerolog.Nop()
 	table := balance.NewTable("dc", clock, log)
 	h.server = New(Options{
-		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Hosts: oneHost{}, Codec: testCodec{}, Quarantine: h.quarantine,
+		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Hosts: h.hosts, Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
 		Reach:       h.reach,
 		DetourPeers: detour.NewPeers(h.peers, h.peerPort, clock, rand.New(rand.NewPCG(1, 1))), MaxDetours: 100,
 		Origins:     h,
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
-		RetryBudget: allowance.NewRetryBudget(limits, oneHost{}, clock), Selector: balance.NewSelector(
-			table, allowance.NewUpstreamLimiter(oneHost{}, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
+		RetryBudget: allowance.NewRetryBudget(limits, h.hosts, clock), Selector: balance.NewSelector(
+			table, allowance.NewUpstreamLimiter(h.hosts, clockwork.NewFakeClock()), allowance.ColdLimits{Overage: 1}, clock),
 		BodyBytes: bodyBytes, ResponseBytes: 1 << 20, HeadBytes: 1 << 20, MaxConns: h.maxConns, Clock: clock, Log: log, Scope: tally.NoopScope,
 	})
 	h.front = httptest.NewUnstartedServer(nil)
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -62,6 +62,9 @@
 	sends, runs int
 	// next is the upstream that is reserved for the next send, with a retry of the budget; nil if none is.
 	next *balance.Choice
+	// borrowed is an upstream that may receive the request within another host's share, once a connection to it is proven; nil if
+	// there is none.
+	borrowed *balance.Choice
 	// attempts holds the upstream selections and their results, for the log.
 	attempts []attemptRecord
 	// reserved is the number of bytes reserved for the bodies of responses.
--- a/internal/direct/server.go
+++ b/internal/direct/server.go
@@ -25,6 +25,7 @@
 	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/framing"
 	"github.com/orioleusher/orioleusher/internal/inbound"
+	"github.com/orioleusher/orioleusher/internal/lending"
 	"github.com/orioleusher/orioleusher/internal/origin"
 	"github.com/orioleusher/orioleusher/internal/outcome"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
@@ -40,7 +41,7 @@
 	Selector    *balance.Selector
 	RetryBudget *allowance.RetryBudget
 	Pool        *upconn.Pool
-	Hosts       HostCount
+	Hosts       Hosts
 	Codec       Codec
 	// Reach tells whether this host is cut off from the upstreams. DetourPeers chooses the hosts through which it sends requests
 	// then, and MaxDetours limits the requests of other hosts in flight through this one.
@@ -84,6 +85,7 @@
 	latency       map[catalog.Kind]tally.Histogram
 	responses     *responseCounters
 	conns         *callerconn.Tracker
+	desk          *lending.Desk
 	returns       *retryafter.Advisor
 }
 
@@ -118,6 +120,10 @@
 		Clock: o.Clock, Limits: s.connLimits, MaxConns: o.MaxConns, Heads: inbound.NewByteBudget(o.HeadBytes), Refusal: headRefusal,
 		OnIncompleteHead: s.logIncompleteHead, OnLateBytes: s.logLateBytes, OnAmbiguous: s.reportAmbiguous,
 	})
+	s.desk = lending.New(lending.Options{
+		Store: o.Store, Selector: o.Selector, Peers: o.Hosts, Clock: o.Clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log: o.Log, Scope: o.Scope,
+	})
 	o.Balancer.OnChange(s.recordUpstreamChange)
 	s.assemble()
 	return s
--- a/internal/direct/unanswered_test.go
+++ b/internal/direct/unanswered_test.go
@@ -39,7 +39,7 @@
 			scope, clock, log := tally.NewTestScope("", nil), clockwork.NewFakeClock(), zerolog.New(&logged)
 			s := New(Options{
 				Store: catalog.NewStore(nil, clock, log), Balancer: balance.NewTable("dc", clock, log), Codec: testCodec{}, Clock: clock, Log: log,
-				Scope: scope,
+				Hosts: oneHost{}, Scope: scope,
 			})
 			s.chain = func(context.Context, *Request) error { panic(tt.cause) }
 			func() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
+	"github.com/orioleusher/orioleusher/internal/lending"
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
 	"github.com/orioleusher/orioleusher/internal/loadshare"
 	"github.com/orioleusher/orioleusher/internal/published"
@@ -127,6 +128,8 @@
 	announcesSoon bool
 	// dataCentreHash is the hash of the name of this host's data centre.
 	dataCentreHash uint32
+	// lend answers hosts that ask for a part of upstreams' limits; nil if nothing does.
+	lend func(lending.Question) (incarnationID uint32, ok bool)
 }
 
 type member struct {
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -75,6 +75,16 @@
 	return rank, len(v.members) + 1 - len(v.unaware)
 }
 
+func (v *partialView) Ranked(key uint64) []string {
+	hosts := []scoredHost{{v.Self, loadbalancer.Score(key, v.Self)}}
+	for address := range v.members {
+		if !v.unaware[address] {
+			hosts = append(hosts, scoredHost{address, loadbalancer.Score(key, address)})
+		}
+	}
+	return rankHosts(hosts)
+}
+
 // newLimitedPool returns a fleet whose hosts are each unaware of a share of the others.
 func newLimitedPool(hosts, dataCentres, engines int, unaware float64, seed uint64) *limitedPool {
 	p := &limitedPool{
--- a/internal/fleet/selection.go
+++ b/internal/fleet/selection.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/orioleusher/orioleusher/internal/loadbalancer"
@@ -122,3 +123,27 @@
 	}
 	return rank, len(f.members) + 1
 }
+
+// Ranked implements allowance.FleetView.
+func (f *Fleet) Ranked(key uint64) []string {
+	f.mu.Lock()
+	hosts := make([]scoredHost, 0, len(f.members)+1)
+	hosts = append(hosts, scoredHost{f.Self, loadbalancer.Score(key, f.Self)})
+	for address := range f.members {
+		hosts = append(hosts, scoredHost{address, loadbalancer.Score(key, address)})
+	}
+	f.mu.Unlock()
+	return rankHosts(hosts)
+}
+
+// rankHosts returns the addresses of the hosts by descending score.
+func rankHosts(hosts []scoredHost) []string {
+	slices.SortFunc(hosts, func(a, b scoredHost) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+	})
+	addresses := make([]string, len(hosts))
+	for i, h := range hosts {
+		addresses[i] = h.address
+	}
+	return addresses
+}
--- a/internal/fleet/takeup_test.go
+++ b/internal/fleet/takeup_test.go
@@ -1,15 +1,21 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/catalog"
+	"github.com/orioleusher/orioleusher/internal/lending"
+	"github.com/orioleusher/orioleusher/internal/rpc/fleetpb"
 )
 
 const (
@@ -19,6 +25,8 @@
 	takeUpPatience = 2400 * time.Millisecond
 	takeUpPoll     = 20 * time.Millisecond
 	takeUpLimit    = 1.0
+	// loanValidity is the time within which a borrowed request is sent.
+	loanValidity = 500 * time.Millisecond
 	// minTakeUps is the least share of the streams taken up that must go on, as a share of the new requests that begin.
 	minTakeUps = 0.5
 )
@@ -27,6 +35,7 @@
 // and callers take their streams up.
 type versionedPool struct {
 	*limitedPool
+	desks         map[*surgeHost]*lending.Desk
 	version       string
 	begun, asked  int
 	takeUps, went int
@@ -42,6 +51,12 @@
 		}
 	}
 	p.deliver = p.begin
+	p.desks = map[*surgeHost]*lending.Desk{}
+	for _, h := range p.hosts {
+		p.desks[h] = lending.New(lending.Options{
+			Store: p, Selector: p.selectors[h], Peers: &lenders{p, h}, Clock: p.clock, Rand: p.rand, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		})
+	}
 	p.after(limitStart, func() {
 		limit := takeUpLimit
 		for _, u := range p.ofVersion()[:limited] {
@@ -51,6 +66,31 @@
 	return p
 }
 
+// lenders are the other hosts of a pool as one of them asks them. One question in a hundred is lost, and one answer.
+type lenders struct {
+	pool *versionedPool
+	self *surgeHost
+}
+
+func (l *lenders) AskLoan(ctx context.Context, host string, q lending.Question) (incarnationID uint32, ok bool, err error) {
+	for _, h := range l.pool.hosts {
+		if h.Self == host && l.pool.rand.IntN(100) > 0 {
+			reply, err := h.Lend(ctx, &fleetpb.LendRequest{Service: q.Service, Version: q.Version, Affinity: q.AffinityHash, Excluded: q.Excluded})
+			if err == nil && l.pool.rand.IntN(100) > 0 {
+				return reply.GetUpstream(), reply.GetLent(), nil
+			}
+		}
+	}
+	return 0, false, errors.New("no answer")
+}
+
+func (l *lenders) OnAskLoan(lend func(lending.Question) (incarnationID uint32, ok bool)) {
+	l.self.OnAskLoan(lend)
+}
+
+// Current implements lending.Snapshots.
+func (p *versionedPool) Current() *catalog.Snapshot { return p.snap }
+
 func (p *versionedPool) ofVersion() []*catalog.Upstream {
 	return slices.DeleteFunc(slices.Clone(p.snap.Upstreams["s"]), func(u *catalog.Upstream) bool { return u.Version != p.version })
 }
@@ -84,11 +124,15 @@
 	endWait := h.table.WaitForVersion(p.snap, "s", p.version)
 	var try func()
 	try = func() {
-		choice := p.selectors[h].Select(p.snap, "s", balance.Criteria{Engine: true, AffinityHash: p.rand.Uint64() | 1, Version: &p.version, TakenUp: true})
+		criteria := balance.Criteria{Engine: true, AffinityHash: p.rand.Uint64() | 1, Version: &p.version, TakenUp: true}
+		choice, sentIn := p.selectors[h].Select(p.snap, "s", criteria), time.Duration(0)
+		if choice == nil {
+			choice, sentIn = p.desks[h].Borrow(context.Background(), p.snap, "s", criteria, ""), p.upTo(loanValidity)
+		}
 		switch {
 		case choice != nil:
 			p.went++
-			p.received[choice.ID] = append(p.received[choice.ID], arrival{p.clock.Now(), h})
+			p.after(sentIn, func() { p.received[choice.ID] = append(p.received[choice.ID], arrival{p.clock.Now(), h}) })
 			endWait()
 		case !p.clock.Now().Before(deadline):
 			endWait()
