soak: the servers answer health checks

Seen: 'server i-... received request "" that no client sent', 12 times in the case of a router that stands still, and wherever most upstreams are silent. A request without an ID on another path counts as before.

--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -212,6 +212,9 @@
 	s.mu.Lock()
 	instance, version, limit, leaving, pause, rejections := s.instance, s.version, s.limit, s.leaving, s.pause, s.rejections
 	s.mu.Unlock()
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		return s.answerHealthCheck(c, instance)
+	}
 	id := r.Header.Get("Orioleusher-Request-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	timeLeftMS, _ := strconv.Atoi(r.Header.Get("Orioleusher-Deadline-Ms"))
@@ -271,6 +274,21 @@
 	return s.plain(c, head, id, instance, kind)
 }
 
+// healthPath is the path of health checks, which are no requests of clients.
+const healthPath = "/health"
+
+func (s *server) answerHealthCheck(c net.Conn, instance string) bool {
+	s.work(0)
+	s.mu.Lock()
+	status := "200 OK"
+	if s.draining {
+		status = "503 Leaving"
+	}
+	s.mu.Unlock()
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nOrioleusher-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, instance)
+	return err == nil
+}
+
 // plain sends a plain response with a fault of the kind, or without one if the kind is 0.
 func (s *server) plain(c net.Conn, head, id, instance string, kind int) bool {
 	s.work(5 * time.Millisecond)
