testfleet: cuts that refuse connections need no rights

What refused connections as a firewall does needed raw sockets, which only a privileged process may open; who runs the tests may not be one.

--- a/internal/testfleet/network.go
+++ b/internal/testfleet/network.go
@@ -27,8 +27,6 @@
 	bytes map[link]uint64
 	// listeners are the proxies' listeners by the IP of the target.
 	listeners map[string][]net.Listener
-	// rejecting holds the targets whose proxies reset attempts to open connections where they are cut like that.
-	rejecting map[string]bool
 }
 
 type link struct{ from, to string }
@@ -45,13 +43,13 @@
 	// CutDrop drops all packets, as a partition does: connecting gets no answer, and data waits in the kernel of the sender,
 	// which sends it again until it arrives after Heal or the sender's kernel gives the connection up.
 	CutDrop
-	// CutReject resets open connections and the attempt to open new ones, like a firewall that rejects packets.
+	// CutReject resets open connections and new ones.
 	CutReject
-	// CutNew resets the attempt to open new connections and lets open ones live on.
+	// CutNew resets new connections and lets open ones live on.
 	CutNew
 )
 
-// rejectsNew reports whether attempts to open connections are reset, which needs the right to use raw sockets.
+// rejectsNew reports whether new connections are reset.
 func (c Cut) rejectsNew() bool { return c == CutReject || c == CutNew }
 
 // proxyConn is one proxied connection.
@@ -71,7 +69,7 @@
 func NewNetwork(t *testing.T) *Network {
 	n := &Network{
 		t: t, cuts: map[link]Cut{}, conns: map[*proxyConn]struct{}{}, bytes: map[link]uint64{},
-		listeners: map[string][]net.Listener{}, rejecting: map[string]bool{},
+		listeners: map[string][]net.Listener{},
 	}
 	t.Cleanup(n.Heal)
 	return n
@@ -113,7 +111,12 @@
 	n.mu.Lock()
 	cut := n.cuts[p.link]
 	n.mu.Unlock()
-	if cut == CutRefuse {
+	switch {
+	case cut == CutRefuse:
+		client.Close()
+		return
+	case cut.rejectsNew():
+		_ = client.(*net.TCPConn).SetLinger(0) // Close resets the connection
 		client.Close()
 		return
 	}
@@ -195,9 +198,6 @@
 	defer n.mu.Unlock()
 	l := link{from: from, to: to}
 	n.cuts[l] = how
-	if how.rejectsNew() {
-		n.startRejecting(to)
-	}
 	n.filterNew(to)
 	for p := range n.conns {
 		if p.link == l {
@@ -226,8 +226,7 @@
 // dropAll is a packet filter that drops every packet.
 var dropAll = []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
 
-// filterNew makes the proxies of the target drop the packets that open connections on links on which no connection can be
-// opened. The caller must hold mu.
+// filterNew makes the proxies of the target drop the packets that open connections on links on which packets are dropped. The caller must hold mu.
 func (n *Network) filterNew(to string) {
 	const (
 		networkHeader = 0xfff00000 // SKF_NET_OFF of linux/filter.h
@@ -235,7 +234,7 @@
 	)
 	filter := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + sourceAddress}}
 	for l, how := range n.cuts {
-		if l.to == to && (how == CutDrop || how.rejectsNew()) {
+		if l.to == to && how == CutDrop {
 			source := binary.BigEndian.Uint32(net.ParseIP(l.from).To4())
 			filter = append(filter, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: source}, dropAll[0])
 		}
