--- a/internal/proofs/soak/server_test.go
+++ b/internal/proofs/soak/server_test.go
@@ -201,20 +201,25 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.answer(c, r) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.respond(c, r) {
 			return
 		}
 	}
 }
 
+// respond serves one request or health check. It returns false if the connection must be closed.
+func (s *server) respond(c net.Conn, r *http.Request) bool {
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		return s.answerHealthCheck(c)
+	}
+	return s.answer(c, r)
+}
+
 // answer serves one request. It returns false if the connection must be closed.
 func (s *server) answer(c net.Conn, r *http.Request) bool {
 	s.mu.Lock()
 	instance, version, limit, leaving, pause, rejections := s.instance, s.version, s.limit, s.leaving, s.pause, s.rejections
 	s.mu.Unlock()
-	if r.Method == http.MethodGet && r.URL.Path == healthPath {
-		return s.answerHealthCheck(c, instance)
-	}
 	id := r.Header.Get("Orioleusher-Request-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	timeLeftMS, _ := strconv.Atoi(r.Header.Get("Orioleusher-Deadline-Ms"))
@@ -277,10 +282,10 @@
 // healthPath is the path of health checks, which are no requests of clients.
 const healthPath = "/health"
 
-func (s *server) answerHealthCheck(c net.Conn, instance string) bool {
+func (s *server) answerHealthCheck(c net.Conn) bool {
 	s.work(0)
 	s.mu.Lock()
-	status := "200 OK"
+	instance, status := s.instance, "200 OK"
 	if s.draining {
 		status = "503 Leaving"
 	}
