--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -209,17 +209,6 @@
 	}
 }
 
-// manyTargets are eight upstreams in each of four data centres.
-func manyTargets() []Target {
-	var list []Target
-	for dc := range 4 {
-		for n := range 8 {
-			list = append(list, Target{Address: fmt.Sprintf("%d-%d", dc, n), DataCentre: fmt.Sprintf("dc%d", dc)})
-		}
-	}
-	return list
-}
-
 // Guards against a cut that goes unnoticed because something accepts the connections in the place of the upstreams and closes them.
 func TestConnectionThatIsClosedAtOnceDoesNotCount(t *testing.T) {
 	for name, serve := range map[string]func(c net.Conn){
