gateway: requests of hosts that are cut off come to the peer address

An address of its own also needs a setting and a rule of the firewall. Change: requests with an order are served at the peer address, beside the calls of other hosts; the setting detour_address is gone (not released). What an older build does with an order: it answers 404 without a report, so that the outcome counts as unknown. Changes to tests: none but the addresses.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -114,6 +114,9 @@
 // TakeReport removes the report from the headers of a response and returns it.
 func TakeReport(h http.Header) (Report, error) { return take[Report](h) }
 
+// HasOrder reports whether the headers of a request have an order.
+func HasOrder(h http.Header) bool { return h.Get(header) != "" }
+
 // HasReport reports whether the headers of a response have a report, and so come from another host.
 func HasReport(h http.Header) bool { return h.Get(header) != "" }
 
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -33,9 +33,9 @@
 	clock := clockwork.NewFakeClock()
 	var list []string
 	for _, a := range addresses {
-		list = append(list, a+":7000")
+		list = append(list, a+":7340")
 	}
-	return NewPeers(func() []string { return list }, "7340", clock, rand.New(rand.NewPCG(1, 1))), clock
+	return NewPeers(func() []string { return list }, clock, rand.New(rand.NewPCG(1, 1))), clock
 }
 
 func TestHostThatRefusedIsLeftAlone(t *testing.T) {
--- a/internal/detour/peers.go
+++ b/internal/detour/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -24,7 +23,6 @@
 // Peers chooses the hosts through which detours go. It is safe for concurrent use.
 type Peers struct {
 	reachable func() []string
-	port      string
 	clock     clockwork.Clock
 
 	mu     sync.Mutex
@@ -43,9 +41,9 @@
 	skipUntil, provenUntil, doubtUntil time.Time
 }
 
-// NewPeers returns a chooser among the hosts at the peer addresses that reachable returns. All of them take detours at the port.
-func NewPeers(reachable func() []string, port string, clock clockwork.Clock, r *rand.Rand) *Peers {
-	return &Peers{reachable: reachable, port: port, clock: clock, rand: r, states: map[string]*peerState{}}
+// NewPeers returns a chooser among the hosts at the addresses that reachable returns.
+func NewPeers(reachable func() []string, clock clockwork.Clock, r *rand.Rand) *Peers {
+	return &Peers{reachable: reachable, clock: clock, rand: r, states: map[string]*peerState{}}
 }
 
 // Choose returns the address to which the next detour goes, other than those in tried, or "" if there is none.
@@ -82,12 +80,9 @@
 	}
 	p.list, p.listAt = []*peerState{}, now
 	reachable := map[string]bool{}
-	for _, peer := range p.reachable() {
-		if host, _, err := net.SplitHostPort(peer); err == nil {
-			address := net.JoinHostPort(host, p.port)
-			reachable[address] = true
-			p.list = append(p.list, p.state(address))
-		}
+	for _, address := range p.reachable() {
+		reachable[address] = true
+		p.list = append(p.list, p.state(address))
 	}
 	for address, s := range p.states {
 		if s.inFlight == 0 && !reachable[address] {
--- a/internal/direct/detour_faults_test.go
+++ b/internal/direct/detour_faults_test.go
@@ -14,15 +14,10 @@
 	"github.com/orioleusher/orioleusher/internal/catalog"
 )
 
-// strangePeer listens at the port of the other host, at another address, and handles each connection with serve after it has read a
-// request.
-func strangePeer(t *testing.T, p *peer, serve func(net.Conn)) string {
+// strangePeer listens in the place of another host and handles each connection with serve after it has read a request.
+func strangePeer(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	_, port, err := net.SplitHostPort(p.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.2", port))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +36,7 @@
 			}()
 		}
 	}()
-	return "127.0.0.2:1"
+	return l.Addr().String()
 }
 
 // useOnly makes the server, which is cut off, send detours through the hosts at the addresses only.
@@ -91,7 +86,7 @@
 			is := is.New(t)
 			h := newHarness(t, catalog.Unsafe, false)
 			p := h.startPeer()
-			h.useOnly(p, strangePeer(t, p, serve))
+			h.useOnly(p, strangePeer(t, serve))
 			is.Equal(h.call(http.MethodPost, "/r/", "hello").status, http.StatusBadGateway) // the outcome is unknown
 			is.Equal(h.call(http.MethodPost, "/r/", "hello").status, http.StatusServiceUnavailable)
 			is.Equal(len(h.suspects()), 0)
--- a/internal/direct/detour_handler.go
+++ b/internal/direct/detour_handler.go
@@ -31,14 +31,12 @@
 	inFlight atomic.Int64
 }
 
-// DetourServer returns the HTTP server for hosts that are cut off.
-func (s *Server) DetourServer() *http.Server {
-	return &http.Server{
-		Handler: s.detourHandler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: detourIdleTimeout,
-		MaxHeaderBytes:               maxHeaderBytes + maxAddedHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-		ConnContext:                  withPeerConn,
-	}
+// DetourHandler returns the handler of requests of hosts that are cut off. Its server must be prepared with PrepareDetours.
+func (s *Server) DetourHandler() http.Handler { return s.detourHandler }
+
+// PrepareDetours prepares a server for the handler of detours.
+func PrepareDetours(s *http.Server) {
+	s.MaxHeaderBytes, s.ConnContext, s.DisableGeneralOptionsHandler = maxHeaderBytes+maxAddedHeaderBytes, withPeerConn, true
 }
 
 // peerConn is the key of the other host's connection in the context of its requests.
@@ -57,9 +55,6 @@
 	return a.in.Context().Err() != nil || rawsocket.HasEnded(a.in.Context().Value(peerConn{}))
 }
 
-// detourIdleTimeout is how long idle connections of other hosts stay open. It exceeds the time for which those use them.
-const detourIdleTimeout = 10 * time.Second
-
 // maxAddedHeaderBytes is more than hosts add to the headers of a caller: the order and those of the upstream's protocol.
 const maxAddedHeaderBytes = 8 << 10
 
--- a/internal/direct/detour_left_test.go
+++ b/internal/direct/detour_left_test.go
@@ -25,7 +25,7 @@
 		h := newHarness(t, catalog.Unsafe, false, ok)
 		p := h.startPeer()
 		is.Equal(p.call(http.MethodPost, "/r/", "").status, http.StatusOK) // leaves a connection, so that the order needs no time
-		front := p.server.DetourServer()
+		front := newDetourServer(p.server)
 		handler, done := front.Handler, make(chan struct{})
 		front.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			defer close(done)
--- a/internal/direct/detour_test.go
+++ b/internal/direct/detour_test.go
@@ -31,20 +31,23 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	p := &peer{harness: &other, address: l.Addr().String(), front: other.server.DetourServer()}
+	p := &peer{harness: &other, address: l.Addr().String(), front: newDetourServer(other.server)}
 	go func() { _ = p.front.Serve(l) }()
 	h.t.Cleanup(func() { p.front.Close() })
 	return p
 }
 
+// newDetourServer returns a server for hosts that are cut off, as that for other hosts is.
+func newDetourServer(s *Server) *http.Server {
+	server := &http.Server{Handler: s.DetourHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+	PrepareDetours(server)
+	return server
+}
+
 // cutOffBeside restarts the server as a host that is cut off from the upstreams, beside the other one.
 func (h *harness) cutOffBeside(p *peer) {
 	h.t.Helper()
-	_, port, err := net.SplitHostPort(p.address)
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.peers, h.peerPort = func() []string { return []string{"127.0.0.1:1"} }, port
+	h.peers = func() []string { return []string{p.address} }
 	h.serve(allowance.RetryLimits{Ratio: 0.2, Slack: 100}, 1<<20)
 	h.reach.cutOff.Store(true)
 }
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -294,10 +294,9 @@
 	// listing tells how recent the published upstreams are, which have published themselves within the registration time.
 	listing      Listing
 	registration time.Duration
-	// reach tells whether the server is cut off from the upstreams. peers are the hosts that may take its detours at peerPort.
-	reach    *testReach
-	peers    func() []string
-	peerPort string
+	// reach tells whether the server is cut off from the upstreams. peers are the addresses of hosts that may take its detours.
+	reach *testReach
+	peers func() []string
 	// maxConns limits the callers' connections of a server that is started with serve.
 	maxConns int
 	*upstreams
@@ -380,7 +379,7 @@
 		Store: h.store, Balancer: table, Pool: upconn.NewPool(nil, clock), Hosts: h.hosts, Codec: testCodec{}, Quarantine: h.quarantine,
 		Prompts:     h.prompts,
 		Reach:       h.reach,
-		DetourPeers: detour.NewPeers(h.peers, h.peerPort, clock, rand.New(rand.NewPCG(1, 1))), MaxDetours: 100,
+		DetourPeers: detour.NewPeers(h.peers, clock, rand.New(rand.NewPCG(1, 1))), MaxDetours: 100,
 		Origins:     h,
 		ShareOrigin: h.origins.AddOwn, Listing: h.listing, RegistrationTime: h.registration,
 		RetryBudget: allowance.NewRetryBudget(limits, h.hosts, clock), Selector: balance.NewSelector(
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -8,6 +8,7 @@
 	"github.com/orioleusher/orioleusher/internal/admin"
 	"github.com/orioleusher/orioleusher/internal/balance"
 	"github.com/orioleusher/orioleusher/internal/callerconn"
+	"github.com/orioleusher/orioleusher/internal/detour"
 	"github.com/orioleusher/orioleusher/internal/fleet"
 	"github.com/orioleusher/orioleusher/internal/promptblame"
 	"github.com/orioleusher/orioleusher/internal/quarantine"
@@ -44,7 +45,17 @@
 	})
 }
 
-func (g *Gateway) peerHandler() http.Handler { return fleetpb.NewFleetServer(g.fleet) }
+// peerHandler serves the calls of other hosts, and the requests of those that are cut off from the upstreams.
+func (g *Gateway) peerHandler() http.Handler {
+	calls, detours := http.MaxBytesHandler(fleetpb.NewFleetServer(g.fleet), maxPeerRequestBytes), g.server.DetourHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if detour.HasOrder(r.Header) {
+			detours.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
 
 func (g *Gateway) adminHandler() http.Handler {
 	return admin.Handler(admin.Options{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -261,12 +261,7 @@
 
 // newDetourPeers returns the chooser of the hosts through which this one sends requests while it is cut off.
 func (g *Gateway) newDetourPeers() *detour.Peers {
-	_, port, err := net.SplitHostPort(g.settings.DetourAddress)
-	reachable := g.fleet.Reachable
-	if err != nil { // there is no address, and so no other host has one either
-		reachable = func() []string { return nil }
-	}
-	return detour.NewPeers(reachable, port, g.clock, mathrand.New(mathrand.NewPCG(g.incarnation, 4)))
+	return detour.NewPeers(g.fleet.Reachable, g.clock, mathrand.New(mathrand.NewPCG(g.incarnation, 4)))
 }
 
 // newOrigins returns the resolver of the origins of streams, and sets what records and tells them.
@@ -331,7 +326,7 @@
 		stopLoops()
 		return errors.Wrap(err, "run router")
 	}
-	serveErrors := make(chan error, 5)
+	serveErrors := make(chan error, 4)
 	callers, err := net.Listen("tcp", g.settings.CallerAddress)
 	if err != nil {
 		stopLoops()
@@ -344,15 +339,14 @@
 			serveErrors <- errors.Wrapf(err, "serve caller address %s", g.settings.CallerAddress)
 		}
 	}()
-	servers := []addressedServer{
+	for _, s := range []struct {
+		name, address string
+		server        *http.Server
+	}{
 		{"ready", g.settings.ReadyAddress, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerReadTimeout}},
 		{"peer", g.settings.PeerAddress, newPeerServer(g.peerHandler())},
 		{"admin", g.settings.AdminAddress, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: headerReadTimeout}},
-	}
-	if g.settings.DetourAddress != "" {
-		servers = append(servers, addressedServer{"detour", g.settings.DetourAddress, g.server.DetourServer()})
-	}
-	for _, s := range servers {
+	} {
 		go serve(s.server, s.name, s.address, framing.NewReport(s.name, g.log, g.metrics.Scope), serveErrors)
 	}
 	g.log.Info().Str("event", "started").Uint64("incarnation", g.incarnation).Str("version", process.Version).
@@ -369,10 +363,9 @@
 
 // newPeerServer returns the server for other hosts.
 func newPeerServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: http.MaxBytesHandler(h, maxPeerRequestBytes), ReadHeaderTimeout: headerReadTimeout, ReadTimeout: peerReadTimeout,
-		IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
-	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout}
+	direct.PrepareDetours(server)
+	return server
 }
 
 // shareLoads starts the exchange of observed loads and of the origins of streams, on the UDP port with the number of the peer address.
@@ -391,12 +384,6 @@
 	return nil
 }
 
-// addressedServer is a server with the address on which it listens.
-type addressedServer struct {
-	name, address string
-	server        *http.Server
-}
-
 func serve(s *http.Server, name, address string, report framing.Report, errs chan<- error) {
 	listener, err := net.Listen("tcp", address)
 	if err == nil {
--- a/internal/proofs/soak/soak_test.go
+++ b/internal/proofs/soak/soak_test.go
@@ -285,7 +285,7 @@
 		ip := routerIP(n)
 		raw, err := json.Marshal(map[string]any{
 			"name": fmt.Sprintf("r%d", n), "data_centre": zone, "data_centres": dataCentres, "caller_address": ip + ":8080",
-			"ready_address": ip + ":8081", "peer_address": ip + ":7080", "detour_address": ip + ":7090", "admin_address": ip + ":9080",
+			"ready_address": ip + ":8081", "peer_address": ip + ":7080", "admin_address": ip + ":9080",
 			"store_address": storeIP() + ":9000", "seed_peers": []string{routerIP(0) + ":7080", routerIP(1) + ":7080"},
 			"memory_mb": routerMemoryMB, "retry": map[string]any{"ratio": 0.2, "slack": f.fleet.retrySlack},
 			"cold": map[string]any{"overage": 1.5, "slack": 5}, "timeouts": map[string]any{"drain": "1s", "stop": "6s"},
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -16,9 +16,6 @@
 	ReadyAddress  string   `json:"ready_address"`
 	PeerAddress   string   `json:"peer_address"`
 	AdminAddress  string   `json:"admin_address"`
-	// DetourAddress is where hosts that are cut off from the upstreams send requests; empty if this fleet has no detours. Its port
-	// is the same on all hosts.
-	DetourAddress string `json:"detour_address,omitempty"`
 	// StoreAddress is the address of the store of published items.
 	StoreAddress string `json:"store_address"`
 	// SeedPeers lists peer addresses of other hosts. It may be out of date.
@@ -109,9 +106,6 @@
 	c.address("admin_address", d.AdminAddress)
 	c.address("store_address", d.StoreAddress)
 	c.specific("peer_address", d.PeerAddress)
-	if d.DetourAddress != "" {
-		c.address("detour_address", d.DetourAddress)
-	}
 	c.distinctAddresses()
 	c.seeds(d.SeedPeers)
 	c.intRange("memory_mb", int64(d.MemoryMB), minMemoryMB, maxMemoryMB)
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -24,7 +24,7 @@
 		"listen.ready": "10.1.0.40:8220", "listen.control": "10.1.0.40:8229", "platform.address": "10.200.1.7:8223",
 		"limits.memory_mb": "284", "bounds.retry_budget_ratio": "0.2", "bounds.budget_slack": "54",
 		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5", "bounds.grace_s": "8", "bounds.drain_ms": "3000", "bounds.config_ms": "2000",
-		"platform.history_s": "20", "internal_ports.0": "7340",
+		"platform.history_s": "20",
 	}
 	lists := map[string][]string{"zones": {"acireale", "catania-a"}, "seeds": {"10.1.0.40:8229", "10.2.0.29:8229"}}
 	file := filepath.Join(t.TempDir(), "router.json")
