--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -28,11 +28,22 @@
 	dials, asked      int
 }
 
-func (n *network) probe(count *int, succeeds func(Target) bool, t Target) error {
+func (n *network) connect(_ context.Context, t Target) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	*count++
-	if succeeds(t) {
+	n.dials++
+	return result(n.reaches(t))
+}
+
+func (n *network) ask(_ context.Context, t Target) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asked++
+	return result(n.responds(t))
+}
+
+func result(succeeds bool) error {
+	if succeeds {
 		return nil
 	}
 	return errors.New("unreachable")
@@ -60,8 +71,7 @@
 	d := New(Options{
 		DataCentre: "dc0", Targets: targets, Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
 		OnChange: func(cutOff bool) { changes <- cutOff },
-		Connect:  func(_ context.Context, t Target) error { return n.probe(&n.dials, n.reaches, t) },
-		Ask:      func(_ context.Context, t Target) error { return n.probe(&n.asked, n.responds, t) },
+		Connect:  n.connect, Ask: n.ask,
 	})
 	clock.Advance(time.Second)
 	return d, clock
@@ -260,12 +270,15 @@
 	silence("0-0")
 	silence("1-0")
 	is.True(<-changes)
-	n.set(every)
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1)) // the next round is planned
+	dials, asked := n.counts()
 	clock.Advance(roundInterval)
+	awaitRound(t, d, n, dials+asked)
 	is.True(d.CutOff()) // they accept connections but do not respond
 	n.mu.Lock()
 	n.responds = every
 	n.mu.Unlock()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(roundInterval)
 	is.True(!<-changes)
 }
