--- a/internal/logread/events_test.go
+++ b/internal/logread/events_test.go
@@ -15,7 +15,7 @@
 // sources lists the packages that an oriole-router runs in direct mode.
 var sources = []string{
 	"../catalog", "../published", "../fleet", "../direct", "../balance", "../gateway", "../logging", "../allowance",
-	"../upconn", "../framing", "../schedlag", "../promptblame", "../origin", "../detour", "../reach", "../../cmd/oriole-router", "../../platform",
+	"../upconn", "../framing", "../schedlag", "../promptblame", "../origin", "../detour", "../reach", "../lending", "../../cmd/oriole-router", "../../platform",
 }
 
 var (
